--- /dev/null
+++ b/internal/accept/store.go
@@ -0,0 +1,316 @@
+// Package accept moves the accepted configuration: parts are written first, then one conditional
+// update of the head object accepts them together or not at all.
+package accept
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/zeebo/errs"
+
+	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/platform"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("accept")
+
+// Store reads and moves the head.
+type Store struct {
+	objects platform.ObjectStore
+}
+
+// NewStore returns a Store over the platform's object API.
+func NewStore(objects platform.ObjectStore) *Store { return &Store{objects} }
+
+// Head returns the head and its object version, both zero before the first apply.
+func (s *Store) Head(ctx context.Context) (*Head, int64, error) {
+	o, err := s.objects.Get(ctx, keys.Head)
+	if errors.Is(err, platform.ErrNotFound) {
+		return &Head{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, Error.Wrap(err)
+	}
+	h, err := DecodeHead(o.Value)
+	return h, o.Version, err
+}
+
+// DecodeHead decodes the head object's value.
+func DecodeHead(raw json.RawMessage) (*Head, error) {
+	h := &Head{}
+	if err := json.Unmarshal(raw, h); err != nil {
+		return nil, Error.New("head object: %w", err)
+	}
+	return h, nil
+}
+
+// Part fetches one part and checks it against its hash.
+func (s *Store) Part(ctx context.Context, name string, ref *PartRef) (config.Part, error) {
+	o, err := s.objects.Get(ctx, ref.Key)
+	if err != nil {
+		return config.Part{}, Error.New("part %s: %w", name, err)
+	}
+	return DecodePart(name, ref, o.Value)
+}
+
+// DecodePart parses the stored content of a part and checks it against its hash.
+func DecodePart(name string, ref *PartRef, content json.RawMessage) (config.Part, error) {
+	p, problems := config.ParsePart(name, content)
+	if problems != nil {
+		return p, Error.New("stored part %s: %w", name, problems)
+	}
+	if p.Hash() != ref.Hash {
+		return p, Error.New("stored part %s does not match its hash", name)
+	}
+	return p, nil
+}
+
+// Set fetches every part of the head.
+func (s *Store) Set(ctx context.Context, h *Head) (config.Set, error) {
+	set := make(config.Set, len(h.Parts))
+	for name, ref := range h.Parts {
+		p, err := s.Part(ctx, name, ref)
+		if err != nil {
+			return nil, err
+		}
+		set[name] = p
+	}
+	return set, nil
+}
+
+// Check returns what Apply would do, without writing.
+func (s *Store) Check(ctx context.Context, r Request) (Result, error) {
+	h, _, err := s.Head(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	set, err := s.Set(ctx, h)
+	if err != nil {
+		return Result{}, err
+	}
+	return judge(r, h, set), nil
+}
+
+// Settle reports whether the operation was accepted, for an operator whose answer was lost.
+func (s *Store) Settle(ctx context.Context, operation string) (Result, error) {
+	h, _, err := s.Head(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	if op, ok := h.Find(operation); ok {
+		return Result{Status: Accepted, Operation: operation, Revision: op.Revision}, nil
+	}
+	return Result{Status: Unknown, Operation: operation, Revision: h.Revision,
+		Detail: "not among the accepted operations; apply again with the same operation id to settle it"}, nil
+}
+
+// Apply accepts the request whole or not at all. When the store stops answering it tries until ctx
+// ends, and then returns Unknown: the same request sent again settles it.
+func (s *Store) Apply(ctx context.Context, r Request) (Result, error) {
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = 20 * time.Millisecond
+	wait.MaxInterval = time.Second
+	a := attempt{store: s, request: r, written: make(map[string]string)}
+	for {
+		result, err := a.try(ctx)
+		if err == nil {
+			return result, nil
+		}
+		if !worthRetry(err) && ctx.Err() == nil {
+			return Result{}, err
+		}
+		select {
+		case <-ctx.Done():
+			return a.givenUp(err), nil
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+}
+
+// worthRetry reports whether the store was down, or a part was put out of force while we read it.
+func worthRetry(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNotFound)
+}
+
+// attempt is one Apply over its retries.
+type attempt struct {
+	store   *Store
+	request Request
+	written map[string]string // part name → key already written
+	sent    bool              // a head update may have reached the store
+}
+
+func (a *attempt) givenUp(cause error) Result {
+	detail := "the store did not answer; nothing was accepted by this call: " + cause.Error()
+	if a.sent {
+		detail = "the store did not answer; send the same operation again to settle it: " + cause.Error()
+	}
+	return Result{Status: Unknown, Operation: a.request.Operation, Detail: detail}
+}
+
+// try returns a result, or an error worth another try.
+func (a *attempt) try(ctx context.Context) (Result, error) {
+	r := a.request
+	for {
+		h, version, err := a.store.Head(ctx)
+		if err != nil {
+			return Result{}, err
+		}
+		if op, ok := h.Find(r.Operation); ok {
+			return Result{Status: Accepted, Operation: r.Operation, Revision: op.Revision}, nil
+		}
+		set, err := a.store.Set(ctx, h)
+		if err != nil {
+			return Result{}, err
+		}
+		result := judge(r, h, set)
+		if result.Status != Accepted {
+			a.discard(ctx)
+			return result, nil
+		}
+		refs, err := a.writeParts(ctx, set)
+		if err != nil {
+			return Result{}, err
+		}
+		next := h.next(Operation{ID: r.Operation, By: r.By}, refs, r.Remove)
+		a.sent = true
+		outcome, _, err := a.store.objects.Put(ctx, keys.Head, next, version)
+		switch outcome {
+		case platform.Applied:
+			a.collect(ctx, h, next)
+			result.Revision = next.Revision
+			return result, nil
+		case platform.Unknown:
+			return Result{}, err
+		}
+		if err != nil {
+			return Result{}, err
+		}
+	}
+}
+
+// judge decides on the request against the head and set it would be put on.
+func judge(r Request, h *Head, set config.Set) Result {
+	result := Result{Status: Accepted, Operation: r.Operation, Revision: h.Revision}
+	merged := set.Merge(r.Changes, r.Remove)
+	result.Changes = config.Diff(set, merged)
+	touched := append(r.Changes.Names(), r.Remove...)
+	for _, name := range touched {
+		if !r.Scope.Covers(name) {
+			result.Problems = append(result.Problems, config.Problem{File: r.Changes[name].File, Field: "/",
+				Message: fmt.Sprintf("this credential may not change %s; ask an operator of the pool", name)})
+		}
+	}
+	if result.Problems != nil {
+		result.Status = Invalid
+		return result
+	}
+	if late := changedSince(h, touched, r.Base); late != "" {
+		result.Status = Conflict
+		result.Winner = late
+		return result
+	}
+	if problems := merged.Validate(); problems != nil {
+		result.Status = Invalid
+		result.Problems = problems
+		return result
+	}
+	if len(result.Changes) == 0 {
+		result.Status = Unchanged
+	}
+	return result
+}
+
+// changedSince describes the operation that changed one of the parts after base, or returns "".
+func changedSince(h *Head, parts []string, base int64) string {
+	for _, name := range parts {
+		ref, ok := h.Parts[name]
+		if !ok || ref.Revision <= base {
+			continue
+		}
+		for _, op := range h.Operations {
+			if op.Revision == ref.Revision {
+				return fmt.Sprintf("revision %d by %s changed %s (operation %s)", op.Revision, op.By, name, op.ID)
+			}
+		}
+		return fmt.Sprintf("revision %d changed %s", ref.Revision, name)
+	}
+	return ""
+}
+
+// writeParts writes the parts that differ from set. Their keys carry the operation, so that no other
+// head ever points to them and they can be deleted once they are out of force.
+func (a *attempt) writeParts(ctx context.Context, set config.Set) (map[string]*PartRef, error) {
+	refs := make(map[string]*PartRef)
+	for name, part := range a.request.Changes {
+		if old, ok := set[name]; ok && old.Hash() == part.Hash() {
+			continue
+		}
+		key := keys.Parts + strings.ReplaceAll(name, "/", ".") + "/" + a.request.Operation
+		if _, done := a.written[name]; !done {
+			if err := a.writePart(ctx, key, part); err != nil {
+				return nil, err
+			}
+			a.written[name] = key
+		}
+		refs[name] = &PartRef{Key: key, Hash: part.Hash()}
+	}
+	return refs, nil
+}
+
+func (a *attempt) writePart(ctx context.Context, key string, part config.Part) error {
+	content := part.Content()
+	if len(content) > platform.MaxValueBytes {
+		return Error.New("%s: %s is %d bytes, the store takes %d; split it", part.File, part.Name(), len(content), platform.MaxValueBytes)
+	}
+	outcome, _, err := a.store.objects.Put(ctx, key, content, 0)
+	if outcome == platform.NotApplied && err == nil {
+		return a.verifyPart(ctx, key, part) // written by an earlier try of this operation
+	}
+	return err
+}
+
+// verifyPart refuses an operation id that was used before for other content.
+func (a *attempt) verifyPart(ctx context.Context, key string, part config.Part) error {
+	_, err := a.store.Part(ctx, part.Name(), &PartRef{Key: key, Hash: part.Hash()})
+	if errors.Is(err, platform.ErrUnavailable) {
+		return err
+	}
+	if err != nil {
+		return Error.New("operation %s was used for other content; take a new operation id", a.request.Operation)
+	}
+	return nil
+}
+
+// collect deletes the parts that the accepted head has put out of force; what it misses stays as waste only.
+func (a *attempt) collect(ctx context.Context, old, accepted *Head) {
+	for name, ref := range old.Parts {
+		if now, ok := accepted.Parts[name]; ok && now.Key == ref.Key {
+			continue
+		}
+		a.remove(ctx, ref.Key)
+	}
+}
+
+// discard deletes the parts of a refused request, unless an earlier send of it may yet be accepted.
+func (a *attempt) discard(ctx context.Context) {
+	if a.sent {
+		return
+	}
+	for _, key := range a.written {
+		a.remove(ctx, key)
+	}
+}
+
+func (a *attempt) remove(ctx context.Context, key string) {
+	if o, err := a.store.objects.Get(ctx, key); err == nil {
+		_, _ = a.store.objects.Delete(ctx, key, o.Version)
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,142 @@
+// Package config holds the operators' configuration: the declared types, their checks and
+// the indexes that the rest of the program reads.
+package config
+
+import "crypto/subtle"
+
+// Config is one accepted configuration; it is never changed after New.
+type Config struct {
+	Revision int64
+	Set      Set
+	Prices   Prices
+
+	callers       map[string]string // token hash → workspace
+	poolOperators []string
+	operators     map[string]string // token hash → workspace
+	models        map[string]ModelOf
+	shares        map[string]int
+	domains       map[string]DomainOf
+	regions       map[string]string
+	services      map[serviceKey]*Service
+}
+
+type serviceKey struct{ workspace, service string }
+
+// ModelOf is a model with the workspace that owns it.
+type ModelOf struct {
+	Model
+	Workspace string
+}
+
+// DomainOf is a fabric domain with its data centre.
+type DomainOf struct {
+	Domain
+	DataCentre string
+}
+
+// New builds the indexes of a valid set.
+func New(revision int64, set Set) *Config {
+	c := &Config{
+		Revision: revision, Set: set, Prices: DefaultPrices,
+		callers: make(map[string]string), operators: make(map[string]string),
+		models: make(map[string]ModelOf), shares: make(map[string]int),
+		domains: make(map[string]DomainOf), regions: make(map[string]string),
+		services: make(map[serviceKey]*Service),
+	}
+	for _, part := range set {
+		switch {
+		case part.Pool != nil:
+			c.indexPool(part.Pool)
+		case part.DataCentre != nil:
+			c.indexDataCentre(part.DataCentre)
+		default:
+			c.indexWorkspace(part.Workspace)
+		}
+	}
+	return c
+}
+
+func (c *Config) indexPool(p *Pool) {
+	for _, o := range p.Operators {
+		c.poolOperators = append(c.poolOperators, o.TokenSHA256)
+	}
+	for _, s := range p.Shares {
+		c.shares[s.Workspace] = s.Share
+	}
+	if p.Prices != (Prices{}) {
+		c.Prices = p.Prices
+	}
+}
+
+func (c *Config) indexDataCentre(d *DataCentre) {
+	c.regions[d.Name] = d.Region
+	for _, domain := range d.Domains {
+		c.domains[domain.Name] = DomainOf{domain, d.Name}
+	}
+}
+
+func (c *Config) indexWorkspace(w *Workspace) {
+	for _, o := range w.Callers {
+		c.callers[o.TokenSHA256] = w.Name
+	}
+	for _, o := range w.Operators {
+		c.operators[o.TokenSHA256] = w.Name
+	}
+	for _, m := range w.Models {
+		c.models[m.Name] = ModelOf{m, w.Name}
+	}
+	for i := range w.Services {
+		c.services[serviceKey{w.Name, w.Services[i].Name}] = &w.Services[i]
+	}
+}
+
+// CallerWorkspace returns the workspace whose caller holds token.
+func (c *Config) CallerWorkspace(token string) (string, bool) {
+	// The lookup compares hashes of the token, so its time says nothing about the token.
+	w, ok := c.callers[HashToken(token)]
+	return w, ok
+}
+
+// OperatorScope returns what the operator holding token may change.
+func (c *Config) OperatorScope(token string) (Scope, bool) {
+	hash := HashToken(token)
+	for _, o := range c.poolOperators {
+		if subtle.ConstantTimeCompare([]byte(o), []byte(hash)) == 1 {
+			return Scope{Pool: true}, true
+		}
+	}
+	w, ok := c.operators[hash]
+	return Scope{Workspace: w}, ok
+}
+
+// Model returns the model that workspace may call under that name.
+func (c *Config) Model(workspace, name string) (ModelOf, bool) {
+	m, ok := c.models[name]
+	if !ok || m.Workspace != workspace && !m.Shared {
+		return ModelOf{}, false
+	}
+	return m, true
+}
+
+// Models returns every model by name.
+func (c *Config) Models() map[string]ModelOf { return c.models }
+
+// Service returns the plain service of a workspace.
+func (c *Config) Service(workspace, name string) (*Service, bool) {
+	s, ok := c.services[serviceKey{workspace, name}]
+	return s, ok
+}
+
+// Share returns the workspace's share, 1 when it has none.
+func (c *Config) Share(workspace string) int { return max(1, c.shares[workspace]) }
+
+// Domains returns every fabric domain by name.
+func (c *Config) Domains() map[string]DomainOf { return c.domains }
+
+// Region returns the region of a data centre; an undeclared one is a region of its own.
+func (c *Config) Region(dataCentre string) string {
+	if r, ok := c.regions[dataCentre]; ok {
+		return r
+	}
+	return dataCentre
+}
--- /dev/null
+++ b/internal/config/credential.go
@@ -0,0 +1,18 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Credential is a named bearer token, kept only as the SHA-256 of it in lower-case hex.
+type Credential struct {
+	Name        string `json:"name"`
+	TokenSHA256 string `json:"token_sha256"`
+}
+
+// HashToken returns the form in which a token is kept.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/config/workspace.go
@@ -0,0 +1,12 @@
+package config
+
+// Workspace is the part that belongs to one team.
+type Workspace struct {
+	Kind       Kind         `json:"kind"`
+	Name       string       `json:"name"`
+	Operators  []Credential `json:"operators,omitempty"`
+	Callers    []Credential `json:"callers,omitempty"`
+	Models     []Model      `json:"models,omitempty"`
+	Services   []Service    `json:"services,omitempty"`
+	Objectives []Objective  `json:"objectives,omitempty"`
+}
--- /dev/null
+++ b/internal/httpcall/answer.go
@@ -0,0 +1,56 @@
+package httpcall
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Answer is one HTTP answer and the connection it arrives on; it must be closed.
+type Answer struct {
+	Response fasthttp.Response
+
+	client *Client
+	conn   *conn
+	stop   func() bool
+	whole  bool
+}
+
+// Read reads the streamed body and reports io.EOF only after all of it has arrived.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.Response.BodyStream().Read(p)
+	if err == io.EOF {
+		a.whole = true
+	}
+	return n, err
+}
+
+// SetReadTimeout bounds the wait for the next bytes of a streamed body.
+func (a *Answer) SetReadTimeout(d time.Duration) error {
+	return a.conn.SetReadDeadline(time.Now().Add(d))
+}
+
+// Close gives the connection back when the answer was read whole, and closes it otherwise.
+func (a *Answer) Close() error {
+	if a.conn == nil {
+		return nil
+	}
+	c := a.conn
+	a.conn = nil
+	undisturbed := a.stop()
+	reusable := a.whole && undisturbed && !a.Response.ConnectionClose()
+	a.Response.Reset()
+	if reusable {
+		a.client.put(c)
+		return nil
+	}
+	return c.Close()
+}
+
+// watch closes the gap between a cancelled context and a blocked read or write.
+func (a *Answer) watch(ctx context.Context) {
+	c := a.conn
+	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+}
--- /dev/null
+++ b/internal/httpcall/client.go
@@ -0,0 +1,170 @@
+// Package httpcall makes single HTTP calls to endpoints and tells for each failure whether
+// the request may have run. It never repeats a call on its own.
+package httpcall
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+
+	"moorrun.dev/moorrun/internal/verdict"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("call")
+
+const (
+	maxIdle        = 4 * time.Second
+	maxIdlePerHost = 256
+	dialTimeout    = time.Second
+)
+
+// Client keeps idle connections by address.
+type Client struct {
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// NewClient returns a Client without connections.
+func NewClient() *Client {
+	return &Client{idle: make(map[string][]*conn)}
+}
+
+// Do sends request to address and reads the answer's header, and its body unless Options.Stream is set.
+// The error, when there is one, is a *verdict.Error.
+func (c *Client) Do(ctx context.Context, address string, request *fasthttp.Request, o Options) (*Answer, error) {
+	deadline := time.Now().Add(o.Timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	k, err := c.connect(ctx, address, o.Fresh, deadline)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, Error.Wrap(err))
+	}
+	a := &Answer{client: c, conn: k}
+	_ = k.SetDeadline(deadline)
+	a.watch(ctx)
+	if err := a.exchange(request, o); err != nil {
+		_ = a.Close()
+		return nil, verdict.New(verdict.MayHaveRun, Error.Wrap(err))
+	}
+	if o.Stream {
+		_ = k.SetDeadline(time.Time{})
+		if ctx.Err() != nil {
+			_ = k.SetDeadline(time.Unix(1, 0))
+		}
+	}
+	return a, nil
+}
+
+func (a *Answer) exchange(request *fasthttp.Request, o Options) error {
+	if err := request.Write(a.conn.writer); err != nil {
+		return err
+	}
+	if err := a.conn.writer.Flush(); err != nil {
+		return err
+	}
+	a.Response.StreamBody = o.Stream
+	if o.Stream {
+		return a.Response.Read(a.conn.reader)
+	}
+	limit := o.MaxBody
+	if limit == 0 {
+		limit = DefaultMaxBody
+	}
+	if err := a.Response.ReadLimitBody(a.conn.reader, limit); err != nil {
+		return err
+	}
+	a.whole = true
+	return nil
+}
+
+func (c *Client) connect(ctx context.Context, address string, fresh bool, deadline time.Time) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	if !fresh {
+		if k := c.take(address); k != nil {
+			return k, nil
+		}
+	}
+	wait := min(time.Until(deadline), dialTimeout)
+	if wait <= 0 {
+		return nil, context.DeadlineExceeded
+	}
+	d := net.Dialer{Timeout: wait}
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(raw, address), nil
+}
+
+func (c *Client) take(address string) *conn {
+	now := time.Now()
+	for {
+		k := c.pop(address)
+		if k == nil || k.usable(now) {
+			return k
+		}
+		_ = k.Close()
+	}
+}
+
+func (c *Client) pop(address string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	k := list[len(list)-1]
+	c.idle[address] = list[:len(list)-1]
+	return k
+}
+
+func (c *Client) put(k *conn) {
+	_ = k.SetDeadline(time.Time{})
+	k.idle = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[k.address]) >= maxIdlePerHost {
+		_ = k.Close()
+		return
+	}
+	c.idle[k.address] = append(c.idle[k.address], k)
+}
+
+// Sweep closes connections that have been idle too long; call it now and then.
+func (c *Client) Sweep() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, list := range c.idle {
+		kept := list[:0]
+		for _, k := range list {
+			if now.Sub(k.idle) > maxIdle {
+				_ = k.Close()
+				continue
+			}
+			kept = append(kept, k)
+		}
+		if len(kept) == 0 {
+			delete(c.idle, address)
+			continue
+		}
+		c.idle[address] = kept
+	}
+}
+
+// IsTimeout reports whether err is a passed deadline rather than a cut connection.
+func IsTimeout(err error) bool {
+	var n net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &n) && n.Timeout()
+}
+
--- /dev/null
+++ b/internal/httpcall/conn.go
@@ -0,0 +1,44 @@
+package httpcall
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+)
+
+// conn is one connection to an endpoint with its buffers.
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	idle    time.Time
+}
+
+func newConn(c net.Conn, address string) *conn {
+	return &conn{Conn: c, address: address, reader: bufio.NewReader(c), writer: bufio.NewWriter(c)}
+}
+
+// usable reports whether the idle connection is still open with nothing unread on it.
+func (c *conn) usable(now time.Time) bool {
+	if now.Sub(c.idle) > maxIdle || c.reader.Buffered() > 0 {
+		return false
+	}
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = e == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,30 @@
+// Package keys names the objects moorrun keeps in the platform's store.
+package keys
+
+const (
+	// Root is the prefix of everything that is moorrun's.
+	Root = "moorrun/"
+	// State is the prefix that relays watch and pass on.
+	State = Root + "state/"
+	// Head is the object whose conditional update accepts a configuration.
+	Head = State + "head"
+	// Drains is the object that names VMs and endpoints operators have taken out.
+	Drains = State + "drains"
+	// Domains is the prefix of the fabric domains' assignments.
+	Domains = State + "domains/"
+	// Nodes is the prefix of the registered moorrund processes.
+	Nodes = State + "nodes/"
+	// Parts is the prefix of the configuration's parts.
+	Parts = Root + "parts/"
+	// Leases is the prefix of the data centres' leases.
+	Leases = Root + "leases/"
+)
+
+// Domain returns the key of a fabric domain's assignment.
+func Domain(name string) string { return Domains + name }
+
+// Node returns the key of a registered process.
+func Node(dataCentre, vm string) string { return Nodes + dataCentre + "/" + vm }
+
+// Lease returns the key of a data centre's lease.
+func Lease(dataCentre string) string { return Leases + dataCentre }
--- /dev/null
+++ b/internal/platform/listing.go
@@ -0,0 +1,7 @@
+package platform
+
+// Listing is a consistent answer of List or Watch.
+type Listing struct {
+	Objects []Object `json:"objects"`
+	Version int64    `json:"version"` // the store version the listing is current at
+}
--- /dev/null
+++ b/internal/platform/rest/caller.go
@@ -0,0 +1,53 @@
+// Package rest speaks to the platform over HTTP and JSON: one adapter for each interface of package platform.
+package rest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+
+	"moorrun.dev/moorrun/internal/httpcall"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("platform")
+
+// caller sends one JSON request and decodes the JSON answer.
+type caller struct {
+	client  *httpcall.Client
+	timeout time.Duration
+}
+
+// call returns the status code; in and out may be nil. A non-nil error means no usable answer came.
+func (c caller) call(ctx context.Context, method, address, uri string, in, out any) (int, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetMethod(method)
+	request.SetRequestURI(uri)
+	request.SetHost(address)
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return 0, err
+		}
+		request.Header.SetContentType("application/json")
+		request.SetBody(body)
+	}
+	answer, err := c.client.Do(ctx, address, request, httpcall.Options{Timeout: c.timeout})
+	if err != nil {
+		return 0, err
+	}
+	defer answer.Close() //nolint:errcheck // the answer is read whole
+	status := answer.Response.StatusCode()
+	if status >= fasthttp.StatusInternalServerError {
+		return status, fmt.Errorf("%s %s: status %d", method, uri, status)
+	}
+	if out == nil || status != fasthttp.StatusOK {
+		return status, nil
+	}
+	return status, json.Unmarshal(answer.Response.Body(), out)
+}
--- /dev/null
+++ b/internal/platform/rest/engine.go
@@ -0,0 +1,49 @@
+package rest
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"moorrun.dev/moorrun/internal/httpcall"
+	"moorrun.dev/moorrun/internal/platform"
+)
+
+// Engine is platform.Engine over HTTP.
+type Engine struct {
+	caller caller
+}
+
+// NewEngine returns a client for every engine; timeout bounds each call.
+func NewEngine(client *httpcall.Client, timeout time.Duration) *Engine {
+	return &Engine{caller{client, timeout}}
+}
+
+// State implements platform.Engine.
+func (e *Engine) State(ctx context.Context, address string) (platform.EngineState, error) {
+	var s platform.EngineState
+	status, err := e.caller.call(ctx, fasthttp.MethodGet, address, "/engine/state", nil, &s)
+	if err == nil && status != fasthttp.StatusOK {
+		err = Error.New("state of the engine at %s: status %d", address, status)
+	}
+	return s, err
+}
+
+// Order implements platform.Engine.
+func (e *Engine) Order(ctx context.Context, address string, order platform.Order) error {
+	status, err := e.caller.call(ctx, fasthttp.MethodPost, address, "/engine/order", order, nil)
+	if err == nil && status == fasthttp.StatusConflict {
+		return platform.ErrFenced
+	}
+	if err == nil && status != fasthttp.StatusOK {
+		err = Error.New("order to the engine at %s: status %d", address, status)
+	}
+	return err
+}
+
+// Cancel implements platform.Engine.
+func (e *Engine) Cancel(ctx context.Context, address, stream string) error {
+	_, err := e.caller.call(ctx, fasthttp.MethodDelete, address, "/engine/streams/"+stream, nil, nil)
+	return err
+}
