--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+GOBIN ?= $(shell go env GOPATH)/bin
+LINTER = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+SEED ?= 1
+FOR ?= 60s
+
+all: build
+build:
+	go build -o bin/ ./cmd/...
+test:
+	go test -race ./...
+lint: $(GOBIN)/golangci-lint
+	@test -z "$$(gofmt -l cmd internal test)" || { gofmt -l cmd internal test; exit 1; }
+	go vet ./...
+	$(GOBIN)/golangci-lint run ./...
+$(GOBIN)/golangci-lint:
+	go install $(LINTER)
+demo:
+	go run ./test/demo $(if $(KEEP),-keep)
+.PHONY: all build test lint demo
--- a/internal/accept/store.go
+++ b/internal/accept/store.go
@@ -189,9 +189,10 @@
 			return result, nil
 		case platform.Unknown:
 			return Result{}, err
-		}
-		if err != nil {
-			return Result{}, err
+		case platform.NotApplied:
+			if err != nil {
+				return Result{}, err
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/admin/burn.go
@@ -0,0 +1,24 @@
+package admin
+
+import (
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"moorrun.dev/moorrun/internal/burn"
+)
+
+// burn answers with this node's counts; the command line asks every node and merges them.
+func (s *Server) burn(r *request) error {
+	self := s.Members.Self(time.Now())
+	out := burn.NodeCounts{
+		VM: self.VM, Incarnation: self.Incarnation, UptimeS: int64(time.Since(s.started).Seconds()),
+		Services: s.Burn.Snapshot(), Losses: s.Losses(),
+	}
+	if !r.scope.Pool {
+		out.Services = slices.DeleteFunc(out.Services, func(c burn.ServiceCounts) bool { return c.Workspace != r.scope.Workspace })
+		out.Losses = slices.DeleteFunc(out.Losses, func(l burn.GroupLosses) bool { return l.Workspace != r.scope.Workspace })
+	}
+	return r.answer(fasthttp.StatusOK, out)
+}
--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,136 @@
+// Package admission holds the requests that wait at this node, and starts them on places that the
+// model's allocator has granted.
+package admission
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	askTimeout  = time.Second
+	busyEvery   = 100 * time.Millisecond // between reports while requests run
+	idleEvery   = time.Second
+	restEvery   = time.Hour            // with nothing held, the next request asks by itself
+	waitingGap  = 3 * time.Millisecond // between reports while requests wait for a place
+	failedPause = 50 * time.Millisecond
+	retryAfter  = time.Second
+)
+
+// Admission is this node's queues, one pool a model.
+type Admission struct {
+	asker  Asker
+	choose Chooser
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	ctx   context.Context //nolint:containedctx // the life of the node, for pools started later
+	wg    sync.WaitGroup
+}
+
+// New returns the admission of a node; its reporters run until ctx ends.
+func New(ctx context.Context, asker Asker, choose Chooser) *Admission {
+	return &Admission{asker: asker, choose: choose, pools: make(map[string]*pool), ctx: ctx}
+}
+
+// Acquire waits for a place until patience is over or ctx ends. avoid names a group that has failed
+// this request before. The error is a *Refusal, or the context's.
+func (a *Admission) Acquire(ctx context.Context, model, workspace, avoid string, patience time.Duration) (*Place, error) {
+	p := a.pool(model)
+	place, w, refusal := p.enter(workspace, avoid, patience, time.Now())
+	if refusal != nil {
+		return nil, refusal
+	}
+	if place != nil {
+		return place, nil
+	}
+	p.kick()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case place := <-w.ready:
+		return place, nil
+	case <-ctx.Done():
+		p.leave(workspace, w)
+		return nil, ctx.Err()
+	case <-timer.C:
+		p.leave(workspace, w)
+		return nil, &Refusal{"no place came free within the request's deadline", retryAfter}
+	}
+}
+
+// Wait returns when the reporters have ended.
+func (a *Admission) Wait() { a.wg.Wait() }
+
+func (a *Admission) pool(model string) *pool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p, ok := a.pools[model]
+	if !ok {
+		p = newPool(model, a.choose)
+		a.pools[model] = p
+		a.wg.Go(func() { a.report(p) })
+	}
+	return p
+}
+
+// report keeps the allocator informed and puts its grants in force.
+func (a *Admission) report(p *pool) {
+	wait := time.Duration(0)
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-p.reported:
+		case <-time.After(wait):
+		}
+		wait = a.ask(p)
+		select { // requests that come now are told together
+		case <-a.ctx.Done():
+			return
+		case <-time.After(waitingGap):
+		}
+	}
+}
+
+// ask sends one report and returns how long to wait before the next, if no request asks for one.
+func (a *Admission) ask(p *pool) time.Duration {
+	now := time.Now()
+	r, waiting, busy := p.report(now)
+	ctx, cancel := context.WithTimeout(a.ctx, askTimeout)
+	defer cancel()
+	grant, lifetime, changed, err := a.asker.Ask(ctx, p.model, r)
+	if changed {
+		p.forget()
+	}
+	if err != nil {
+		return failedPause
+	}
+	p.apply(grant, now.Add(lifetime), time.Now())
+	switch {
+	case waiting:
+		return busyEvery / 4
+	case busy:
+		return busyEvery
+	case len(r.Workspaces) > 0:
+		return idleEvery
+	default:
+		return restEvery
+	}
+}
+
+// Waiting returns how many requests wait and run for each model and workspace.
+func (a *Admission) Waiting() []Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []Load
+	for model, p := range a.pools {
+		p.mu.Lock()
+		for workspace, q := range p.queues {
+			out = append(out, Load{model, workspace, q.waiting.Len(), q.running(), q.held()})
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/admission/pool.go
@@ -0,0 +1,249 @@
+package admission
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"moorrun.dev/moorrun/internal/allocator"
+)
+
+const (
+	// maxQueued bounds a workspace's queue at one node, whatever its expected wait.
+	maxQueued = 4096
+	// idleAfter is how long a workspace without requests keeps asking for spare places.
+	idleAfter = 5 * time.Second
+	// spareTime is for how much of the arrival rate spare places are asked.
+	spareTime = 50 * time.Millisecond
+)
+
+// pool is one model's places and queues at this node.
+type pool struct {
+	model  string
+	choose Chooser
+
+	mu       sync.Mutex
+	queues   map[string]*queue
+	grant    uint64
+	expires  time.Time // of the grants in force
+	reported chan struct{}
+	arrivals map[string]*rate
+}
+
+func newPool(model string, choose Chooser) *pool {
+	return &pool{
+		model: model, choose: choose, queues: make(map[string]*queue),
+		reported: make(chan struct{}, 1), arrivals: make(map[string]*rate),
+	}
+}
+
+func (p *pool) queue(workspace string) *queue {
+	q, ok := p.queues[workspace]
+	if !ok {
+		q = &queue{workspace: workspace, slots: make(map[slotKey]*slot)}
+		q.waiting.Init()
+		p.queues[workspace] = q
+		p.arrivals[workspace] = &rate{}
+	}
+	return q
+}
+
+// enter gives a place at once, or puts the request into its queue.
+func (p *pool) enter(workspace, avoid string, patience time.Duration, now time.Time) (*Place, *waiter, *Refusal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.queue(workspace)
+	q.recent = now
+	p.arrivals[workspace].add(now)
+	if q.waiting.Len() == 0 {
+		if place := p.take(q, avoid, now); place != nil {
+			return place, nil, nil
+		}
+	}
+	if r := p.refuse(q, patience, now); r != nil {
+		return nil, nil, r
+	}
+	w := &waiter{ready: make(chan *Place, 1), avoid: avoid}
+	w.element = q.waiting.PushBack(w)
+	return nil, w, nil
+}
+
+// refuse turns a request away when its expected wait is longer than its patience.
+func (p *pool) refuse(q *queue, patience time.Duration, now time.Time) *Refusal {
+	expected := q.expectedWait(now)
+	if q.waiting.Len() >= maxQueued {
+		return &Refusal{"the queue is full", expected}
+	}
+	if expected > patience {
+		return &Refusal{"the expected wait is longer than the request's deadline", expected - patience + time.Second}
+	}
+	return nil
+}
+
+// expectedWait is how long a request that joins now will wait, from how fast places came free lately.
+func (q *queue) expectedWait(now time.Time) time.Duration {
+	if q.waiting.Len() == 0 {
+		return 0
+	}
+	perSecond := q.rate.value(now)
+	if perSecond <= 0 {
+		return 0 // nothing is known: wait up to the deadline
+	}
+	seconds := float64(q.waiting.Len()) / perSecond
+	return time.Duration(math.Min(seconds, maxExpectedWait.Seconds()) * float64(time.Second))
+}
+
+const maxExpectedWait = time.Hour
+
+// take starts a request on the best group the workspace has a free place of.
+func (p *pool) take(q *queue, avoid string, now time.Time) *Place {
+	if !now.Before(p.expires) {
+		return nil
+	}
+	s := p.best(q, avoid, now)
+	if s == nil && avoid != "" {
+		s = p.best(q, "", now)
+	}
+	if s == nil {
+		return nil
+	}
+	s.running++
+	return &Place{Group: s.key.group, Birth: s.key.birth, pool: p, queue: q, slot: s}
+}
+
+func (p *pool) best(q *queue, avoid string, now time.Time) *slot {
+	var best *slot
+	var bestCost float64
+	for _, s := range q.slots {
+		if s.running >= s.limit || s.key.group == avoid {
+			continue
+		}
+		cost, usable := p.choose.Cost(s.key.group, s.key.birth, now)
+		if !usable {
+			continue
+		}
+		cost += float64(s.running) / float64(s.limit)
+		if best == nil || cost < bestCost || cost == bestCost && s.key.group < best.key.group {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// leave takes a request that has given up out of its queue; a place it was just given goes on to the next.
+func (p *pool) leave(workspace string, w *waiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w.element != nil {
+		p.queues[workspace].waiting.Remove(w.element)
+		w.element = nil
+		return
+	}
+	place := <-w.ready
+	place.slot.running--
+	p.dispatch(place.queue, time.Now())
+}
+
+func (p *pool) release(place *Place, ok bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	place.slot.running--
+	if ok {
+		place.queue.rate.add(now)
+	}
+	if place.slot.running == 0 && place.slot.limit == 0 {
+		delete(place.queue.slots, place.slot.key)
+	}
+	p.dispatch(place.queue, now)
+}
+
+// dispatch gives free places to the requests that have waited longest.
+func (p *pool) dispatch(q *queue, now time.Time) {
+	for q.waiting.Len() > 0 {
+		w := q.waiting.Front().Value.(*waiter) //nolint:forcetypeassert // the list holds nothing else
+		place := p.take(q, w.avoid, now)
+		if place == nil {
+			return
+		}
+		q.waiting.Remove(w.element)
+		w.element = nil
+		w.ready <- place
+	}
+}
+
+// report returns the demand of this node and whether a request waits that only a new grant can help.
+func (p *pool) report(now time.Time) (r allocator.Report, waiting, busy bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r.Grant = p.grant
+	for name, q := range p.queues {
+		d := allocator.Demand{Workspace: name, Waiting: q.waiting.Len()}
+		for key, s := range q.slots {
+			if s.running > 0 {
+				d.Running = append(d.Running, allocator.Places{Group: key.group, Birth: key.birth, Count: s.running})
+			}
+		}
+		idle := now.Sub(q.recent) > idleAfter
+		if !idle {
+			d.Spare = 1 + int(p.arrivals[name].value(now)*spareTime.Seconds())
+		}
+		waiting = waiting || d.Waiting > 0
+		busy = busy || !idle || len(d.Running) > 0 || d.Waiting > 0
+		if idle && len(q.slots) == 0 && d.Waiting == 0 {
+			delete(p.queues, name)
+			delete(p.arrivals, name)
+			continue
+		}
+		r.Workspaces = append(r.Workspaces, d)
+	}
+	return r, waiting, busy
+}
+
+// apply puts a grant in force until expires.
+func (p *pool) apply(g allocator.Grant, expires, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.grant = g.Number
+	p.expires = expires
+	for _, q := range p.queues {
+		for _, s := range q.slots {
+			s.limit = 0
+		}
+	}
+	for _, w := range g.Workspaces {
+		q := p.queue(w.Workspace)
+		for _, places := range w.Limits {
+			key := slotKey{places.Group, places.Birth}
+			s, ok := q.slots[key]
+			if !ok {
+				s = &slot{key: key}
+				q.slots[key] = s
+			}
+			s.limit = places.Count
+		}
+	}
+	for _, q := range p.queues {
+		for key, s := range q.slots {
+			if s.limit == 0 && s.running == 0 {
+				delete(q.slots, key)
+			}
+		}
+		p.dispatch(q, now)
+	}
+}
+
+// forget ends the grants, when the allocator that gave them is no longer the one to ask.
+func (p *pool) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.grant = 0
+}
+
+// kick asks for a report now.
+func (p *pool) kick() {
+	select {
+	case p.reported <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/allocator/report.go
@@ -0,0 +1,36 @@
+package allocator
+
+// Report is one node's demand for one model.
+type Report struct {
+	VM          string
+	Incarnation string
+	Grant       uint64 // the last grant in force at the node
+	Workspaces  []Demand
+}
+
+// Demand is one workspace's part of a Report.
+type Demand struct {
+	Workspace string
+	Waiting   int
+	Spare     int // places it would like beyond those, to start requests without asking
+	Running   []Places
+}
+
+// Places is a number of places of one group.
+type Places struct {
+	Group string
+	Birth int64
+	Count int
+}
+
+// Grant is the answer to a Report: the places each workspace may use at that node.
+type Grant struct {
+	Number     uint64
+	Workspaces []WorkspaceGrant
+}
+
+// WorkspaceGrant is one workspace's part of a Grant.
+type WorkspaceGrant struct {
+	Workspace string
+	Limits    []Places
+}
--- /dev/null
+++ b/internal/cmd/client.go
@@ -0,0 +1,120 @@
+package cmd
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/pflag"
+	"github.com/valyala/fasthttp"
+
+	"moorrun.dev/moorrun/internal/adminapi"
+)
+
+const (
+	callTimeout  = 15 * time.Second
+	nodesEnv     = "MOORRUN_NODES"
+	defaultNodes = "127.0.0.1:7001"
+)
+
+// Client calls the administration API of the first node that answers.
+type Client struct {
+	nodes []string
+	token string
+	http  *fasthttp.Client
+}
+
+func nodesFromEnv() []string {
+	if v := os.Getenv(nodesEnv); v != "" {
+		return strings.Split(v, ",")
+	}
+	return []string{defaultNodes}
+}
+
+func newClient(flags *pflag.FlagSet) (*Client, error) {
+	nodes, _ := flags.GetStringSlice("node")
+	file, _ := flags.GetString("token-file")
+	c := &Client{nodes: nodes, http: &fasthttp.Client{
+		ReadTimeout: callTimeout, WriteTimeout: callTimeout, MaxIdemponentCallAttempts: 1,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+	if file == "" {
+		return c, nil
+	}
+	token, err := os.ReadFile(file) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, exit(exitUsage, "token file: %w", err)
+	}
+	c.token = strings.TrimSpace(string(token))
+	return c, nil
+}
+
+// reply is one answer of the API.
+type reply struct {
+	status int
+	body   []byte
+}
+
+func (r reply) decode(into any) error { return json.Unmarshal(r.body, into) }
+
+// problem returns the error that the API names.
+func (r reply) problem() error {
+	var p adminapi.Problem
+	if json.Unmarshal(r.body, &p) != nil || p.Error == "" {
+		p.Error = strings.TrimSpace(string(r.body))
+	}
+	if r.status == fasthttp.StatusUnauthorized || r.status == fasthttp.StatusNotFound || r.status == fasthttp.StatusBadRequest {
+		return exit(exitUsage, "%s", p.Error)
+	}
+	return exit(exitFailed, "%s", p.Error)
+}
+
+// call asks one node after the other until one answers; it is only for calls that may be repeated.
+func (c *Client) call(method, path string, in any) (reply, error) {
+	var errs []error
+	for _, node := range c.nodes {
+		r, err := c.callNode(node, method, path, in)
+		if err == nil && r.status != fasthttp.StatusServiceUnavailable {
+			return r, nil
+		}
+		if err == nil {
+			err = r.problem()
+		}
+		errs = append(errs, err)
+	}
+	return reply{}, exit(exitFailed, "no node answers: %w", errors.Join(errs...))
+}
+
+func (c *Client) callNode(node, method, path string, in any) (reply, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + node + path)
+	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return reply{}, err
+		}
+		request.SetBody(body)
+	}
+	if err := c.http.DoTimeout(request, response, callTimeout); err != nil {
+		return reply{}, err
+	}
+	return reply{response.StatusCode(), append([]byte{}, response.Body()...)}, nil
+}
+
+// get decodes the answer of a GET.
+func (c *Client) get(path string, into any) error {
+	r, err := c.call(fasthttp.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	if r.status != fasthttp.StatusOK {
+		return r.problem()
+	}
+	return r.decode(into)
+}
--- /dev/null
+++ b/internal/cmd/daemon.go
@@ -0,0 +1,38 @@
+package cmd
+
+import (
+	"os"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/spf13/cobra"
+
+	"moorrun.dev/moorrun/internal/node"
+	"moorrun.dev/moorrun/internal/settings"
+)
+
+// Daemon runs moorrund and returns its exit code.
+func Daemon(args []string) int {
+	var file string
+	root := &cobra.Command{
+		Use: "moorrund --settings FILE", Short: "Serve callers and operators on one entry VM",
+		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, Version: Version,
+		RunE: func(k *cobra.Command, _ []string) error {
+			s, err := settings.Read(file)
+			if err != nil {
+				return &exitError{exitUsage, err}
+			}
+			return withCode(node.New(s, newLogger(s)).Run(k.Context()))
+		},
+	}
+	root.Flags().StringVar(&file, "settings", "", "JSON file with this process's settings")
+	_ = root.MarkFlagRequired("settings")
+	return run(root, args)
+}
+
+func newLogger(s *settings.Settings) log.Logger {
+	logger := log.NewJSONLogger(log.NewSyncWriter(os.Stderr))
+	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(s.LogLevel, level.InfoValue())))
+	return log.With(logger, "ts", log.TimestampFormat(time.Now, time.RFC3339Nano), "vm", s.VM, "data_centre", s.DataCentre)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,8 +2,6 @@
 // the indexes that the rest of the program reads.
 package config
 
-import "crypto/subtle"
-
 // Config is one accepted configuration; it is never changed after New.
 type Config struct {
 	Revision int64
@@ -101,7 +99,7 @@
 func (c *Config) OperatorScope(token string) (Scope, bool) {
 	hash := HashToken(token)
 	for _, o := range c.poolOperators {
-		if subtle.ConstantTimeCompare([]byte(o), []byte(hash)) == 1 {
+		if SameHash(o, hash) {
 			return Scope{Pool: true}, true
 		}
 	}
@@ -127,6 +125,20 @@
 	return s, ok
 }
 
+// Objective returns what a model or service of a workspace is held to.
+func (c *Config) Objective(workspace, service string) (Objective, bool) {
+	part, ok := c.Set[WorkspacePart(workspace)]
+	if !ok {
+		return Objective{}, false
+	}
+	for _, o := range part.Workspace.Objectives {
+		if o.Service == service {
+			return o, true
+		}
+	}
+	return Objective{}, false
+}
+
 // Share returns the workspace's share, 1 when it has none.
 func (c *Config) Share(workspace string) int { return max(1, c.shares[workspace]) }
 
--- a/internal/config/credential.go
+++ b/internal/config/credential.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"crypto/subtle"
 	"encoding/hex"
 )
 
@@ -16,3 +17,8 @@
 	sum := sha256.Sum256([]byte(token))
 	return hex.EncodeToString(sum[:])
 }
+
+// SameHash compares two hashes of tokens in constant time.
+func SameHash(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
--- /dev/null
+++ b/internal/drains/drains.go
@@ -0,0 +1,90 @@
+// Package drains keeps the list of VMs and endpoints that operators have taken out of use.
+package drains
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/mirror"
+	"moorrun.dev/moorrun/internal/platform"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("drain")
+
+// Drains is the object's value.
+type Drains struct {
+	Names map[string]Drain `json:"names"` // by name of the VM or endpoint
+}
+
+// Drain says who took something out.
+type Drain struct {
+	By        string `json:"by"`
+	Operation string `json:"operation"`
+}
+
+// Read returns the drains in the mirror.
+func Read(m *mirror.Mirror) Drains {
+	var d Drains
+	if o, ok := m.Get(keys.Drains); ok {
+		_ = json.Unmarshal(o.Value, &d)
+	}
+	return d
+}
+
+// Has reports whether name is drained.
+func (d Drains) Has(name string) bool {
+	_, ok := d.Names[name]
+	return ok
+}
+
+// Set takes name out of use, or back into use, and settles a lost answer by reading back until ctx ends.
+func Set(ctx context.Context, objects platform.ObjectStore, name, by, operation string, drained bool) error {
+	for {
+		err := set(ctx, objects, name, by, operation, drained)
+		if err == nil || !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, errRace) {
+			return Error.Wrap(err)
+		}
+		select {
+		case <-ctx.Done():
+			return Error.New("outcome unknown, run the command again: %w", err)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+var errRace = errors.New("another operator wrote first")
+
+func set(ctx context.Context, objects platform.ObjectStore, name, by, operation string, drained bool) error {
+	var d Drains
+	o, err := objects.Get(ctx, keys.Drains)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	if err == nil {
+		if err := json.Unmarshal(o.Value, &d); err != nil {
+			return err
+		}
+	}
+	if d.Has(name) == drained {
+		return nil
+	}
+	if d.Names == nil {
+		d.Names = make(map[string]Drain)
+	}
+	if drained {
+		d.Names[name] = Drain{by, operation}
+	} else {
+		delete(d.Names, name)
+	}
+	outcome, _, err := objects.Put(ctx, keys.Drains, d, o.Version)
+	if outcome == platform.NotApplied && err == nil {
+		return errRace
+	}
+	return err
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"moorrun.dev/moorrun/internal/burn"
+	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/drains"
+	"moorrun.dev/moorrun/internal/httpcall"
+	"moorrun.dev/moorrun/internal/invariant"
+	"moorrun.dev/moorrun/internal/once"
+	"moorrun.dev/moorrun/internal/verdict"
+)
+
+const (
+	servicesPath = "/services/"
+	// busyPause is between two looks for an endpoint with a free place.
+	busyPause = 5 * time.Millisecond
+	// maxPlainBody is the largest answer of a plain endpoint.
+	maxPlainBody = 32 << 20
+)
+
+// plainCall is one request to a plain service.
+type plainCall struct {
+	*call
+	name       string
+	service    *config.Service
+	path       string // at the endpoint, with the query
+	repeatable bool
+	mayHaveRun bool // bytes of an attempt may have reached an endpoint
+}
+
+// service serves /services/NAME/PATH.
+func (s *Server) service(c *call, path string) *failure {
+	name, rest, _ := strings.Cut(path[len(servicesPath):], "/")
+	service, ok := c.config.Service(c.workspace, name)
+	if !ok {
+		return notRun(fasthttp.StatusNotFound, "this workspace has no service "+strconv.Quote(name))
+	}
+	p := &plainCall{call: c, name: name, service: service, path: "/" + rest}
+	p.repeatable = service.Repeatable(string(c.ctx.Method()), p.path)
+	if query := c.ctx.URI().QueryString(); len(query) > 0 {
+		p.path += "?" + string(query)
+	}
+	s.meters.requests.Inc(1)
+	s.budget.request()
+	f := s.plain(p)
+	if f != nil {
+		s.countFailure(c, name, f)
+	}
+	return f
+}
+
+func (s *Server) plain(p *plainCall) *failure {
+	text := string(p.ctx.Request.Header.Peek(keyHeader))
+	if p.repeatable || text == "" {
+		return s.run(p)
+	}
+	key, err := once.ParseKey(text)
+	if err != nil {
+		return notRun(fasthttp.StatusBadRequest, err.Error())
+	}
+	self := s.Members.Self(time.Now())
+	if key.VM != self.VM {
+		return s.forward(p, key)
+	}
+	if key.Incarnation != self.Incarnation {
+		return homeLost("the key's home has restarted")
+	}
+	return s.runOnce(p, key)
+}
+
+func homeLost(why string) *failure {
+	return &failure{fasthttp.StatusConflict, verdict.MayHaveRun, why + ": it is not known whether the request ran", 0}
+}
+
+// runOnce runs the request if its key is fresh, and answers what became of it otherwise.
+func (s *Server) runOnce(p *plainCall, key once.Key) *failure {
+	entry, fresh, err := s.Once.Claim(p.workspace, key, p.fingerprint())
+	switch {
+	case errors.Is(err, once.ErrForgotten):
+		return homeLost(err.Error())
+	case errors.Is(err, once.ErrReused):
+		return notRun(fasthttp.StatusUnprocessableEntity, err.Error())
+	case errors.Is(err, once.ErrFuture):
+		return notRun(fasthttp.StatusBadRequest, err.Error())
+	case err != nil:
+		return notRunYet(err.Error(), time.Minute)
+	}
+	if !fresh {
+		return s.replay(p, entry)
+	}
+	f := s.run(p)
+	switch {
+	case f == nil:
+		s.Once.Finish(entry, storedAnswer(p.ctx))
+	case f.verdict == verdict.NotRun:
+		s.Once.Abandon(p.workspace, key, entry)
+	default:
+		s.Once.Finish(entry, once.Stored{Status: f.status, Verdict: f.verdict})
+	}
+	return f
+}
+
+// storedAnswer copies the answer out of the request's buffers, which are used again afterwards.
+func storedAnswer(ctx *fasthttp.RequestCtx) once.Stored {
+	return once.Stored{
+		Status: ctx.Response.StatusCode(), ContentType: string(ctx.Response.Header.ContentType()),
+		Body: append([]byte{}, ctx.Response.Body()...), Complete: true, Verdict: verdict.Ran,
+	}
+}
+
+// replay waits for the first send of the request to end and answers what it ended with.
+func (s *Server) replay(p *plainCall, entry *once.Entry) *failure {
+	timer := time.NewTimer(p.left())
+	defer timer.Stop()
+	select {
+	case <-entry.Wait():
+	case <-timer.C:
+		return &failure{fasthttp.StatusGatewayTimeout, verdict.MayHaveRun, "the first send of this request is still running", time.Second}
+	}
+	stored := entry.Answer()
+	if stored.Verdict != verdict.Ran {
+		return &failure{fasthttp.StatusConflict, stored.Verdict, "the first send of this request ended so", 0}
+	}
+	if !stored.Complete {
+		return &failure{fasthttp.StatusConflict, verdict.Ran, "the request ran; its answer was too large to keep", 0}
+	}
+	p.ctx.SetStatusCode(stored.Status)
+	p.ctx.SetContentType(stored.ContentType)
+	p.ctx.Response.Header.Set(verdict.Header, verdict.Ran.String())
+	p.ctx.Response.Header.Set(requestIDHeader, p.id)
+	p.ctx.SetBody(stored.Body)
+	return nil
+}
+
+func (p *plainCall) fingerprint() [32]byte {
+	h := sha256.New()
+	h.Write(p.ctx.Method())
+	h.Write([]byte{0})
+	h.Write([]byte(p.name + p.path))
+	h.Write([]byte{0})
+	h.Write(p.ctx.PostBody())
+	return [32]byte(h.Sum(nil))
+}
+
+// run sends the request, again only when it certainly did not run or may run again.
+func (s *Server) run(p *plainCall) *failure {
+	avoid := ""
+	for {
+		endpoint, f := s.endpoint(p, avoid)
+		if f != nil {
+			return f
+		}
+		err := s.sendPlain(p, endpoint)
+		s.balance.done(endpoint.Name, err == nil, time.Now())
+		if err == nil {
+			s.Burn.Record(p.workspace, p.name, burn.Outcome{Failed: p.ctx.Response.StatusCode() >= fasthttp.StatusInternalServerError, Latency: time.Since(p.started)})
+			return nil
+		}
+		avoid = endpoint.Name
+		v := verdict.Of(err)
+		again := (v == verdict.NotRun || p.repeatable) && p.left() > 0 && s.budget.take()
+		if !again {
+			status := fasthttp.StatusBadGateway
+			if httpcall.IsTimeout(err) {
+				status = fasthttp.StatusGatewayTimeout
+			}
+			return &failure{status, v, "the endpoint failed: " + err.Error(), time.Second}
+		}
+		s.meters.retries.Inc(1)
+	}
+}
+
+// endpoint waits for an endpoint with a free place, among those that are not drained.
+func (s *Server) endpoint(p *plainCall, avoid string) (config.Endpoint, *failure) {
+	for {
+		drained := drains.Read(s.Mirror)
+		var candidates []config.Endpoint
+		for _, e := range p.service.Endpoints {
+			if !drained.Has(e.Name) {
+				candidates = append(candidates, e)
+			}
+		}
+		if e, ok := s.balance.take(candidates, avoid, time.Now()); ok {
+			return e, nil
+		}
+		if p.left() <= busyPause || len(candidates) == 0 {
+			return config.Endpoint{}, notRunYet("no endpoint of the service has a free place", time.Second)
+		}
+		time.Sleep(busyPause)
+	}
+}
+
+func (s *Server) sendPlain(p *plainCall, endpoint config.Endpoint) error {
+	if !s.Checker.Hold(invariant.RunsOnce, p.repeatable || !p.mayHaveRun, func() []any {
+		return []any{"request_id", p.id, "service", p.name}
+	}) {
+		return verdict.New(verdict.MayHaveRun, errors.New("the request may have run already"))
+	}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	copyRequestHeaders(&request.Header, &p.ctx.Request.Header)
+	request.Header.SetMethodBytes(p.ctx.Method())
+	request.SetRequestURI(p.path)
+	request.SetHost(endpoint.Address)
+	request.Header.Set(requestIDHeader, p.id)
+	request.Header.Set(deadlineHeader, strconv.FormatInt(max(1, p.left().Milliseconds()), 10))
+	request.SetBodyRaw(p.ctx.PostBody())
+	answer, err := s.Calls.Do(context.WithoutCancel(p.ctx), endpoint.Address, request,
+		httpcall.Options{Timeout: p.left(), Fresh: !p.repeatable, MaxBody: maxPlainBody})
+	if err != nil {
+		p.mayHaveRun = p.mayHaveRun || verdict.Of(err) != verdict.NotRun
+		return err
+	}
+	defer answer.Close() //nolint:errcheck // the answer is read whole
+	return s.passPlain(p, answer)
+}
+
+// passPlain copies the answer to the caller, unless it names another request.
+func (s *Server) passPlain(p *plainCall, answer *httpcall.Answer) error {
+	p.mayHaveRun = true
+	if id := answer.Response.Header.Peek(requestIDHeader); len(id) > 0 && string(id) != p.id {
+		s.meters.crossed.Inc(1)
+		return verdict.New(verdict.MayHaveRun, errors.New("the endpoint answered another request"))
+	}
+	response := &p.ctx.Response
+	copyResponseHeaders(&response.Header, &answer.Response.Header)
+	response.SetStatusCode(answer.Response.StatusCode())
+	response.Header.Set(verdict.Header, verdict.Ran.String())
+	response.Header.Set(requestIDHeader, p.id)
+	response.SetBody(answer.Response.Body())
+	return nil
+}
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -167,4 +167,3 @@
 	var n net.Error
 	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &n) && n.Timeout()
 }
-
--- /dev/null
+++ b/internal/lab/caller.go
@@ -0,0 +1,163 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"moorrun.dev/moorrun/internal/entry"
+	"moorrun.dev/moorrun/internal/standin"
+	"moorrun.dev/moorrun/internal/verdict"
+)
+
+// Caller makes requests to entry VMs as a workspace's caller would.
+type Caller struct {
+	Token string
+	http  *http.Client
+}
+
+// NewCaller returns a caller with that credential.
+func NewCaller(token string) *Caller {
+	return &Caller{Token: token, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
+}
+
+// Reply is how one request ended for its caller.
+type Reply struct {
+	Status     int
+	Verdict    string
+	Resume     string
+	Text       string
+	Events     int
+	Whole      bool // the end marker or the whole body came
+	Err        error
+	FirstToken time.Duration
+	Took       time.Duration
+	RetryAfter string
+}
+
+// ErrLate is returned by OnEvent to leave a stream.
+var ErrLate = errors.New("the caller leaves")
+
+// Completion is one request for a completion.
+type Completion struct {
+	Model      string
+	Prompt     string
+	Tokens     int
+	Whole      bool // no streaming
+	DeadlineMS int
+	// OnEvent is called with each event's number; an error makes the caller leave.
+	OnEvent func(n int) error
+}
+
+// Complete sends a completion and reads its answer.
+func (c *Caller) Complete(address string, k Completion) Reply {
+	body, _ := json.Marshal(map[string]any{"model": k.Model, "prompt": k.Prompt, "max_tokens": k.Tokens, "stream": !k.Whole})
+	r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(body))
+	if k.DeadlineMS > 0 {
+		r.Header.Set("X-Moorrun-Deadline-Ms", fmt.Sprint(k.DeadlineMS))
+	}
+	return c.do(r, !k.Whole, k.OnEvent)
+}
+
+// Resume continues a stream at another address.
+func (c *Caller) Resume(address, token string, from int) Reply {
+	body, _ := json.Marshal(map[string]any{"token": token, "from": from})
+	r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/v1/resume", bytes.NewReader(body))
+	return c.do(r, true, nil)
+}
+
+// Plain calls a plain service. mark names the call in the endpoint's count.
+func (c *Caller) Plain(address, method, path, mark, key string, body string) Reply {
+	r, _ := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	r.Header.Set(standin.MarkHeader, mark)
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	return c.do(r, false, nil)
+}
+
+// KeyPrefix asks an address for the prefix of idempotency keys.
+func (c *Caller) KeyPrefix(address string) (string, error) {
+	r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/v1/keys", nil)
+	reply := c.do(r, false, nil)
+	var answer struct{ Prefix string }
+	err := json.Unmarshal([]byte(reply.Text), &answer)
+	return answer.Prefix, errors.Join(reply.Err, err)
+}
+
+// Which asks an address which addresses to use.
+func (c *Caller) Which(address string) (entry.Which, error) {
+	var answer entry.Which
+	r, _ := http.NewRequest(http.MethodGet, "http://"+address+"/v1/which", nil)
+	reply := c.do(r, false, nil)
+	if reply.Err != nil {
+		return answer, reply.Err
+	}
+	return answer, json.Unmarshal([]byte(reply.Text), &answer)
+}
+
+func (c *Caller) do(r *http.Request, stream bool, onEvent func(int) error) (out Reply) {
+	start := time.Now()
+	defer func() { out.Took = time.Since(start) }()
+	r.Header.Set("Authorization", "Bearer "+c.Token)
+	answer, err := c.http.Do(r)
+	if err != nil {
+		out.Err = err
+		return out
+	}
+	defer answer.Body.Close() //nolint:errcheck // read as far as wanted
+	out.Status, out.Verdict = answer.StatusCode, answer.Header.Get(verdict.Header)
+	out.Resume, out.RetryAfter = answer.Header.Get("X-Moorrun-Resume"), answer.Header.Get("Retry-After")
+	if !stream || out.Status != http.StatusOK {
+		body, err := io.ReadAll(answer.Body)
+		out.Text, out.Err, out.Whole = string(body), err, err == nil
+		return out
+	}
+	out.readEvents(answer.Body, start, onEvent)
+	return out
+}
+
+func (out *Reply) readEvents(body io.Reader, start time.Time, onEvent func(int) error) {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			out.Whole = true
+		default:
+			if out.Events == 0 {
+				out.FirstToken = time.Since(start)
+			}
+			var event struct{ Text, Error string }
+			_ = json.Unmarshal([]byte(data), &event)
+			if event.Error != "" {
+				out.Verdict = verdict.MayHaveRun.String()
+				continue
+			}
+			out.Text += event.Text
+			out.Events++
+			if onEvent != nil && onEvent(out.Events) != nil {
+				out.Err = ErrLate
+				return
+			}
+		}
+	}
+	out.Err = lines.Err()
+	out.Whole = out.Whole && out.Err == nil
+}
+
+// ExpectedText is the whole answer to a prompt.
+func ExpectedText(prompt string, tokens int) string {
+	text := ""
+	for i := range tokens {
+		text += standin.EventText(prompt, i)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,187 @@
+// Package lab runs real moorrund processes over stand-ins on loopback, for the demo, the integration tests
+// and the measurements.
+package lab
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/standin"
+)
+
+// Options shape a Lab.
+type Options struct {
+	Dir          string // working directory
+	Config       string // directory of configuration files; VMs and endpoints in them get stand-ins
+	Bin          string // directory of the built programs
+	TokenEvery   time.Duration
+	Prefill      time.Duration
+	LoadLag      time.Duration
+	Load         time.Duration // of weights
+	LoadsASecond float64
+	VMListLag    time.Duration
+	Env          []string // beside the lab's own
+}
+
+// Lab is a running set of stand-ins and moorrund processes.
+type Lab struct {
+	Options
+	Objects *standin.ObjectAPI
+	VMs     *standin.VMList
+	Weights *standin.WeightStore
+	Fabric  *standin.Fabric
+	Engines map[string]*standin.Engine // by VM
+	Plains  map[string]*standin.Plain  // by endpoint
+	Files   string                     // configuration with the stand-ins' addresses
+
+	mu    sync.Mutex
+	nodes map[string]*Node // by VM
+}
+
+// OperatorToken is the pool operator's credential in the examples.
+const OperatorToken = "platform-token"
+
+// Build builds moorrun and moorrund into dir.
+func Build(root, dir string) error {
+	k := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "./cmd/...") //nolint:gosec // fixed arguments
+	k.Dir = root
+	out, err := k.CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return nil
+}
+
+// New starts the stand-ins for a configuration.
+func New(o Options) (*Lab, error) {
+	l := &Lab{Options: o, Fabric: standin.NewFabric(), Engines: make(map[string]*standin.Engine),
+		Plains: make(map[string]*standin.Plain), nodes: make(map[string]*Node), Files: filepath.Join(o.Dir, "config")}
+	var err, err2, err3 error
+	l.Objects, err = standin.StartObjectAPI()
+	l.VMs, err2 = standin.StartVMList(o.VMListLag)
+	l.Weights, err3 = standin.StartWeightStore(o.LoadsASecond, o.Load)
+	if err := errors.Join(err, err2, err3); err != nil {
+		return nil, err
+	}
+	return l, l.writeConfig()
+}
+
+// writeConfig starts a stand-in for each VM and endpoint and writes the files with their addresses.
+func (l *Lab) writeConfig() error {
+	names, err := filepath.Glob(filepath.Join(l.Config, "*.json"))
+	if err != nil || len(names) == 0 {
+		return fmt.Errorf("no configuration in %s: %w", l.Config, err)
+	}
+	if err := os.MkdirAll(l.Files, 0o700); err != nil {
+		return err
+	}
+	var listed []platform.VM
+	for _, name := range names {
+		content, err := os.ReadFile(name)
+		if err != nil {
+			return err
+		}
+		part, problems := config.ParsePart(name, content)
+		if problems != nil {
+			return problems
+		}
+		if err := l.fill(part, &listed); err != nil {
+			return err
+		}
+		if err := l.WritePart(part); err != nil {
+			return err
+		}
+	}
+	l.VMs.Set(listed)
+	return nil
+}
+
+// WritePart writes a part to Files, under the part's name.
+func (l *Lab) WritePart(part config.Part) error {
+	var pretty bytes.Buffer
+	if err := json.Indent(&pretty, part.Content(), "", "  "); err != nil {
+		return err
+	}
+	file := filepath.Base(part.File)
+	return os.WriteFile(filepath.Join(l.Files, file), pretty.Bytes(), 0o600)
+}
+
+func (l *Lab) fill(part config.Part, listed *[]platform.VM) error {
+	if part.DataCentre != nil {
+		for _, d := range part.DataCentre.Domains {
+			for i := range d.VMs {
+				e, err := l.startEngine(d.VMs[i])
+				if err != nil {
+					return err
+				}
+				d.VMs[i].Address = e.Address
+				*listed = append(*listed, platform.VM{Name: e.VM, Address: e.Address, State: platform.VMLive})
+			}
+		}
+	}
+	if part.Workspace != nil {
+		for _, s := range part.Workspace.Services {
+			for i := range s.Endpoints {
+				p, err := standin.StartPlain()
+				if err != nil {
+					return err
+				}
+				l.Plains[s.Endpoints[i].Name] = p
+				s.Endpoints[i].Address = p.Address
+			}
+		}
+	}
+	return nil
+}
+
+func (l *Lab) startEngine(vm config.VM) (*standin.Engine, error) {
+	e, err := standin.StartEngine(standin.EngineOptions{
+		VM: vm.Name, ChecksOrders: vm.ChecksOrders, TokenEvery: l.TokenEvery, Prefill: l.Prefill,
+		LoadLag: l.LoadLag, Weights: l.Weights, Fabric: l.Fabric,
+	})
+	if err == nil {
+		l.Engines[vm.Name] = e
+	}
+	return e, err
+}
+
+// freeAddress lets the kernel choose a port.
+func freeAddress() (string, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer lis.Close() //nolint:errcheck // only its address is wanted
+	return lis.Addr().String(), nil
+}
+
+// Close ends every process and stand-in.
+func (l *Lab) Close() {
+	l.mu.Lock()
+	nodes := l.nodes
+	l.nodes = make(map[string]*Node)
+	l.mu.Unlock()
+	for _, n := range nodes {
+		n.Kill()
+	}
+	for _, e := range l.Engines {
+		e.Freeze(false)
+		e.Kill()
+	}
+	for _, p := range l.Plains {
+		p.Kill()
+	}
+	l.Objects.Kill()
+	l.VMs.Kill()
+	l.Weights.Kill()
+}
--- /dev/null
+++ b/internal/lab/node.go
@@ -0,0 +1,134 @@
+package lab
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/settings"
+)
+
+// Node is one moorrund process.
+type Node struct {
+	Settings settings.Settings
+	Log      string // file of its log
+	process  *exec.Cmd
+	done     chan struct{}
+	exit     int
+}
+
+// Tune changes a node's settings before it starts.
+type Tune func(*settings.Settings)
+
+// StartNode starts moorrund for a VM, with settings quick enough for tests.
+func (l *Lab) StartNode(vm, dataCentre string, tunes ...Tune) (*Node, error) {
+	s := settings.Settings{
+		VM: vm, DataCentre: dataCentre, BootstrapOperatorSHA256: config.HashToken(OperatorToken),
+		Platform:    settings.Platform{ObjectAPI: l.Objects.Address, VMList: l.VMs.Address, WeightStore: l.Weights.Address},
+		HeartbeatMS: 100, PollMS: 100, EvidenceMS: 1500, LeaseTTLMS: 2000, AddressLifetimeMS: 1000, ReloadMS: 1000, StoreReads: 50, StoreWrites: 20,
+	}
+	var errs [3]error
+	s.CallerAddress, errs[0] = freeAddress()
+	s.AdminAddress, errs[1] = freeAddress()
+	s.PeerAddress, errs[2] = freeAddress()
+	if err := errors.Join(errs[:]...); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	for _, other := range l.nodes {
+		s.Peers = append(s.Peers, other.Settings.PeerAddress)
+	}
+	l.mu.Unlock()
+	for _, tune := range tunes {
+		tune(&s)
+	}
+	return l.start(s)
+}
+
+func (l *Lab) start(s settings.Settings) (*Node, error) {
+	n := &Node{Settings: s, Log: filepath.Join(l.Dir, s.VM+".log"), done: make(chan struct{})}
+	content, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(l.Dir, s.VM+".json")
+	if err := os.WriteFile(file, content, 0o600); err != nil {
+		return nil, err
+	}
+	out, err := os.OpenFile(n.Log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	n.process = exec.Command(filepath.Join(l.Bin, "moorrund"), "--settings", file) //nolint:gosec // our own program
+	n.process.Stderr, n.process.Stdout = out, out
+	n.process.Env = append(os.Environ(), l.Env...)
+	if err := n.process.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		defer out.Close() //nolint:errcheck // a log
+		_ = n.process.Wait()
+		n.exit = n.process.ProcessState.ExitCode()
+		close(n.done)
+	}()
+	l.mu.Lock()
+	l.nodes[s.VM] = n
+	l.mu.Unlock()
+	return n, nil
+}
+
+// Restart starts the VM's process again with the same settings, as a replaced VM that keeps nothing.
+func (l *Lab) Restart(n *Node) (*Node, error) { return l.start(n.Settings) }
+
+// Kill ends the process at once.
+func (n *Node) Kill() {
+	_ = n.process.Process.Signal(syscall.SIGCONT)
+	_ = n.process.Process.Kill()
+	<-n.done
+}
+
+// Pause freezes the process, or lets it go on.
+func (n *Node) Pause(on bool) {
+	signal := syscall.SIGCONT
+	if on {
+		signal = syscall.SIGSTOP
+	}
+	_ = n.process.Process.Signal(signal)
+}
+
+// Terminate asks the process to stop.
+func (n *Node) Terminate() { _ = n.process.Process.Signal(syscall.SIGTERM) }
+
+// PID returns the process id.
+func (n *Node) PID() int { return n.process.Process.Pid }
+
+// Wait waits for the process to end and returns its exit code.
+func (n *Node) Wait(limit time.Duration) (int, error) {
+	select {
+	case <-n.done:
+		return n.exit, nil
+	case <-time.After(limit):
+		return 0, fmt.Errorf("%s has not ended after %s", n.Settings.VM, limit)
+	}
+}
+
+// Nodes returns the running nodes in no order.
+func (l *Lab) Nodes() []*Node {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*Node
+	for _, n := range l.nodes {
+		select {
+		case <-n.done:
+		default:
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -68,6 +68,7 @@
 		} else {
 			l.Refused(op)
 		}
+	case lease.Wait:
 	}
 }
 
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,141 @@
+// Package membership knows the moorrund processes and when each was last heard.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// LiveFor is how long a member counts as live after it was last heard.
+const LiveFor = 5 * time.Second
+
+// forgetAfter is how long an unheard member is kept.
+const forgetAfter = 10 * time.Minute
+
+// Table holds the members by VM, this process included.
+type Table struct {
+	self string
+
+	mu       sync.RWMutex
+	members  map[string]heldMember
+	sequence uint64
+}
+
+type heldMember struct {
+	Member
+	sequence uint64 // of the last change other than Heard
+}
+
+// NewTable returns a table that knows self only.
+func NewTable(self Member) *Table {
+	t := &Table{self: self.VM, members: make(map[string]heldMember)}
+	t.Put(self)
+	return t
+}
+
+// Put takes in what was heard of a member. An older hearing of another incarnation is ignored.
+func (t *Table) Put(m Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held, known := t.members[m.VM]
+	if known && m.Heard.Before(held.Heard) {
+		return
+	}
+	if known && held.Incarnation == m.Incarnation {
+		m.Revision = max(m.Revision, held.Revision)
+	}
+	changed := !known || held.Incarnation != m.Incarnation || held.Draining != m.Draining || held.Revision != m.Revision
+	if changed {
+		t.sequence++
+		held.sequence = t.sequence
+	}
+	held.Member = m
+	t.members[m.VM] = held
+}
+
+// Update changes this process's own record.
+func (t *Table) Update(change func(*Member)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := t.members[t.self]
+	change(&held.Member)
+	t.sequence++
+	held.sequence = t.sequence
+	t.members[t.self] = held
+}
+
+// Self returns this process's own record, heard now.
+func (t *Table) Self(now time.Time) Member {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	m := t.members[t.self].Member
+	m.Heard = now
+	return m
+}
+
+// Get returns the member of that VM.
+func (t *Table) Get(vm string) (Member, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	m, ok := t.members[vm]
+	return m.Member, ok
+}
+
+// Live returns the members heard lately, in order of VM, this process always among them.
+func (t *Table) Live(now time.Time) []Member {
+	return t.list(now, LiveFor)
+}
+
+// All returns every member still remembered.
+func (t *Table) All(now time.Time) []Member { return t.list(now, forgetAfter) }
+
+func (t *Table) list(now time.Time, within time.Duration) []Member {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]Member, 0, len(t.members))
+	for vm, m := range t.members {
+		if vm == t.self {
+			m.Heard = now
+		}
+		if now.Sub(m.Heard) <= within {
+			out = append(out, m.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+	return out
+}
+
+// LiveIn returns the live members of one data centre.
+func (t *Table) LiveIn(dataCentre string, now time.Time) []Member {
+	return slices.DeleteFunc(t.Live(now), func(m Member) bool { return m.DataCentre != dataCentre })
+}
+
+// Since returns the members whose record changed after that sequence, and the newest sequence.
+func (t *Table) Since(sequence uint64, now time.Time) ([]Member, uint64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []Member
+	for vm, m := range t.members {
+		if m.sequence <= sequence {
+			continue
+		}
+		if vm == t.self {
+			m.Heard = now
+		}
+		out = append(out, m.Member)
+	}
+	return out, t.sequence
+}
+
+// Sweep forgets members that have not been heard for long.
+func (t *Table) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for vm, m := range t.members {
+		if vm != t.self && now.Sub(m.Heard) > forgetAfter {
+			delete(t.members, vm)
+		}
+	}
+}
--- /dev/null
+++ b/internal/metrics/reporter.go
@@ -0,0 +1,139 @@
+// Package metrics keeps tally's metrics for the /metrics page.
+package metrics
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	longestMicros = int64(10 * time.Minute / time.Microsecond)
+	digits        = 2
+)
+
+// Reporter is a tally.StatsReporter that keeps the latest values.
+type Reporter struct {
+	mu       sync.Mutex
+	counters map[string]int64
+	gauges   map[string]float64
+	timers   map[string]*hdrhistogram.Histogram // microseconds
+}
+
+// NewReporter returns an empty Reporter.
+func NewReporter() *Reporter {
+	return &Reporter{
+		counters: make(map[string]int64), gauges: make(map[string]float64),
+		timers: make(map[string]*hdrhistogram.Histogram),
+	}
+}
+
+// ReportCounter implements tally.StatsReporter.
+func (r *Reporter) ReportCounter(name string, tags map[string]string, value int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counters[series(name, tags)] += value
+}
+
+// ReportGauge implements tally.StatsReporter.
+func (r *Reporter) ReportGauge(name string, tags map[string]string, value float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gauges[series(name, tags)] = value
+}
+
+// ReportTimer implements tally.StatsReporter.
+func (r *Reporter) ReportTimer(name string, tags map[string]string, interval time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := series(name, tags)
+	h, ok := r.timers[key]
+	if !ok {
+		h = hdrhistogram.New(1, longestMicros, digits)
+		r.timers[key] = h
+	}
+	_ = h.RecordValue(min(max(1, interval.Microseconds()), longestMicros))
+}
+
+// ReportHistogramValueSamples implements tally.StatsReporter; moorrun uses timers instead.
+func (r *Reporter) ReportHistogramValueSamples(string, map[string]string, tally.Buckets, float64, float64, int64) {
+}
+
+// ReportHistogramDurationSamples implements tally.StatsReporter; moorrun uses timers instead.
+func (r *Reporter) ReportHistogramDurationSamples(string, map[string]string, tally.Buckets, time.Duration, time.Duration, int64) {
+}
+
+// Capabilities implements tally.StatsReporter.
+func (r *Reporter) Capabilities() tally.Capabilities { return capabilities{} }
+
+// Flush implements tally.StatsReporter.
+func (r *Reporter) Flush() {}
+
+type capabilities struct{}
+
+// Reporting implements tally.Capabilities.
+func (capabilities) Reporting() bool { return true }
+
+// Tagging implements tally.Capabilities.
+func (capabilities) Tagging() bool { return true }
+
+func series(name string, tags map[string]string) string {
+	if len(tags) == 0 {
+		return name
+	}
+	pairs := make([]string, 0, len(tags))
+	for k, v := range tags {
+		pairs = append(pairs, fmt.Sprintf("%s=%q", k, v))
+	}
+	slices.Sort(pairs)
+	return name + "{" + strings.Join(pairs, ",") + "}"
+}
+
+// Write writes every series in the text exposition format, timers as quantiles in seconds.
+func (r *Reporter) Write(w io.Writer) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, name := range sorted(r.counters) {
+		if _, err := fmt.Fprintf(w, "%s %d\n", name, r.counters[name]); err != nil {
+			return err
+		}
+	}
+	for _, name := range sorted(r.gauges) {
+		if _, err := fmt.Fprintf(w, "%s %g\n", name, r.gauges[name]); err != nil {
+			return err
+		}
+	}
+	for _, name := range sorted(r.timers) {
+		if err := writeTimer(w, name, r.timers[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeTimer(w io.Writer, name string, h *hdrhistogram.Histogram) error {
+	for _, q := range []float64{50, 95, 99} {
+		seconds := float64(h.ValueAtQuantile(q)) / float64(time.Second/time.Microsecond)
+		if _, err := fmt.Fprintf(w, "%s_seconds{quantile=\"%g\"} %g\n", name, q/100, seconds); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "%s_seconds_count %d\n", name, h.TotalCount())
+	return err
+}
+
+func sorted[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/node/lifecycle.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-kit/log/level"
+
+	"moorrun.dev/moorrun/internal/drains"
+	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/membership"
+	"moorrun.dev/moorrun/internal/platform"
+)
+
+const (
+	// drainSpread is how long it takes until every node knows that this one drains.
+	drainSpread = 2 * time.Second
+	// finishLimit bounds the wait for requests in flight.
+	finishLimit      = 10 * time.Minute
+	followDrainEvery = 500 * time.Millisecond
+	unregisterWait   = time.Second
+)
+
+// register writes this node's object once, so that others find it. An earlier one of the same VM is replaced.
+func (n *Node) register(ctx context.Context) error {
+	self := n.fleet.Members.Self(time.Now())
+	key := keys.Node(self.DataCentre, self.VM)
+	wait := backoff.NewExponentialBackOff()
+	wait.InitialInterval = 200 * time.Millisecond
+	wait.MaxInterval = 10 * time.Second
+	for {
+		if n.putSelf(ctx, key, self) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(wait.NextBackOff()):
+		}
+	}
+}
+
+func (n *Node) putSelf(ctx context.Context, key string, self membership.Member) bool {
+	o, err := n.objects.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return false
+	}
+	outcome, version, _ := n.objects.Put(ctx, key, self, o.Version)
+	if outcome != platform.Applied {
+		return false
+	}
+	_ = level.Info(n.logger).Log("msg", "registered", "version", version)
+	return true
+}
+
+// unregister removes the object again, unless a successor has replaced it.
+func (n *Node) unregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), unregisterWait)
+	defer cancel()
+	self := n.fleet.Members.Self(time.Now())
+	key := keys.Node(self.DataCentre, self.VM)
+	o, ok := n.fleet.Mirror.Get(key)
+	if ok {
+		_, _ = n.objects.Delete(ctx, key, o.Version)
+	}
+}
+
+// followDrains takes the node out of the address answers while an operator has drained it.
+func (n *Node) followDrains(ctx context.Context) error {
+	ticker := time.NewTicker(followDrainEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		wanted := n.stopping.Load() || drains.Read(n.fleet.Mirror).Has(n.settings.VM)
+		if wanted != n.draining() {
+			n.fleet.Members.Update(func(m *membership.Member) { m.Draining = wanted })
+			_ = level.Info(n.logger).Log("msg", "draining", "on", wanted)
+		}
+	}
+}
+
+// shutdown drains the node and stops its parts.
+func (n *Node) shutdown() error {
+	n.stopping.Store(true)
+	n.fleet.Members.Update(func(m *membership.Member) { m.Draining = true })
+	_ = level.Info(n.logger).Log("msg", "stopping", "in_flight", n.entry.Inflight())
+	time.Sleep(drainSpread + n.settings.AddressLifetime())
+	n.entry.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), finishLimit)
+	defer cancel()
+	err := n.entry.Shutdown(ctx)
+	for n.entry.Inflight() > 0 && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	n.unregister()
+	n.stop()
+	err = errors.Join(err, n.admin.Shutdown(ctx))
+	_ = level.Info(n.logger).Log("msg", "stopped", "in_flight", n.entry.Inflight())
+	return err
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,241 @@
+// Package node puts the parts of a moorrund process together and runs them.
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"moorrun.dev/moorrun/internal/accept"
+	"moorrun.dev/moorrun/internal/admin"
+	"moorrun.dev/moorrun/internal/admission"
+	"moorrun.dev/moorrun/internal/burn"
+	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/domains"
+	"moorrun.dev/moorrun/internal/entry"
+	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/holder"
+	"moorrun.dev/moorrun/internal/httpcall"
+	"moorrun.dev/moorrun/internal/inforce"
+	"moorrun.dev/moorrun/internal/invariant"
+	"moorrun.dev/moorrun/internal/membership"
+	"moorrun.dev/moorrun/internal/metrics"
+	"moorrun.dev/moorrun/internal/mirror"
+	"moorrun.dev/moorrun/internal/observer"
+	"moorrun.dev/moorrun/internal/once"
+	"moorrun.dev/moorrun/internal/peer"
+	"moorrun.dev/moorrun/internal/places"
+	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/platform/rest"
+	"moorrun.dev/moorrun/internal/relay"
+	"moorrun.dev/moorrun/internal/replica"
+	"moorrun.dev/moorrun/internal/routing"
+	"moorrun.dev/moorrun/internal/settings"
+)
+
+const (
+	storeTimeout  = time.Second
+	engineTimeout = 400 * time.Millisecond
+	metricsEvery  = time.Second
+	sweepEvery    = 5 * time.Second
+)
+
+// Node is one moorrund process.
+type Node struct {
+	settings *settings.Settings
+	logger   log.Logger
+	reporter *metrics.Reporter
+	closer   io.Closer
+
+	fleet      *peer.Fleet
+	objects    platform.ObjectStore
+	calls      *httpcall.Client
+	caller     *peer.Caller
+	links      *relay.Links
+	watcher    *relay.Watcher
+	keeper     *inforce.Keeper
+	lease      *holder.Keeper
+	vms        *holder.VMWatch
+	controller *holder.Controller
+	observer   *observer.Observer
+	places     *places.Server
+	admission  *admission.Admission
+	once       *once.Book
+	entry      *entry.Server
+	admin      *admin.Server
+	peers      *peer.Server
+
+	work     context.Context //nolint:containedctx // ends when the node stops, for work its parts start later
+	stop     context.CancelFunc
+	stopping atomic.Bool
+}
+
+// New puts a node together; nothing runs yet.
+func New(s *settings.Settings, logger log.Logger) *Node {
+	n := &Node{settings: s, logger: logger, reporter: metrics.NewReporter()}
+	n.work, n.stop = context.WithCancel(context.Background())
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "moorrun", Reporter: n.reporter, Separator: "_", Tags: map[string]string{"data_centre": s.DataCentre},
+	}, metricsEvery)
+	n.closer = closer
+	checker := invariant.NewChecker(logger, scope)
+	n.buildPlatform()
+	n.buildFleet()
+	current := func() *config.Config { return n.keeper.Current() }
+	n.keeper = inforce.NewKeeper(n.fleet.Mirror, partSource{n.caller, n.links, n.objects}, checker, logger, n.inForce)
+	book := domains.NewBook(n.fleet.Mirror)
+	router := routing.New(n.fleet.Mirror, book, n.fleet.Looks, current)
+	engine := rest.NewEngine(n.calls, engineTimeout)
+	n.observer = observer.New(n.fleet, engine, book, current, s.Poll(), s.Evidence())
+	n.places = places.NewServer(n.fleet.Members, router, current, checker)
+	n.peers = peer.NewServer(n.fleet, n.keeper, n.places)
+	n.admission = admission.New(n.work, places.NewAsker(n.fleet.Members, current, n.places, n.caller), router)
+	n.once = once.NewBook(time.Now)
+	losses := holder.NewLossMeter()
+	n.buildHolder(book, engine, current, checker, losses)
+	recorder := burn.NewRecorder(func(workspace, service string) (config.Objective, bool) {
+		if c := current(); c != nil {
+			return c.Objective(workspace, service)
+		}
+		return config.Objective{}, false
+	})
+	n.entry = entry.New(entry.Options{
+		Current: current, Contact: n.fleet.Contact, Members: n.fleet.Members, Mirror: n.fleet.Mirror, Router: router,
+		Admission: n.admission, Calls: n.calls, Engine: engine, Once: n.once, Burn: recorder, Checker: checker,
+		Scope: scope, Logger: logger, AddressLifetime: s.AddressLifetime(),
+	})
+	n.admin = admin.New(admin.Options{
+		Store: accept.NewStore(n.objects), Objects: n.objects, Current: current, Members: n.fleet.Members,
+		Mirror: n.fleet.Mirror, Book: book, Router: router, Admission: n.admission, Burn: recorder,
+		Losses: losses.Losses, Checker: checker, Metrics: n.reporter, Logger: logger,
+		Bootstrap: s.BootstrapOperatorSHA256, Ready: n.ready,
+	})
+	return n
+}
+
+func (n *Node) buildPlatform() {
+	s := n.settings
+	n.calls = httpcall.NewClient()
+	n.objects = rest.NewObjectStore(s.Platform.ObjectAPI, n.calls, rest.NewBudget(s.StoreReads, s.StoreWrites), storeTimeout)
+}
+
+func (n *Node) buildFleet() {
+	s := n.settings
+	self := membership.Member{
+		VM: s.VM, DataCentre: s.DataCentre, CallerAddress: s.CallerAddress, AdminAddress: s.AdminAddress,
+		PeerAddress: s.PeerAddress, Incarnation: uuid.NewString()[:8], Heard: time.Now(),
+	}
+	n.fleet = &peer.Fleet{
+		Mirror: mirror.New(), Looks: evidence.NewTable(), Reports: evidence.NewReports(),
+		Members: membership.NewTable(self), Contact: &peer.Contact{}, Outgoing: peer.NewOutbox(), Heartbeat: s.Heartbeat(),
+	}
+	n.caller = peer.NewCaller(s.Heartbeat())
+	n.links = relay.NewLinks(n.fleet, s.Peers)
+	n.watcher = relay.NewWatcher(n.objects, n.fleet, n.links, n.logger)
+}
+
+func (n *Node) buildHolder(book *domains.Book, engine platform.Engine, current func() *config.Config, checker *invariant.Checker, losses *holder.LossMeter) {
+	s := n.settings
+	wanted := func() bool { return n.links.IsRelay() && current() != nil && n.work.Err() == nil && !n.draining() }
+	n.lease = holder.NewKeeper(n.objects, s.DataCentre, s.VM, s.LeaseTTL(), s.LeaseTTL()/10, wanted, n.logger)
+	held := func() bool { _, _, ok := n.lease.Held(time.Now()); return ok }
+	n.vms = holder.NewVMWatch(
+		rest.NewVMList(s.Platform.VMList, n.calls, storeTimeout),
+		rest.NewWeightStore(s.Platform.WeightStore, n.calls, storeTimeout), held)
+	policy := replica.DefaultPolicy
+	policy.Reload = s.Reload()
+	n.controller = &holder.Controller{
+		Keeper: n.lease, Objects: n.objects, Engine: engine, Mirror: n.fleet.Mirror, Book: book, Reports: n.fleet.Reports,
+		VMs: n.vms, Config: current, Demand: n.places.Waiting, Checker: checker, Logger: n.logger, VM: s.VM,
+		DataCentre: s.DataCentre, Policy: policy, Losses: losses,
+	}
+}
+
+func (n *Node) inForce(c *config.Config) {
+	n.fleet.Members.Update(func(m *membership.Member) { m.Revision = c.Revision })
+}
+
+func (n *Node) draining() bool { return n.fleet.Members.Self(time.Now()).Draining }
+
+func (n *Node) ready() (bool, string) {
+	switch {
+	case n.keeper.Current() == nil:
+		return false, "no configuration is in force"
+	case n.draining():
+		return false, "draining"
+	default:
+		return true, ""
+	}
+}
+
+// listeners are the three sockets of a node.
+type listeners struct{ caller, admin, peer net.Listener }
+
+func listen(s *settings.Settings) (l listeners, err error) {
+	if l.caller, err = net.Listen("tcp", s.Listen.Caller); err != nil {
+		return l, err
+	}
+	if l.admin, err = net.Listen("tcp", s.Listen.Admin); err != nil {
+		return l, err
+	}
+	l.peer, err = net.Listen("tcp", s.Listen.Peer)
+	return l, err
+}
+
+// Run serves until ctx ends, then drains: no address answer names the node any more, callers who hold one
+// are served until it has run out, and requests in flight are finished.
+func (n *Node) Run(ctx context.Context) error {
+	l, err := listen(n.settings)
+	if err != nil {
+		return err
+	}
+	_ = level.Info(n.logger).Log("msg", "started", "caller", n.settings.CallerAddress, "admin", n.settings.AdminAddress,
+		"peer", n.settings.PeerAddress)
+	var g errgroup.Group
+	g.Go(func() error { return n.entry.Serve(l.caller) })
+	g.Go(func() error { return n.admin.Serve(l.admin) })
+	g.Go(func() error { return ignoreEnd(n.work, n.peers.Serve(n.work, l.peer)) })
+	for _, run := range []func(context.Context) error{
+		n.links.Run, n.watcher.Run, n.keeper.Run, n.lease.Run, n.vms.Run, n.controller.Run, n.observer.Run,
+		n.register, n.sweep, n.followDrains, n.places.Run,
+	} {
+		g.Go(func() error { return run(n.work) })
+	}
+	g.Go(func() error { <-ctx.Done(); return n.shutdown() })
+	err = g.Wait()
+	n.admission.Wait()
+	return errors.Join(err, n.caller.Close(), n.closer.Close())
+}
+
+func ignoreEnd(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// sweep forgets what has grown old.
+func (n *Node) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			n.calls.Sweep()
+			n.once.Sweep()
+			n.fleet.Looks.Sweep(now)
+			n.fleet.Members.Sweep(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/source.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"moorrun.dev/moorrun/internal/peer"
+	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/relay"
+)
+
+const partsTimeout = time.Second
+
+// partSource fetches parts from linked relays, and from the platform when this node is a relay or
+// no relay has them.
+type partSource struct {
+	caller  *peer.Caller
+	links   *relay.Links
+	objects platform.ObjectStore
+}
+
+// Fetch implements inforce.Source.
+func (s partSource) Fetch(ctx context.Context, keys []string) []platform.Object {
+	var found []platform.Object
+	for _, address := range s.links.Addresses() {
+		if len(keys) == 0 {
+			return found
+		}
+		callCtx, cancel := context.WithTimeout(ctx, partsTimeout)
+		parts, err := s.caller.Parts(callCtx, address, keys)
+		cancel()
+		if err == nil {
+			found = append(found, parts...)
+			keys = missing(keys, parts)
+		}
+	}
+	for _, key := range keys {
+		callCtx, cancel := context.WithTimeout(ctx, partsTimeout)
+		if o, err := s.objects.Get(callCtx, key); err == nil {
+			found = append(found, o)
+		}
+		cancel()
+	}
+	return found
+}
+
+func missing(keys []string, found []platform.Object) []string {
+	have := make(map[string]bool, len(found))
+	for _, o := range found {
+		have[o.Key] = true
+	}
+	var out []string
+	for _, key := range keys {
+		if !have[key] {
+			out = append(out, key)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/observer/observer.go
@@ -0,0 +1,186 @@
+// Package observer polls the engine VMs of the fabric domains that fall to this node and says which
+// replica groups are whole. It needs no lease and goes on while the platform's store is down.
+package observer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/domains"
+	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/membership"
+	"moorrun.dev/moorrun/internal/peer"
+	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/replica"
+)
+
+const (
+	// observersADomain is how many nodes look at each domain, so that one may die unnoticed.
+	observersADomain = 2
+	reviewEvery      = 500 * time.Millisecond
+	maxPolls         = 64 // at a time
+)
+
+// Observer watches engines.
+type Observer struct {
+	fleet    *peer.Fleet
+	engine   platform.Engine
+	book     *domains.Book
+	config   func() *config.Config
+	every    time.Duration
+	lifetime time.Duration
+
+	mu       sync.Mutex
+	sequence uint64
+	running  map[string]context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// New returns an Observer that polls each VM every so often and gives evidence of that lifetime,
+// counted from the oldest last answer among a group's members.
+func New(fleet *peer.Fleet, engine platform.Engine, book *domains.Book, current func() *config.Config, every, lifetime time.Duration) *Observer {
+	return &Observer{
+		fleet: fleet, engine: engine, book: book, config: current, every: every, lifetime: lifetime,
+		running: make(map[string]context.CancelFunc),
+	}
+}
+
+// Run observes until ctx ends.
+func (o *Observer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reviewEvery)
+	defer ticker.Stop()
+	for {
+		o.review(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			o.wg.Wait()
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// review starts and stops watches so that this node looks at the domains that fall to it.
+func (o *Observer) review(ctx context.Context, now time.Time) {
+	wanted := o.mine(now)
+	for domain := range wanted {
+		if _, ok := o.running[domain]; ok {
+			continue
+		}
+		watchCtx, cancel := context.WithCancel(ctx)
+		o.running[domain] = cancel
+		o.wg.Go(func() { o.watch(watchCtx, domain) })
+	}
+	for domain, cancel := range o.running {
+		if !wanted[domain] {
+			cancel()
+			delete(o.running, domain)
+			o.fleet.Outgoing.Drop(domain)
+		}
+	}
+}
+
+func (o *Observer) mine(now time.Time) map[string]bool {
+	c := o.config()
+	if c == nil {
+		return nil
+	}
+	self := o.fleet.Members.Self(now)
+	near := o.fleet.Members.LiveIn(self.DataCentre, now)
+	out := make(map[string]bool)
+	for name, d := range c.Domains() {
+		if d.DataCentre != self.DataCentre {
+			continue
+		}
+		ranked := membership.Rank("observe/"+name, near)
+		for _, m := range ranked[:min(observersADomain, len(ranked))] {
+			if m.VM == self.VM {
+				out[name] = true
+			}
+		}
+	}
+	return out
+}
+
+// watch polls one domain's VMs until ctx ends.
+func (o *Observer) watch(ctx context.Context, domain string) {
+	views := &vmViews{vms: make(map[string]replica.VMView)}
+	ticker := time.NewTicker(o.every)
+	defer ticker.Stop()
+	for {
+		if c := o.config(); c != nil {
+			if d, ok := c.Domains()[domain]; ok {
+				o.look(ctx, d, views)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// look polls every VM of the domain once and publishes what they say.
+func (o *Observer) look(ctx context.Context, d config.DomainOf, views *vmViews) {
+	var polls errgroup.Group
+	polls.SetLimit(maxPolls)
+	for _, vm := range d.VMs {
+		polls.Go(func() error {
+			sent := time.Now()
+			state, err := o.engine.State(ctx, vm.Address)
+			if err == nil && state.VM == vm.Name {
+				views.put(vm.Name, replica.VMView{Answered: true, LastAnswer: sent, State: state})
+			}
+			return nil
+		})
+	}
+	_ = polls.Wait()
+	if ctx.Err() == nil {
+		o.publish(d.Name, views.copy())
+	}
+}
+
+func (o *Observer) publish(domain string, vms map[string]replica.VMView) {
+	now := time.Now()
+	look := evidence.Look{Domain: domain, Observer: peer.ObserverName(o.fleet.Members.Self(now)), Near: true}
+	if a, _, ok := o.book.Get(domain); ok {
+		look.Generation = a.Generation
+		for _, g := range a.Groups {
+			if g.State != replica.Draining {
+				look.Groups = append(look.Groups, o.judge(g, vms, now))
+			}
+		}
+	}
+	o.mu.Lock()
+	o.sequence++
+	look.Sequence = o.sequence
+	o.mu.Unlock()
+	o.fleet.Looks.Put(look, now)
+	for vm, v := range vms {
+		o.fleet.Reports.Put(vm, v)
+	}
+	o.fleet.Outgoing.Put(look, vms)
+}
+
+// judge says until when routers may use the group: its lifetime after the oldest of its members' last answers.
+func (o *Observer) judge(g *replica.Group, vms map[string]replica.VMView, now time.Time) evidence.Group {
+	out := evidence.Group{ID: g.ID, Birth: g.Birth}
+	if !replica.Whole(g, vms, now, o.lifetime) {
+		return out
+	}
+	oldest := now
+	for _, vm := range g.VMs {
+		if at := vms[vm].LastAnswer; at.Before(oldest) {
+			oldest = at
+		}
+	}
+	out.Expires = oldest.Add(o.lifetime)
+	leader := vms[g.VMs[0]].State
+	out.Running, out.Waiting = uint32(leader.Running), uint32(leader.Waiting)
+	return out
+}
--- /dev/null
+++ b/internal/peer/caller.go
@@ -0,0 +1,66 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"moorrun.dev/moorrun/internal/peer/peerpb"
+	"moorrun.dev/moorrun/internal/platform"
+)
+
+const (
+	pooledPerPeer = 8
+	pooledFor     = 30 * time.Second
+)
+
+// Caller makes single calls to other nodes over pooled connections.
+type Caller struct {
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+	idle time.Duration
+}
+
+// NewCaller returns a Caller; heartbeat bounds how long a silent connection is kept.
+func NewCaller(heartbeat time.Duration) *Caller {
+	return &Caller{
+		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{KeyCapacity: pooledPerPeer, Expiration: pooledFor}),
+		idle: idleHeartbeats * heartbeat,
+	}
+}
+
+func (c *Caller) client(ctx context.Context, address string) peerpb.DRPCPeerClient {
+	conn := c.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
+		d := net.Dialer{Timeout: time.Second}
+		raw, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return drpcconn.New(transport{raw, c.idle}), nil
+	})
+	return peerpb.NewDRPCPeerClient(drpc.Conn(conn))
+}
+
+// Parts fetches parts of the configuration from the node at address.
+func (c *Caller) Parts(ctx context.Context, address string, keys []string) ([]platform.Object, error) {
+	reply, err := c.client(ctx, address).Parts(ctx, &peerpb.PartsRequest{Keys: keys})
+	if err != nil {
+		return nil, err
+	}
+	out := make([]platform.Object, len(reply.Parts))
+	for i, p := range reply.Parts {
+		out[i] = objectFromWire(p)
+	}
+	return out, nil
+}
+
+// Demand asks the allocator at address.
+func (c *Caller) Demand(ctx context.Context, address string, request *peerpb.DemandRequest) (*peerpb.DemandReply, error) {
+	return c.client(ctx, address).Demand(ctx, request)
+}
+
+// Close closes the pooled connections.
+func (c *Caller) Close() error { return c.pool.Close() }
--- /dev/null
+++ b/internal/peer/link_client.go
@@ -0,0 +1,165 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"moorrun.dev/moorrun/internal/membership"
+	"moorrun.dev/moorrun/internal/peer/peerpb"
+)
+
+// idleHeartbeats is how many heartbeats of silence end a connection.
+const idleHeartbeats = 8
+
+// upGap is the shortest time between two messages to a relay.
+const upGap = 20 * time.Millisecond
+
+// LinkClient is this node's link to one relay.
+type LinkClient struct {
+	fleet  *Fleet
+	near   bool // the relay is in this node's data centre
+	stream peerpb.DRPCPeer_LinkClient
+
+	mu    sync.Mutex
+	clock clock
+	echo  uint64
+}
+
+// RunLink joins the relay at address and passes both ways until the link breaks or ctx ends.
+// near says that the relay is in this node's data centre. up is called with each instant at which
+// the relay was certainly alive.
+func RunLink(ctx context.Context, fleet *Fleet, address string, near bool, up func(at time.Time)) error {
+	d := net.Dialer{Timeout: idleHeartbeats * fleet.Heartbeat / 2}
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	conn := drpcconn.New(transport{raw, idleHeartbeats * fleet.Heartbeat})
+	defer conn.Close() //nolint:errcheck // the link is over
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := peerpb.NewDRPCPeerClient(conn).Link(ctx)
+	if err != nil {
+		return err
+	}
+	l := &LinkClient{fleet: fleet, near: near, stream: stream}
+	failed := make(chan error, 1)
+	go func() { failed <- l.send(ctx) }()
+	for {
+		down, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if at, ok := l.take(down); ok {
+			up(at)
+		}
+		select {
+		case err := <-failed:
+			return err
+		default:
+		}
+	}
+}
+
+func (l *LinkClient) take(down *peerpb.Down) (time.Time, bool) {
+	l.mu.Lock()
+	l.echo = down.Tick
+	asOf, ok := l.clock.asOf(down.Echo)
+	l.mu.Unlock()
+	for _, o := range down.Objects {
+		l.fleet.Mirror.Put(objectFromWire(o))
+	}
+	if !ok {
+		return asOf, false
+	}
+	now := time.Now()
+	for _, e := range down.Evidence {
+		look := lookFromWire(e, asOf)
+		look.Near = l.near && l.nearObserver(look.Observer)
+		l.fleet.Looks.Put(look, now)
+	}
+	l.takeMembers(down.Members, asOf)
+	l.fleet.Contact.Heard(asOf)
+	return asOf, true
+}
+
+func (l *LinkClient) takeMembers(members []*peerpb.Member, asOf time.Time) {
+	self := l.fleet.Members.Self(asOf)
+	for _, m := range members {
+		if m.Vm != self.VM {
+			l.fleet.Members.Put(memberFromWire(m, asOf))
+		}
+	}
+}
+
+func (l *LinkClient) nearObserver(observer string) bool {
+	m, ok := l.fleet.Members.Get(ObserverVM(observer))
+	return ok && m.DataCentre == l.fleet.Members.Self(time.Now()).DataCentre
+}
+
+func (l *LinkClient) send(ctx context.Context) error {
+	ticker := time.NewTicker(l.fleet.Heartbeat)
+	defer ticker.Stop()
+	var sequence uint64
+	for {
+		now := time.Now()
+		up := &peerpb.Up{Member: memberToWire(l.fleet.Members.Self(now), now)}
+		var changed <-chan struct{}
+		up.Evidence, sequence, changed = l.fleet.Outgoing.since(sequence, now)
+		l.mu.Lock()
+		up.Tick = l.clock.next(now)
+		up.Echo = l.echo
+		l.mu.Unlock()
+		if err := l.stream.Send(up); err != nil {
+			return err
+		}
+		if !l.near {
+			changed = nil // only relays of the own data centre need what this node observes
+		}
+		if err := pause(ctx, ticker.C, changed); err != nil {
+			return err
+		}
+	}
+}
+
+// pause waits for the heartbeat, or for a change and a short gap after it.
+func pause(ctx context.Context, heartbeat <-chan time.Time, changed ...<-chan struct{}) error {
+	var first, second <-chan struct{}
+	if len(changed) > 0 {
+		first = changed[0]
+	}
+	if len(changed) > 1 {
+		second = changed[1]
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-heartbeat:
+		return nil
+	case <-first:
+	case <-second:
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(upGap):
+		return nil
+	}
+}
+
+// ObserverName names an observer: its VM and incarnation.
+func ObserverName(m membership.Member) string { return m.VM + "/" + m.Incarnation }
+
+// ObserverVM returns the VM of an observer's name.
+func ObserverVM(observer string) string {
+	for i := range observer {
+		if observer[i] == '/' {
+			return observer[:i]
+		}
+	}
+	return observer
+}
--- /dev/null
+++ b/internal/peer/link_server.go
@@ -0,0 +1,170 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/membership"
+	"moorrun.dev/moorrun/internal/peer/peerpb"
+)
+
+// memberRefresh is how often every live member is sent again, so that its hearing stays fresh.
+const memberRefresh = 1500 * time.Millisecond
+
+// linkServer is the relay's side of one link.
+type linkServer struct {
+	fleet  *Fleet
+	stream peerpb.DRPCPeer_LinkStream
+	peer   membership.Member
+
+	clock clock
+	echo  uint64
+
+	objects   uint64
+	looks     uint64
+	members   uint64
+	refreshed time.Time
+}
+
+// Link implements the drpc service.
+func (s *Server) Link(stream peerpb.DRPCPeer_LinkStream) error {
+	l := &linkServer{fleet: s.fleet, stream: stream}
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	ups := make(chan *peerpb.Up, 1)
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	go receive(ctx, cancel, stream, ups)
+	if err := l.take(first); err != nil {
+		return err
+	}
+	return l.run(ctx, ups)
+}
+
+func receive(ctx context.Context, cancel context.CancelFunc, stream peerpb.DRPCPeer_LinkStream, ups chan<- *peerpb.Up) {
+	defer cancel()
+	for {
+		up, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		select {
+		case ups <- up:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *linkServer) run(ctx context.Context, ups <-chan *peerpb.Up) error {
+	ticker := time.NewTicker(l.fleet.Heartbeat)
+	defer ticker.Stop()
+	due := time.Now()
+	for {
+		mirrorChanged, looksChanged := l.fleet.Mirror.Changed(), l.fleet.Looks.Changed()
+		if now := time.Now(); !now.Before(due) {
+			if err := l.send(now); err != nil {
+				return err
+			}
+			due = now.Add(l.fleet.Heartbeat)
+			continue // what changed while sending is seen by the fresh channels
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case up := <-ups:
+			if err := l.take(up); err != nil {
+				return err
+			}
+		case <-ticker.C:
+		case <-mirrorChanged:
+			due = earliest(due, time.Now().Add(upGap))
+		case <-looksChanged:
+			due = earliest(due, time.Now().Add(l.fleet.Heartbeat/2))
+		case <-time.After(time.Until(due)):
+		}
+	}
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (l *linkServer) near() bool {
+	return l.peer.DataCentre == l.fleet.Members.Self(time.Now()).DataCentre
+}
+
+func (l *linkServer) take(up *peerpb.Up) error {
+	l.echo = up.Tick
+	asOf, ok := l.clock.asOf(up.Echo)
+	if up.Member != nil {
+		l.peer = memberFromWire(up.Member, asOf)
+	}
+	if !ok {
+		return nil
+	}
+	l.fleet.Contact.Heard(asOf)
+	l.fleet.Members.Put(l.peer)
+	if !l.near() {
+		return nil
+	}
+	now := time.Now()
+	for _, e := range up.Evidence {
+		look := lookFromWire(e, asOf)
+		look.Near = true
+		l.fleet.Looks.Put(look, now)
+		for _, r := range e.Vms {
+			l.fleet.Reports.Put(r.Vm, reportFromWire(r, asOf))
+		}
+	}
+	return nil
+}
+
+func (l *linkServer) send(now time.Time) error {
+	down := &peerpb.Down{Tick: l.clock.next(now), Echo: l.echo}
+	objects, sequence := l.fleet.Mirror.Since(l.objects)
+	l.objects = sequence
+	for _, o := range objects {
+		down.Objects = append(down.Objects, objectToWire(o))
+	}
+	l.addLooks(down, now)
+	l.addMembers(down, now)
+	return l.stream.Send(down)
+}
+
+// addLooks adds the changed looks: all to nodes of the own data centre, the own data centre's to others.
+func (l *linkServer) addLooks(down *peerpb.Down, now time.Time) {
+	looks, sequence := l.fleet.Looks.Since(l.looks)
+	l.looks = sequence
+	near := l.near()
+	for _, look := range looks {
+		if (near || look.Near) && !l.own(look) {
+			down.Evidence = append(down.Evidence, lookToWire(look, now))
+		}
+	}
+}
+
+func (l *linkServer) own(look evidence.Look) bool { return ObserverVM(look.Observer) == l.peer.VM }
+
+// addMembers adds the members that changed, and now and then all live ones.
+func (l *linkServer) addMembers(down *peerpb.Down, now time.Time) {
+	changed, sequence := l.fleet.Members.Since(l.members, now)
+	l.members = sequence
+	if now.Sub(l.refreshed) >= memberRefresh {
+		changed = l.fleet.Members.Live(now)
+		l.refreshed = now
+	}
+	near := l.near()
+	self := l.fleet.Members.Self(now)
+	for _, m := range changed {
+		if near || m.DataCentre == self.DataCentre {
+			down.Members = append(down.Members, memberToWire(m, now))
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"context"
+	"net"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"moorrun.dev/moorrun/internal/peer/peerpb"
+	"moorrun.dev/moorrun/internal/platform"
+)
+
+// PartSource finds parts of the configuration by object key.
+type PartSource interface {
+	// Part returns the object, and false when it is not held here.
+	Part(key string) (platform.Object, bool)
+}
+
+// Allocator answers demand for places.
+type Allocator interface {
+	// Demand takes in a node's demand for a model and returns what it is granted.
+	Demand(ctx context.Context, request *peerpb.DemandRequest) *peerpb.DemandReply
+}
+
+// Server answers other nodes.
+type Server struct {
+	fleet     *Fleet
+	parts     PartSource
+	allocator Allocator
+}
+
+// NewServer returns a Server that shares fleet.
+func NewServer(fleet *Fleet, parts PartSource, allocator Allocator) *Server {
+	return &Server{fleet, parts, allocator}
+}
+
+// Serve answers on lis until ctx ends.
+func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, s); err != nil {
+		return err
+	}
+	return drpcserver.New(mux).Serve(ctx, listener{lis, idleHeartbeats * s.fleet.Heartbeat})
+}
+
+// Parts implements the drpc service.
+func (s *Server) Parts(_ context.Context, request *peerpb.PartsRequest) (*peerpb.PartsReply, error) {
+	reply := &peerpb.PartsReply{}
+	for _, key := range request.Keys {
+		if o, ok := s.parts.Part(key); ok {
+			reply.Parts = append(reply.Parts, objectToWire(o))
+		}
+	}
+	return reply, nil
+}
+
+// Demand implements the drpc service.
+func (s *Server) Demand(ctx context.Context, request *peerpb.DemandRequest) (*peerpb.DemandReply, error) {
+	return s.allocator.Demand(ctx, request), nil
+}
--- /dev/null
+++ b/internal/places/asker.go
@@ -0,0 +1,76 @@
+package places
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"moorrun.dev/moorrun/internal/allocator"
+	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/membership"
+	"moorrun.dev/moorrun/internal/peer"
+)
+
+var (
+	errNoConfig     = errors.New("no configuration is in force")
+	errNotAllocator = errors.New("the node does not allocate this model's places")
+)
+
+// Asker implements admission.Asker.
+type Asker struct {
+	members *membership.Table
+	current func() *config.Config
+	server  *Server
+	caller  *peer.Caller
+
+	mu   sync.Mutex
+	last map[string]string // model → VM and incarnation of the allocator that answered last
+}
+
+// NewAsker returns an Asker; models that fall to this node are asked of server.
+func NewAsker(members *membership.Table, current func() *config.Config, server *Server, caller *peer.Caller) *Asker {
+	return &Asker{members: members, current: current, server: server, caller: caller, last: make(map[string]string)}
+}
+
+// Ask implements admission.Asker.
+func (a *Asker) Ask(ctx context.Context, model string, r allocator.Report) (allocator.Grant, time.Duration, bool, error) {
+	now := time.Now()
+	c := a.current()
+	if c == nil {
+		return allocator.Grant{}, 0, false, errNoConfig
+	}
+	self := a.members.Self(now)
+	r.VM, r.Incarnation = self.VM, self.Incarnation
+	list := ranked(model, a.members, c, now)
+	if len(list) == 0 {
+		list = []membership.Member{self}
+	}
+	to := list[0]
+	changed := a.moved(model, to)
+	if changed {
+		r.Grant = 0
+	}
+	if to.VM == self.VM {
+		return a.server.report(model, r, c, now), allocator.Lifetime, changed, nil
+	}
+	request := reportToWire(model, r)
+	reply, err := a.caller.Demand(ctx, to.PeerAddress, request)
+	if err != nil {
+		return allocator.Grant{}, 0, changed, err
+	}
+	if reply.NotAllocator {
+		return allocator.Grant{}, 0, changed, errNotAllocator
+	}
+	return grantFromWire(reply), allocator.Lifetime, changed, nil
+}
+
+// moved reports whether the model's allocator is another one than at the last call.
+func (a *Asker) moved(model string, to membership.Member) bool {
+	id := to.VM + "/" + to.Incarnation
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	changed := a.last[model] != id
+	a.last[model] = id
+	return changed
+}
--- /dev/null
+++ b/internal/places/convert.go
@@ -0,0 +1,58 @@
+package places
+
+import (
+	"moorrun.dev/moorrun/internal/allocator"
+	"moorrun.dev/moorrun/internal/peer/peerpb"
+)
+
+func reportToWire(model string, r allocator.Report) *peerpb.DemandRequest {
+	out := &peerpb.DemandRequest{Vm: r.VM, Incarnation: r.Incarnation, Model: model, Grant: r.Grant}
+	for _, d := range r.Workspaces {
+		out.Workspaces = append(out.Workspaces, &peerpb.WorkspaceDemand{
+			Workspace: d.Workspace, Waiting: uint32(d.Waiting), Spare: uint32(d.Spare), Running: placesToWire(d.Running),
+		})
+	}
+	return out
+}
+
+func reportFromWire(r *peerpb.DemandRequest) allocator.Report {
+	out := allocator.Report{VM: r.Vm, Incarnation: r.Incarnation, Grant: r.Grant}
+	for _, d := range r.Workspaces {
+		out.Workspaces = append(out.Workspaces, allocator.Demand{
+			Workspace: d.Workspace, Waiting: int(d.Waiting), Spare: int(d.Spare), Running: placesFromWire(d.Running),
+		})
+	}
+	return out
+}
+
+func grantToWire(g allocator.Grant) *peerpb.DemandReply {
+	out := &peerpb.DemandReply{Grant: g.Number, LifetimeMs: uint32(allocator.Lifetime.Milliseconds())}
+	for _, w := range g.Workspaces {
+		out.Workspaces = append(out.Workspaces, &peerpb.WorkspaceGrant{Workspace: w.Workspace, Limits: placesToWire(w.Limits)})
+	}
+	return out
+}
+
+func grantFromWire(r *peerpb.DemandReply) allocator.Grant {
+	out := allocator.Grant{Number: r.Grant}
+	for _, w := range r.Workspaces {
+		out.Workspaces = append(out.Workspaces, allocator.WorkspaceGrant{Workspace: w.Workspace, Limits: placesFromWire(w.Limits)})
+	}
+	return out
+}
+
+func placesToWire(list []allocator.Places) []*peerpb.GroupPlaces {
+	out := make([]*peerpb.GroupPlaces, len(list))
+	for i, p := range list {
+		out[i] = &peerpb.GroupPlaces{Group: p.Group, Birth: p.Birth, Places: uint32(p.Count)}
+	}
+	return out
+}
+
+func placesFromWire(list []*peerpb.GroupPlaces) []allocator.Places {
+	out := make([]allocator.Places, len(list))
+	for i, p := range list {
+		out[i] = allocator.Places{Group: p.Group, Birth: p.Birth, Count: int(p.Places)}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/places/server.go
@@ -0,0 +1,186 @@
+// Package places joins the allocators of package allocator to the nodes that ask them: one side answers
+// for the models that fall to this node, the other asks whoever a model falls to.
+package places
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"moorrun.dev/moorrun/internal/allocator"
+	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/invariant"
+	"moorrun.dev/moorrun/internal/membership"
+	"moorrun.dev/moorrun/internal/peer/peerpb"
+	"moorrun.dev/moorrun/internal/replica"
+	"moorrun.dev/moorrun/internal/routing"
+)
+
+// acceptRank is how far down a model's ranking a node still answers: the views of two nodes differ for a while.
+const acceptRank = 2
+
+// idlePool is how long a pool nobody asks for is kept.
+const idlePool = time.Minute
+
+const reviewEvery = 200 * time.Millisecond
+
+// Server allocates the places of the models that fall to this node.
+type Server struct {
+	members *membership.Table
+	router  *routing.Router
+	current func() *config.Config
+	checker *invariant.Checker
+
+	mu    sync.Mutex
+	pools map[string]*modelPool
+	live  string    // the region's live nodes, as last seen
+	since time.Time // when live last changed: whose turn it is has not changed since
+}
+
+// modelPool is one model's allocator under its own lock.
+type modelPool struct {
+	mu    sync.Mutex
+	pool  *allocator.Pool
+	asked time.Time
+	over  time.Time // since when more places are held than there are
+}
+
+// NewServer returns a Server without pools.
+func NewServer(members *membership.Table, router *routing.Router, current func() *config.Config, checker *invariant.Checker) *Server {
+	return &Server{members: members, router: router, current: current, checker: checker, since: time.Now(), pools: make(map[string]*modelPool)}
+}
+
+// ranked returns the nodes of this node's region in the order in which they allocate the model's places.
+func ranked(model string, members *membership.Table, c *config.Config, now time.Time) []membership.Member {
+	self := members.Self(now)
+	region := c.Region(self.DataCentre)
+	var near []membership.Member
+	for _, m := range members.Live(now) {
+		if c.Region(m.DataCentre) == region && !m.Draining {
+			near = append(near, m)
+		}
+	}
+	return membership.Rank("places/"+model, near)
+}
+
+// Demand implements peer.Allocator.
+func (s *Server) Demand(_ context.Context, request *peerpb.DemandRequest) *peerpb.DemandReply {
+	now := time.Now()
+	c := s.current()
+	if c == nil || !s.falls(request.Model, c, now) {
+		return &peerpb.DemandReply{NotAllocator: true}
+	}
+	grant := s.report(request.Model, reportFromWire(request), c, now)
+	return grantToWire(grant)
+}
+
+// Run notes changes of the region's live nodes until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reviewEvery)
+	defer ticker.Stop()
+	for {
+		if c := s.current(); c != nil {
+			s.review(c, time.Now())
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) review(c *config.Config, now time.Time) {
+	var live strings.Builder
+	for _, m := range ranked("", s.members, c, now) {
+		live.WriteString(m.VM + "/" + m.Incarnation + " ")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.live != live.String() {
+		s.live, s.since = live.String(), now
+	}
+}
+
+func (s *Server) falls(model string, c *config.Config, now time.Time) bool {
+	list := ranked(model, s.members, c, now)
+	self := s.members.Self(now).VM
+	for _, m := range list[:min(acceptRank, len(list))] {
+		if m.VM == self {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Server) report(model string, r allocator.Report, c *config.Config, now time.Time) allocator.Grant {
+	p := s.pool(model, now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked = now
+	p.pool.SetGroups(s.groups(model, now))
+	expected := len(ranked(model, s.members, c, now))
+	grant := p.pool.Report(r, c.Share, expected, now)
+	s.check(p, now)
+	return grant
+}
+
+// check holds that no group has more places held than it has, for longer than a change may take to settle.
+func (s *Server) check(p *modelPool, now time.Time) {
+	id, held, places, over := p.pool.Overheld()
+	if !over {
+		p.over = time.Time{}
+	} else if p.over.IsZero() {
+		p.over = now
+	}
+	settled := allocator.Lifetime + 2*time.Second
+	s.checker.Hold(invariant.PlacesHeld, !over || now.Sub(p.over) < settled, func() []any {
+		return []any{"group", id, "held", held, "places", places}
+	})
+}
+
+func (s *Server) groups(model string, now time.Time) []allocator.Group {
+	var out []allocator.Group
+	for _, t := range s.router.Groups(model, now) {
+		out = append(out, allocator.Group{ID: t.Group, Birth: t.Birth, Places: t.Places})
+	}
+	return out
+}
+
+func (s *Server) pool(model string, now time.Time) *modelPool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.pools[model]
+	if !ok {
+		p = &modelPool{pool: allocator.NewPool(s.since)}
+		s.pools[model] = p
+	}
+	for name, other := range s.pools {
+		if name != model && other.idle(now) {
+			delete(s.pools, name)
+		}
+	}
+	return p
+}
+
+func (p *modelPool) idle(now time.Time) bool {
+	if !p.mu.TryLock() {
+		return false
+	}
+	defer p.mu.Unlock()
+	return now.Sub(p.asked) > idlePool
+}
+
+// Waiting returns how many requests wait for each model that falls to this node.
+func (s *Server) Waiting() replica.Demand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(replica.Demand)
+	for model, p := range s.pools {
+		p.mu.Lock()
+		out[model] = p.pool.Waiting()
+		p.mu.Unlock()
+	}
+	return out
+}
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -34,3 +34,8 @@
 	// Cancel stops the stream with that id at the engine.
 	Cancel(ctx context.Context, address, stream string) error
 }
+
+// InGroup reports whether the engine says it is in exactly that group.
+func (s EngineState) InGroup(group string, birth int64, model, version string) bool {
+	return s.Group == group && s.GroupBirth == birth && s.Model == model && s.Version == version
+}
--- /dev/null
+++ b/internal/replica/assignment.go
@@ -0,0 +1,72 @@
+// Package replica decides which VMs form which replica group. It does no I/O and reads no clock.
+package replica
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Assignment is the one object that says who is in which group of a fabric domain. Its conditional
+// update is the fence: a VM is in two groups only if one record says so, and Check forbids that.
+type Assignment struct {
+	Domain     string   `json:"domain"`
+	DataCentre string   `json:"data_centre"`
+	Holder     string   `json:"holder"`     // VM whose lease covered the write
+	Epoch      int64    `json:"epoch"`      // epoch of that lease
+	Generation int64    `json:"generation"` // grows with every write; orders carry it
+	NextGroup  int64    `json:"next_group"` // number of the next group's id
+	Free       int      `json:"free"`       // VMs in no group that could be used
+	Groups     []*Group `json:"groups"`
+	Operation  string   `json:"operation"` // id of the write
+}
+
+// Clone returns a copy that shares nothing with a.
+func (a *Assignment) Clone() *Assignment {
+	c := *a
+	c.Groups = make([]*Group, len(a.Groups))
+	for i, g := range a.Groups {
+		c.Groups[i] = g.clone()
+	}
+	return &c
+}
+
+// Check returns an error when a VM stands in two groups, a group lists a VM twice or two groups share an id.
+func (a *Assignment) Check() error {
+	vms := make(map[string]string)
+	ids := make(map[string]bool)
+	for _, g := range a.Groups {
+		if ids[g.ID] {
+			return fmt.Errorf("domain %s generation %d: group id %s stands twice", a.Domain, a.Generation, g.ID)
+		}
+		ids[g.ID] = true
+		for _, vm := range g.VMs {
+			if other, taken := vms[vm]; taken {
+				return fmt.Errorf("domain %s generation %d: VM %s is in group %s and in %s", a.Domain, a.Generation, vm, other, g.ID)
+			}
+			vms[vm] = g.ID
+		}
+	}
+	return nil
+}
+
+// Group returns the group with that id, or nil.
+func (a *Assignment) Group(id string) *Group {
+	i := slices.IndexFunc(a.Groups, func(g *Group) bool { return g.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return a.Groups[i]
+}
+
+// GroupOf returns the group that vm is in, or nil.
+func (a *Assignment) GroupOf(vm string) *Group {
+	i := slices.IndexFunc(a.Groups, func(g *Group) bool { return slices.Contains(g.VMs, vm) })
+	if i < 0 {
+		return nil
+	}
+	return a.Groups[i]
+}
+
+func (a *Assignment) remove(id string) {
+	a.Groups = slices.DeleteFunc(a.Groups, func(g *Group) bool { return g.ID == id })
+}
--- /dev/null
+++ b/internal/replica/pause_log.go
@@ -0,0 +1,21 @@
+package replica
+
+import "time"
+
+const maxPauses = 64
+
+// pauseLog remembers how long the latest silences lasted that ended with the VM's return.
+type pauseLog struct {
+	lengths []time.Duration
+	lost    int // silences that were given up
+}
+
+func (l *pauseLog) add(d time.Duration) {
+	l.lengths = append(l.lengths, d)
+	if len(l.lengths) > maxPauses {
+		l.lengths = l.lengths[1:]
+	}
+}
+
+// giveUp notes a silence that did not end in time.
+func (l *pauseLog) giveUp() { l.lost = min(l.lost+1, maxPauses) }
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,164 @@
+// Package routing knows the replica groups that requests may be sent to now.
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/domains"
+	"moorrun.dev/moorrun/internal/drains"
+	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/mirror"
+	"moorrun.dev/moorrun/internal/replica"
+)
+
+// tableFor is how long a built table is used; evidence is checked at each use all the same.
+const tableFor = 50 * time.Millisecond
+
+// Router finds targets.
+type Router struct {
+	mirror  *mirror.Mirror
+	book    *domains.Book
+	looks   *evidence.Table
+	current func() *config.Config
+
+	mu     sync.Mutex
+	built  time.Time
+	table  *table
+	health map[targetKey]*health
+}
+
+type targetKey struct {
+	group string
+	birth int64
+}
+
+// table is one reading of all assignments.
+type table struct {
+	byKey   map[targetKey]Target
+	byModel map[string][]Target
+}
+
+// New returns a Router over what the node knows.
+func New(m *mirror.Mirror, book *domains.Book, looks *evidence.Table, current func() *config.Config) *Router {
+	return &Router{mirror: m, book: book, looks: looks, current: current, health: make(map[targetKey]*health)}
+}
+
+// Target returns the target of a group if it may be used now.
+func (r *Router) Target(group string, birth int64, now time.Time) (Target, bool) {
+	t, ok := r.read(now).byKey[targetKey{group, birth}]
+	return t, ok && r.live(t, now)
+}
+
+// Groups returns the model's targets; those that may not be used now have no places.
+func (r *Router) Groups(model string, now time.Time) []Target {
+	var out []Target
+	for _, t := range r.read(now).byModel[model] {
+		if !r.live(t, now) {
+			t.Places = 0
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+// WholeUntil returns until when evidence says that all the target's VMs are present, zero for no evidence.
+func (r *Router) WholeUntil(t Target) time.Time {
+	g, ok := r.looks.Group(t.Domain, t.Group, t.Birth)
+	if !ok {
+		return time.Time{}
+	}
+	return g.Expires
+}
+
+// live reports whether evidence says that all the group's VMs are present.
+func (r *Router) live(t Target, now time.Time) bool {
+	return now.Before(r.WholeUntil(t))
+}
+
+// Cost implements admission.Chooser.
+func (r *Router) Cost(group string, birth int64, now time.Time) (float64, bool) {
+	if _, ok := r.Target(group, birth, now); !ok {
+		return 0, false
+	}
+	penalty, latency := r.of(group, birth).read(now)
+	return penalty + latency, true
+}
+
+// Failed notes that the group failed a request.
+func (r *Router) Failed(group string, birth int64) { r.of(group, birth).fail(time.Now()) }
+
+// Succeeded notes how long the group took to its first token.
+func (r *Router) Succeeded(group string, birth int64, firstToken time.Duration) {
+	r.of(group, birth).succeed(firstToken)
+}
+
+func (r *Router) of(group string, birth int64) *health {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := targetKey{group, birth}
+	h, ok := r.health[key]
+	if !ok {
+		h = &health{}
+		r.health[key] = h
+	}
+	return h
+}
+
+func (r *Router) read(now time.Time) *table {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.table != nil && now.Sub(r.built) < tableFor {
+		return r.table
+	}
+	r.table, r.built = r.build(), now
+	for key := range r.health {
+		if _, ok := r.table.byKey[key]; !ok {
+			delete(r.health, key)
+		}
+	}
+	return r.table
+}
+
+func (r *Router) build() *table {
+	t := &table{byKey: make(map[targetKey]Target), byModel: make(map[string][]Target)}
+	c := r.current()
+	if c == nil {
+		return t
+	}
+	drained := drains.Read(r.mirror)
+	for _, a := range r.book.All() {
+		d, ok := c.Domains()[a.Domain]
+		if !ok {
+			continue
+		}
+		for _, g := range a.Groups {
+			if g.State == replica.Draining || anyDrained(g, drained) {
+				continue
+			}
+			target := Target{g.ID, g.Birth, a.Domain, g.Model, g.Workspace, g.Places, addressOf(d, g.VMs[0])}
+			t.byKey[targetKey{g.ID, g.Birth}] = target
+			t.byModel[g.Model] = append(t.byModel[g.Model], target)
+		}
+	}
+	return t
+}
+
+func anyDrained(g *replica.Group, d drains.Drains) bool {
+	for _, vm := range g.VMs {
+		if d.Has(vm) {
+			return true
+		}
+	}
+	return false
+}
+
+func addressOf(d config.DomainOf, vm string) string {
+	for _, v := range d.VMs {
+		if v.Name == vm {
+			return v.Address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,146 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"moorrun.dev/moorrun/internal/platform"
+)
+
+// EngineOptions shape a stand-in engine.
+type EngineOptions struct {
+	VM           string
+	ChecksOrders bool
+	TokenEvery   time.Duration
+	Prefill      time.Duration // before the first token
+	LoadLag      time.Duration // by which reports of load are late
+	Weights      *WeightStore
+	Fabric       *Fabric
+}
+
+// Engine is a stand-in for the model engine of one VM.
+type Engine struct {
+	*Server
+	EngineOptions
+	Slowness  atomic.Int64 // factor on every time, 0 means 1
+	FailAll   atomic.Bool  // answers 500 to every completion
+	CrossNext atomic.Bool  // the next completion is answered under another request's id
+	Runs      atomic.Int64 // completions begun
+	Cancelled atomic.Int64
+
+	mu       sync.Mutex
+	state    platform.EngineState
+	order    platform.Order
+	held     string // model and version whose weights are in memory
+	readyAt  time.Time
+	streams  map[string]*stream
+	running  int
+	waiting  int
+	reported reportedLoad
+	freed    *sync.Cond
+}
+
+type reportedLoad struct {
+	at               time.Time
+	running, waiting int
+}
+
+// StartEngine starts an engine in no group.
+func StartEngine(o EngineOptions) (*Engine, error) {
+	e := &Engine{EngineOptions: o, streams: make(map[string]*stream)}
+	e.freed = sync.NewCond(&e.mu)
+	e.reset()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /engine/state", e.answerState)
+	mux.HandleFunc("POST /engine/order", e.obey)
+	mux.HandleFunc("POST /engine/completions", e.complete)
+	mux.HandleFunc("GET /engine/streams/{id}", e.resume)
+	mux.HandleFunc("DELETE /engine/streams/{id}", e.cancel)
+	var err error
+	if e.Server, err = StartServer("127.0.0.1:0", mux); err != nil {
+		return nil, err
+	}
+	o.Fabric.add(e)
+	return e, nil
+}
+
+func (e *Engine) reset() {
+	e.state = platform.EngineState{VM: e.VM, Boot: fmt.Sprintf("%x", rand.Uint64())}
+	e.order, e.held, e.streams = platform.Order{}, "", make(map[string]*stream)
+	e.running, e.waiting = 0, 0
+}
+
+// Restart brings a killed engine back with nothing in memory.
+func (e *Engine) Restart() error {
+	e.mu.Lock()
+	e.reset()
+	e.mu.Unlock()
+	return e.Start()
+}
+
+func (e *Engine) inGroup(group string, birth int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state.Group == group && e.state.GroupBirth == birth && e.ready()
+}
+
+func (e *Engine) ready() bool { return e.state.Group != "" && !time.Now().Before(e.readyAt) }
+
+// State returns what the engine is, without lag.
+func (e *Engine) State() platform.EngineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.state
+	s.Ready = e.ready()
+	s.Running, s.Waiting = e.running, e.waiting
+	return s
+}
+
+func (e *Engine) answerState(w http.ResponseWriter, _ *http.Request) {
+	s := e.State()
+	e.mu.Lock()
+	if time.Since(e.reported.at) > e.LoadLag {
+		e.reported = reportedLoad{time.Now(), e.running, e.waiting}
+	}
+	if e.LoadLag > 0 {
+		s.Running, s.Waiting = e.reported.running, e.reported.waiting
+	}
+	e.mu.Unlock()
+	answerJSON(w, s)
+}
+
+func (e *Engine) obey(w http.ResponseWriter, r *http.Request) {
+	var o platform.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ChecksOrders && o.Generation < e.state.Generation {
+		http.Error(w, "a later generation has been obeyed", http.StatusConflict)
+		return
+	}
+	weights := o.Model + "@" + o.Version
+	if o.Group != "" && e.held != weights {
+		load := e.Weights.Load()
+		e.readyAt = time.Now().Add(load)
+		e.held = weights
+		e.state.LoadMillis = load.Milliseconds()
+	}
+	e.order = o
+	e.state.Generation = o.Generation
+	e.state.Group, e.state.GroupBirth, e.state.Role = o.Group, o.GroupBirth, o.Role
+	e.state.Model, e.state.Version, e.state.Adapters = o.Model, o.Version, o.Adapters
+	w.WriteHeader(http.StatusOK)
+}
+
+// pace is a duration under the engine's slowness.
+func (e *Engine) pace(d time.Duration) time.Duration {
+	return d * time.Duration(max(1, e.Slowness.Load()))
+}
--- /dev/null
+++ b/internal/standin/fabric.go
@@ -0,0 +1,31 @@
+package standin
+
+import "sync"
+
+// Fabric knows the engines by address, so that a leader computes only while its members live.
+type Fabric struct {
+	mu      sync.Mutex
+	engines map[string]*Engine
+}
+
+// NewFabric returns a Fabric without engines.
+func NewFabric() *Fabric { return &Fabric{engines: make(map[string]*Engine)} }
+
+func (f *Fabric) add(e *Engine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[e.Address] = e
+}
+
+// whole reports whether every member lives and is in the leader's group.
+func (f *Fabric) whole(members []string, group string, birth int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, address := range members {
+		e, ok := f.engines[address]
+		if !ok || !e.Alive() || !e.inGroup(group, birth) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/object_api.go
@@ -0,0 +1,168 @@
+// Package standin holds small stand-ins for the platform, the model engines and plain services, for tests,
+// the demo and measurements. Nothing of moorrund uses it.
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"moorrun.dev/moorrun/internal/platform"
+)
+
+// ObjectAPI is an object store in memory with versions, conditional updates, watches and faults.
+type ObjectAPI struct {
+	*Server
+	Down       atomic.Bool  // answers 503 and applies nothing
+	SlowMillis atomic.Int64 // added to each call
+	LoseAnswer atomic.Int64 // that many next writes are applied and their answers lost
+	LoseKey    atomic.Value // string: only writes to keys with that prefix lose answers
+	Calls      *CallCounter // what the platform would bill
+	mu         sync.Mutex   //
+	objects    map[string]platform.Object
+	version    int64
+	changed    chan struct{}
+}
+
+// StartObjectAPI starts an empty store.
+func StartObjectAPI() (*ObjectAPI, error) {
+	s := &ObjectAPI{objects: make(map[string]platform.Object), changed: make(chan struct{}), Calls: NewCallCounter()}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects", s.list)
+	mux.HandleFunc("GET /watch", s.watch)
+	mux.HandleFunc("GET /objects/{key...}", s.get)
+	mux.HandleFunc("PUT /objects/{key...}", s.write)
+	mux.HandleFunc("DELETE /objects/{key...}", s.write)
+	var err error
+	s.Server, err = StartServer("127.0.0.1:0", s.faults(mux))
+	return s, err
+}
+
+func (s *ObjectAPI) faults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.Calls.Add(r.Method != http.MethodGet)
+		if slow := s.SlowMillis.Load(); slow > 0 {
+			time.Sleep(time.Duration(slow) * time.Millisecond)
+		}
+		if s.Down.Load() {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func answerJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func number(r *http.Request, name string) int64 {
+	n, _ := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
+	return n
+}
+
+func (s *ObjectAPI) get(w http.ResponseWriter, r *http.Request) {
+	o, ok := s.Object(r.PathValue("key"))
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	answerJSON(w, o)
+}
+
+// Object returns what the store holds under key.
+func (s *ObjectAPI) Object(key string) (platform.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key]
+	return o, ok && !o.Deleted
+}
+
+func (s *ObjectAPI) write(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	o := platform.Object{Key: key, Deleted: r.Method == http.MethodDelete}
+	if !o.Deleted {
+		if err := json.NewDecoder(r.Body).Decode(&o.Value); err != nil || len(o.Value) > platform.MaxValueBytes {
+			http.Error(w, "bad value", http.StatusBadRequest)
+			return
+		}
+	}
+	version, ok := s.put(o, number(r, "if_version"))
+	if !ok {
+		http.Error(w, "version has moved on", http.StatusConflict)
+		return
+	}
+	only, _ := s.LoseKey.Load().(string)
+	if s.LoseAnswer.Load() > 0 && strings.HasPrefix(key, only) {
+		s.LoseAnswer.Add(-1)
+		panic(http.ErrAbortHandler)
+	}
+	answerJSON(w, platform.Object{Key: key, Version: version})
+}
+
+func (s *ObjectAPI) put(o platform.Object, ifVersion int64) (int64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.objects[o.Key]
+	current := held.Version
+	if held.Deleted {
+		current = 0
+	}
+	if current != ifVersion {
+		return 0, false
+	}
+	s.version++
+	o.Version = s.version
+	s.objects[o.Key] = o
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return o.Version, true
+}
+
+func (s *ObjectAPI) list(w http.ResponseWriter, r *http.Request) {
+	l, _ := s.below(r.URL.Query().Get("prefix"), 0)
+	kept := l.Objects[:0]
+	for _, o := range l.Objects {
+		if !o.Deleted {
+			kept = append(kept, o)
+		}
+	}
+	l.Objects = kept
+	answerJSON(w, l)
+}
+
+func (s *ObjectAPI) below(prefix string, after int64) (platform.Listing, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := platform.Listing{Version: s.version, Objects: []platform.Object{}}
+	for key, o := range s.objects {
+		if o.Version > after && strings.HasPrefix(key, prefix) {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+	return l, s.changed
+}
+
+func (s *ObjectAPI) watch(w http.ResponseWriter, r *http.Request) {
+	end := time.After(time.Duration(number(r, "wait_ms")) * time.Millisecond)
+	for {
+		l, changed := s.below(r.URL.Query().Get("prefix"), number(r, "after"))
+		if len(l.Objects) > 0 || s.Down.Load() {
+			answerJSON(w, l)
+			return
+		}
+		select {
+		case <-changed:
+		case <-end:
+			answerJSON(w, l)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/plain.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Plain is an endpoint of a plain service that counts each run by the caller's own mark.
+type Plain struct {
+	*Server
+	DelayMillis atomic.Int64 // before each answer, after the run
+	FailAll     atomic.Bool  // answers 500 to every call without running it
+	CutAfter    atomic.Int64 // that many next calls run and their answers are cut
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// MarkHeader names the call in Plain's count.
+const MarkHeader = "X-Mark"
+
+// StartPlain starts an endpoint.
+func StartPlain() (*Plain, error) {
+	p := &Plain{runs: make(map[string]int)}
+	var err error
+	p.Server, err = StartServer("127.0.0.1:0", http.HandlerFunc(p.run))
+	return p, err
+}
+
+func (p *Plain) run(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if p.FailAll.Load() {
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return
+	}
+	p.mu.Lock()
+	p.runs[r.Header.Get(MarkHeader)]++
+	p.mu.Unlock()
+	time.Sleep(time.Duration(p.DelayMillis.Load()) * time.Millisecond)
+	if p.CutAfter.Load() > 0 {
+		p.CutAfter.Add(-1)
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	_, _ = fmt.Fprintf(w, "%s %s %d bytes for %s\n", r.Method, r.URL.Path, len(body), r.Header.Get(MarkHeader))
+}
+
+// Runs returns how often the call of that mark has run.
+func (p *Plain) Runs(mark string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[mark]
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Server is an HTTP server on loopback that can be killed, frozen and started again at its address.
+type Server struct {
+	Address string
+	handler http.Handler
+
+	mu     sync.Mutex
+	http   *http.Server
+	frozen chan struct{} // non-nil while frozen
+}
+
+// StartServer serves handler at address; port 0 lets the kernel choose.
+func StartServer(address string, handler http.Handler) (*Server, error) {
+	s := &Server{Address: address, handler: handler}
+	return s, s.Start()
+}
+
+// Start listens again after Kill.
+func (s *Server) Start() error {
+	lis, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return err
+	}
+	s.Address = lis.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}
+	s.mu.Lock()
+	s.http = server
+	s.mu.Unlock()
+	go func() {
+		if err := server.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+			panic(err)
+		}
+	}()
+	return nil
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.Thaw(r.Context())
+	s.handler.ServeHTTP(w, r)
+}
+
+// Kill closes the listener and every connection.
+func (s *Server) Kill() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.http != nil {
+		_ = s.http.Close()
+		s.http = nil
+	}
+}
+
+// Freeze stops all answers, as a paused VM does, until on is false again.
+func (s *Server) Freeze(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case on && s.frozen == nil:
+		s.frozen = make(chan struct{})
+	case !on && s.frozen != nil:
+		close(s.frozen)
+		s.frozen = nil
+	}
+}
+
+// Alive reports whether the server is neither killed nor frozen.
+func (s *Server) Alive() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.http != nil && s.frozen == nil
+}
+
+// Thaw waits while the server is frozen.
+func (s *Server) Thaw(ctx context.Context) {
+	s.mu.Lock()
+	frozen := s.frozen
+	s.mu.Unlock()
+	if frozen == nil {
+		return
+	}
+	select {
+	case <-frozen:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/vm_list.go
@@ -0,0 +1,61 @@
+package standin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"moorrun.dev/moorrun/internal/platform"
+)
+
+// VMList is a list of VMs that shows each change only after a lag.
+type VMList struct {
+	*Server
+	lag     time.Duration
+	mu      sync.Mutex
+	history []vmListState
+}
+
+type vmListState struct {
+	at  time.Time
+	vms []platform.VM
+}
+
+// StartVMList starts an empty list with that lag.
+func StartVMList(lag time.Duration) (*VMList, error) {
+	l := &VMList{lag: lag}
+	var err error
+	l.Server, err = StartServer("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		answerJSON(w, l.seen())
+	}))
+	return l, err
+}
+
+// Set replaces the list.
+func (l *VMList) Set(vms []platform.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.history = append(l.history, vmListState{time.Now(), vms})
+}
+
+// Current returns the list without the lag.
+func (l *VMList) Current() []platform.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.history) == 0 {
+		return nil
+	}
+	return l.history[len(l.history)-1].vms
+}
+
+func (l *VMList) seen() []platform.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := []platform.VM{}
+	for _, state := range l.history {
+		if time.Since(state.at) >= l.lag {
+			out = state.vms
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/test/demo/main.go
@@ -0,0 +1,161 @@
+// Command demo shows the whole path on one machine: stand-ins for the platform and the endpoints, real
+// moorrund processes, the operators' command line and a caller.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"moorrun.dev/moorrun/internal/lab"
+)
+
+const (
+	groupsWanted = 4
+	settleLimit  = 20 * time.Second
+)
+
+func main() {
+	keep := flag.Bool("keep", false, "leave everything running until interrupted")
+	flag.Parse()
+	if err := run(*keep); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run(keep bool) error {
+	dir, err := os.MkdirTemp("", "moorrun-demo-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir) //nolint:errcheck // a temporary directory
+	if err := lab.Build(".", dir); err != nil {
+		return err
+	}
+	l, err := lab.New(lab.Options{
+		Dir: dir, Bin: dir, Config: filepath.Join("examples", "gjafabru"), TokenEvery: 15 * time.Millisecond,
+		Prefill: 50 * time.Millisecond, Load: 500 * time.Millisecond, LoadsASecond: 50, VMListLag: time.Second,
+	})
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	if err := show(l); err != nil {
+		return fmt.Errorf("%w\n%s", err, logs(l))
+	}
+	if keep {
+		return stay(l)
+	}
+	return nil
+}
+
+func show(l *lab.Lab) error {
+	for _, n := range [][2]string{{"entry-1", "rvk-1"}, {"entry-2", "rvk-1"}, {"entry-3", "rvk-2"}} {
+		if _, err := l.StartNode(n[0], n[1]); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%d engine VMs and %d plain endpoints stand in; 3 moorrund processes run in 2 data centres\n\n", len(l.Engines), len(l.Plains))
+	if err := lab.Until(settleLimit, "an accepted configuration", func() bool {
+		out := l.CLI("apply", l.Files, "--wait")
+		if out.Code == 0 {
+			fmt.Printf("$ moorrun apply examples/gjafabru --wait\n%s\n", tail(out.Stdout))
+		}
+		return out.Code == 0
+	}); err != nil {
+		return err
+	}
+	if err := l.UsableGroups(groupsWanted, settleLimit); err != nil {
+		return err
+	}
+	address, err := which(l)
+	if err != nil {
+		return err
+	}
+	if err := call(address); err != nil {
+		return err
+	}
+	fmt.Printf("$ moorrun status\n%s\n", l.CLI("status").Stdout)
+	fmt.Printf("$ moorrun report burn\n%s\n", l.CLI("report", "burn").Stdout)
+	return nil
+}
+
+// tail returns the last two lines, which say how an apply ended.
+func tail(text string) string {
+	const lines = 2
+	end := len(text)
+	for i, n := end-1, 0; i >= 0; i-- {
+		if text[i] == '\n' {
+			if n++; n > lines {
+				return text[i+1 : end]
+			}
+		}
+	}
+	return text
+}
+
+func which(l *lab.Lab) (string, error) {
+	first := l.Nodes()[0].Settings.CallerAddress
+	answer, err := lab.NewCaller("").Which(first)
+	if err != nil || len(answer.Addresses) == 0 {
+		return "", errors.Join(errors.New("no address to use"), err)
+	}
+	fmt.Printf("$ curl http://%s/v1/which\n", first)
+	for _, a := range answer.Addresses {
+		fmt.Printf("%s  %s in %s\n", a.Address, a.VM, a.DataCentre)
+	}
+	fmt.Printf("good for %d ms\n\n", answer.LifetimeMS)
+	return answer.Addresses[0].Address, nil
+}
+
+func call(address string) error {
+	donors := lab.NewCaller("donors-caller-token")
+	const prompt, tokens = "Dear-family", 12
+	fmt.Printf("$ curl http://%s/v1/completions ...\n", address)
+	reply := donors.Complete(address, lab.Completion{Model: "letters-70b", Prompt: prompt, Tokens: tokens})
+	fmt.Printf("%s\n%d events, first after %s, whole: %v, verdict: %s\n\n", reply.Text, reply.Events,
+		reply.FirstToken.Round(time.Millisecond), reply.Whole, reply.Verdict)
+	if !reply.Whole || reply.Text != lab.ExpectedText(prompt, tokens) {
+		return fmt.Errorf("the completion is not whole: status %d, %q, %w", reply.Status, reply.Text, reply.Err)
+	}
+	gifts := lab.NewCaller("gifts-caller-token")
+	prefix, err := gifts.KeyPrefix(address)
+	if err != nil {
+		return err
+	}
+	for range 2 { // the second send must not run again
+		receipt := gifts.Plain(address, "POST", "/services/receipts/receipts", "receipt-1", prefix+"/receipt-1", "100 kr")
+		fmt.Printf("receipt, status %d, verdict %s: %s", receipt.Status, receipt.Verdict, receipt.Text)
+		if receipt.Status != 200 {
+			return fmt.Errorf("the receipt failed: %w", receipt.Err)
+		}
+	}
+	fmt.Println()
+	return nil
+}
+
+func logs(l *lab.Lab) string {
+	const most = 4000
+	text := ""
+	for _, n := range l.Nodes() {
+		content, _ := os.ReadFile(n.Log)
+		text += n.Settings.VM + ":\n" + string(content[max(0, len(content)-most):]) + "\n"
+	}
+	return text
+}
+
+func stay(l *lab.Lab) error {
+	n := l.Nodes()[0].Settings
+	fmt.Printf("Try:\n  curl http://%s/v1/which\n", n.CallerAddress)
+	fmt.Printf("  curl -N -H 'Authorization: Bearer donors-caller-token' -d '{\"model\":\"letters-70b\",\"prompt\":\"Hello\",\"stream\":true}' http://%s/v1/completions\n", n.CallerAddress)
+	fmt.Printf("  curl -H 'Authorization: Bearer platform-token' http://%s/admin/v1/status\n  curl http://%s/metrics\nInterrupt to end.\n", n.AdminAddress, n.AdminAddress)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt)
+	<-interrupted
+	return nil
+}
