Prove the whole path under failure with real processes

Cause: the promises had no test with processes, kills and freezes. A node may leave its ports to the kernel, and the command line asks the next node after 3 s of silence to a read.

--- a/internal/cmd/client.go
+++ b/internal/cmd/client.go
@@ -14,6 +14,7 @@
 )
 
 const (
+	readTimeout  = 3 * time.Second // then the next node is asked
 	callTimeout  = 15 * time.Second
 	nodesEnv     = "MOORRUN_NODES"
 	defaultNodes = "127.0.0.1:7001"
@@ -101,7 +102,11 @@
 		}
 		request.SetBody(body)
 	}
-	if err := c.http.DoTimeout(request, response, callTimeout); err != nil {
+	timeout := callTimeout
+	if method == fasthttp.MethodGet {
+		timeout = readTimeout
+	}
+	if err := c.http.DoTimeout(request, response, timeout); err != nil {
 		return reply{}, err
 	}
 	return reply{response.StatusCode(), append([]byte{}, response.Body()...)}, nil
--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -23,7 +23,11 @@
 			if err != nil {
 				return &exitError{exitUsage, err}
 			}
-			return withCode(node.New(s, newLogger(s)).Run(k.Context()))
+			n, err := node.New(s, newLogger(s))
+			if err != nil {
+				return withCode(err)
+			}
+			return withCode(n.Run(k.Context()))
 		},
 	}
 	root.Flags().StringVar(&file, "settings", "", "JSON file with this process's settings")
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -155,16 +154,6 @@
 	return e, err
 }
 
-// freeAddress lets the kernel choose a port.
-func freeAddress() (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer lis.Close() //nolint:errcheck // only its address is wanted
-	return lis.Addr().String(), nil
-}
-
 // Close ends every process and stand-in.
 func (l *Lab) Close() {
 	l.mu.Lock()
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -23,6 +23,12 @@
 	exit     int
 }
 
+// kernelPort leaves the port to the kernel.
+const kernelPort = "127.0.0.1:0"
+
+// startLimit bounds the wait for a process's addresses.
+const startLimit = 20 * time.Second
+
 // Tune changes a node's settings before it starts.
 type Tune func(*settings.Settings)
 
@@ -33,13 +39,7 @@
 		Platform:    settings.Platform{ObjectAPI: l.Objects.Address, VMList: l.VMs.Address, WeightStore: l.Weights.Address},
 		HeartbeatMS: 100, PollMS: 100, EvidenceMS: 1500, LeaseTTLMS: 2000, AddressLifetimeMS: 1000, ReloadMS: 1000, StoreReads: 50, StoreWrites: 20,
 	}
-	var errs [3]error
-	s.CallerAddress, errs[0] = freeAddress()
-	s.AdminAddress, errs[1] = freeAddress()
-	s.PeerAddress, errs[2] = freeAddress()
-	if err := errors.Join(errs[:]...); err != nil {
-		return nil, err
-	}
+	s.CallerAddress, s.AdminAddress, s.PeerAddress = kernelPort, kernelPort, kernelPort
 	l.mu.Lock()
 	for _, other := range l.nodes {
 		s.Peers = append(s.Peers, other.Settings.PeerAddress)
@@ -65,6 +65,10 @@
 	if err != nil {
 		return nil, err
 	}
+	started, err := out.Stat()
+	if err != nil {
+		return nil, err
+	}
 	n.process = exec.Command(filepath.Join(l.Bin, "moorrund"), "--settings", file) //nolint:gosec // our own program
 	n.process.Stderr, n.process.Stdout = out, out
 	n.process.Env = append(os.Environ(), l.Env...)
@@ -80,11 +84,33 @@
 	l.mu.Lock()
 	l.nodes[s.VM] = n
 	l.mu.Unlock()
-	return n, nil
+	return n, n.readAddresses(started.Size())
 }
 
-// Restart starts the VM's process again with the same settings, as a replaced VM that keeps nothing.
-func (l *Lab) Restart(n *Node) (*Node, error) { return l.start(n.Settings) }
+// readAddresses takes the addresses that the kernel chose from the log, which is read from that offset.
+func (n *Node) readAddresses(offset int64) error {
+	return Until(startLimit, "the addresses of "+n.Settings.VM, func() bool {
+		content, err := os.ReadFile(n.Log)
+		if err != nil || int64(len(content)) <= offset {
+			return false
+		}
+		var line struct{ Msg, Caller, Admin, Peer string }
+		first, _, whole := strings.Cut(string(content[offset:]), "\n")
+		if !whole || json.Unmarshal([]byte(first), &line) != nil || line.Msg != "started" {
+			return false
+		}
+		n.Settings.CallerAddress, n.Settings.AdminAddress, n.Settings.PeerAddress = line.Caller, line.Admin, line.Peer
+		return true
+	})
+}
+
+// Restart starts the VM's process again, as a replaced VM that keeps nothing, at new addresses.
+func (l *Lab) Restart(n *Node) (*Node, error) {
+	s := n.Settings
+	s.CallerAddress, s.AdminAddress, s.PeerAddress = kernelPort, kernelPort, kernelPort
+	s.Listen = settings.Listen{}
+	return l.start(s)
+}
 
 // Kill ends the process at once.
 func (n *Node) Kill() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -74,14 +73,19 @@
 	admin      *admin.Server
 	peers      *peer.Server
 
-	work     context.Context //nolint:containedctx // ends when the node stops, for work its parts start later
-	stop     context.CancelFunc
-	stopping atomic.Bool
+	listeners listeners
+	work      context.Context //nolint:containedctx // ends when the node stops, for work its parts start later
+	stop      context.CancelFunc
+	stopping  atomic.Bool
 }
 
-// New puts a node together; nothing runs yet.
-func New(s *settings.Settings, logger log.Logger) *Node {
-	n := &Node{settings: s, logger: logger, reporter: metrics.NewReporter()}
+// New takes the node's addresses and puts its parts together; nothing runs yet.
+func New(s *settings.Settings, logger log.Logger) (*Node, error) {
+	l, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{settings: s, logger: logger, reporter: metrics.NewReporter(), listeners: l}
 	n.work, n.stop = context.WithCancel(context.Background())
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "moorrun", Reporter: n.reporter, Separator: "_", Tags: map[string]string{"data_centre": s.DataCentre},
@@ -119,7 +123,7 @@
 		Losses: losses.Losses, Checker: checker, Metrics: n.reporter, Logger: logger,
 		Bootstrap: s.BootstrapOperatorSHA256, Ready: n.ready,
 	})
-	return n
+	return n, nil
 }
 
 func (n *Node) buildPlatform() {
@@ -177,27 +181,10 @@
 	}
 }
 
-// listeners are the three sockets of a node.
-type listeners struct{ caller, admin, peer net.Listener }
-
-func listen(s *settings.Settings) (l listeners, err error) {
-	if l.caller, err = net.Listen("tcp", s.Listen.Caller); err != nil {
-		return l, err
-	}
-	if l.admin, err = net.Listen("tcp", s.Listen.Admin); err != nil {
-		return l, err
-	}
-	l.peer, err = net.Listen("tcp", s.Listen.Peer)
-	return l, err
-}
-
 // Run serves until ctx ends, then drains: no address answer names the node any more, callers who hold one
 // are served until it has run out, and requests in flight are finished.
 func (n *Node) Run(ctx context.Context) error {
-	l, err := listen(n.settings)
-	if err != nil {
-		return err
-	}
+	l := n.listeners
 	_ = level.Info(n.logger).Log("msg", "started", "caller", n.settings.CallerAddress, "admin", n.settings.AdminAddress,
 		"peer", n.settings.PeerAddress)
 	var g errgroup.Group
@@ -211,7 +198,7 @@
 		g.Go(func() error { return run(n.work) })
 	}
 	g.Go(func() error { <-ctx.Done(); return n.shutdown() })
-	err = g.Wait()
+	err := g.Wait()
 	n.admission.Wait()
 	return errors.Join(err, n.caller.Close(), n.closer.Close())
 }
