--- a/internal/replica/memory.go
+++ b/internal/replica/memory.go
@@ -5,6 +5,7 @@
 // Memory is what the planner of one fabric domain remembers between plans; a new lease holder starts empty.
 type Memory struct {
 	lostSince  map[string]time.Time // VM → last answer before its silence
+	givenUp    map[string]bool      // VMs whose silence has outlasted the longest wait
 	drainSince map[string]time.Time // group → when this holder first saw it draining
 	pauses     pauseLog
 	reload     time.Duration // latest measured load of a group, 0 before the first
@@ -12,7 +13,7 @@
 
 // NewMemory returns an empty Memory.
 func NewMemory() *Memory {
-	return &Memory{lostSince: make(map[string]time.Time), drainSince: make(map[string]time.Time)}
+	return &Memory{lostSince: make(map[string]time.Time), givenUp: make(map[string]bool), drainSince: make(map[string]time.Time)}
 }
 
 // Lost returns how many of the domain's VMs are silent now.
@@ -28,8 +29,14 @@
 		case state.silent(v.Now, p.LossAfter) && !wasLost:
 			m.lostSince[vm.Name] = state.LastAnswer
 		case !state.silent(v.Now, p.LossAfter) && wasLost:
-			m.pauses.add(state.LastAnswer.Sub(since))
+			if !m.givenUp[vm.Name] {
+				m.pauses.add(state.LastAnswer.Sub(since))
+			}
 			delete(m.lostSince, vm.Name)
+			delete(m.givenUp, vm.Name)
+		case wasLost && v.Now.Sub(since) > p.MaxWait && !m.givenUp[vm.Name]:
+			m.givenUp[vm.Name] = true
+			m.pauses.giveUp()
 		}
 		if ms := state.State.LoadMillis; state.Answered && state.State.Ready && ms > 0 {
 			m.reload = time.Duration(ms) * time.Millisecond
--- a/internal/replica/pause_log.go
+++ b/internal/replica/pause_log.go
@@ -17,5 +17,5 @@
 	}
 }
 
-// giveUp notes a silence that did not end in time.
+// giveUp notes a silence that has not ended within the longest wait.
 func (l *pauseLog) giveUp() { l.lost = min(l.lost+1, maxPauses) }
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -169,7 +169,6 @@
 		return
 	}
 	if len(spares) < len(lost) && pl.someoneCouldUse(g, lost) {
-		pl.memory.pauses.giveUp()
 		pl.next.remove(g.ID)
 		pl.note(g.ID, "broken up: no spare for %s, its other VMs are wanted", strings.Join(lost, ", "))
 	}
@@ -177,7 +176,6 @@
 
 func (pl *planner) swap(g *Group, lost, spares []string) {
 	for i, vm := range lost {
-		pl.memory.pauses.giveUp()
 		g.VMs[slices.Index(g.VMs, vm)] = spares[i]
 		pl.note(g.ID, "VM %s takes the place of %s", spares[i], vm)
 	}
@@ -210,7 +208,7 @@
 			pl.reshape(g, m.Model)
 			continue
 		}
-		if pl.replacementForming(m.Model) {
+		if pl.onTheMove(m.Name) {
 			continue
 		}
 		if pl.formOne(m) {
@@ -223,10 +221,9 @@
 	}
 }
 
-func (pl *planner) replacementForming(m config.Model) bool {
-	return slices.ContainsFunc(pl.next.Groups, func(g *Group) bool {
-		return g.Model == m.Name && g.State == Forming && g.current(m)
-	})
+// onTheMove reports whether a group of the model is on its way in or out of use here.
+func (pl *planner) onTheMove(model string) bool {
+	return slices.ContainsFunc(pl.next.Groups, func(g *Group) bool { return g.Model == model && g.State != Serving })
 }
 
 // reshape gives a group that does not serve yet the declared version at once.
