Measure costs and decisions side by side with baselines

Cause: no figure said what the decisions are worth. Change: a bench of real processes over stand-ins, against the standard library's reverse proxy and against an equal split of places a node (places_policy split, there to be compared with); the read timeout of a stream is armed once a second instead of at each event.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 
 	"moorrun.dev/moorrun/internal/accept"
 	"moorrun.dev/moorrun/internal/adminapi"
@@ -31,6 +32,7 @@
 	maxBody      = 16 << 20
 	writeTimeout = 10 * time.Second // for the platform's store to take a write
 	bearer       = "Bearer "
+	profilePath  = "/debug/pprof/"
 )
 
 // Options are the parts a Server is made of.
@@ -104,6 +106,10 @@
 		adminapi.PathDrain:         {fasthttp.MethodPost, s.drain},
 		adminapi.PathBurn:          {fasthttp.MethodGet, s.burn},
 	}
+	if strings.HasPrefix(path, profilePath) {
+		s.profile(ctx)
+		return
+	}
 	r, ok := routes[path]
 	if strings.HasPrefix(path, adminapi.PathOperation) {
 		r, ok = route{fasthttp.MethodGet, s.operation}, true
@@ -171,6 +177,15 @@
 	return current.OperatorScope(token)
 }
 
+// profile serves Go's profiles to operators of the pool.
+func (s *Server) profile(ctx *fasthttp.RequestCtx) {
+	if scope, ok := s.authorize(ctx); !ok || !scope.Pool {
+		answerError(ctx, fasthttp.StatusUnauthorized, "give a credential of an operator of the pool")
+		return
+	}
+	pprofhandler.PprofHandler(ctx)
+}
+
 func (s *Server) metrics(ctx *fasthttp.RequestCtx) {
 	var page bytes.Buffer
 	if err := s.Metrics.Write(&page); err != nil {
--- a/internal/entry/stream_body.go
+++ b/internal/entry/stream_body.go
@@ -26,6 +26,7 @@
 	// silenceLimit is how long an engine may be silent within an answer.
 	silenceLimit = 20 * time.Second
 	tailBytes    = 16
+	armEvery     = time.Second
 	cancelWait   = 500 * time.Millisecond
 )
 
@@ -37,6 +38,7 @@
 	answer  *httpcall.Answer
 	marker  []byte // the stream is whole only after it; nil for an answer with a length
 
+	armed   time.Time       // when the read timeout was last set
 	tail    [tailBytes]byte // last bytes passed on
 	tailLen int
 	events  int64
@@ -55,7 +57,7 @@
 	if b.notice != nil {
 		return b.readNotice(p)
 	}
-	if err := b.answer.SetReadTimeout(min(silenceLimit, b.attempt.call.left())); err != nil {
+	if err := b.arm(time.Now()); err != nil {
 		return 0, b.cut(err)
 	}
 	n, err := b.answer.Read(p)
@@ -77,6 +79,16 @@
 	}
 }
 
+// arm bounds the wait for the next bytes. Setting a timer for each event would cost more than it says, so
+// it is set again only once in a while.
+func (b *streamBody) arm(now time.Time) error {
+	if now.Sub(b.armed) < armEvery {
+		return nil
+	}
+	b.armed = now
+	return b.answer.SetReadTimeout(min(silenceLimit, b.attempt.call.deadline.Sub(now)))
+}
+
 // note keeps count of the events and the last bytes.
 func (b *streamBody) note(p []byte) {
 	if b.first.IsZero() {
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/entry"
+	"moorrun.dev/moorrun/internal/platform"
 	"moorrun.dev/moorrun/internal/standin"
 	"moorrun.dev/moorrun/internal/verdict"
 )
@@ -65,6 +66,16 @@
 	return c.do(r, !k.Whole, k.OnEvent)
 }
 
+// CompleteAtEngine sends a completion straight to an engine, or through something that knows nothing of moorrun.
+func (c *Caller) CompleteAtEngine(address string, engine platform.EngineState, k Completion) Reply {
+	body, _ := json.Marshal(map[string]any{"prompt": k.Prompt, "max_tokens": k.Tokens, "stream": true})
+	r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/engine/completions", bytes.NewReader(body))
+	r.Header.Set("X-Request-Id", k.Prompt)
+	r.Header.Set("X-Moorrun-Group", engine.Group)
+	r.Header.Set("X-Moorrun-Group-Birth", fmt.Sprint(engine.GroupBirth))
+	return c.do(r, true, k.OnEvent)
+}
+
 // Resume continues a stream at another address.
 func (c *Caller) Resume(address, token string, from int) Reply {
 	body, _ := json.Marshal(map[string]any{"token": token, "from": from})
@@ -116,7 +127,7 @@
 	out.Resume, out.RetryAfter = answer.Header.Get("X-Moorrun-Resume"), answer.Header.Get("Retry-After")
 	if !stream || out.Status != http.StatusOK {
 		body, err := io.ReadAll(answer.Body)
-		out.Text, out.Err, out.Whole = string(body), err, err == nil
+		out.Text, out.Err, out.Whole = string(body), err, err == nil && out.Status < http.StatusMultipleChoices
 		return out
 	}
 	out.readEvents(answer.Body, start, onEvent)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,11 @@
 	n.observer = observer.New(n.fleet, engine, book, current, s.Poll(), s.Evidence())
 	n.places = places.NewServer(n.fleet.Members, router, current, checker)
 	n.peers = peer.NewServer(n.fleet, n.keeper, n.places)
-	n.admission = admission.New(n.work, places.NewAsker(n.fleet.Members, current, n.places, n.caller), router)
+	var asker admission.Asker = places.NewAsker(n.fleet.Members, current, n.places, n.caller)
+	if s.PlacesPolicy == settings.PlacesSplit {
+		asker = places.NewSplitter(n.fleet.Members, current, n.places)
+	}
+	n.admission = admission.New(n.work, asker, router)
 	n.once = once.NewBook(time.Now)
 	losses := holder.NewLossMeter()
 	n.buildHolder(book, engine, current, checker, losses)
--- a/internal/places/server.go
+++ b/internal/places/server.go
@@ -115,12 +115,16 @@
 }
 
 func (s *Server) report(model string, r allocator.Report, c *config.Config, now time.Time) allocator.Grant {
+	return s.reportOn(model, s.groups(model, now), r, c, len(ranked(model, s.members, c, now)), now)
+}
+
+// reportOn takes in a report on a pool of those groups; expected is how many nodes share it.
+func (s *Server) reportOn(model string, groups []allocator.Group, r allocator.Report, c *config.Config, expected int, now time.Time) allocator.Grant {
 	p := s.pool(model, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.asked = now
-	p.pool.SetGroups(s.groups(model, now))
-	expected := len(ranked(model, s.members, c, now))
+	p.pool.SetGroups(groups)
 	grant := p.pool.Report(r, c.Share, expected, now)
 	s.check(p, now)
 	return grant
--- /dev/null
+++ b/internal/places/splitter.go
@@ -0,0 +1,39 @@
+package places
+
+import (
+	"context"
+	"time"
+
+	"moorrun.dev/moorrun/internal/allocator"
+	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/membership"
+)
+
+// Splitter implements admission.Asker without asking anyone: each node takes an equal part of every
+// group's places and divides it by shares on its own. It is the baseline that Asker is compared with.
+type Splitter struct {
+	members *membership.Table
+	current func() *config.Config
+	server  *Server
+}
+
+// NewSplitter returns a Splitter; server must serve nobody else.
+func NewSplitter(members *membership.Table, current func() *config.Config, server *Server) *Splitter {
+	return &Splitter{members, current, server}
+}
+
+// Ask implements admission.Asker.
+func (s *Splitter) Ask(_ context.Context, model string, r allocator.Report) (allocator.Grant, time.Duration, bool, error) {
+	now := time.Now()
+	c := s.current()
+	if c == nil {
+		return allocator.Grant{}, 0, false, errNoConfig
+	}
+	nodes := max(1, len(ranked(model, s.members, c, now)))
+	r.VM = s.members.Self(now).VM
+	groups := s.server.groups(model, now)
+	for i := range groups {
+		groups[i].Places = max(1, groups[i].Places/nodes)
+	}
+	return s.server.reportOn(model, groups, r, c, 1, now), allocator.Lifetime, false, nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,9 @@
 	StoreReads        float64 `json:"store_reads_per_second,omitempty"`
 	StoreWrites       float64 `json:"store_writes_per_second,omitempty"`
 	LogLevel          string  `json:"log_level,omitempty"`
+	// PlacesPolicy is "shared", or "split" for an equal part of every group's places a node, which is there
+	// to be compared with.
+	PlacesPolicy string `json:"places_policy,omitempty"`
 }
 
 // Listen are addresses to listen on.
@@ -63,10 +66,17 @@
 	WeightStore string `json:"weight_store"`
 }
 
+// The values of PlacesPolicy.
+const (
+	PlacesShared = "shared"
+	PlacesSplit  = "split"
+)
+
 // defaults are used for what the file leaves out.
 var defaults = Settings{
 	HeartbeatMS: 250, PollMS: 300, EvidenceMS: 1900, LeaseTTLMS: 6000, AddressLifetimeMS: 10000,
 	ReloadMS: 30000, StoreReads: 20, StoreWrites: 5, LogLevel: "info",
+	PlacesPolicy: PlacesShared,
 }
 
 // Read reads and checks the file; the error names every faulty field.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -31,6 +31,7 @@
 	FailAll   atomic.Bool  // answers 500 to every completion
 	CrossNext atomic.Bool  // the next completion is answered under another request's id
 	Runs      atomic.Int64 // completions begun
+	Tried     atomic.Int64 // completions asked for
 	Cancelled atomic.Int64
 
 	mu       sync.Mutex
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -37,6 +37,7 @@
 func EventText(prompt string, index int) string { return fmt.Sprintf("%s-%d ", prompt, index) }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	e.Tried.Add(1)
 	var c completion
 	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- /dev/null
+++ b/test/bench/measure.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// clockTicks is the kernel's unit of processor time in /proc, a second's hundredth on every Linux we know.
+const clockTicks = 100
+
+// cpuSeconds returns the processor time a process has used.
+func cpuSeconds(pid int) float64 {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(content), ") ")
+	fields := strings.Fields(rest)
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / clockTicks
+}
+
+// memoryMB returns a process's resident memory.
+func memoryMB(pid int) float64 {
+	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	for _, line := range strings.Split(string(content), "\n") {
+		if text, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(text)[0], 64)
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
+// latencies collects durations from many goroutines.
+type latencies struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram // microseconds
+}
+
+func newLatencies() *latencies {
+	return &latencies{h: hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)}
+}
+
+func (l *latencies) add(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.h.RecordValue(max(1, d.Microseconds()))
+}
+
+// ms returns a quantile in milliseconds.
+func (l *latencies) ms(quantile float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(l.h.ValueAtQuantile(quantile)) / 1000
+}
+
+// closedLoop runs that many callers back to back for a while and returns how many calls ended well.
+func closedLoop(callers int, d time.Duration, call func(caller int) bool) (good, all int64) {
+	var ok, total atomic.Int64
+	var group sync.WaitGroup
+	end := time.Now().Add(d)
+	for i := range callers {
+		group.Go(func() {
+			for time.Now().Before(end) {
+				if call(i) {
+					ok.Add(1)
+				}
+				total.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	return ok.Load(), total.Load()
+}
+
+// openLoop starts calls at a rate for a while, whatever becomes of them, and waits for the last.
+func openLoop(perSecond float64, d time.Duration, call func(n int)) {
+	var group sync.WaitGroup
+	start := time.Now()
+	for n := 0; ; n++ {
+		at := start.Add(time.Duration(float64(n) / perSecond * float64(time.Second)))
+		if at.Sub(start) > d {
+			break
+		}
+		time.Sleep(time.Until(at))
+		group.Go(func() { call(n) })
+	}
+	group.Wait()
+}
