Refuse requests that could not be served within their deadline

Cause: a request was queued if its wait fitted its deadline, not its wait and service; at 3 times capacity 263 of 3650 got a place too late and were cut by their deadline, wasting the place. Change: the queue keeps the average time a request holds its place and counts it in, at entry and while waiting.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -46,7 +46,7 @@
 		return place, nil
 	}
 	p.kick()
-	timer := time.NewTimer(patience)
+	timer := time.NewTimer(w.patience)
 	defer timer.Stop()
 	select {
 	case place := <-w.ready:
@@ -128,7 +128,7 @@
 	for model, p := range a.pools {
 		p.mu.Lock()
 		for workspace, q := range p.queues {
-			out = append(out, Load{model, workspace, q.waiting.Len(), q.running(), q.held()})
+			out = append(out, Load{model, workspace, q.waiting.Len(), q.running(), q.places()})
 		}
 		p.mu.Unlock()
 	}
--- a/internal/admission/place.go
+++ b/internal/admission/place.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 // Place is the right to run one request on a replica group until Release.
 type Place struct {
 	Group string
@@ -8,6 +10,7 @@
 	pool  *pool
 	queue *queue
 	slot  *slot
+	taken time.Time
 }
 
 // Release gives the place back; it may be called once. ok says whether the group served the request.
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -63,7 +63,7 @@
 	if r := p.refuse(q, patience, now); r != nil {
 		return nil, nil, r
 	}
-	w := &waiter{ready: make(chan *Place, 1), avoid: avoid}
+	w := &waiter{ready: make(chan *Place, 1), avoid: avoid, patience: patience - q.hold}
 	w.element = q.waiting.PushBack(w)
 	return nil, w, nil
 }
@@ -74,8 +74,8 @@
 	if q.waiting.Len() >= maxQueued {
 		return &Refusal{"the queue is full", expected}
 	}
-	if expected > patience {
-		return &Refusal{"the expected wait is longer than the request's deadline", expected - patience + time.Second}
+	if expected+q.hold > patience {
+		return &Refusal{"the expected wait is longer than the request's deadline", max(0, expected+q.hold-patience) + retryAfter}
 	}
 	return nil
 }
@@ -108,7 +108,7 @@
 		return nil
 	}
 	s.running++
-	return &Place{Group: s.key.group, Birth: s.key.birth, pool: p, queue: q, slot: s}
+	return &Place{Group: s.key.group, Birth: s.key.birth, pool: p, queue: q, slot: s, taken: now}
 }
 
 func (p *pool) best(q *queue, avoid string, now time.Time) *slot {
@@ -151,6 +151,7 @@
 	place.slot.running--
 	if ok {
 		place.queue.rate.add(now)
+		place.queue.held(now.Sub(place.taken))
 	}
 	if place.slot.running == 0 && place.slot.limit == 0 {
 		delete(place.queue.slots, place.slot.key)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -10,10 +10,14 @@
 	workspace string
 	waiting   list.List // of *waiter, first come first
 	slots     map[slotKey]*slot
-	rate      rate // of places coming free
+	rate      rate          // of places coming free
+	hold      time.Duration // how long a request keeps its place, an average
 	recent    time.Time
 }
 
+// holdWeight is how many requests the average of their holding times reaches back.
+const holdWeight = 16
+
 // slot is the workspace's places of one group.
 type slot struct {
 	key     slotKey
@@ -31,6 +35,8 @@
 	ready   chan *Place // buffered; gets the place or is dropped from the list
 	element *list.Element
 	avoid   string // group that failed this request before
+	// patience is how long it may wait and still be served within its deadline.
+	patience time.Duration
 }
 
 // running is how many requests of the workspace run now.
@@ -42,8 +48,17 @@
 	return n
 }
 
-// held is how many places the workspace may use now.
-func (q *queue) held() int {
+// held takes in how long a request kept its place.
+func (q *queue) held(d time.Duration) {
+	if q.hold == 0 {
+		q.hold = d
+		return
+	}
+	q.hold += (d - q.hold) / holdWeight
+}
+
+// places is how many places the workspace may use now.
+func (q *queue) places() int {
 	n := 0
 	for _, s := range q.slots {
 		n += max(s.limit, s.running)
