Use a slow replica only when waiting is slower

Cause: a replica five times slower kept its part of the requests, so more than one in a hundred had its first token five times later. Change: nodes report how quickly groups served them; the allocator calls a group slow at twice the quickest's first-token time, and grants its places only while more requests wait than the quick groups start within the time the slow one takes longer, and one probe every 5 s.

--- a/internal/admission/chooser.go
+++ b/internal/admission/chooser.go
@@ -12,4 +12,6 @@
 	Usable(group string, birth int64, now time.Time) bool
 	// Ejected returns the model's groups that this node should leave alone.
 	Ejected(model string, now time.Time) []allocator.Ref
+	// TakeSpeeds returns how quickly the model's groups have served this node's requests since the last call.
+	TakeSpeeds(model string, now time.Time) []allocator.Speed
 }
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -175,6 +175,7 @@
 	defer p.mu.Unlock()
 	r.Grant = p.grant
 	r.Avoid = p.choose.Ejected(p.model, now)
+	r.Speeds = p.choose.TakeSpeeds(p.model, now)
 	for name, q := range p.queues {
 		d := allocator.Demand{Workspace: name, Waiting: q.waiting.Len()}
 		for key, s := range q.slots {
--- a/internal/allocator/pool.go
+++ b/internal/allocator/pool.go
@@ -30,11 +30,16 @@
 	groups  map[groupKey]*groupState
 	nodes   map[string]*node
 	order   []groupKey
+	now     time.Time // of the report being answered
+	waiting int       // requests that wait, at that time
 }
 
 type groupState struct {
-	places int
-	held   int // by all nodes and workspaces
+	places     int
+	held       int // by all nodes and workspaces
+	speed      speed
+	slow       bool
+	worthwhile int // how many requests must wait before a slow group is used
 }
 
 type node struct {
@@ -99,6 +104,13 @@
 	n := p.node(r)
 	n.heard = now
 	p.takeIn(n, r)
+	for _, s := range r.Speeds {
+		if g, ok := p.groups[groupKey{s.Group, s.Birth}]; ok {
+			g.speed.add(s, now)
+		}
+	}
+	p.judgeSpeeds()
+	p.now, p.waiting = now, p.Waiting()
 	warm := now.Sub(p.started) >= WarmUp || len(p.nodes) >= expected
 	targets := p.targets(share)
 	spare := p.spare()
@@ -239,10 +251,15 @@
 	return out
 }
 
+// capacity is how many places can be granted; of a slow group that is not worth using, those in use.
 func (p *Pool) capacity() int {
 	total := 0
 	for _, g := range p.groups {
-		total += g.places
+		if g.open(p.waiting, p.now) {
+			total += g.places
+		} else {
+			total += min(g.held, g.places)
+		}
 	}
 	return total
 }
@@ -283,7 +300,13 @@
 func (p *Pool) settle(n *node, c *claim, wanted int, warm bool) {
 	have := 0
 	for key, limit := range c.limit {
-		if g, ok := p.groups[key]; !ok || g.places == 0 || n.avoids(key) {
+		g, ok := p.groups[key]
+		if ok && !g.open(p.waiting, p.now) {
+			have += c.running[key] // they end, and are not used again
+			delete(c.limit, key)
+			continue
+		}
+		if !ok || g.places == 0 || n.avoids(key) {
 			delete(c.limit, key)
 			continue
 		}
@@ -352,7 +375,7 @@
 	for _, key := range p.order {
 		g := p.groups[key]
 		ours := c.held[key] > c.limit[key] // held already: granting it again costs nobody
-		if !ours && (g.held >= g.places || !warm) || g.places == 0 || n.avoids(key) {
+		if !ours && (g.held >= g.places || !warm) || g.places == 0 || n.avoids(key) || !g.open(p.waiting, p.now) {
 			continue
 		}
 		if !found || p.load(key) < p.load(best) {
--- a/internal/allocator/report.go
+++ b/internal/allocator/report.go
@@ -6,6 +6,7 @@
 	Incarnation string
 	Grant       uint64 // the last grant in force at the node
 	Workspaces  []Demand
+	Speeds      []Speed
 	Avoid       []Ref // groups that fail at this node; it is granted no places of them
 }
 
--- a/internal/places/convert.go
+++ b/internal/places/convert.go
@@ -1,6 +1,8 @@
 package places
 
 import (
+	"time"
+
 	"moorrun.dev/moorrun/internal/allocator"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
 )
@@ -10,6 +12,10 @@
 	for _, a := range r.Avoid {
 		out.Avoid = append(out.Avoid, &peerpb.GroupPlaces{Group: a.Group, Birth: a.Birth})
 	}
+	for _, s := range r.Speeds {
+		out.Speeds = append(out.Speeds, &peerpb.GroupSpeed{Group: s.Group, Birth: s.Birth, Requests: uint32(s.Requests),
+			FirstTokenUs: uint64(s.FirstToken.Microseconds()), ServiceUs: uint64(s.Service.Microseconds())})
+	}
 	for _, d := range r.Workspaces {
 		out.Workspaces = append(out.Workspaces, &peerpb.WorkspaceDemand{
 			Workspace: d.Workspace, Waiting: uint32(d.Waiting), Spare: uint32(d.Spare), Running: placesToWire(d.Running),
@@ -23,6 +29,10 @@
 	for _, a := range r.Avoid {
 		out.Avoid = append(out.Avoid, allocator.Ref{Group: a.Group, Birth: a.Birth})
 	}
+	for _, s := range r.Speeds {
+		out.Speeds = append(out.Speeds, allocator.Speed{Group: s.Group, Birth: s.Birth, Requests: int(s.Requests),
+			FirstToken: micros(s.FirstTokenUs), Service: micros(s.ServiceUs)})
+	}
 	for _, d := range r.Workspaces {
 		out.Workspaces = append(out.Workspaces, allocator.Demand{
 			Workspace: d.Workspace, Waiting: int(d.Waiting), Spare: int(d.Spare), Running: placesFromWire(d.Running),
@@ -31,6 +41,8 @@
 	return out
 }
 
+func micros(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 func grantToWire(g allocator.Grant) *peerpb.DemandReply {
 	out := &peerpb.DemandReply{Grant: g.Number, LifetimeMs: uint32(allocator.Lifetime.Milliseconds())}
 	for _, w := range g.Workspaces {
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"moorrun.dev/moorrun/internal/allocator"
 )
 
 const (
@@ -15,18 +17,9 @@
 // health is what this node has seen of one group itself.
 type health struct {
 	mu       sync.Mutex
-	failures int       // in a row
-	ejected  time.Time // until then
-	taken    Speed     // sums since the last Take
-}
-
-// Speed sums up how quickly a group served requests.
-type Speed struct {
-	Group      string
-	Birth      int64
-	Requests   int
-	FirstToken time.Duration // sum over Requests
-	Service    time.Duration // sum over Requests
+	failures int             // in a row
+	ejected  time.Time       // until then
+	taken    allocator.Speed // sums since they were last taken
 }
 
 // fail counts a failure; each further one in a row doubles how long the group is left alone.
@@ -57,10 +50,10 @@
 }
 
 // take returns the sums and starts new ones.
-func (h *health) take() Speed {
+func (h *health) take() allocator.Speed {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	out := h.taken
-	h.taken = Speed{}
+	h.taken = allocator.Speed{}
 	return out
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -100,6 +100,19 @@
 	return out
 }
 
+// TakeSpeeds implements admission.Chooser.
+func (r *Router) TakeSpeeds(model string, now time.Time) []allocator.Speed {
+	var out []allocator.Speed
+	for _, t := range r.read(now).byModel[model] {
+		s := r.of(t.Group, t.Birth).take()
+		if s.Requests > 0 {
+			s.Group, s.Birth = t.Group, t.Birth
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // Failed notes that the group failed a request.
 func (r *Router) Failed(group string, birth int64) { r.of(group, birth).fail(time.Now()) }
 
