Keep a busy workspace's places for it between its requests

Change: a node reports the highest demand of the last second or two, and what is above the present demand counts as wanted, within the share.

--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -56,6 +56,7 @@
 	q := p.queue(workspace)
 	q.recent = now
 	p.arrivals[workspace].add(now)
+	q.demand.add(q.waiting.Len()+q.running()+1, now)
 	if q.waiting.Len() == 0 {
 		if place := p.take(q, avoid, now); place != nil {
 			return place, nil, nil
@@ -183,6 +184,7 @@
 				d.Running = append(d.Running, allocator.Places{Group: key.group, Birth: key.birth, Count: s.running})
 			}
 		}
+		d.Reserve = max(0, q.demand.value(now)-d.Waiting-q.running())
 		idle := now.Sub(q.recent) > idleAfter
 		if !idle {
 			d.Spare = 1 + int(p.arrivals[name].value(now)*spareTime.Seconds())
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -15,6 +15,7 @@
 	rate      rate          // of places coming free
 	hold      time.Duration // how long a request keeps its place, an average
 	recent    time.Time
+	demand    peak // of requests that wait and run
 }
 
 // holdWeight is how many requests the average of their holding times reaches back.
--- a/internal/allocator/pool.go
+++ b/internal/allocator/pool.go
@@ -53,6 +53,7 @@
 // claim is what one workspace holds at one node.
 type claim struct {
 	waiting int
+	reserve int
 	spare   int
 	running map[groupKey]int
 	limit   map[groupKey]int // as last sent
@@ -176,7 +177,7 @@
 			c = &claim{limit: make(map[groupKey]int), held: make(map[groupKey]int)}
 			n.claims[d.Workspace] = c
 		}
-		c.waiting, c.spare = d.Waiting, d.Spare
+		c.waiting, c.reserve, c.spare = d.Waiting, d.Reserve, d.Spare
 		c.running = make(map[groupKey]int, len(d.Running))
 		for _, places := range d.Running {
 			c.running[groupKey{places.Group, places.Birth}] = places.Count
@@ -187,7 +188,7 @@
 		if mentioned[workspace] {
 			continue
 		}
-		c.waiting, c.spare, c.running = 0, 0, nil
+		c.waiting, c.reserve, c.spare, c.running = 0, 0, 0, nil
 		p.reconcile(c, confirmed)
 		if len(c.held) == 0 && len(c.limit) == 0 {
 			delete(n.claims, workspace)
@@ -222,9 +223,10 @@
 	c.held[key] = held
 }
 
-// real is how many places the claim could use now.
+// real is how many places the claim could use now or needed a moment ago. A place that is lent the moment
+// it falls idle comes back only after the borrower's request, so the next request would wait that long.
 func (c *claim) real() int {
-	n := c.waiting
+	n := c.waiting + c.reserve
 	for _, r := range c.running {
 		n += r
 	}
--- a/internal/allocator/report.go
+++ b/internal/allocator/report.go
@@ -14,6 +14,7 @@
 type Demand struct {
 	Workspace string
 	Waiting   int
+	Reserve   int // places it lately needed beyond those, kept for it within its share
 	Spare     int // places it would like beyond those, to start requests without asking
 	Running   []Places
 }
