--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -17,8 +17,9 @@
 	VMs       []string `json:"vms"`   // the leader first
 	Birth     int64    `json:"birth"` // generation at which its VMs or model last changed
 	State     State    `json:"state"`
-	Served    bool     `json:"served,omitempty"` // it has been whole before
-	Reason    string   `json:"reason,omitempty"` // why it is draining
+	Leaving   bool     `json:"leaving,omitempty"` // a VM is on its way out; another group takes its place
+	Served    bool     `json:"served,omitempty"`  // it has been whole before
+	Reason    string   `json:"reason,omitempty"`  // why it is draining
 }
 
 // HasServed reports whether the group has been in use, so that its absence is downtime.
@@ -31,8 +32,8 @@
 	return &c
 }
 
-// current reports whether the group serves the model as now declared.
+// current reports whether the group serves the model as now declared, on VMs that stay.
 func (g *Group) current(m config.Model) bool {
-	return g.Version == m.Version && g.Places == m.PlacesPerReplica &&
+	return !g.Leaving && g.Version == m.Version && g.Places == m.PlacesPerReplica &&
 		len(g.VMs) == m.VMsPerReplica && slices.Equal(g.Adapters, m.Adapters)
 }
--- a/internal/replica/pause_log.go
+++ b/internal/replica/pause_log.go
@@ -17,5 +17,10 @@
 	}
 }
 
+// returned is the part of silences that ended with the VM's return, a half before any is known.
+func (l *pauseLog) returned() float64 {
+	return float64(len(l.lengths)+1) / float64(len(l.lengths)+l.lost+2)
+}
+
 // giveUp notes a silence that has not ended within the longest wait.
 func (l *pauseLog) giveUp() { l.lost = min(l.lost+1, maxPauses) }
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -114,30 +115,118 @@
 	}
 }
 
-// drainLeaving drains groups with a VM that is on its way out, once a group can take their place
-// or the VM has gone.
+// drainLeaving drains groups with a VM that is on its way out, after another group has taken their place
+// where there are VMs for one.
 func (pl *planner) drainLeaving() {
-	for _, g := range pl.next.Groups {
-		for _, vm := range g.VMs {
-			if pl.view.VMs[vm].Leaving {
-				pl.drain(g, "VM "+vm+" is leaving")
-			}
+	for _, g := range slices.Clone(pl.next.Groups) {
+		i := slices.IndexFunc(g.VMs, func(vm string) bool { return pl.view.VMs[vm].Leaving })
+		if i < 0 || g.State == Draining {
+			continue
 		}
+		if pl.replaceFirst(g) {
+			continue
+		}
+		pl.drain(g, "VM "+g.VMs[i]+" is leaving")
 	}
 }
 
+// replaceFirst forms a group to take a leaving one's place, and reports whether to wait for it.
+func (pl *planner) replaceFirst(g *Group) bool {
+	m, declared := pl.view.Models[g.Model]
+	if !declared || g.State != Serving {
+		return false
+	}
+	if g.Leaving {
+		return pl.onTheMove(g.Model)
+	}
+	if !pl.formOne(m) {
+		return false
+	}
+	g.Leaving = true
+	return true
+}
+
 // mendLosses replaces lost VMs by spares, or breaks groups whose loss will not be waited out.
 func (pl *planner) mendLosses() {
+	var stuck []*Group
 	for _, g := range slices.Clone(pl.next.Groups) {
-		if g.State == Draining {
-			continue
+		if g.State != Draining && pl.overdue(g) && !pl.swapLost(g) {
+			stuck = append(stuck, g)
 		}
-		lost, longest := pl.lostOf(g)
-		if len(lost) == 0 {
-			continue
+	}
+	pl.breakStuck(stuck)
+}
+
+// overdue reports whether the group has lost VMs for longer than they are waited for.
+func (pl *planner) overdue(g *Group) bool {
+	lost, longest := pl.lostOf(g)
+	return len(lost) > 0 && longest >= pl.waitLimit()
+}
+
+func (pl *planner) waitLimit() time.Duration {
+	switch pl.policy.Wait {
+	case WaitAlways:
+		return math.MaxInt64
+	case WaitNever:
+		return 0
+	default:
+		return pl.memory.pauses.waitLimit(pl.memory.reloadTime(pl.policy), pl.policy.MaxWait)
+	}
+}
+
+// swapLost puts spares in the place of the group's lost VMs, if there are enough.
+func (pl *planner) swapLost(g *Group) bool {
+	lost, _ := pl.lostOf(g)
+	spares := pl.free()
+	if len(spares) < len(lost) || pl.loads < len(lost) {
+		return false
+	}
+	pl.swap(g, lost, spares)
+	return true
+}
+
+// breakStuck breaks up groups without spares where that helps others: of several broken groups the one with
+// most VMs lost gives its others to the rest, and a single one makes room for a wanted group if the prices say so.
+func (pl *planner) breakStuck(stuck []*Group) {
+	slices.SortStableFunc(stuck, func(a, b *Group) int { return len(pl.present(b)) - len(pl.present(a)) })
+	for len(stuck) > 1 {
+		victim := stuck[len(stuck)-1]
+		stuck = stuck[:len(stuck)-1]
+		spares := len(pl.free()) + len(pl.present(victim))
+		lost, _ := pl.lostOf(stuck[0])
+		if spares < len(lost) {
+			return
+		}
+		pl.breakUp(victim, "its other VMs mend "+stuck[0].ID)
+		stuck = slices.DeleteFunc(stuck, pl.swapLost)
+	}
+	if len(stuck) == 1 && pl.someoneCouldUse(stuck[0]) && pl.worthBreaking(stuck[0]) {
+		pl.breakUp(stuck[0], "its other VMs are wanted")
+	}
+}
+
+func (pl *planner) breakUp(g *Group, why string) {
+	lost, _ := pl.lostOf(g)
+	pl.next.remove(g.ID)
+	pl.note(g.ID, "broken up: no spare for %s, %s", strings.Join(lost, ", "), why)
+}
+
+// present returns the group's VMs that are not lost.
+func (pl *planner) present(g *Group) []string {
+	lost, _ := pl.lostOf(g)
+	return slices.DeleteFunc(slices.Clone(g.VMs), func(vm string) bool { return slices.Contains(lost, vm) })
+}
+
+// worthBreaking weighs the accelerators that lie idle while the group waits against the downtime saved if
+// its lost VM does come back.
+func (pl *planner) worthBreaking(g *Group) bool {
+	idle := 0
+	for _, vm := range pl.view.Domain.VMs {
+		if slices.Contains(pl.present(g), vm.Name) {
+			idle += vm.Accelerators
 		}
-		pl.mend(g, lost, longest)
 	}
+	return float64(idle)*pl.view.Prices.StrandedSecond > pl.memory.pauses.returned()*pl.view.Prices.DowntimeSecond
 }
 
 func (pl *planner) lostOf(g *Group) (lost []string, longest time.Duration) {
@@ -158,22 +247,6 @@
 	return lost, longest
 }
 
-func (pl *planner) mend(g *Group, lost []string, longest time.Duration) {
-	limit := pl.memory.pauses.waitLimit(pl.memory.reloadTime(pl.policy), pl.policy.MaxWait)
-	if longest < limit {
-		return
-	}
-	spares := pl.free()
-	if len(spares) >= len(lost) && pl.loads >= len(lost) {
-		pl.swap(g, lost, spares)
-		return
-	}
-	if len(spares) < len(lost) && pl.someoneCouldUse(g, lost) {
-		pl.next.remove(g.ID)
-		pl.note(g.ID, "broken up: no spare for %s, its other VMs are wanted", strings.Join(lost, ", "))
-	}
-}
-
 func (pl *planner) swap(g *Group, lost, spares []string) {
 	for i, vm := range lost {
 		g.VMs[slices.Index(g.VMs, vm)] = spares[i]
@@ -185,15 +258,12 @@
 }
 
 // someoneCouldUse reports whether breaking g would let another wanted group form.
-func (pl *planner) someoneCouldUse(g *Group, lost []string) bool {
-	after := len(pl.free()) + len(g.VMs) - len(lost)
-	for _, name := range pl.view.Add {
-		if m, ok := pl.view.Models[name]; ok && m.VMsPerReplica <= after {
-			return true
-		}
-	}
-	m, ok := pl.view.Models[g.Model]
-	return ok && m.VMsPerReplica <= after
+func (pl *planner) someoneCouldUse(g *Group) bool {
+	after := len(pl.free()) + len(pl.present(g))
+	return slices.ContainsFunc(pl.view.Add, func(name string) bool {
+		m, ok := pl.view.Models[name]
+		return ok && m.VMsPerReplica <= after
+	})
 }
 
 // roll replaces groups of outdated versions: by a new group first where VMs are free, else by taking
--- a/internal/replica/policy.go
+++ b/internal/replica/policy.go
@@ -8,6 +8,7 @@
 	DrainFloor time.Duration // a draining group is kept at least that long, until no router uses it
 	DrainLimit time.Duration // a draining group is broken up after that even if requests still run
 	Reload     time.Duration // how long a group takes to load when none has been measured
+	Wait       WaitRule      // rule for the time a lost VM is waited for
 	MaxWait    time.Duration // a lost VM is waited for at most that long while a spare could take its place
 }
 
