Let spares hold the weights of the models around them

Cause: a swap cost a reload because the spare held nothing, so waiting for a VM was reckoned against 30 s. Change: free VMs are ordered to hold the weights of the model with most groups for each such spare, as far as the weight store's rate leaves loads over; a swap takes them first and is reckoned at 1 s. The second baseline is breaking up at once with spares that hold nothing.

--- a/internal/holder/controller.go
+++ b/internal/holder/controller.go
@@ -264,6 +264,11 @@
 			}
 		}
 	}
+	for _, w := range next.Warm {
+		if had, ok := old.WarmOn(w.VM); !ok || had != w {
+			n++
+		}
+	}
 	return n
 }
 
@@ -279,7 +284,8 @@
 			continue
 		}
 		last, ok := s.ordered[vm.Name]
-		if ok && last.order.Group == wanted.Group && last.order.GroupBirth == wanted.GroupBirth && time.Since(last.at) < orderAgain {
+		if ok && last.order.Group == wanted.Group && last.order.GroupBirth == wanted.GroupBirth &&
+			last.order.Model == wanted.Model && last.order.Version == wanted.Version && time.Since(last.at) < orderAgain {
 			continue
 		}
 		s.ordered[vm.Name] = sentOrder{time.Now(), wanted}
@@ -321,6 +327,9 @@
 	o := platform.Order{VM: vm, Domain: a.Domain, Generation: a.Generation}
 	g := a.GroupOf(vm)
 	if g == nil {
+		if w, ok := a.WarmOn(vm); ok {
+			o.Model, o.Version = w.Model, w.Version
+		}
 		return o
 	}
 	o.Group, o.GroupBirth, o.Model, o.Version = g.ID, g.Birth, g.Model, g.Version
@@ -339,5 +348,5 @@
 
 func obeyed(s platform.EngineState, o platform.Order) bool {
 	return s.InGroup(o.Group, o.GroupBirth, o.Model, o.Version) && s.Role == o.Role ||
-		o.Group == "" && s.Group == ""
+		o.Group == "" && s.Group == "" && (o.Model == "" || s.Model == o.Model && s.Version == o.Version)
 }
--- a/internal/platform/order.go
+++ b/internal/platform/order.go
@@ -17,7 +17,7 @@
 	VM         string   `json:"vm"`
 	Domain     string   `json:"domain"`
 	Generation int64    `json:"generation"` // the domain assignment's generation: the fence
-	Group      string   `json:"group"`      // empty: leave any group
+	Group      string   `json:"group"`      // empty: leave any group; with a model, hold its weights as a spare
 	GroupBirth int64    `json:"group_birth"`
 	Role       Role     `json:"role"`
 	Model      string   `json:"model"`
--- a/internal/replica/assignment.go
+++ b/internal/replica/assignment.go
@@ -17,12 +17,14 @@
 	NextGroup  int64    `json:"next_group"` // number of the next group's id
 	Free       int      `json:"free"`       // VMs in no group that could be used
 	Groups     []*Group `json:"groups"`
-	Operation  string   `json:"operation"` // id of the write
+	Warm       []Warm   `json:"warm,omitempty"` // free VMs that hold weights as spares
+	Operation  string   `json:"operation"`      // id of the write
 }
 
 // Clone returns a copy that shares nothing with a.
 func (a *Assignment) Clone() *Assignment {
 	c := *a
+	c.Warm = slices.Clone(a.Warm)
 	c.Groups = make([]*Group, len(a.Groups))
 	for i, g := range a.Groups {
 		c.Groups[i] = g.clone()
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -30,6 +30,9 @@
 	pl.mendLosses()
 	pl.roll()
 	pl.form()
+	if pl.policy.Wait == WaitLearned {
+		pl.warm()
+	}
 	pl.next.Free = len(pl.free())
 	if len(pl.changes) == 0 && pl.next.Free == a.Free {
 		return a, nil
@@ -150,7 +153,14 @@
 func (pl *planner) mendLosses() {
 	var stuck []*Group
 	for _, g := range slices.Clone(pl.next.Groups) {
-		if g.State != Draining && pl.overdue(g) && !pl.swapLost(g) {
+		if g.State == Draining || !pl.overdue(g) {
+			continue
+		}
+		if pl.policy.Wait == BreakAtOnce {
+			pl.breakUp(g, "to be formed anew")
+			continue
+		}
+		if !pl.swapLost(g) {
 			stuck = append(stuck, g)
 		}
 	}
@@ -160,20 +170,34 @@
 // overdue reports whether the group has lost VMs for longer than they are waited for.
 func (pl *planner) overdue(g *Group) bool {
 	lost, longest := pl.lostOf(g)
-	return len(lost) > 0 && longest >= pl.waitLimit()
+	return len(lost) > 0 && longest >= pl.waitLimit(g, len(lost))
 }
 
-func (pl *planner) waitLimit() time.Duration {
+// waitLimit is how long the group's lost VMs are waited for. Spares that hold the weights make it short.
+func (pl *planner) waitLimit(g *Group, lost int) time.Duration {
+	reload := pl.memory.reloadTime(pl.policy)
+	if pl.warmSpares(g) >= lost {
+		reload = pl.policy.Reform
+	}
 	switch pl.policy.Wait {
 	case WaitAlways:
 		return math.MaxInt64
-	case WaitNever:
+	case BreakAtOnce:
 		return 0
 	default:
-		return pl.memory.pauses.waitLimit(pl.memory.reloadTime(pl.policy), pl.policy.MaxWait)
+		return pl.memory.pauses.waitLimit(reload, pl.policy.MaxWait)
 	}
 }
 
+// warmSpares counts the free VMs that hold the group's weights.
+func (pl *planner) warmSpares(g *Group) int {
+	n := 0
+	for _, vm := range pl.free() {
+		n += pl.holds(vm, g.Model, g.Version)
+	}
+	return n
+}
+
 // swapLost puts spares in the place of the group's lost VMs, if there are enough.
 func (pl *planner) swapLost(g *Group) bool {
 	lost, _ := pl.lostOf(g)
@@ -181,6 +205,7 @@
 	if len(spares) < len(lost) || pl.loads < len(lost) {
 		return false
 	}
+	pl.warmFirst(spares, g.Model, g.Version)
 	pl.swap(g, lost, spares)
 	return true
 }
@@ -344,13 +369,21 @@
 	if len(free) < m.VMsPerReplica {
 		return nil
 	}
-	slices.SortStableFunc(free, func(a, b string) int { return pl.holds(b, m) - pl.holds(a, m) })
+	pl.warmFirst(free, m.Name, m.Version)
 	return free[:m.VMsPerReplica]
 }
 
-func (pl *planner) holds(vm string, m config.Model) int {
+// warmFirst puts the VMs that hold a model's weights first.
+func (pl *planner) warmFirst(vms []string, model, version string) {
+	slices.SortStableFunc(vms, func(a, b string) int {
+		return pl.holds(b, model, version) - pl.holds(a, model, version)
+	})
+}
+
+// holds is 1 when the VM holds the model's weights and 0 when not, to be counted and sorted by.
+func (pl *planner) holds(vm, model, version string) int {
 	s := pl.view.VMs[vm].State
-	if s.Model == m.Name && s.Version == m.Version {
+	if s.Model == model && s.Version == version {
 		return 1
 	}
 	return 0
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -25,8 +25,18 @@
 	qt.Assert(t, b.Assignment.Free, qt.Equals, 1)
 }
 
+func TestWarmSpareTakesALostMembersPlaceAtOnce(t *testing.T) {
+	b := replicatest.New(5, 30*time.Second, model("m", "1", 4, 1, 1))
+	b.Run(2 * time.Minute)
+	b.VMs[b.Assignment.Groups[0].VMs[1]].Silent = true
+	b.Run(3 * time.Second)
+	qt.Assert(t, b.Serving("1"), qt.Equals, 1)
+	qt.Assert(t, b.Assignment.Groups[0].VMs[1], qt.Equals, "vm4")
+}
+
 func TestSpareTakesALostMembersPlaceAfterTheLimit(t *testing.T) {
 	b := replicatest.New(5, loadTime, model("m", "1", 4, 1, 1))
+	b.ColdSpares = true
 	b.Run(5 * time.Second)
 	lost := b.Assignment.Groups[0].VMs[1]
 	b.VMs[lost].Silent = true
@@ -40,6 +50,7 @@
 func TestKnownPausesAreWaitedOut(t *testing.T) {
 	b := replicatest.New(5, loadTime, model("m", "1", 4, 1, 1))
 	b.Policy.Reload = 4 * time.Second
+	b.ColdSpares = true
 	b.Run(5 * time.Second)
 	members := slices.Clone(b.Assignment.Groups[0].VMs)
 	for range 10 { // pauses a little shorter than a reload are seen to end
--- a/internal/replica/policy.go
+++ b/internal/replica/policy.go
@@ -8,6 +8,7 @@
 	DrainFloor time.Duration // a draining group is kept at least that long, until no router uses it
 	DrainLimit time.Duration // a draining group is broken up after that even if requests still run
 	Reload     time.Duration // how long a group takes to load when none has been measured
+	Reform     time.Duration // how long a group takes to be whole again with VMs that hold the weights
 	Wait       WaitRule      // rule for the time a lost VM is waited for
 	MaxWait    time.Duration // a lost VM is waited for at most that long while a spare could take its place
 }
@@ -18,5 +19,6 @@
 	DrainFloor: 3 * time.Second,
 	DrainLimit: 10 * time.Minute,
 	Reload:     30 * time.Second,
+	Reform:     time.Second,
 	MaxWait:    time.Minute,
 }
--- a/internal/replica/replicatest/domain.go
+++ b/internal/replica/replicatest/domain.go
@@ -24,6 +24,7 @@
 	Memory     *replica.Memory
 	Policy     replica.Policy
 	Prices     config.Prices
+	ColdSpares bool          // spares cannot load ahead
 	Downtime   time.Duration // group seconds out of use, of groups that had served
 	Stranded   time.Duration // accelerator seconds idle in groups that are not whole, or in none
 }
@@ -104,7 +105,7 @@
 	views := make(map[string]replica.VMView, len(d.VMs))
 	for name, vm := range d.VMs {
 		if !vm.Silent && !vm.Gone {
-			vm.obey(name, d.Assignment, d.Now, d.LoadTime)
+			vm.obey(name, d.Assignment, d.Now, d.LoadTime, d.ColdSpares)
 			vm.View.LastAnswer = d.Now
 		}
 		v := vm.View
@@ -114,11 +115,15 @@
 	return views
 }
 
-func (vm *VM) obey(name string, a *replica.Assignment, now time.Time, load time.Duration) {
+func (vm *VM) obey(name string, a *replica.Assignment, now time.Time, load time.Duration, cold bool) {
 	s := &vm.View.State
 	g := a.GroupOf(name)
 	if g == nil {
 		s.Group, s.Ready = "", false
+		if w, ok := a.WarmOn(name); ok && !cold && (s.Model != w.Model || s.Version != w.Version) {
+			vm.readyAt = now.Add(load)
+			s.Model, s.Version = w.Model, w.Version
+		}
 		return
 	}
 	if !s.InGroup(g.ID, g.Birth, g.Model, g.Version) {
--- a/internal/replica/wait_rule.go
+++ b/internal/replica/wait_rule.go
@@ -6,8 +6,9 @@
 const (
 	// WaitLearned takes the limit that would have cost least over the pauses seen.
 	WaitLearned WaitRule = iota
-	// WaitAlways never replaces a VM; a baseline.
+	// WaitAlways never replaces a VM, and spares hold nothing; a baseline.
 	WaitAlways
-	// WaitNever replaces a VM as soon as it is lost; a baseline.
-	WaitNever
+	// BreakAtOnce breaks a group up as soon as a VM is lost and forms it anew, with spares that hold nothing;
+	// a baseline.
+	BreakAtOnce
 )
