--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -10,6 +11,21 @@
 	"moorrun.dev/moorrun/internal/verdict"
 )
 
+// doubt corrects a refusal that says "not run" of a keyed request: an earlier send of it may have run, and
+// only the key's home knows.
+func (s *Server) doubt(ctx *fasthttp.RequestCtx, f *failure) {
+	text := ctx.Request.Header.Peek(keyHeader)
+	if f.verdict != verdict.NotRun || len(text) == 0 {
+		return
+	}
+	key, err := once.ParseKey(string(text))
+	self := s.Members.Self(time.Now())
+	atHome := key.VM == self.VM && key.Incarnation == self.Incarnation
+	if err == nil && (!atHome || s.Once.Knows(key)) {
+		f.verdict = verdict.MayHaveRun
+	}
+}
+
 // forward sends a keyed request to the key's home. When the home is gone or does not answer, nobody
 // knows whether the request ran.
 func (s *Server) forward(p *plainCall, key once.Key) *failure {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -129,6 +129,7 @@
 	s.inflight.Add(1)
 	f := s.dispatch(ctx, path, id)
 	if f != nil {
+		s.doubt(ctx, f)
 		f.write(ctx, id)
 		_ = level.Info(s.Logger).Log("msg", "refused", "request_id", id, "path", path, "status", f.status,
 			"verdict", f.verdict.String(), "err", f.message)
--- a/internal/once/book.go
+++ b/internal/once/book.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -99,6 +100,27 @@
 	return nil
 }
 
+// Knows reports whether any workspace's request of that key has been claimed here and not abandoned.
+func (b *Book) Knows(key Key) bool {
+	for i := range b.shards {
+		if b.shards[i].knows(key.Unique) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *shard) knows(unique string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.entries {
+		if strings.HasSuffix(id, "\x00"+unique) {
+			return true
+		}
+	}
+	return false
+}
+
 // Finish records how the claimed request ended and wakes those that wait for it.
 func (b *Book) Finish(e *Entry, answer Stored) {
 	if len(answer.Body) > MaxStoredBody || !b.keep(len(answer.Body)) {
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -15,6 +15,7 @@
 	DelayMillis atomic.Int64 // before each answer, after the run
 	FailAll     atomic.Bool  // answers 500 to every call without running it
 	CutAfter    atomic.Int64 // that many next calls run and their answers are cut
+	Cuts        atomic.Int64 // answers cut so far
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -43,6 +44,7 @@
 	time.Sleep(time.Duration(p.DelayMillis.Load()) * time.Millisecond)
 	if p.CutAfter.Load() > 0 {
 		p.CutAfter.Add(-1)
+		p.Cuts.Add(1)
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
