Break links between real processes: silent, one-way, cut and slow

Found and mended: a stream whose engine fell silent was waited for up to 20 s; it is now cut when the group's evidence ends (under 2 s).

--- a/internal/entry/stream_body.go
+++ b/internal/entry/stream_body.go
@@ -27,6 +27,7 @@
 	silenceLimit = 20 * time.Second
 	tailBytes    = 16
 	armEvery     = time.Second
+	armedFor     = 2 * time.Second
 	cancelWait   = 500 * time.Millisecond
 )
 
@@ -57,8 +58,9 @@
 	if b.notice != nil {
 		return b.readNotice(p)
 	}
-	if err := b.arm(time.Now()); err != nil {
-		return 0, b.cut(err)
+	if err := b.await(); err != nil {
+		_ = b.cut(err)
+		return b.readNotice(p)
 	}
 	n, err := b.answer.Read(p)
 	if n > 0 {
@@ -79,6 +81,30 @@
 	}
 }
 
+// await waits for the next bytes as long as the deadline and the engine's silence allow and the replica
+// group is whole: a group that has lost a member will not go on.
+func (b *streamBody) await() error {
+	since := time.Now()
+	if b.marker == nil { // a body with a length has no byte behind its last to wait for
+		return b.answer.SetReadTimeout(min(silenceLimit, b.attempt.call.deadline.Sub(since)))
+	}
+	for {
+		now := time.Now()
+		if err := b.arm(now); err != nil {
+			return err
+		}
+		err := b.answer.Await()
+		if err == nil || !httpcall.IsTimeout(err) {
+			return err
+		}
+		now = time.Now()
+		whole := now.Before(b.server.Router.WholeUntil(b.attempt.target))
+		if !whole || now.Sub(since) > silenceLimit || now.After(b.attempt.call.deadline) {
+			return err
+		}
+	}
+}
+
 // arm bounds the wait for the next bytes. Setting a timer for each event would cost more than it says, so
 // it is set again only once in a while.
 func (b *streamBody) arm(now time.Time) error {
@@ -86,7 +112,7 @@
 		return nil
 	}
 	b.armed = now
-	return b.answer.SetReadTimeout(min(silenceLimit, b.attempt.call.deadline.Sub(now)))
+	return b.answer.SetReadTimeout(min(armedFor, b.attempt.call.deadline.Sub(now)))
 }
 
 // note keeps count of the events and the last bytes.
--- a/internal/httpcall/answer.go
+++ b/internal/httpcall/answer.go
@@ -32,6 +32,16 @@
 	return a.conn.SetReadDeadline(time.Now().Add(d))
 }
 
+// Await waits until bytes can be read, within the read timeout. Unlike Read it may be called again after a
+// timeout, because it takes nothing in.
+func (a *Answer) Await() error {
+	_, err := a.conn.reader.Peek(1)
+	if err == io.EOF {
+		return nil // Read tells whether that is the end
+	}
+	return err
+}
+
 // Close gives the connection back when the answer was read whole, and closes it otherwise.
 func (a *Answer) Close() error {
 	if a.conn == nil {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -29,7 +29,7 @@
 	Load         time.Duration // of weights
 	LoadsASecond float64
 	VMListLag    time.Duration
-	Env          []string // beside the lab's own
+	Linked       bool // put a faulty link before each node's peers and store, and before each engine
 }
 
 // Lab is a running set of stand-ins and moorrund processes.
@@ -41,6 +41,7 @@
 	Fabric  *standin.Fabric
 	Engines map[string]*standin.Engine // by VM
 	Plains  map[string]*standin.Plain  // by endpoint
+	Links   map[string]*standin.Link   // by engine VM
 	Files   string                     // configuration with the stand-ins' addresses
 
 	mu    sync.Mutex
@@ -63,7 +64,7 @@
 
 // New starts the stand-ins for a configuration.
 func New(o Options) (*Lab, error) {
-	l := &Lab{Options: o, Fabric: standin.NewFabric(), Engines: make(map[string]*standin.Engine),
+	l := &Lab{Options: o, Links: make(map[string]*standin.Link), Fabric: standin.NewFabric(), Engines: make(map[string]*standin.Engine),
 		Plains: make(map[string]*standin.Plain), nodes: make(map[string]*Node), Files: filepath.Join(o.Dir, "config")}
 	var err, err2, err3 error
 	l.Objects, err = standin.StartObjectAPI()
@@ -123,7 +124,9 @@
 				if err != nil {
 					return err
 				}
-				d.VMs[i].Address = e.Address
+				if d.VMs[i].Address, err = l.engineAddress(e); err != nil {
+					return err
+				}
 				*listed = append(*listed, platform.VM{Name: e.VM, Address: e.Address, State: platform.VMLive})
 			}
 		}
@@ -143,6 +146,21 @@
 	return nil
 }
 
+// engineAddress returns where nodes reach an engine: behind a link if the lab has links.
+func (l *Lab) engineAddress(e *standin.Engine) (string, error) {
+	if !l.Linked {
+		return e.Address, nil
+	}
+	link, err := standin.StartLink()
+	if err != nil {
+		return "", err
+	}
+	link.To(e.Address)
+	l.Fabric.Alias(link.Address, e)
+	l.Links[e.VM] = link
+	return link.Address, nil
+}
+
 func (l *Lab) startEngine(vm config.VM) (*standin.Engine, error) {
 	e, err := standin.StartEngine(standin.EngineOptions{
 		VM: vm.Name, ChecksOrders: vm.ChecksOrders, TokenEvery: l.TokenEvery, Prefill: l.Prefill,
@@ -170,6 +188,9 @@
 	for _, p := range l.Plains {
 		p.Kill()
 	}
+	for _, link := range l.Links {
+		link.Close()
+	}
 	l.Objects.Kill()
 	l.VMs.Kill()
 	l.Weights.Kill()
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -12,12 +13,15 @@
 
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/settings"
+	"moorrun.dev/moorrun/internal/standin"
 )
 
 // Node is one moorrund process.
 type Node struct {
 	Settings settings.Settings
-	Log      string // file of its log
+	Log      string        // file of its log
+	Peers    *standin.Link // before its peer address, if the lab is linked
+	Store    *standin.Link // between it and the object API, if the lab is linked
 	process  *exec.Cmd
 	done     chan struct{}
 	exit     int
@@ -51,9 +55,28 @@
 	return l.start(s)
 }
 
+// link puts the node behind links of its own.
+func (l *Lab) link(n *Node) error {
+	var err, err2 error
+	n.Peers, err = standin.StartLink()
+	n.Store, err2 = standin.StartLink()
+	if err := errors.Join(err, err2); err != nil {
+		return err
+	}
+	n.Store.To(l.Objects.Address)
+	n.Settings.Platform.ObjectAPI = n.Store.Address
+	n.Settings.PeerAddress, n.Settings.Listen.Peer = n.Peers.Address, kernelPort
+	return nil
+}
+
 func (l *Lab) start(s settings.Settings) (*Node, error) {
 	n := &Node{Settings: s, Log: filepath.Join(l.Dir, s.VM+".log"), done: make(chan struct{})}
-	content, err := json.Marshal(s)
+	if l.Linked {
+		if err := l.link(n); err != nil {
+			return nil, err
+		}
+	}
+	content, err := json.Marshal(n.Settings)
 	if err != nil {
 		return nil, err
 	}
@@ -71,7 +94,6 @@
 	}
 	n.process = exec.Command(filepath.Join(l.Bin, "moorrund"), "--settings", file) //nolint:gosec // our own program
 	n.process.Stderr, n.process.Stdout = out, out
-	n.process.Env = append(os.Environ(), l.Env...)
 	if err := n.process.Start(); err != nil {
 		return nil, err
 	}
@@ -94,12 +116,18 @@
 		if err != nil || int64(len(content)) <= offset {
 			return false
 		}
-		var line struct{ Msg, Caller, Admin, Peer string }
+		var line struct {
+			Msg, Caller, Admin, Peer string
+			Listen                   string `json:"peer_listen"`
+		}
 		first, _, whole := strings.Cut(string(content[offset:]), "\n")
 		if !whole || json.Unmarshal([]byte(first), &line) != nil || line.Msg != "started" {
 			return false
 		}
 		n.Settings.CallerAddress, n.Settings.AdminAddress, n.Settings.PeerAddress = line.Caller, line.Admin, line.Peer
+		if n.Peers != nil {
+			n.Peers.To(line.Listen)
+		}
 		return true
 	})
 }
@@ -117,6 +145,10 @@
 	_ = n.process.Process.Signal(syscall.SIGCONT)
 	_ = n.process.Process.Kill()
 	<-n.done
+	if n.Peers != nil {
+		n.Peers.Close()
+		n.Store.Close()
+	}
 }
 
 // Pause freezes the process, or lets it go on.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,7 +190,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	l := n.listeners
 	_ = level.Info(n.logger).Log("msg", "started", "caller", n.settings.CallerAddress, "admin", n.settings.AdminAddress,
-		"peer", n.settings.PeerAddress)
+		"peer", n.settings.PeerAddress, "peer_listen", l.peer.Addr().String())
 	var g errgroup.Group
 	g.Go(func() error { return n.entry.Serve(l.caller) })
 	g.Go(func() error { return n.admin.Serve(l.admin) })
--- a/internal/standin/fabric.go
+++ b/internal/standin/fabric.go
@@ -17,6 +17,13 @@
 	f.engines[e.Address] = e
 }
 
+// Alias lets an engine be named by another address too.
+func (f *Fabric) Alias(address string, e *Engine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[address] = e
+}
+
 // whole reports whether every member lives and is in the leader's group.
 func (f *Fabric) whole(members []string, group string, birth int64) bool {
 	f.mu.Lock()
