Walk at random through faults, loads and racing applies

Cause: single-fault tests do not meet two faults at once or a long history. Change: make soak: a seeded walk of 13 kinds of faults over 4 linked nodes with streams whose texts are checked, keyed calls compared with the endpoints' counts, and operators whose history is checked by porcupine; invariants come from the processes' own counters and logs.

--- a/Makefile
+++ b/Makefile
@@ -16,4 +16,8 @@
 	go install $(LINTER)
 demo:
 	go run ./test/demo $(if $(KEEP),-keep)
-.PHONY: all build test lint demo
+bench:
+	go build -o bin/bench ./test/bench && bin/bench
+soak:
+	go run ./test/soak -seed $(SEED) -for $(FOR)
+.PHONY: all build test lint demo bench soak
--- /dev/null
+++ b/test/soak/faults.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"time"
+
+	"moorrun.dev/moorrun/internal/lab"
+	"moorrun.dev/moorrun/internal/standin"
+)
+
+// fault makes one fault, lets it work for a while and mostly ends it.
+func (w *walk) fault() {
+	w.tally.mu.Lock()
+	w.tally.faults++
+	w.tally.mu.Unlock()
+	length := time.Duration(200+w.rand.IntN(2500)) * time.Millisecond
+	i := w.rand.IntN(len(w.nodes))
+	node := w.nodes[i]
+	links := []standin.Fault{standin.Cut, standin.Silent, standin.OneWay, standin.Slow}
+	fault := links[w.rand.IntN(len(links))]
+	engine := w.lab.Engines[w.engine()]
+	plain := w.lab.Plains[[]string{"receipts-1", "receipts-2"}[w.rand.IntN(2)]]
+	switch w.rand.IntN(13) {
+	case 0:
+		node.Kill()
+		time.Sleep(length)
+		w.replace(i)
+	case 1:
+		node.Pause(true)
+		time.Sleep(length)
+		node.Pause(false)
+	case 2:
+		node.Peers.Set(fault)
+		time.Sleep(length)
+		node.Peers.Set(standin.Pass)
+	case 3:
+		node.Store.Set(fault)
+		time.Sleep(length)
+		node.Store.Set(standin.Pass)
+	case 4:
+		w.lab.Objects.Down.Store(true)
+		time.Sleep(2 * length)
+		w.lab.Objects.Down.Store(false)
+	case 5:
+		w.lab.Objects.SlowMillis.Store(int64(100 + w.rand.IntN(600)))
+		time.Sleep(length)
+		w.lab.Objects.SlowMillis.Store(0)
+	case 6:
+		w.lab.Objects.LoseAnswer.Store(int64(1 + w.rand.IntN(5)))
+	case 7:
+		engine.Kill()
+		time.Sleep(2 * length)
+		_ = engine.Restart()
+	case 8:
+		engine.Freeze(true)
+		time.Sleep(length)
+		engine.Freeze(false)
+	case 9:
+		w.lab.Links[engine.VM].Set(fault)
+		time.Sleep(length)
+		w.lab.Links[engine.VM].Set(standin.Pass)
+	case 10:
+		engine.CrossNext.Store(true)
+		plain.CutAfter.Store(int64(1 + w.rand.IntN(3)))
+	case 11:
+		w.lab.CLI("drain", engine.VM)
+		time.Sleep(length)
+		w.lab.CLI("drain", engine.VM, "--undo")
+	default: // two at once: a paused node, and the store out
+		node.Pause(true)
+		w.lab.Objects.Down.Store(true)
+		time.Sleep(length)
+		w.lab.Objects.Down.Store(false)
+		node.Pause(false)
+	}
+	time.Sleep(time.Duration(w.rand.IntN(400)) * time.Millisecond)
+}
+
+// engine names an engine VM by the walk's own choice.
+func (w *walk) engine() string {
+	domain := []string{"rvk-1-a-", "rvk-2-a-"}[w.rand.IntN(2)]
+	return domain + string(rune('1'+w.rand.IntN(9)))
+}
+
+// replace starts an empty process in a killed node's place.
+func (w *walk) replace(i int) {
+	n, err := w.lab.Restart(w.nodes[i])
+	if err != nil {
+		w.tally.violate("%v", err)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nodes[i] = n
+}
+
+// heal ends whatever is still broken.
+func (w *walk) heal() {
+	w.lab.Objects.Down.Store(false)
+	w.lab.Objects.SlowMillis.Store(0)
+	w.lab.Objects.LoseAnswer.Store(0)
+	for vm := range w.lab.Engines {
+		w.lab.Links[vm].Set(standin.Pass)
+	}
+	_ = lab.Until(10*time.Second, "drains undone", func() bool {
+		s, err := w.lab.Status()
+		if err != nil {
+			return false
+		}
+		clean := true
+		for _, vm := range s.VMs {
+			if vm.Drained {
+				clean = w.lab.CLI("drain", vm.Name, "--undo").Code == 0 && clean
+			}
+		}
+		return clean
+	})
+}
