Care for a data centre that has lost all its entry VMs

Cause: engine VMs of a data centre without a live node were observed and decided for by nobody, so their groups went out of use within 2 s. Change: after 8 s without one of its own, two nodes of the region look at its domains and the first of them contends for its lease; it goes back when a node of its own is heard. Each check of an assignment's epoch and of an answer's request id is now an invariant.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -164,10 +164,18 @@
 	}
 }
 
+// checkOwn holds that an answer about to be passed on names the call it goes to.
+func (s *Server) checkOwn(c *call, id []byte) {
+	s.Checker.Hold(invariant.OwnAnswer, len(id) == 0 || string(id) == c.id, func() []any {
+		return []any{"request_id", c.id, "answer_id", string(id)}
+	})
+}
+
 // pass hands the answer to the caller.
 func (s *Server) pass(a *attempt, answer *httpcall.Answer, stream bool) *failure {
 	response := &a.call.ctx.Response
 	copyResponseHeaders(&response.Header, &answer.Response.Header)
+	s.checkOwn(a.call, response.Header.Peek(requestIDHeader))
 	response.SetStatusCode(answer.Response.StatusCode())
 	response.Header.Set(verdict.Header, verdict.Ran.String())
 	body := newStreamBody(s, a, answer)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -233,6 +233,7 @@
 	}
 	response := &p.ctx.Response
 	copyResponseHeaders(&response.Header, &answer.Response.Header)
+	s.checkOwn(p.call, response.Header.Peek(requestIDHeader))
 	response.SetStatusCode(answer.Response.StatusCode())
 	response.Header.Set(verdict.Header, verdict.Ran.String())
 	response.Header.Set(requestIDHeader, p.id)
--- a/internal/holder/controller.go
+++ b/internal/holder/controller.go
@@ -219,6 +219,9 @@
 		c.readBack(ctx, s, next)
 		return false
 	}
+	c.Checker.Hold(invariant.UnderLease, next.Epoch >= s.latest.Epoch, func() []any {
+		return []any{"domain", next.Domain, "epoch", next.Epoch, "after_epoch", s.latest.Epoch}
+	})
 	c.accepted(s, next, version, changes)
 	return true
 }
--- a/internal/invariant/checker.go
+++ b/internal/invariant/checker.go
@@ -27,7 +27,7 @@
 	RunsOnce Name = "runs_once"
 	// PlacesHeld: places granted of a group do not pass what it has.
 	PlacesHeld Name = "places_held"
-	// UnderLease: assignments are written only while the lease is held.
+	// UnderLease: an assignment is never replaced by one of an earlier lease holder.
 	UnderLease Name = "under_lease"
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,23 +55,23 @@
 	reporter *metrics.Reporter
 	closer   io.Closer
 
-	fleet      *peer.Fleet
-	objects    platform.ObjectStore
-	calls      *httpcall.Client
-	caller     *peer.Caller
-	links      *relay.Links
-	watcher    *relay.Watcher
-	keeper     *inforce.Keeper
-	lease      *holder.Keeper
-	vms        *holder.VMWatch
-	controller *holder.Controller
-	observer   *observer.Observer
-	places     *places.Server
-	admission  *admission.Admission
-	once       *once.Book
-	entry      *entry.Server
-	admin      *admin.Server
-	peers      *peer.Server
+	fleet     *peer.Fleet
+	objects   platform.ObjectStore
+	calls     *httpcall.Client
+	caller    *peer.Caller
+	links     *relay.Links
+	watcher   *relay.Watcher
+	keeper    *inforce.Keeper
+	tenancies *tenancies
+	orphans   *membership.Orphans
+	vms       *holder.VMWatch
+	observer  *observer.Observer
+	places    *places.Server
+	admission *admission.Admission
+	once      *once.Book
+	entry     *entry.Server
+	admin     *admin.Server
+	peers     *peer.Server
 
 	listeners listeners
 	work      context.Context //nolint:containedctx // ends when the node stops, for work its parts start later
@@ -99,7 +99,13 @@
 	book := domains.NewBook(n.fleet.Mirror)
 	router := routing.New(n.fleet.Mirror, book, n.fleet.Looks, current)
 	engine := rest.NewEngine(n.calls, engineTimeout)
-	n.observer = observer.New(n.fleet, engine, book, current, s.Poll(), s.Evidence())
+	n.orphans = membership.NewOrphans(n.fleet.Members, func(dataCentre string) string {
+		if c := current(); c != nil {
+			return c.Region(dataCentre)
+		}
+		return dataCentre
+	})
+	n.observer = observer.New(n.fleet, engine, book, current, n.orphans, s.Poll(), s.Evidence())
 	n.places = places.NewServer(n.fleet.Members, router, current, checker)
 	n.peers = peer.NewServer(n.fleet, n.keeper, n.places)
 	var asker admission.Asker = places.NewAsker(n.fleet.Members, current, n.places, n.caller)
@@ -153,18 +159,18 @@
 
 func (n *Node) buildHolder(book *domains.Book, engine platform.Engine, current func() *config.Config, checker *invariant.Checker, losses *holder.LossMeter) {
 	s := n.settings
-	wanted := func() bool { return n.links.IsRelay() && current() != nil && n.work.Err() == nil && !n.draining() }
-	n.lease = holder.NewKeeper(n.objects, s.DataCentre, s.VM, s.LeaseTTL(), s.LeaseTTL()/10, wanted, n.logger)
-	held := func() bool { _, _, ok := n.lease.Held(time.Now()); return ok }
+	n.tenancies = &tenancies{node: n, held: make(map[string]*holder.Keeper)}
 	n.vms = holder.NewVMWatch(
 		rest.NewVMList(s.Platform.VMList, n.calls, storeTimeout),
-		rest.NewWeightStore(s.Platform.WeightStore, n.calls, storeTimeout), held)
+		rest.NewWeightStore(s.Platform.WeightStore, n.calls, storeTimeout), n.tenancies.anyHeld)
 	policy := replica.DefaultPolicy
 	policy.Reload = s.Reload()
-	n.controller = &holder.Controller{
-		Keeper: n.lease, Objects: n.objects, Engine: engine, Mirror: n.fleet.Mirror, Book: book, Reports: n.fleet.Reports,
-		VMs: n.vms, Config: current, Demand: n.places.Waiting, Checker: checker, Logger: n.logger, VM: s.VM,
-		DataCentre: s.DataCentre, Policy: policy, Losses: losses,
+	n.tenancies.build = func(dataCentre string, k *holder.Keeper) *holder.Controller {
+		return &holder.Controller{
+			Keeper: k, Objects: n.objects, Engine: engine, Mirror: n.fleet.Mirror, Book: book, Reports: n.fleet.Reports,
+			VMs: n.vms, Config: current, Demand: n.places.Waiting, Checker: checker, Logger: n.logger, VM: s.VM,
+			DataCentre: dataCentre, Policy: policy, Losses: losses,
+		}
 	}
 }
 
@@ -196,7 +202,7 @@
 	g.Go(func() error { return n.admin.Serve(l.admin) })
 	g.Go(func() error { return ignoreEnd(n.work, n.peers.Serve(n.work, l.peer)) })
 	for _, run := range []func(context.Context) error{
-		n.links.Run, n.watcher.Run, n.keeper.Run, n.lease.Run, n.vms.Run, n.controller.Run, n.observer.Run,
+		n.links.Run, n.watcher.Run, n.keeper.Run, n.tenancies.Run, n.vms.Run, n.observer.Run,
 		n.register, n.sweep, n.followDrains, n.places.Run,
 	} {
 		g.Go(func() error { return run(n.work) })
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -31,6 +31,7 @@
 	engine   platform.Engine
 	book     *domains.Book
 	config   func() *config.Config
+	orphans  *membership.Orphans
 	every    time.Duration
 	lifetime time.Duration
 
@@ -42,9 +43,9 @@
 
 // New returns an Observer that polls each VM every so often and gives evidence of that lifetime,
 // counted from the oldest last answer among a group's members.
-func New(fleet *peer.Fleet, engine platform.Engine, book *domains.Book, current func() *config.Config, every, lifetime time.Duration) *Observer {
+func New(fleet *peer.Fleet, engine platform.Engine, book *domains.Book, current func() *config.Config, orphans *membership.Orphans, every, lifetime time.Duration) *Observer {
 	return &Observer{
-		fleet: fleet, engine: engine, book: book, config: current, every: every, lifetime: lifetime,
+		fleet: fleet, engine: engine, book: book, config: current, orphans: orphans, every: every, lifetime: lifetime,
 		running: make(map[string]context.CancelFunc),
 	}
 }
@@ -90,13 +91,20 @@
 		return nil
 	}
 	self := o.fleet.Members.Self(now)
-	near := o.fleet.Members.LiveIn(self.DataCentre, now)
+	guardians := make(map[string][]membership.Member)
 	out := make(map[string]bool)
 	for name, d := range c.Domains() {
-		if d.DataCentre != self.DataCentre {
+		if c.Region(d.DataCentre) != c.Region(self.DataCentre) {
 			continue
 		}
-		ranked := membership.Rank("observe/"+name, near)
+		if _, known := guardians[d.DataCentre]; !known {
+			guardians[d.DataCentre] = o.orphans.Guardians(d.DataCentre, now)
+		}
+		purpose := "observe/" + name
+		if d.DataCentre != self.DataCentre {
+			purpose = "guard/" + d.DataCentre // the one that decides for it looks itself
+		}
+		ranked := membership.Rank(purpose, guardians[d.DataCentre])
 		for _, m := range ranked[:min(observersADomain, len(ranked))] {
 			if m.VM == self.VM {
 				out[name] = true
--- a/test/integration/nodes_test.go
+++ b/test/integration/nodes_test.go
@@ -50,6 +50,22 @@
 	f.Check(reply.Whole, qt.IsTrue)
 }
 
+func TestDataCentreWithoutNodesIsCaredForByOthers(t *testing.T) {
+	f := newFleet(t)
+	f.nodes[2].Kill()
+	f.until("groups of the data centre in use without its own nodes", func() bool {
+		_, usable, _ := f.groupOf("rvk-2-a-2")
+		return usable
+	})
+	f.loseVM("rvk-2-a-2")
+	replaced, err := f.Restart(f.nodes[2])
+	f.Assert(err, qt.IsNil)
+	f.nodes[2] = replaced
+	f.until("the returned node holds its data centre's lease", func() bool { return f.lease("rvk-2").Holder == "entry-3" })
+	f.Assert(f.Engines["rvk-2-a-2"].Restart(), qt.IsNil) // a spare again
+	f.loseVM("rvk-2-a-6")
+}
+
 func TestPausedLeaseHolderChangesNothingOnItsReturn(t *testing.T) {
 	f := newFleet(t)
 	i := f.holder("rvk-1")
@@ -125,7 +141,6 @@
 
 func TestStreamSurvivesItsEntryVM(t *testing.T) {
 	f := newFleet(t)
-	token := ""
 	const tokens = 200
 	donors := lab.NewCaller("donors-caller-token")
 	r := donors.Complete(f.address(0), lab.Completion{Model: "letters-70b", Prompt: "r", Tokens: tokens, OnEvent: func(n int) error {
@@ -134,7 +149,7 @@
 		}
 		return nil
 	}})
-	token = r.Resume
+	token := r.Resume
 	f.Check(r.Whole, qt.IsFalse)
 	stolen := lab.NewCaller("pledges-caller-token").Resume(f.address(1), token, r.Events)
 	f.Check(stolen.Status, qt.Equals, http.StatusForbidden)
