--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -68,11 +68,13 @@
 	return out
 }
 
-// unsafeHeaders returns what makes a request's framing or identity ambiguous, or "".
+// unsafeHeaders returns what makes a request's framing or identity ambiguous, or "". It looks at the headers
+// as they came, because the parser keeps only one of two that exclude each other.
 func unsafeHeaders(h *fasthttp.RequestHeader) string {
 	lengths, encodings, hosts := 0, 0, 0
-	for key := range h.All() {
-		switch strings.ToLower(string(key)) {
+	for line := range bytes.SplitSeq(h.RawHeaders(), []byte{'\n'}) {
+		key, _, _ := bytes.Cut(line, []byte{':'})
+		switch strings.ToLower(string(bytes.TrimSpace(key))) {
 		case "content-length":
 			lengths++
 		case "transfer-encoding":
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,48 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/settings"
+)
+
+const good = `{"vm":"entry-1","data_centre":"rvk-1","caller_address":"10.0.0.1:7000","admin_address":"10.0.0.1:7001",
+"peer_address":"10.0.0.1:7002","platform":{"object_api":"10.0.1.1:80","vm_list":"10.0.1.1:81","weight_store":"10.0.1.1:82"}}`
+
+func TestDefaultsFillWhatIsLeftOut(t *testing.T) {
+	s, err := settings.Parse("s.json", []byte(good))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.HeartbeatMS, qt.Equals, 250)
+	qt.Check(t, s.Listen.Peer, qt.Equals, "10.0.0.1:7002")
+	qt.Check(t, s.PlacesPolicy, qt.Equals, settings.PlacesShared)
+}
+
+func TestFaultySettingsNameTheField(t *testing.T) {
+	cases := []struct{ from, to, expect string }{
+		{`"vm":"entry-1",`, ``, "missing property 'vm'"},
+		{`"data_centre":"rvk-1",`, ``, "missing property 'data_centre'"},
+		{`"vm":"entry-1"`, `"vm":"entry-1","colour":1`, "additional properties 'colour' not allowed"},
+		{`10.0.0.1:7000`, `entry-1:7000`, "/caller_address"},
+		{`10.0.0.1:7000`, `10.0.0.1:70000`, "/caller_address"},
+		{`10.0.0.1:7000`, `10.0.0.999:7000`, "/caller_address"},
+		{`"vm":"entry-1"`, `"vm":"entry-1","heartbeat_ms":"quick"`, "/heartbeat_ms"},
+	}
+	for _, c := range cases {
+		_, err := settings.Parse("s.json", []byte(strings.Replace(good, c.from, c.to, 1)))
+		qt.Check(t, err, qt.ErrorMatches, `(?s)s\.json: .*`+c.expect+`.*`)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{}`))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		s, err := settings.Parse("s.json", content)
+		if err == nil && (s.VM == "" || s.Heartbeat() <= 0 || s.Evidence() <= 0) {
+			t.Fatalf("%s gave %+v", content, s)
+		}
+	})
+}
