--- a/internal/accept/store.go
+++ b/internal/accept/store.go
@@ -144,7 +144,8 @@
 	store   *Store
 	request Request
 	written map[string]string // part name → key already written
-	sent    bool              // a head update may have reached the store
+	sent    bool              // a head update may have reached the store and may yet take effect
+	sentOn  int64             // object version that update was conditional on
 }
 
 func (a *attempt) givenUp(cause error) Result {
@@ -166,6 +167,9 @@
 		if op, ok := h.Find(r.Operation); ok {
 			return Result{Status: Accepted, Operation: r.Operation, Revision: op.Revision}, nil
 		}
+		if version != a.sentOn {
+			a.sent = false // the head has moved on, so that update can no longer take effect
+		}
 		set, err := a.store.Set(ctx, h)
 		if err != nil {
 			return Result{}, err
@@ -180,7 +184,7 @@
 			return Result{}, err
 		}
 		next := h.next(Operation{ID: r.Operation, By: r.By}, refs, r.Remove)
-		a.sent = true
+		a.sent, a.sentOn = true, version
 		outcome, _, err := a.store.objects.Put(ctx, keys.Head, next, version)
 		switch outcome {
 		case platform.Applied:
--- a/internal/cmd/cmd_report.go
+++ b/internal/cmd/cmd_report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/spf13/pflag"
 	"github.com/valyala/fasthttp"
 
 	"moorrun.dev/moorrun/internal/adminapi"
@@ -16,12 +17,20 @@
 
 var cmdReportBurn = &Command{
 	Name: "burn", Desc: "report how fast services spend their error budgets", NArgs: 0,
-	Flags: outputFlag,
+	Flags: func(f *pflag.FlagSet) {
+		outputFlag(f)
+		f.String("plot", "", "file to draw the burn rates into: .svg, .png or .pdf")
+	},
 	Action: func(e *Env, _ []string) error {
 		report, silent, err := e.burnReport()
 		if err != nil {
 			return err
 		}
+		if file := e.text("plot"); file != "" {
+			if err := burn.Plot(report, file); err != nil {
+				return err
+			}
+		}
 		if e.text("output") == "json" {
 			return e.printJSON(report)
 		}
--- a/internal/evidence/table.go
+++ b/internal/evidence/table.go
@@ -22,7 +22,6 @@
 
 	mu       sync.Mutex
 	sequence uint64
-	changed  chan struct{}
 }
 
 type shard struct {
@@ -40,7 +39,7 @@
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	t := &Table{changed: make(chan struct{})}
+	t := &Table{}
 	for i := range t.shards {
 		t.shards[i].looks = make(map[lookKey]heldLook)
 	}
@@ -68,8 +67,6 @@
 	t.mu.Lock()
 	t.sequence++
 	s.looks[key] = heldLook{l, now, t.sequence}
-	close(t.changed)
-	t.changed = make(chan struct{})
 	t.mu.Unlock()
 	return true
 }
@@ -145,10 +142,3 @@
 		s.mu.Unlock()
 	}
 }
-
-// Changed returns a channel that is closed when the next look is stored.
-func (t *Table) Changed() <-chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.changed
-}
--- a/internal/holder/controller.go
+++ b/internal/holder/controller.go
@@ -19,6 +19,7 @@
 	"moorrun.dev/moorrun/internal/evidence"
 	"moorrun.dev/moorrun/internal/invariant"
 	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/mirror"
 	"moorrun.dev/moorrun/internal/platform"
 	"moorrun.dev/moorrun/internal/replica"
@@ -82,20 +83,11 @@
 // Run controls the data centre's domains until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.loads = rate.NewLimiter(defaultLoads, loadBurst)
-	ticker := time.NewTicker(controlEvery)
-	defer ticker.Stop()
-	for {
-		c.step(ctx)
-		select {
-		case <-ctx.Done():
-			return c.inflight.Wait()
-		case <-ticker.C:
-		}
-	}
+	loop.Every(ctx, controlEvery, func(now time.Time) { c.step(ctx, now) })
+	return c.inflight.Wait()
 }
 
-func (c *Controller) step(ctx context.Context) {
-	now := time.Now()
+func (c *Controller) step(ctx context.Context, now time.Time) {
 	epoch, until, held := c.Keeper.Held(now)
 	current := c.Config()
 	if !held || current == nil {
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -15,6 +15,7 @@
 
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/lease"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/platform"
 	"moorrun.dev/moorrun/internal/platform/rest"
 )
@@ -57,26 +58,19 @@
 
 // Run contends for the lease while this node should hold it, until ctx ends; then it is released.
 func (k *Keeper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(keeperStep)
-	defer ticker.Stop()
 	held := false
-	for {
+	loop.Every(ctx, keeperStep, func(now time.Time) {
 		want := k.want()
-		if _, _, ok := k.Held(time.Now()); want || ok {
+		if _, _, ok := k.Held(now); want || ok {
 			k.step(ctx, want)
 		}
-		_, _, now := k.Held(time.Now())
-		if now != held {
-			held = now
+		if _, _, holds := k.Held(time.Now()); holds != held {
+			held = holds
 			_ = level.Info(k.logger).Log("msg", "lease", "key", k.key, "held", held)
 		}
-		select {
-		case <-ctx.Done():
-			k.release()
-			return nil
-		case <-ticker.C:
-		}
-	}
+	})
+	k.release()
+	return nil
 }
 
 // release gives the lease up, so that the next holder need not wait it out.
--- a/internal/holder/vm_watch.go
+++ b/internal/holder/vm_watch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/platform"
 )
 
@@ -52,22 +53,17 @@
 
 // Run polls until ctx ends.
 func (w *VMWatch) Run(ctx context.Context) error {
-	ticker := time.NewTicker(vmListEvery)
-	defer ticker.Stop()
 	var limitsRead time.Time
-	for {
-		if w.active() {
-			w.readList(ctx)
-			if time.Since(limitsRead) > limitsEvery && w.readLimits(ctx) {
-				limitsRead = time.Now()
-			}
+	loop.Every(ctx, vmListEvery, func(now time.Time) {
+		if !w.active() {
+			return
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
+		w.readList(ctx)
+		if now.Sub(limitsRead) > limitsEvery && w.readLimits(ctx) {
+			limitsRead = now
 		}
-	}
+	})
+	return nil
 }
 
 func (w *VMWatch) readList(ctx context.Context) {
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/platform"
 )
@@ -20,25 +21,32 @@
 	finishLimit      = 10 * time.Minute
 	followDrainEvery = 500 * time.Millisecond
 	unregisterWait   = time.Second
+	registeredEvery  = 10 * time.Second
 )
 
-// register writes this node's object once, so that others find it. An earlier one of the same VM is replaced.
+// register writes this node's object, so that others find it, and writes it again if it is removed. An earlier
+// one of the same VM is replaced.
 func (n *Node) register(ctx context.Context) error {
 	self := n.fleet.Members.Self(time.Now())
 	key := keys.Node(self.DataCentre, self.VM)
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = 200 * time.Millisecond
 	wait.MaxInterval = 10 * time.Second
-	for {
-		if n.putSelf(ctx, key, self) {
-			return nil
+	registered := false
+	for !n.stopping.Load() {
+		pause := registeredEvery
+		if o, ok := n.fleet.Mirror.Get(key); registered && ok && o.Version > 0 {
+			wait.Reset()
+		} else if registered = n.putSelf(ctx, key, self); !registered {
+			pause = wait.NextBackOff()
 		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(wait.NextBackOff()):
+		case <-time.After(pause):
 		}
 	}
+	return nil
 }
 
 func (n *Node) putSelf(ctx context.Context, key string, self membership.Member) bool {
@@ -68,20 +76,14 @@
 
 // followDrains takes the node out of the address answers while an operator has drained it.
 func (n *Node) followDrains(ctx context.Context) error {
-	ticker := time.NewTicker(followDrainEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	loop.Every(ctx, followDrainEvery, func(time.Time) {
 		wanted := n.stopping.Load() || n.drains.Read().Has(n.settings.VM)
 		if wanted != n.draining() {
 			n.fleet.Members.Update(func(m *membership.Member) { m.Draining = wanted })
 			_ = level.Info(n.logger).Log("msg", "draining", "on", wanted)
 		}
-	}
+	})
+	return nil
 }
 
 // shutdown drains the node and stops its parts.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/inforce"
 	"moorrun.dev/moorrun/internal/invariant"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/metrics"
 	"moorrun.dev/moorrun/internal/mirror"
@@ -64,6 +65,7 @@
 	watcher   *relay.Watcher
 	keeper    *inforce.Keeper
 	tenancies *tenancies
+	pruner    *holder.Pruner
 	orphans   *membership.Orphans
 	vms       *holder.VMWatch
 	observer  *observer.Observer
@@ -165,6 +167,7 @@
 	n.vms = holder.NewVMWatch(
 		rest.NewVMList(s.Platform.VMList, n.calls, storeTimeout),
 		rest.NewWeightStore(s.Platform.WeightStore, n.calls, storeTimeout), n.tenancies.anyHeld)
+	n.pruner = &holder.Pruner{Active: n.tenancies.anyHeld, Objects: n.objects, Mirror: n.fleet.Mirror, Members: n.fleet.Members, Logger: n.logger}
 	policy := replica.DefaultPolicy
 	policy.Reload = s.Reload()
 	n.tenancies.build = func(dataCentre string, k *holder.Keeper) *holder.Controller {
@@ -206,7 +209,7 @@
 	g.Go(func() error { return ignoreEnd(n.work, n.peers.Serve(n.work, l.peer)) })
 	for _, run := range []func(context.Context) error{
 		n.links.Run, n.watcher.Run, n.keeper.Run, n.tenancies.Run, n.vms.Run, n.observer.Run,
-		n.register, n.sweep, n.followDrains, n.places.Run,
+		n.register, n.pruner.Run, n.sweep, n.followDrains, n.places.Run,
 	} {
 		g.Go(func() error { return run(n.work) })
 	}
@@ -225,17 +228,11 @@
 
 // sweep forgets what has grown old.
 func (n *Node) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			n.calls.Sweep()
-			n.once.Sweep()
-			n.fleet.Looks.Sweep(now)
-			n.fleet.Members.Sweep(now)
-		}
-	}
+	loop.Every(ctx, sweepEvery, func(now time.Time) {
+		n.calls.Sweep()
+		n.once.Sweep()
+		n.fleet.Looks.Sweep(now)
+		n.fleet.Members.Sweep(now)
+	})
+	return nil
 }
--- a/internal/node/tenancies.go
+++ b/internal/node/tenancies.go
@@ -9,6 +9,7 @@
 
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/holder"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 )
 
@@ -27,21 +28,15 @@
 // Run starts a keeper and a controller for each data centre that this node may act for.
 func (t *tenancies) Run(ctx context.Context) error {
 	var g errgroup.Group
-	ticker := time.NewTicker(tenancyEvery)
-	defer ticker.Stop()
-	for {
-		for _, dataCentre := range t.due(time.Now()) {
+	loop.Every(ctx, tenancyEvery, func(now time.Time) {
+		for _, dataCentre := range t.due(now) {
 			k := t.keeper(dataCentre)
 			c := t.build(dataCentre, k)
 			g.Go(func() error { return k.Run(ctx) })
 			g.Go(func() error { return c.Run(ctx) })
 		}
-		select {
-		case <-ctx.Done():
-			return g.Wait()
-		case <-ticker.C:
-		}
-	}
+	})
+	return g.Wait()
 }
 
 // due returns the data centres to start a keeper for: the own one, and orphans.
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -12,6 +12,7 @@
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/domains"
 	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer"
 	"moorrun.dev/moorrun/internal/platform"
@@ -61,17 +62,9 @@
 
 // Run observes until ctx ends.
 func (o *Observer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(reviewEvery)
-	defer ticker.Stop()
-	for {
-		o.review(ctx, time.Now())
-		select {
-		case <-ctx.Done():
-			o.wg.Wait()
-			return nil
-		case <-ticker.C:
-		}
-	}
+	loop.Every(ctx, reviewEvery, func(now time.Time) { o.review(ctx, now) })
+	o.wg.Wait()
+	return nil
 }
 
 // review starts and stops watches so that this node looks at the domains that fall to it.
@@ -130,20 +123,13 @@
 // watch polls one domain's VMs until ctx ends.
 func (o *Observer) watch(ctx context.Context, domain string, every time.Duration) {
 	views := &vmViews{vms: make(map[string]replica.VMView)}
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	for {
+	loop.Every(ctx, every, func(time.Time) {
 		if c := o.config(); c != nil {
 			if d, ok := c.Domains()[domain]; ok {
 				o.look(ctx, d, views)
 			}
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 // look polls every VM of the domain once and publishes what they say.
--- a/internal/places/server.go
+++ b/internal/places/server.go
@@ -11,6 +11,7 @@
 	"moorrun.dev/moorrun/internal/allocator"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/invariant"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
 	"moorrun.dev/moorrun/internal/replica"
@@ -77,18 +78,12 @@
 
 // Run notes changes of the region's live nodes until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	ticker := time.NewTicker(reviewEvery)
-	defer ticker.Stop()
-	for {
+	loop.Every(ctx, reviewEvery, func(now time.Time) {
 		if c := s.current(); c != nil {
-			s.review(c, time.Now())
+			s.review(c, now)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	})
+	return nil
 }
 
 func (s *Server) review(c *config.Config, now time.Time) {
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/mirror"
 	"moorrun.dev/moorrun/internal/peer"
@@ -82,17 +83,9 @@
 
 // Run keeps the links until ctx ends.
 func (l *Links) Run(ctx context.Context) error {
-	ticker := time.NewTicker(reviewEvery)
-	defer ticker.Stop()
-	for {
-		l.review(ctx, time.Now())
-		select {
-		case <-ctx.Done():
-			l.wg.Wait()
-			return nil
-		case <-ticker.C:
-		}
-	}
+	loop.Every(ctx, reviewEvery, func(now time.Time) { l.review(ctx, now) })
+	l.wg.Wait()
+	return nil
 }
 
 func (l *Links) review(ctx context.Context, now time.Time) {
