Order a workspace's waiting requests by priority; shrink what relays send

Cause: requests of one workspace could not overtake each other; relays sent every member whole every 1.5 s, 30 KB/s at 16 nodes. Change: X-Moorrun-Priority; relays send a member whole when it changes and else only its name and age; a node sends to its relay at a change or after a heartbeat of silence, not both.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,112 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/allocator"
+)
+
+// granter grants fixed places, and chooses nothing.
+type granter struct{ limits []allocator.Places }
+
+// Ask implements Asker.
+func (g granter) Ask(context.Context, string, allocator.Report) (allocator.Grant, time.Duration, bool, error) {
+	return allocator.Grant{Number: 1, Workspaces: []allocator.WorkspaceGrant{{Workspace: "w", Limits: g.limits}}}, time.Minute, false, nil
+}
+
+// Usable implements Chooser.
+func (granter) Usable(string, int64, time.Time) bool { return true }
+
+// Ejected implements Chooser.
+func (granter) Ejected(string, time.Time) []allocator.Ref { return nil }
+
+// TakeSpeeds implements Chooser.
+func (granter) TakeSpeeds(string, time.Time) []allocator.Speed { return nil }
+
+func newAdmission(t *testing.T, limits ...allocator.Places) *Admission {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := granter{limits}
+	a := New(ctx, g, g)
+	t.Cleanup(func() { cancel(); a.Wait() })
+	return a
+}
+
+func acquire(t *testing.T, a *Admission, r Request) *Place {
+	r.Model, r.Workspace = "m", "w"
+	if r.Patience == 0 {
+		r.Patience = time.Minute
+	}
+	p, err := a.Acquire(context.Background(), r)
+	qt.Assert(t, err, qt.IsNil)
+	return p
+}
+
+// waiting blocks until that many requests wait.
+func waiting(a *Admission, n int) {
+	for len(a.Waiting()) == 0 || a.Waiting()[0].Waiting != n {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestHigherPriorityGoesFirst(t *testing.T) {
+	a := newAdmission(t, allocator.Places{Group: "g", Birth: 1, Count: 1})
+	held := acquire(t, a, Request{})
+	order := make(chan int, 3)
+	for i, priority := range []int{3, 5, 9} {
+		go func() {
+			p := acquire(t, a, Request{Priority: priority})
+			order <- priority
+			p.Release(true)
+		}()
+		waiting(a, i+1)
+	}
+	held.Release(true)
+	qt.Assert(t, []int{<-order, <-order, <-order}, qt.DeepEquals, []int{9, 5, 3})
+}
+
+func TestPreferredGroupIsTakenWhenFree(t *testing.T) {
+	a := newAdmission(t, allocator.Places{Group: "a", Birth: 1, Count: 4}, allocator.Places{Group: "b", Birth: 1, Count: 1})
+	acquire(t, a, Request{}).Release(true) // the grant is in force
+	prefer := allocator.Ref{Group: "b", Birth: 1}
+	first := acquire(t, a, Request{Prefer: prefer, PreferWait: time.Minute})
+	qt.Assert(t, first.Group, qt.Equals, "b")
+	second := acquire(t, a, Request{Prefer: prefer, PreferWait: time.Millisecond})
+	qt.Assert(t, second.Group, qt.Equals, "a", qt.Commentf("it is waited for only so long"))
+	first.Release(true)
+	second.Release(true)
+}
+
+func TestRequestThatCannotEndInTimeIsRefusedAtOnce(t *testing.T) {
+	a := newAdmission(t, allocator.Places{Group: "g", Birth: 1, Count: 1})
+	held := acquire(t, a, Request{})
+	p := a.pool("m")
+	p.mu.Lock()
+	p.queues["w"].hold = time.Hour // as if every request took that long
+	p.mu.Unlock()
+	_, err := a.Acquire(context.Background(), Request{Model: "m", Workspace: "w", Patience: time.Minute})
+	var refusal *Refusal
+	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue)
+	qt.Assert(t, refusal.RetryAfter > 0, qt.IsTrue)
+	held.Release(true)
+}
+
+func TestRequestThatGivesUpLeavesItsPlaceToTheNext(t *testing.T) {
+	a := newAdmission(t, allocator.Places{Group: "g", Birth: 1, Count: 1})
+	held := acquire(t, a, Request{})
+	ctx, cancel := context.WithCancel(context.Background())
+	gone := make(chan error)
+	go func() {
+		_, err := a.Acquire(ctx, Request{Model: "m", Workspace: "w", Patience: time.Minute})
+		gone <- err
+	}()
+	waiting(a, 1)
+	cancel()
+	qt.Assert(t, <-gone, qt.Equals, context.Canceled)
+	held.Release(true)
+	acquire(t, a, Request{}).Release(true)
+}
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -57,7 +57,7 @@
 	q.recent = now
 	p.arrivals[r.Workspace].add(now)
 	q.demand.add(q.waiting.Len()+q.running()+1, now)
-	w := &waiter{ready: make(chan *Place, 1), avoid: r.Avoid, prefer: r.Prefer, patience: r.Patience - q.hold}
+	w := &waiter{ready: make(chan *Place, 1), avoid: r.Avoid, prefer: r.Prefer, priority: r.Priority, patience: r.Patience - q.hold}
 	w.choosy = r.Prefer != (allocator.Ref{}) && r.Prefer.Group != r.Avoid
 	if place := p.takePreferred(q, w, now); place != nil {
 		return place, nil, nil
@@ -70,7 +70,7 @@
 	if refusal := p.refuse(q, r.Patience, now); refusal != nil {
 		return nil, nil, refusal
 	}
-	w.element = q.waiting.PushBack(w)
+	q.push(w)
 	return nil, w, nil
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -34,6 +34,17 @@
 	birth int64
 }
 
+// push puts the request behind all others of its priority or a higher one.
+func (q *queue) push(w *waiter) {
+	for e := q.waiting.Back(); e != nil; e = e.Prev() {
+		if e.Value.(*waiter).priority >= w.priority { //nolint:forcetypeassert // the list holds nothing else
+			w.element = q.waiting.InsertAfter(w, e)
+			return
+		}
+	}
+	w.element = q.waiting.PushFront(w)
+}
+
 // wishes counts the requests that wait for the group they prefer.
 func (q *queue) wishes() []allocator.Places {
 	var out []allocator.Places
@@ -68,11 +79,12 @@
 
 // waiter is one request that waits for a place.
 type waiter struct {
-	ready   chan *Place // buffered; gets the place or is dropped from the list
-	element *list.Element
-	avoid   string // group that failed this request before
-	prefer  allocator.Ref
-	choosy  bool // it still waits for the group it prefers
+	ready    chan *Place // buffered; gets the place or is dropped from the list
+	element  *list.Element
+	avoid    string // group that failed this request before
+	prefer   allocator.Ref
+	priority int
+	choosy   bool // it still waits for the group it prefers
 	// patience is how long it may wait and still be served within its deadline.
 	patience time.Duration
 }
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -16,6 +16,8 @@
 	Prefer allocator.Ref
 	// PreferWait is how long it waits for that group while others have free places.
 	PreferWait time.Duration
+	// Priority orders the workspace's waiting requests, the highest first.
+	Priority int
 	// Patience is how long the request may take, waiting included.
 	Patience time.Duration
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -14,6 +14,8 @@
 	defaultDeadline = 60 * time.Second
 	maxDeadline     = 10 * time.Minute
 	bearer          = "Bearer "
+	defaultPriority = 5
+	maxPriority     = 9
 )
 
 // call is one caller's request while this node works on it.
@@ -22,6 +24,7 @@
 	config    *config.Config
 	workspace string
 	id        string // request id, from end to end
+	priority  int    // among its workspace's requests
 	deadline  time.Time
 	started   time.Time
 }
@@ -48,7 +51,11 @@
 	if f != nil {
 		return nil, f
 	}
-	return &call{ctx, current, workspace, id, now.Add(patience), now}, nil
+	priority, f := priorityOf(ctx)
+	if f != nil {
+		return nil, f
+	}
+	return &call{ctx, current, workspace, id, priority, now.Add(patience), now}, nil
 }
 
 // accepting refuses new work while this node cannot know what is in force.
@@ -74,6 +81,19 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
+// priorityOf reads the caller's priority among its workspace's requests; it travels on to the engine.
+func priorityOf(ctx *fasthttp.RequestCtx) (int, *failure) {
+	text := ctx.Request.Header.Peek(priorityHeader)
+	if len(text) == 0 {
+		return defaultPriority, nil
+	}
+	priority, err := strconv.Atoi(string(text))
+	if err != nil || priority < 0 || priority > maxPriority {
+		return 0, notRun(fasthttp.StatusBadRequest, priorityHeader+" must be a number from 0 to 9")
+	}
+	return priority, nil
+}
+
 // left is how long the call may still take.
 func (c *call) left() time.Duration { return time.Until(c.deadline) }
 
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -72,7 +72,7 @@
 	avoid := ""
 	for {
 		a, f := s.place(c, admission.Request{
-			Model: model.Name, Workspace: c.workspace, Avoid: avoid, Prefer: s.Router.Preferred(model.Name, r.Prompt, time.Now()), PreferWait: routing.PreferWait(len(r.Prompt)),
+			Model: model.Name, Workspace: c.workspace, Avoid: avoid, Priority: c.priority, Prefer: s.Router.Preferred(model.Name, r.Prompt, time.Now()), PreferWait: routing.PreferWait(len(r.Prompt)),
 		})
 		if f != nil {
 			return f
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -55,6 +55,16 @@
 	t.members[m.VM] = held
 }
 
+// Heard notes a later hearing of a member that is known.
+func (t *Table) Heard(vm string, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if held, known := t.members[vm]; known && vm != t.self && at.After(held.Heard) {
+		held.Heard = at
+		t.members[vm] = held
+	}
+}
+
 // Update changes this process's own record.
 func (t *Table) Update(change func(*Member)) {
 	t.mu.Lock()
--- a/internal/peer/link_client.go
+++ b/internal/peer/link_client.go
@@ -83,6 +83,9 @@
 		l.fleet.Looks.Put(look, now)
 	}
 	l.takeMembers(down.Members, asOf)
+	for _, a := range down.Alive {
+		l.fleet.Members.Heard(a.Vm, asOf.Add(-millis(a.AgeMs)))
+	}
 	l.fleet.Contact.Heard(asOf)
 	return asOf, true
 }
@@ -102,8 +105,8 @@
 }
 
 func (l *LinkClient) send(ctx context.Context) error {
-	ticker := time.NewTicker(l.fleet.Heartbeat)
-	defer ticker.Stop()
+	heartbeat := time.NewTimer(l.fleet.Heartbeat)
+	defer heartbeat.Stop()
 	var sequence uint64
 	for {
 		now := time.Now()
@@ -120,28 +123,21 @@
 		if !l.near {
 			changed = nil // only relays of the own data centre need what this node observes
 		}
-		if err := pause(ctx, ticker.C, changed); err != nil {
+		heartbeat.Reset(l.fleet.Heartbeat)
+		if err := pause(ctx, heartbeat.C, changed); err != nil {
 			return err
 		}
 	}
 }
 
 // pause waits for the heartbeat, or for a change and a short gap after it.
-func pause(ctx context.Context, heartbeat <-chan time.Time, changed ...<-chan struct{}) error {
-	var first, second <-chan struct{}
-	if len(changed) > 0 {
-		first = changed[0]
-	}
-	if len(changed) > 1 {
-		second = changed[1]
-	}
+func pause(ctx context.Context, heartbeat <-chan time.Time, changed <-chan struct{}) error {
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-heartbeat:
 		return nil
-	case <-first:
-	case <-second:
+	case <-changed:
 	}
 	select {
 	case <-ctx.Done():
--- a/internal/peer/link_server.go
+++ b/internal/peer/link_server.go
@@ -9,7 +9,7 @@
 	"moorrun.dev/moorrun/internal/peer/peerpb"
 )
 
-// memberRefresh is how often every live member is sent again, so that its hearing stays fresh.
+// memberRefresh is how often it is told when each member was last heard.
 const memberRefresh = 1500 * time.Millisecond
 
 // linkServer is the relay's side of one link.
@@ -152,19 +152,24 @@
 
 func (l *linkServer) own(look evidence.Look) bool { return ObserverVM(look.Observer) == l.peer.VM }
 
-// addMembers adds the members that changed, and now and then all live ones.
+// addMembers adds the members that changed, and now and then when each was last heard.
 func (l *linkServer) addMembers(down *peerpb.Down, now time.Time) {
 	changed, sequence := l.fleet.Members.Since(l.members, now)
 	l.members = sequence
-	if now.Sub(l.refreshed) >= memberRefresh {
-		changed = l.fleet.Members.Live(now)
-		l.refreshed = now
-	}
-	near := l.near()
 	self := l.fleet.Members.Self(now)
+	near := l.near()
 	for _, m := range changed {
 		if near || m.DataCentre == self.DataCentre {
 			down.Members = append(down.Members, memberToWire(m, now))
 		}
 	}
+	if now.Sub(l.refreshed) < memberRefresh {
+		return
+	}
+	l.refreshed = now
+	for _, m := range l.fleet.Members.Live(now) {
+		if near || m.DataCentre == self.DataCentre {
+			down.Alive = append(down.Alive, &peerpb.Alive{Vm: m.VM, AgeMs: ageMillis(m.Heard, now)})
+		}
+	}
 }
