Keep the plotting library out of the daemon

Cause: the report's plot brought its fonts into moorrund, 22.2 MB to 26.0 MB resident at rest. Change: burnplot, daemon and exitcode are packages of their own.

--- a/cmd/moorrund/main.go
+++ b/cmd/moorrund/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"moorrun.dev/moorrun/internal/cmd"
+	"moorrun.dev/moorrun/internal/daemon"
 )
 
-func main() { os.Exit(cmd.Daemon(os.Args[1:])) }
+func main() { os.Exit(daemon.Main(os.Args[1:])) }
--- a/internal/burn/bar_colors.go
+++ b/internal/burn/burnplot/bar_colors.go
@@ -1,4 +1,4 @@
-package burn
+package burnplot
 
 import "image/color"
 
--- a/internal/burn/plot.go
+++ b/internal/burn/burnplot/plot.go
@@ -1,4 +1,5 @@
-package burn
+// Package burnplot draws the report on service-level burn.
+package burnplot
 
 import (
 	"fmt"
@@ -6,6 +7,8 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
+
+	"moorrun.dev/moorrun/internal/burn"
 )
 
 const (
@@ -16,7 +19,7 @@
 
 // Plot writes the report's burn rates as bars, one group a service and one bar a window. The file's ending
 // names the format: .svg, .png or .pdf.
-func Plot(r Report, file string) error {
+func Plot(r burn.Report, file string) error {
 	p := plot.New()
 	p.Title.Text = "Service-level burn"
 	p.Y.Label.Text = "error budget spent, 1 is just in time"
@@ -26,7 +29,7 @@
 	for i, s := range r.Services {
 		names[i] = s.Workspace + "/" + s.Service
 	}
-	for i, w := range Windows {
+	for i, w := range burn.Windows {
 		values := make(plotter.Values, len(r.Services))
 		for j, s := range r.Services {
 			values[j] = s.Burn[i].Rate
@@ -38,7 +41,7 @@
 		if err != nil {
 			return fmt.Errorf("plot: %w", err)
 		}
-		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(Windows)-1)/2)
+		bars.Offset = barWidth * vg.Length(float64(i)-float64(len(burn.Windows)-1)/2)
 		bars.Color = barColors[i%len(barColors)]
 		p.Add(bars)
 		p.Legend.Add(w.Name, bars)
--- a/internal/cmd/client.go
+++ b/internal/cmd/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"moorrun.dev/moorrun/internal/adminapi"
+	"moorrun.dev/moorrun/internal/exitcode"
 )
 
 const (
@@ -46,7 +47,7 @@
 	}
 	token, err := os.ReadFile(file) //nolint:gosec // the operator names the file
 	if err != nil {
-		return nil, exit(exitUsage, "token file: %w", err)
+		return nil, exitcode.New(exitcode.Usage, "token file: %w", err)
 	}
 	c.token = strings.TrimSpace(string(token))
 	return c, nil
@@ -67,9 +68,9 @@
 		p.Error = strings.TrimSpace(string(r.body))
 	}
 	if r.status == fasthttp.StatusUnauthorized || r.status == fasthttp.StatusNotFound || r.status == fasthttp.StatusBadRequest {
-		return exit(exitUsage, "%s", p.Error)
+		return exitcode.New(exitcode.Usage, "%s", p.Error)
 	}
-	return exit(exitFailed, "%s", p.Error)
+	return exitcode.New(exitcode.Failed, "%s", p.Error)
 }
 
 // call asks one node after the other until one answers; it is only for calls that may be repeated.
@@ -85,7 +86,7 @@
 		}
 		errs = append(errs, err)
 	}
-	return reply{}, exit(exitFailed, "no node answers: %w", errors.Join(errs...))
+	return reply{}, exitcode.New(exitcode.Failed, "no node answers: %w", errors.Join(errs...))
 }
 
 func (c *Client) callNode(node, method, path string, in any) (reply, error) {
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -1,21 +1,17 @@
-// Package cmd holds the commands of moorrun and moorrund, one a file.
+// Package cmd holds the commands of moorrun, one a file.
 package cmd
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
-)
 
-// Version is the version of both programs.
-const Version = "0.1.0"
+	"moorrun.dev/moorrun/internal/exitcode"
+)
 
 // Command is one command of the command line.
 type Command struct {
@@ -58,30 +54,13 @@
 func Main(args []string) int {
 	root := &cobra.Command{
 		Use: "moorrun", Short: "Operate moorrun: configuration, replica groups and reports",
-		SilenceErrors: true, SilenceUsage: true,
 	}
 	root.PersistentFlags().StringSlice("node", nodesFromEnv(), "administration addresses to use, tried in order (MOORRUN_NODES)")
 	root.PersistentFlags().String("token-file", os.Getenv("MOORRUN_TOKEN_FILE"), "file that holds the operator's credential (MOORRUN_TOKEN_FILE)")
 	for _, c := range commands {
 		root.AddCommand(c.cobra())
 	}
-	return run(root, args)
-}
-
-func run(root *cobra.Command, args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	root.SetArgs(args)
-	err := root.ExecuteContext(ctx)
-	if err == nil {
-		return exitDone
-	}
-	_, _ = fmt.Fprintln(os.Stderr, root.Name()+": "+err.Error())
-	var coded *exitError
-	if errors.As(err, &coded) {
-		return coded.code
-	}
-	return exitUsage // cobra's own errors are about the command line
+	return exitcode.Run(root, args)
 }
 
 // cobra builds the library's form of the command.
@@ -104,7 +83,7 @@
 				return err
 			}
 			env := &Env{Ctx: k.Context(), Out: k.OutOrStdout(), Flags: k.Flags(), Client: client}
-			return withCode(c.Action(env, args))
+			return exitcode.With(c.Action(env, args))
 		}
 	}
 	return k
--- a/internal/cmd/cmd_apply.go
+++ b/internal/cmd/cmd_apply.go
@@ -10,6 +10,7 @@
 
 	"moorrun.dev/moorrun/internal/accept"
 	"moorrun.dev/moorrun/internal/adminapi"
+	"moorrun.dev/moorrun/internal/exitcode"
 )
 
 var cmdApply = &Command{
@@ -84,7 +85,7 @@
 	var result accept.Result
 	r, err := e.Client.call(fasthttp.MethodPost, adminapi.PathApply, request)
 	if err != nil {
-		return result, exit(exitUnknown, "outcome unknown, settle it with --operation %s: %w", request.Operation, err)
+		return result, exitcode.New(exitcode.Unknown, "outcome unknown, settle it with --operation %s: %w", request.Operation, err)
 	}
 	if r.status == fasthttp.StatusUnauthorized || r.status == fasthttp.StatusBadRequest {
 		return result, r.problem()
@@ -98,11 +99,11 @@
 func applyError(result accept.Result) error {
 	switch result.Status {
 	case accept.Conflict:
-		return exit(exitConflict, "conflict: %s; draw the files from the accepted revision %d and apply again", result.Winner, result.Revision)
+		return exitcode.New(exitcode.Conflict, "conflict: %s; draw the files from the accepted revision %d and apply again", result.Winner, result.Revision)
 	case accept.Invalid:
 		return result.Problems
 	default:
-		return exit(exitUnknown, "outcome unknown: %s; settle it with --operation %s", result.Detail, result.Operation)
+		return exitcode.New(exitcode.Unknown, "outcome unknown: %s; settle it with --operation %s", result.Detail, result.Operation)
 	}
 }
 
@@ -133,7 +134,7 @@
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return exit(exitFailed, "in force at %d of %d nodes; not yet at:%s", there, len(state.Nodes), lagging)
+			return exitcode.New(exitcode.Failed, "in force at %d of %d nodes; not yet at:%s", there, len(state.Nodes), lagging)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/internal/cmd/cmd_drain.go
+++ b/internal/cmd/cmd_drain.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"moorrun.dev/moorrun/internal/adminapi"
+	"moorrun.dev/moorrun/internal/exitcode"
 )
 
 var cmdDrain = &Command{
@@ -15,7 +16,7 @@
 		request := adminapi.DrainRequest{Name: args[0], Drained: !e.flag("undo"), Operation: uuid.NewString()}
 		r, err := e.Client.call(fasthttp.MethodPost, adminapi.PathDrain, request)
 		if err != nil {
-			return exit(exitUnknown, "outcome unknown, run the command again: %w", err)
+			return exitcode.New(exitcode.Unknown, "outcome unknown, run the command again: %w", err)
 		}
 		if r.status != fasthttp.StatusOK {
 			return r.problem()
--- a/internal/cmd/cmd_hash.go
+++ b/internal/cmd/cmd_hash.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/exitcode"
 )
 
 var cmdHash = &Command{
@@ -12,7 +13,7 @@
 	Action: func(e *Env, _ []string) error {
 		in := bufio.NewScanner(os.Stdin)
 		if !in.Scan() || in.Text() == "" {
-			return exit(exitUsage, "give the token as a line on standard input")
+			return exitcode.New(exitcode.Usage, "give the token as a line on standard input")
 		}
 		e.printf("%s\n", config.HashToken(in.Text()))
 		return nil
--- a/internal/cmd/cmd_operation.go
+++ b/internal/cmd/cmd_operation.go
@@ -5,6 +5,7 @@
 
 	"moorrun.dev/moorrun/internal/accept"
 	"moorrun.dev/moorrun/internal/adminapi"
+	"moorrun.dev/moorrun/internal/exitcode"
 )
 
 var cmdOperation = &Command{
@@ -19,7 +20,7 @@
 			return r.problem()
 		}
 		if result.Status != accept.Accepted {
-			return exit(exitUnknown, "%s", result.Detail)
+			return exitcode.New(exitcode.Unknown, "%s", result.Detail)
 		}
 		e.printf("accepted as revision %d\n", result.Revision)
 		return nil
--- a/internal/cmd/cmd_report.go
+++ b/internal/cmd/cmd_report.go
@@ -8,6 +8,7 @@
 
 	"moorrun.dev/moorrun/internal/adminapi"
 	"moorrun.dev/moorrun/internal/burn"
+	"moorrun.dev/moorrun/internal/burn/burnplot"
 )
 
 var cmdReport = &Command{
@@ -27,7 +28,7 @@
 			return err
 		}
 		if file := e.text("plot"); file != "" {
-			if err := burn.Plot(report, file); err != nil {
+			if err := burnplot.Plot(report, file); err != nil {
 				return err
 			}
 		}
--- a/internal/cmd/cmd_which.go
+++ b/internal/cmd/cmd_which.go
@@ -8,6 +8,7 @@
 
 	"moorrun.dev/moorrun/internal/adminapi"
 	"moorrun.dev/moorrun/internal/entry"
+	"moorrun.dev/moorrun/internal/exitcode"
 )
 
 var cmdWhich = &Command{
@@ -52,5 +53,5 @@
 		}
 		errs = append(errs, err)
 	}
-	return answer, exit(exitFailed, "no address answers: %w", errors.Join(errs...))
+	return answer, exitcode.New(exitcode.Failed, "no address answers: %w", errors.Join(errs...))
 }
--- a/internal/cmd/files.go
+++ b/internal/cmd/files.go
@@ -6,13 +6,14 @@
 	"path/filepath"
 
 	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/exitcode"
 )
 
 // readFiles reads the JSON files of a directory, or one file, and checks each against the schema.
 func readFiles(path string) (map[string]json.RawMessage, config.Set, error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return nil, nil, exit(exitUsage, "%w", err)
+		return nil, nil, exitcode.New(exitcode.Usage, "%w", err)
 	}
 	names := []string{path}
 	if info.IsDir() {
@@ -21,7 +22,7 @@
 		}
 	}
 	if len(names) == 0 {
-		return nil, nil, exit(exitUsage, "%s holds no .json file", path)
+		return nil, nil, exitcode.New(exitcode.Usage, "%s holds no .json file", path)
 	}
 	raw := make(map[string][]byte, len(names))
 	files := make(map[string]json.RawMessage, len(names))
--- a/internal/cmd/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,4 +1,5 @@
-package cmd
+// Package daemon is moorrund's command line.
+package daemon
 
 import (
 	"os"
@@ -8,31 +9,33 @@
 	"github.com/go-kit/log/level"
 	"github.com/spf13/cobra"
 
+	"moorrun.dev/moorrun/internal/exitcode"
 	"moorrun.dev/moorrun/internal/node"
 	"moorrun.dev/moorrun/internal/settings"
+	"moorrun.dev/moorrun/internal/version"
 )
 
-// Daemon runs moorrund and returns its exit code.
-func Daemon(args []string) int {
+// Main runs moorrund and returns its exit code.
+func Main(args []string) int {
 	var file string
 	root := &cobra.Command{
 		Use: "moorrund --settings FILE", Short: "Serve callers and operators on one entry VM",
-		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, Version: Version,
+		Args: cobra.NoArgs, Version: version.Version,
 		RunE: func(k *cobra.Command, _ []string) error {
 			s, err := settings.Read(file)
 			if err != nil {
-				return &exitError{exitUsage, err}
+				return &exitcode.Error{Code: exitcode.Usage, Err: err}
 			}
 			n, err := node.New(s, newLogger(s))
 			if err != nil {
-				return withCode(err)
+				return exitcode.With(err)
 			}
-			return withCode(n.Run(k.Context()))
+			return exitcode.With(n.Run(k.Context()))
 		},
 	}
 	root.Flags().StringVar(&file, "settings", "", "JSON file with this process's settings")
 	_ = root.MarkFlagRequired("settings")
-	return run(root, args)
+	return exitcode.Run(root, args)
 }
 
 func newLogger(s *settings.Settings) log.Logger {
