--- a/internal/accept/head.go
+++ b/internal/accept/head.go
@@ -13,20 +13,6 @@
 	Operations []Operation         `json:"operations"` // the latest last
 }
 
-// PartRef points to one part of the configuration in force.
-type PartRef struct {
-	Key      string `json:"key"`      // object that holds the part
-	Hash     string `json:"hash"`     // SHA-256 of its content
-	Revision int64  `json:"revision"` // at which it last changed
-}
-
-// Operation is one accepted apply.
-type Operation struct {
-	ID       string `json:"id"`
-	Revision int64  `json:"revision"`
-	By       string `json:"by"`
-}
-
 // Find returns the operation with that id.
 func (h *Head) Find(id string) (Operation, bool) {
 	i := slices.IndexFunc(h.Operations, func(o Operation) bool { return o.ID == id })
--- /dev/null
+++ b/internal/accept/operation.go
@@ -0,0 +1,8 @@
+package accept
+
+// Operation is one accepted apply.
+type Operation struct {
+	ID       string `json:"id"`
+	Revision int64  `json:"revision"`
+	By       string `json:"by"`
+}
--- /dev/null
+++ b/internal/adminapi/endpoint.go
@@ -0,0 +1,10 @@
+package adminapi
+
+// Endpoint is one endpoint of a plain service.
+type Endpoint struct {
+	Name      string `json:"name"`
+	Workspace string `json:"workspace"`
+	Service   string `json:"service"`
+	Address   string `json:"address"`
+	Drained   bool   `json:"drained,omitempty"`
+}
--- /dev/null
+++ b/internal/adminapi/vm.go
@@ -0,0 +1,10 @@
+package adminapi
+
+// VM is one engine VM.
+type VM struct {
+	Name       string `json:"name"`
+	Domain     string `json:"domain"`
+	DataCentre string `json:"data_centre"`
+	Group      string `json:"group,omitempty"`
+	Drained    bool   `json:"drained,omitempty"`
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,18 +20,6 @@
 
 type serviceKey struct{ workspace, service string }
 
-// ModelOf is a model with the workspace that owns it.
-type ModelOf struct {
-	Model
-	Workspace string
-}
-
-// DomainOf is a fabric domain with its data centre.
-type DomainOf struct {
-	Domain
-	DataCentre string
-}
-
 // New builds the indexes of a valid set.
 func New(revision int64, set Set) *Config {
 	c := &Config{
--- a/internal/drains/drains.go
+++ b/internal/drains/drains.go
@@ -1,22 +1,6 @@
 // Package drains keeps the list of VMs and endpoints that operators have taken out of use.
 package drains
 
-import (
-	"context"
-	"encoding/json"
-	"errors"
-	"time"
-
-	"github.com/zeebo/errs"
-
-	"moorrun.dev/moorrun/internal/keys"
-	"moorrun.dev/moorrun/internal/mirror"
-	"moorrun.dev/moorrun/internal/platform"
-)
-
-// Error is the class of this package's errors.
-var Error = errs.Class("drain")
-
 // Drains is the object's value.
 type Drains struct {
 	Names map[string]Drain `json:"names"` // by name of the VM or endpoint
@@ -28,70 +12,8 @@
 	Operation string `json:"operation"`
 }
 
-// Book reads the drains from the mirror.
-type Book struct {
-	view *mirror.View[Drains]
-}
-
-// NewBook returns a Book over the mirror.
-func NewBook(m *mirror.Mirror) *Book { return &Book{mirror.NewView[Drains](m)} }
-
-// Read returns the drains now.
-func (b *Book) Read() Drains {
-	if d, _, ok := b.view.Get(keys.Drains); ok {
-		return *d
-	}
-	return Drains{}
-}
-
 // Has reports whether name is drained.
 func (d Drains) Has(name string) bool {
 	_, ok := d.Names[name]
 	return ok
 }
-
-// Set takes name out of use, or back into use, and settles a lost answer by reading back until ctx ends.
-func Set(ctx context.Context, objects platform.ObjectStore, name, by, operation string, drained bool) error {
-	for {
-		err := set(ctx, objects, name, by, operation, drained)
-		if err == nil || !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, errRace) {
-			return Error.Wrap(err)
-		}
-		select {
-		case <-ctx.Done():
-			return Error.New("outcome unknown, run the command again: %w", err)
-		case <-time.After(100 * time.Millisecond):
-		}
-	}
-}
-
-var errRace = errors.New("another operator wrote first")
-
-func set(ctx context.Context, objects platform.ObjectStore, name, by, operation string, drained bool) error {
-	var d Drains
-	o, err := objects.Get(ctx, keys.Drains)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return err
-	}
-	if err == nil {
-		if err := json.Unmarshal(o.Value, &d); err != nil {
-			return err
-		}
-	}
-	if d.Has(name) == drained {
-		return nil
-	}
-	if d.Names == nil {
-		d.Names = make(map[string]Drain)
-	}
-	if drained {
-		d.Names[name] = Drain{by, operation}
-	} else {
-		delete(d.Names, name)
-	}
-	outcome, _, err := objects.Put(ctx, keys.Drains, d, o.Version)
-	if outcome == platform.NotApplied && err == nil {
-		return errRace
-	}
-	return err
-}
--- /dev/null
+++ b/internal/drains/set.go
@@ -0,0 +1,62 @@
+package drains
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/platform"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("drain")
+
+// Set takes name out of use, or back into use, and settles a lost answer by reading back until ctx ends.
+func Set(ctx context.Context, objects platform.ObjectStore, name, by, operation string, drained bool) error {
+	for {
+		err := set(ctx, objects, name, by, operation, drained)
+		if err == nil || !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, errRace) {
+			return Error.Wrap(err)
+		}
+		select {
+		case <-ctx.Done():
+			return Error.New("outcome unknown, run the command again: %w", err)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+var errRace = errors.New("another operator wrote first")
+
+func set(ctx context.Context, objects platform.ObjectStore, name, by, operation string, drained bool) error {
+	var d Drains
+	o, err := objects.Get(ctx, keys.Drains)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	if err == nil {
+		if err := json.Unmarshal(o.Value, &d); err != nil {
+			return err
+		}
+	}
+	if d.Has(name) == drained {
+		return nil
+	}
+	if d.Names == nil {
+		d.Names = make(map[string]Drain)
+	}
+	if drained {
+		d.Names[name] = Drain{by, operation}
+	} else {
+		delete(d.Names, name)
+	}
+	outcome, _, err := objects.Put(ctx, keys.Drains, d, o.Version)
+	if outcome == platform.NotApplied && err == nil {
+		return errRace
+	}
+	return err
+}
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -1,7 +1,6 @@
 package lab
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -28,34 +27,6 @@
 	return &Caller{Token: token, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}}
 }
 
-// Reply is how one request ended for its caller.
-type Reply struct {
-	Status     int
-	Verdict    string
-	Resume     string
-	Text       string
-	Events     int
-	Whole      bool // the end marker or the whole body came
-	Err        error
-	FirstToken time.Duration
-	Took       time.Duration
-	RetryAfter string
-}
-
-// ErrLate is returned by OnEvent to leave a stream.
-var ErrLate = errors.New("the caller leaves")
-
-// Completion is one request for a completion.
-type Completion struct {
-	Model      string
-	Prompt     string
-	Tokens     int
-	Whole      bool // no streaming
-	DeadlineMS int
-	// OnEvent is called with each event's number; an error makes the caller leave.
-	OnEvent func(n int) error
-}
-
 // Complete sends a completion and reads its answer.
 func (c *Caller) Complete(address string, k Completion) Reply {
 	body, _ := json.Marshal(map[string]any{"model": k.Model, "prompt": k.Prompt, "max_tokens": k.Tokens, "stream": !k.Whole})
@@ -133,42 +104,3 @@
 	out.readEvents(answer.Body, start, onEvent)
 	return out
 }
-
-func (out *Reply) readEvents(body io.Reader, start time.Time, onEvent func(int) error) {
-	lines := bufio.NewScanner(body)
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		switch {
-		case !ok:
-		case data == "[DONE]":
-			out.Whole = true
-		default:
-			if out.Events == 0 {
-				out.FirstToken = time.Since(start)
-			}
-			var event struct{ Text, Error string }
-			_ = json.Unmarshal([]byte(data), &event)
-			if event.Error != "" {
-				out.Verdict = verdict.MayHaveRun.String()
-				continue
-			}
-			out.Text += event.Text
-			out.Events++
-			if onEvent != nil && onEvent(out.Events) != nil {
-				out.Err = ErrLate
-				return
-			}
-		}
-	}
-	out.Err = lines.Err()
-	out.Whole = out.Whole && out.Err == nil
-}
-
-// ExpectedText is the whole answer to a prompt.
-func ExpectedText(prompt string, tokens int) string {
-	text := ""
-	for i := range tokens {
-		text += standin.EventText(prompt, i)
-	}
-	return text
-}
--- /dev/null
+++ b/internal/lab/reply.go
@@ -0,0 +1,69 @@
+package lab
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"moorrun.dev/moorrun/internal/standin"
+	"moorrun.dev/moorrun/internal/verdict"
+)
+
+// Reply is how one request ended for its caller.
+type Reply struct {
+	Status     int
+	Verdict    string
+	Resume     string
+	Text       string
+	Events     int
+	Whole      bool // the end marker or the whole body came
+	Err        error
+	FirstToken time.Duration
+	Took       time.Duration
+	RetryAfter string
+}
+
+// ErrLate is returned by OnEvent to leave a stream.
+var ErrLate = errors.New("the caller leaves")
+
+func (out *Reply) readEvents(body io.Reader, start time.Time, onEvent func(int) error) {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			out.Whole = true
+		default:
+			if out.Events == 0 {
+				out.FirstToken = time.Since(start)
+			}
+			var event struct{ Text, Error string }
+			_ = json.Unmarshal([]byte(data), &event)
+			if event.Error != "" {
+				out.Verdict = verdict.MayHaveRun.String()
+				continue
+			}
+			out.Text += event.Text
+			out.Events++
+			if onEvent != nil && onEvent(out.Events) != nil {
+				out.Err = ErrLate
+				return
+			}
+		}
+	}
+	out.Err = lines.Err()
+	out.Whole = out.Whole && out.Err == nil
+}
+
+// ExpectedText is the whole answer to a prompt.
+func ExpectedText(prompt string, tokens int) string {
+	text := ""
+	for i := range tokens {
+		text += standin.EventText(prompt, i)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/peer/outbox.go
@@ -0,0 +1,63 @@
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/peer/peerpb"
+	"moorrun.dev/moorrun/internal/replica"
+)
+
+// Outbox holds the observer's latest look at each domain until every link has sent it.
+type Outbox struct {
+	mu       sync.Mutex
+	sequence uint64
+	entries  map[string]outboxEntry
+	changed  chan struct{}
+}
+
+type outboxEntry struct {
+	look     evidence.Look
+	vms      map[string]replica.VMView
+	sequence uint64
+}
+
+// NewOutbox returns an empty Outbox.
+func NewOutbox() *Outbox {
+	return &Outbox{entries: make(map[string]outboxEntry), changed: make(chan struct{})}
+}
+
+// Put replaces the look at its domain.
+func (o *Outbox) Put(look evidence.Look, vms map[string]replica.VMView) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sequence++
+	o.entries[look.Domain] = outboxEntry{look, vms, o.sequence}
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// Drop forgets a domain this node no longer observes.
+func (o *Outbox) Drop(domain string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.entries, domain)
+}
+
+func (o *Outbox) since(sequence uint64, now time.Time) ([]*peerpb.DomainEvidence, uint64, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []*peerpb.DomainEvidence
+	for _, e := range o.entries {
+		if e.sequence <= sequence {
+			continue
+		}
+		wire := lookToWire(e.look, now)
+		for vm, v := range e.vms {
+			wire.Vms = append(wire.Vms, ReportToWire(vm, v, now))
+		}
+		out = append(out, wire)
+	}
+	return out, o.sequence, o.changed
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,21 +8,8 @@
 	"storj.io/drpc/drpcserver"
 
 	"moorrun.dev/moorrun/internal/peer/peerpb"
-	"moorrun.dev/moorrun/internal/platform"
 )
 
-// PartSource finds parts of the configuration by object key.
-type PartSource interface {
-	// Part returns the object, and false when it is not held here.
-	Part(key string) (platform.Object, bool)
-}
-
-// Allocator answers demand for places.
-type Allocator interface {
-	// Demand takes in a node's demand for a model and returns what it is granted.
-	Demand(ctx context.Context, request *peerpb.DemandRequest) *peerpb.DemandReply
-}
-
 // Server answers other nodes.
 type Server struct {
 	fleet     *Fleet
--- /dev/null
+++ b/internal/settings/listen.go
@@ -0,0 +1,12 @@
+package settings
+
+import (
+	_ "embed"
+)
+
+// Listen are addresses to listen on.
+type Listen struct {
+	Caller string `json:"caller,omitempty"`
+	Admin  string `json:"admin,omitempty"`
+	Peer   string `json:"peer,omitempty"`
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,20 +52,6 @@
 	PlacesPolicy string `json:"places_policy,omitempty"`
 }
 
-// Listen are addresses to listen on.
-type Listen struct {
-	Caller string `json:"caller,omitempty"`
-	Admin  string `json:"admin,omitempty"`
-	Peer   string `json:"peer,omitempty"`
-}
-
-// Platform are the addresses of the platform's services.
-type Platform struct {
-	ObjectAPI   string `json:"object_api"`
-	VMList      string `json:"vm_list"`
-	WeightStore string `json:"weight_store"`
-}
-
 // The values of PlacesPolicy.
 const (
 	PlacesShared = "shared"
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -21,18 +21,18 @@
 )
 
 func main() {
-	dir, err := os.MkdirTemp("", "moorrun-slopes-")
-	if err == nil {
-		defer os.RemoveAll(dir) //nolint:errcheck // a temporary directory
-		err = run(dir)
-	}
-	if err != nil {
+	if err := run(); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "slopes:", err)
 		os.Exit(1)
 	}
 }
 
-func run(dir string) error {
+func run() error {
+	dir, err := os.MkdirTemp("", "moorrun-slopes-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir) //nolint:errcheck // a temporary directory
 	// Entry VMs are small; with more processors than that, idle ones spin and are charged for it.
 	if err := os.Setenv("GOMAXPROCS", "2"); err != nil {
 		return err
