Keep a lease holder from planning with an earlier configuration

Cause: a node that took the lease over before it had the newest revision would have rolled groups back to the version its own configuration names. Change: an assignment carries the revision it was planned from, and a holder whose configuration is earlier changes nothing in it.

--- a/internal/holder/controller.go
+++ b/internal/holder/controller.go
@@ -147,6 +147,9 @@
 	if s.latest == nil {
 		s.latest = &replica.Assignment{Domain: d.Name, DataCentre: d.DataCentre}
 	}
+	if current.Revision < s.latest.Revision {
+		return // the holder before knew a later configuration; planning from this one would revert it
+	}
 	view := c.view(current, d, placement)
 	c.Losses.add(d.Domain, s.latest, view, c.Policy.LossAfter)
 	next, changes := replica.Plan(s.latest, view, s.memory, c.Policy)
@@ -154,6 +157,7 @@
 		next = s.latest.Clone()
 		next.Generation++
 	}
+	next.Revision = max(current.Revision, next.Revision)
 	if !s.claimed || len(changes) > 0 {
 		if !c.write(ctx, s, next, changes) {
 			return
--- a/internal/holder/controller_test.go
+++ b/internal/holder/controller_test.go
@@ -10,6 +10,10 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/time/rate"
 
+	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/domains"
+	"moorrun.dev/moorrun/internal/drains"
+	"moorrun.dev/moorrun/internal/evidence"
 	"moorrun.dev/moorrun/internal/invariant"
 	"moorrun.dev/moorrun/internal/lease"
 	"moorrun.dev/moorrun/internal/mirror"
@@ -52,14 +56,36 @@
 	qt.Assert(t, store.writes, qt.Equals, 0)
 }
 
-func TestPlantedEarlierEpochIsCaught(t *testing.T) {
+func TestHolderWithAnEarlierConfigurationChangesNothing(t *testing.T) {
 	checker := invariant.NewChecker(log.NewNopLogger(), tally.NoopScope)
-	c := newController(checker, &stubStore{})
+	store := &stubStore{}
+	c := newController(checker, store)
+	c.Book, c.Drains, c.Reports = domains.NewBook(c.Mirror), drains.NewBook(c.Mirror), evidence.NewReports()
+	c.VMs, c.Losses, c.Policy = NewVMWatch(nil, nil, nil), NewLossMeter(), replica.DefaultPolicy
+	c.DataCentre = "x"
+	part := config.Part{DataCentre: &config.DataCentre{Name: "x", Domains: []config.Domain{{Name: "d"}}}}
+	hold(c, 3)
+	c.domains = map[string]*domainState{"d": {memory: replica.NewMemory(), ordered: map[string]sentOrder{}, latest: &replica.Assignment{Domain: "d", Revision: 8}}}
+	for i, revision := range []int64{7, 8} { // the first claims nothing, the second does
+		current := config.New(revision, config.Set{"data_centre/x": part})
+		c.control(context.Background(), current, current.Domains()["d"], replica.Placement{})
+		qt.Check(t, store.writes, qt.Equals, i, qt.Commentf("revision %d", revision))
+	}
+}
+
+// hold gives the controller the lease at that epoch.
+func hold(c *Controller, epoch int64) {
 	now := time.Now()
-	record := lease.Record{Holder: "vm", Epoch: 3, Operation: "op", TTLMillis: time.Minute.Milliseconds()}
+	record := lease.Record{Holder: "vm", Epoch: epoch, Operation: "op", TTLMillis: time.Minute.Milliseconds()}
 	c.Keeper.lease.Sending(record, now)
 	c.Keeper.lease.Applied(1, record, now)
-	c.epoch = 3
+	c.epoch = epoch
+}
+
+func TestPlantedEarlierEpochIsCaught(t *testing.T) {
+	checker := invariant.NewChecker(log.NewNopLogger(), tally.NoopScope)
+	c := newController(checker, &stubStore{})
+	hold(c, 3)
 	later := &domainState{latest: &replica.Assignment{Domain: "d", Epoch: 4}}
 	qt.Assert(t, c.write(context.Background(), later, &replica.Assignment{Domain: "d"}, nil), qt.IsTrue)
 	qt.Assert(t, checker.Breaches(), qt.Equals, int64(1))
--- a/internal/replica/assignment.go
+++ b/internal/replica/assignment.go
@@ -13,6 +13,7 @@
 	DataCentre string   `json:"data_centre"`
 	Holder     string   `json:"holder"`     // VM whose lease covered the write
 	Epoch      int64    `json:"epoch"`      // epoch of that lease
+	Revision   int64    `json:"revision"`   // of the configuration it was planned from
 	Generation int64    `json:"generation"` // grows with every write; orders carry it
 	NextGroup  int64    `json:"next_group"` // number of the next group's id
 	Free       int      `json:"free"`       // VMs in no group that could be used
