Count evidence from before its clock was read, and wake a relay once for all links

Cause: a sender read its clock, or took its timer's instant, before it read the tick to echo. A process paused between the two told ages that were too young by up to the pause: the other side counted them from a tick that was sent later. Found by reading, while looking for a relay's cost. Change: the echo is read first and the clock after it, under one lock; messages are taken in where they are received, and the heartbeats of all links fall together.

--- a/internal/peer/link_client.go
+++ b/internal/peer/link_client.go
@@ -104,19 +104,24 @@
 	return ok && m.DataCentre == l.fleet.Members.Self(time.Now()).DataCentre
 }
 
+// header starts a message; see linkServer.header for why the echo is read before the clock.
+func (l *LinkClient) header() (*peerpb.Up, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	echo := l.echo
+	now := time.Now()
+	return &peerpb.Up{Tick: l.clock.next(now), Echo: echo}, now
+}
+
 func (l *LinkClient) send(ctx context.Context) error {
 	heartbeat := time.NewTimer(l.fleet.Heartbeat)
 	defer heartbeat.Stop()
 	var sequence uint64
 	for {
-		now := time.Now()
-		up := &peerpb.Up{Member: memberToWire(l.fleet.Members.Self(now), now)}
+		up, now := l.header()
+		up.Member = memberToWire(l.fleet.Members.Self(now), now)
 		var changed <-chan struct{}
 		up.Evidence, sequence, changed = l.fleet.Outgoing.since(sequence, now)
-		l.mu.Lock()
-		up.Tick = l.clock.next(now)
-		up.Echo = l.echo
-		l.mu.Unlock()
 		if err := l.stream.Send(up); err != nil {
 			return err
 		}
--- a/internal/peer/link_server.go
+++ b/internal/peer/link_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"moorrun.dev/moorrun/internal/evidence"
@@ -16,11 +17,13 @@
 type linkServer struct {
 	fleet  *Fleet
 	stream peerpb.DRPCPeer_LinkStream
-	peer   membership.Member
 
+	mu    sync.Mutex
+	peer  membership.Member
 	clock clock
 	echo  uint64
 
+	// what has been sent, for the sending goroutine only
 	objects   uint64
 	looks     uint64
 	members   uint64
@@ -34,33 +37,25 @@
 	if err != nil {
 		return err
 	}
-	ups := make(chan *peerpb.Up, 1)
+	l.take(first)
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	go receive(ctx, cancel, stream, ups)
-	if err := l.take(first); err != nil {
-		return err
-	}
-	return l.run(ctx, ups)
-}
-
-func receive(ctx context.Context, cancel context.CancelFunc, stream peerpb.DRPCPeer_LinkStream, ups chan<- *peerpb.Up) {
-	defer cancel()
-	for {
-		up, err := stream.Recv()
-		if err != nil {
-			return
-		}
-		select {
-		case ups <- up:
-		case <-ctx.Done():
-			return
+	go func() {
+		defer cancel()
+		for {
+			up, err := stream.Recv()
+			if err != nil {
+				return
+			}
+			l.take(up)
 		}
-	}
+	}()
+	return l.run(ctx)
 }
 
-// run sends at each heartbeat, and sooner when the state has changed.
-func (l *linkServer) run(ctx context.Context, ups <-chan *peerpb.Up) error {
+// run sends at each heartbeat, and sooner when the state has changed. Heartbeats of all links fall together, so
+// that a relay wakes once for them all.
+func (l *linkServer) run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	due := time.Now()
@@ -74,16 +69,12 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case up := <-ups:
-			if err := l.take(up); err != nil {
-				return err
-			}
 		case <-changed:
-		case now := <-timer.C:
-			if err := l.send(now); err != nil {
+		case <-timer.C:
+			if err := l.send(); err != nil {
 				return err
 			}
-			due = now.Add(l.fleet.Heartbeat)
+			due = time.Now().Truncate(l.fleet.Heartbeat).Add(l.fleet.Heartbeat)
 			timer.Reset(time.Until(due))
 		}
 	}
@@ -97,22 +88,34 @@
 }
 
 func (l *linkServer) near() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	return l.peer.DataCentre == l.fleet.Members.Self(time.Now()).DataCentre
 }
 
-func (l *linkServer) take(up *peerpb.Up) error {
+// heard takes in the header of a message and returns the instant its content counts from.
+func (l *linkServer) heard(up *peerpb.Up) (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.echo = up.Tick
 	asOf, ok := l.clock.asOf(up.Echo)
 	if up.Member != nil {
 		l.peer = memberFromWire(up.Member, asOf)
 	}
+	if ok {
+		l.fleet.Members.Put(l.peer)
+	}
+	return asOf, ok
+}
+
+func (l *linkServer) take(up *peerpb.Up) {
+	asOf, ok := l.heard(up)
 	if !ok {
-		return nil
+		return
 	}
 	l.fleet.Contact.Heard(asOf)
-	l.fleet.Members.Put(l.peer)
 	if !l.near() {
-		return nil
+		return
 	}
 	now := time.Now()
 	for _, e := range up.Evidence {
@@ -123,11 +126,20 @@
 			l.fleet.Reports.Put(r.Vm, reportFromWire(r, asOf))
 		}
 	}
-	return nil
 }
 
-func (l *linkServer) send(now time.Time) error {
-	down := &peerpb.Down{Tick: l.clock.next(now), Echo: l.echo}
+// header starts a message. Its echo is read before the clock: ages in the message are counted to that instant,
+// and the other side counts them from the sending of the echoed tick, which must not be later.
+func (l *linkServer) header() (*peerpb.Down, time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	echo := l.echo
+	now := time.Now()
+	return &peerpb.Down{Tick: l.clock.next(now), Echo: echo}, now
+}
+
+func (l *linkServer) send() error {
+	down, now := l.header()
 	objects, sequence := l.fleet.Mirror.Since(l.objects)
 	l.objects = sequence
 	for _, o := range objects {
@@ -150,7 +162,13 @@
 	}
 }
 
-func (l *linkServer) own(look evidence.Look) bool { return ObserverVM(look.Observer) == l.peer.VM }
+func (l *linkServer) own(look evidence.Look) bool { return ObserverVM(look.Observer) == l.peerVM() }
+
+func (l *linkServer) peerVM() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peer.VM
+}
 
 // addMembers adds the members that changed, and now and then when each was last heard.
 func (l *linkServer) addMembers(down *peerpb.Down, now time.Time) {
