Do not take a late look for a loss; test that whole answers count as good

Cause: with one observer gone the other's looks, one a second, could be 1.65 s old at the lease holder by adding up the delays, and a VM counted as lost at 1.5 s. Change: a VM is lost after 2.5 s (its group is out of use after 1.9 s as before), and the second observer looks every 0.75 s. Idle connections are kept in shards. The whole path's test looks at the burn report. The delay is reckoned, not measured.

--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
@@ -24,15 +25,30 @@
 	dialTimeout    = time.Second
 )
 
+const shardCount = 16
+
 // Client keeps idle connections by address.
 type Client struct {
+	shards [shardCount]shard
+}
+
+// shard holds the idle connections of some addresses.
+type shard struct {
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
 // NewClient returns a Client without connections.
 func NewClient() *Client {
-	return &Client{idle: make(map[string][]*conn)}
+	c := &Client{}
+	for i := range c.shards {
+		c.shards[i].idle = make(map[string][]*conn)
+	}
+	return c
+}
+
+func (c *Client) shard(address string) *shard {
+	return &c.shards[xxhash.Sum64String(address)%shardCount]
 }
 
 // Do sends request to address and reads the answer's header, and its body unless Options.Stream is set.
@@ -117,35 +133,43 @@
 }
 
 func (c *Client) pop(address string) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[address]
+	s := c.shard(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.idle[address]
 	if len(list) == 0 {
 		return nil
 	}
 	k := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
+	s.idle[address] = list[:len(list)-1]
 	return k
 }
 
 func (c *Client) put(k *conn) {
 	_ = k.SetDeadline(time.Time{})
 	k.idle = time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.idle[k.address]) >= maxIdlePerHost {
+	s := c.shard(k.address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.idle[k.address]) >= maxIdlePerHost {
 		_ = k.Close()
 		return
 	}
-	c.idle[k.address] = append(c.idle[k.address], k)
+	s.idle[k.address] = append(s.idle[k.address], k)
 }
 
 // Sweep closes connections that have been idle too long; call it now and then.
 func (c *Client) Sweep() {
 	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, list := range c.idle {
+	for i := range c.shards {
+		c.shards[i].sweep(now)
+	}
+}
+
+func (s *shard) sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, list := range s.idle {
 		kept := list[:0]
 		for _, k := range list {
 			if now.Sub(k.idle) > maxIdle {
@@ -155,10 +179,10 @@
 			kept = append(kept, k)
 		}
 		if len(kept) == 0 {
-			delete(c.idle, address)
+			delete(s.idle, address)
 			continue
 		}
-		c.idle[address] = kept
+		s.idle[address] = kept
 	}
 }
 
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -20,13 +20,11 @@
 )
 
 const (
-	// observersADomain is how many nodes look at each domain, so that one may die unnoticed.
+	// observersADomain is how many nodes look at each domain, so that one may die unnoticed. The second looks
+	// half an interval less often: it only has to keep the evidence alive until it is the first.
 	observersADomain = 2
-	// secondPart is how many times less often the second observer looks: it only has to keep the evidence
-	// alive until it is the first.
-	secondPart  = 2
-	reviewEvery = 500 * time.Millisecond
-	maxPolls    = 64 // at a time
+	reviewEvery      = 500 * time.Millisecond
+	maxPolls         = 64 // at a time
 )
 
 // Observer watches engines.
@@ -113,7 +111,7 @@
 		ranked := membership.Rank(purpose, guardians[d.DataCentre])
 		for i, m := range ranked[:min(observersADomain, len(ranked))] {
 			if m.VM == self.VM {
-				out[name] = o.every * time.Duration(1+i*(secondPart-1))
+				out[name] = o.every + o.every/2*time.Duration(i)
 			}
 		}
 	}
--- a/internal/replica/policy.go
+++ b/internal/replica/policy.go
@@ -15,7 +15,7 @@
 
 // DefaultPolicy is used by moorrund.
 var DefaultPolicy = Policy{
-	LossAfter:  1500 * time.Millisecond,
+	LossAfter:  2500 * time.Millisecond,
 	DrainFloor: 3 * time.Second,
 	DrainLimit: 10 * time.Minute,
 	Reload:     30 * time.Second,
--- a/internal/replica/replicatest/domain.go
+++ b/internal/replica/replicatest/domain.go
@@ -48,6 +48,7 @@
 		Memory: replica.NewMemory(), Policy: replica.DefaultPolicy, Prices: config.DefaultPrices,
 	}
 	d.Policy.Reload = loadTime
+	d.Policy.LossAfter = 1500 * time.Millisecond
 	d.Declared.Name = "d"
 	for i := range vms {
 		name := fmt.Sprint("vm", i)
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
 	"slices"
 	"sync"
 	"testing"
@@ -26,6 +27,9 @@
 		whole := donors.Complete(f.address(i), lab.Completion{Model: "letters-70b", Prompt: "w", Tokens: 3, Whole: true})
 		f.Check(whole.Text, qt.Contains, lab.ExpectedText("w", 3))
 	}
+	burnt := f.CLI("report", "burn", "-o", "json")
+	f.Check(burnt.Stdout, qt.Contains, `"total": 6,`)
+	f.Check(regexp.MustCompile(`"bad": [1-9]`).MatchString(burnt.Stdout), qt.IsFalse, qt.Commentf("whole answers count as good: %s", burnt.Stdout))
 	receipt := lab.NewCaller("gifts-caller-token").Plain(f.address(0), http.MethodPost, "/services/receipts/receipts", "m", "", "100 kr")
 	f.Check(receipt.Status, qt.Equals, http.StatusOK)
 	f.Check(receipt.Verdict, qt.Equals, "ran")
