Run the processes of the integration tests under the race detector

Cause: make test used the detector for the tests only, not for the processes they start, and a cached result stood for a changed daemon.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -52,9 +52,10 @@
 // OperatorToken is the pool operator's credential in the examples.
 const OperatorToken = "platform-token"
 
-// Build builds moorrun and moorrund into dir.
-func Build(root, dir string) error {
-	k := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "./cmd/...") //nolint:gosec // fixed arguments
+// Build builds moorrun and moorrund into dir, with those flags of go build.
+func Build(root, dir string, flags ...string) error {
+	args := append([]string{"build", "-o", dir + string(filepath.Separator)}, flags...)
+	k := exec.Command("go", append(args, "./cmd/...")...) //nolint:gosec // our own programs
 	k.Dir = root
 	out, err := k.CombinedOutput()
 	if err != nil {
--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -21,7 +21,7 @@
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "moorrun-test-")
 	if err == nil {
-		err = lab.Build(filepath.Join("..", ".."), dir)
+		err = lab.Build(filepath.Join("..", ".."), dir, raceFlags...)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/test/integration/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package integration
+
+var raceFlags []string
