--- a/internal/accept/store_test.go
+++ b/internal/accept/store_test.go
@@ -15,6 +15,7 @@
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/platform"
+	_ "moorrun.dev/moorrun/internal/rapidseed"
 )
 
 // memory is an object store whose write answers are lost, before or after they take effect, as fate says.
--- a/internal/allocator/pool_test.go
+++ b/internal/allocator/pool_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"moorrun.dev/moorrun/internal/allocator"
+	_ "moorrun.dev/moorrun/internal/rapidseed"
 )
 
 const (
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"moorrun.dev/moorrun/internal/lease"
+	_ "moorrun.dev/moorrun/internal/rapidseed"
 )
 
 const (
--- a/internal/once/book_test.go
+++ b/internal/once/book_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"moorrun.dev/moorrun/internal/once"
+	_ "moorrun.dev/moorrun/internal/rapidseed"
 	"moorrun.dev/moorrun/internal/verdict"
 )
 
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"moorrun.dev/moorrun/internal/platform"
+	_ "moorrun.dev/moorrun/internal/rapidseed"
 	"moorrun.dev/moorrun/internal/replica"
 	"moorrun.dev/moorrun/internal/replica/replicatest"
 )
