--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -35,6 +35,9 @@
 	maxHeader    = 16 << 10
 	readTimeout  = 30 * time.Second
 	idleTimeout  = 60 * time.Second
+	// writeTimeout ends an answer that its caller does not read, and gives its place back; no request may take
+	// longer.
+	writeTimeout = maxDeadline + readTimeout
 )
 
 // Options are the parts a Server is made of.
@@ -79,7 +82,7 @@
 	}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, Name: "moorrun", MaxRequestBodySize: maxBody, ReadBufferSize: maxHeader,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, CloseOnShutdown: true,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, CloseOnShutdown: true,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, DisablePreParseMultipartForm: true,
 		ErrorHandler: refuseUnread,
 	}
