--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -34,7 +34,7 @@
 	if what := unsafeHeaders(&ctx.Request.Header); what != "" {
 		return nil, notRun(fasthttp.StatusBadRequest, what)
 	}
-	current := s.current()
+	current := s.Current()
 	if f := s.accepting(current); f != nil {
 		return nil, f
 	}
@@ -63,7 +63,7 @@
 	if current == nil {
 		return notRunYet("no configuration is in force at this address", time.Second)
 	}
-	if time.Since(s.contact.Last()) > contactLimit {
+	if time.Since(s.Contact.Last()) > contactLimit {
 		return notRunYet("this address hears neither the platform nor another node; use another one", time.Second)
 	}
 	return nil
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -62,8 +62,6 @@
 // Server is the callers' side of a node.
 type Server struct {
 	Options
-	current  func() *config.Config
-	contact  *peer.Contact
 	budget   *retryBudget
 	balance  *balancer
 	meters   meters
@@ -77,7 +75,7 @@
 // New returns a Server.
 func New(o Options) *Server {
 	s := &Server{
-		Options: o, current: o.Current, contact: o.Contact, budget: newRetryBudget(),
+		Options: o, budget: newRetryBudget(),
 		balance: newBalancer(), meters: newMeters(o.Scope),
 	}
 	s.http = &fasthttp.Server{
--- a/internal/entry/which.go
+++ b/internal/entry/which.go
@@ -30,7 +30,7 @@
 	now := time.Now()
 	self := s.Members.Self(now)
 	live := slices.DeleteFunc(s.Members.Live(now), func(m membership.Member) bool { return m.Draining })
-	if c := s.current(); c != nil {
+	if c := s.Current(); c != nil {
 		region := c.Region(self.DataCentre)
 		live = slices.DeleteFunc(live, func(m membership.Member) bool { return c.Region(m.DataCentre) != region })
 	}
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -49,13 +49,6 @@
 	return k.lease.Held(now)
 }
 
-// Holder returns the VM that last held the lease, as far as this node has seen.
-func (k *Keeper) Holder() string {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.lease.Holder()
-}
-
 // Run contends for the lease while this node should hold it, until ctx ends; then it is released.
 func (k *Keeper) Run(ctx context.Context) error {
 	held := false
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -35,9 +35,6 @@
 	return l.epoch, l.untilBy, true
 }
 
-// Holder returns the name that the object last named.
-func (l *Lease) Holder() string { return l.record.Holder }
-
 // Next returns what is due at now. want says whether this process should hold the lease at all.
 func (l *Lease) Next(now time.Time, want bool, operation string) (Action, Record, int64) {
 	if !l.known || len(l.inflight) > 0 {
--- a/internal/replica/memory.go
+++ b/internal/replica/memory.go
@@ -16,9 +16,6 @@
 	return &Memory{lostSince: make(map[string]time.Time), givenUp: make(map[string]bool), drainSince: make(map[string]time.Time)}
 }
 
-// Lost returns how many of the domain's VMs are silent now.
-func (m *Memory) Lost() int { return len(m.lostSince) }
-
 // observe updates what is remembered about silent VMs and draining groups.
 func (m *Memory) observe(a *Assignment, v View, p Policy) {
 	for _, vm := range v.Domain.VMs {
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -188,12 +188,21 @@
 	answerJSON(w, map[string]string{"text": text})
 }
 
-func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+// stream returns the stream that the request names, or answers that there is none and returns nil.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request) *stream {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	s, ok := e.streams[r.PathValue("id")]
-	e.mu.Unlock()
 	if !ok {
 		http.NotFound(w, r)
+		return nil
+	}
+	return s
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	s := e.stream(w, r)
+	if s == nil {
 		return
 	}
 	w.Header().Set("X-Request-Id", s.id)
@@ -201,11 +210,8 @@
 }
 
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
-	e.mu.Lock()
-	s, ok := e.streams[r.PathValue("id")]
-	e.mu.Unlock()
-	if !ok {
-		http.NotFound(w, r)
+	s := e.stream(w, r)
+	if s == nil {
 		return
 	}
 	e.Cancelled.Add(1)
