--- a/internal/accept/store.go
+++ b/internal/accept/store.go
@@ -14,8 +14,8 @@
 	"github.com/zeebo/errs"
 
 	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
-	"moorrun.dev/moorrun/internal/platform"
 )
 
 // Error is the class of this package's errors.
@@ -23,16 +23,16 @@
 
 // Store reads and moves the head.
 type Store struct {
-	objects platform.ObjectStore
+	objects infra.ObjectStore
 }
 
 // NewStore returns a Store over the platform's object API.
-func NewStore(objects platform.ObjectStore) *Store { return &Store{objects} }
+func NewStore(objects infra.ObjectStore) *Store { return &Store{objects} }
 
 // Head returns the head and its object version, both zero before the first apply.
 func (s *Store) Head(ctx context.Context) (*Head, int64, error) {
 	o, err := s.objects.Get(ctx, keys.Head)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return &Head{}, 0, nil
 	}
 	if err != nil {
@@ -136,7 +136,7 @@
 
 // worthRetry reports whether the store was down, or a part was put out of force while we read it.
 func worthRetry(err error) bool {
-	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrNotFound)
+	return errors.Is(err, infra.ErrUnavailable) || errors.Is(err, infra.ErrNotFound)
 }
 
 // attempt is one Apply over its retries.
@@ -187,13 +187,13 @@
 		a.sent, a.sentOn = true, version
 		outcome, _, err := a.store.objects.Put(ctx, keys.Head, next, version)
 		switch outcome {
-		case platform.Applied:
+		case infra.Applied:
 			a.collect(ctx, h, next)
 			result.Revision = next.Revision
 			return result, nil
-		case platform.Unknown:
+		case infra.Unknown:
 			return Result{}, err
-		case platform.NotApplied:
+		case infra.NotApplied:
 			if err != nil {
 				return Result{}, err
 			}
@@ -272,11 +272,11 @@
 
 func (a *attempt) writePart(ctx context.Context, key string, part config.Part) error {
 	content := part.Content()
-	if len(content) > platform.MaxValueBytes {
-		return Error.New("%s: %s is %d bytes, the store takes %d; split it", part.File, part.Name(), len(content), platform.MaxValueBytes)
+	if len(content) > infra.MaxValueBytes {
+		return Error.New("%s: %s is %d bytes, the store takes %d; split it", part.File, part.Name(), len(content), infra.MaxValueBytes)
 	}
 	outcome, _, err := a.store.objects.Put(ctx, key, content, 0)
-	if outcome == platform.NotApplied && err == nil {
+	if outcome == infra.NotApplied && err == nil {
 		return a.verifyPart(ctx, key, part) // written by an earlier try of this operation
 	}
 	return err
@@ -285,7 +285,7 @@
 // verifyPart refuses an operation id that was used before for other content.
 func (a *attempt) verifyPart(ctx context.Context, key string, part config.Part) error {
 	_, err := a.store.Part(ctx, part.Name(), &PartRef{Key: key, Hash: part.Hash()})
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, infra.ErrUnavailable) {
 		return err
 	}
 	if err != nil {
--- a/internal/accept/store_test.go
+++ b/internal/accept/store_test.go
@@ -13,38 +13,38 @@
 
 	"moorrun.dev/moorrun/internal/accept"
 	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
-	"moorrun.dev/moorrun/internal/platform"
 	_ "moorrun.dev/moorrun/internal/rapidseed"
 )
 
 // memory is an object store whose write answers are lost, before or after they take effect, as fate says.
 type memory struct {
-	platform.ObjectStore
+	infra.ObjectStore
 	mu      sync.Mutex
-	objects map[string]platform.Object
+	objects map[string]infra.Object
 	version int64
 	fate    func() int // 0: answered, 1: lost before, 2: lost after
 	onHead  func()     // called before each head update, to let another operator race
 }
 
 func newMemory() *memory {
-	return &memory{objects: make(map[string]platform.Object), fate: func() int { return 0 }}
+	return &memory{objects: make(map[string]infra.Object), fate: func() int { return 0 }}
 }
 
-// Get implements platform.ObjectStore.
-func (m *memory) Get(_ context.Context, key string) (platform.Object, error) {
+// Get implements infra.ObjectStore.
+func (m *memory) Get(_ context.Context, key string) (infra.Object, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o, ok := m.objects[key]
 	if !ok {
-		return o, platform.ErrNotFound
+		return o, infra.ErrNotFound
 	}
 	return o, nil
 }
 
-// Put implements platform.ObjectStore.
-func (m *memory) Put(_ context.Context, key string, value any, ifVersion int64) (platform.Outcome, int64, error) {
+// Put implements infra.ObjectStore.
+func (m *memory) Put(_ context.Context, key string, value any, ifVersion int64) (infra.Outcome, int64, error) {
 	if key == keys.Head && m.onHead != nil {
 		race := m.onHead
 		m.onHead = nil
@@ -54,34 +54,34 @@
 	defer m.mu.Unlock()
 	fate := m.fate()
 	if fate == 1 {
-		return platform.Unknown, 0, platform.ErrUnavailable
+		return infra.Unknown, 0, infra.ErrUnavailable
 	}
 	if m.objects[key].Version != ifVersion {
 		if fate == 2 {
-			return platform.Unknown, 0, platform.ErrUnavailable
+			return infra.Unknown, 0, infra.ErrUnavailable
 		}
-		return platform.NotApplied, 0, nil
+		return infra.NotApplied, 0, nil
 	}
 	raw, err := json.Marshal(value)
 	if err != nil {
-		return platform.NotApplied, 0, err
+		return infra.NotApplied, 0, err
 	}
 	m.version++
-	m.objects[key] = platform.Object{Key: key, Version: m.version, Value: raw}
+	m.objects[key] = infra.Object{Key: key, Version: m.version, Value: raw}
 	if fate == 2 {
-		return platform.Unknown, 0, platform.ErrUnavailable
+		return infra.Unknown, 0, infra.ErrUnavailable
 	}
-	return platform.Applied, m.version, nil
+	return infra.Applied, m.version, nil
 }
 
-// Delete implements platform.ObjectStore.
-func (m *memory) Delete(_ context.Context, key string, ifVersion int64) (platform.Outcome, error) {
+// Delete implements infra.ObjectStore.
+func (m *memory) Delete(_ context.Context, key string, ifVersion int64) (infra.Outcome, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.objects[key].Version == ifVersion {
 		delete(m.objects, key)
 	}
-	return platform.Applied, nil
+	return infra.Applied, nil
 }
 
 var pool = config.Scope{Pool: true}
@@ -145,7 +145,7 @@
 	m := newMemory()
 	s := accept.NewStore(m)
 	apply(t, s, accept.Request{Operation: "first", Changes: base(), Scope: pool})
-	m.objects[keys.Parts+"workspace.a/reused"] = platform.Object{Version: 99, Value: workspace("a", 3).Content()}
+	m.objects[keys.Parts+"workspace.a/reused"] = infra.Object{Version: 99, Value: workspace("a", 3).Content()}
 	_, err := s.Apply(context.Background(), accept.Request{Operation: "reused", Base: 1, Changes: config.Set{"workspace/a": workspace("a", 4)}, Scope: pool})
 	qt.Assert(t, err, qt.ErrorMatches, ".*take a new operation id")
 }
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -21,11 +21,11 @@
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/domains"
 	"moorrun.dev/moorrun/internal/drains"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/invariant"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/metrics"
 	"moorrun.dev/moorrun/internal/mirror"
-	"moorrun.dev/moorrun/internal/platform"
 	"moorrun.dev/moorrun/internal/routing"
 )
 
@@ -39,7 +39,7 @@
 // Options are the parts a Server is made of.
 type Options struct {
 	Store     *accept.Store
-	Objects   platform.ObjectStore
+	Objects   infra.ObjectStore
 	Current   func() *config.Config
 	Members   *membership.Table
 	Mirror    *mirror.Mirror
--- a/internal/drains/set.go
+++ b/internal/drains/set.go
@@ -8,18 +8,18 @@
 
 	"github.com/zeebo/errs"
 
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
-	"moorrun.dev/moorrun/internal/platform"
 )
 
 // Error is the class of this package's errors.
 var Error = errs.Class("drain")
 
 // Set takes name out of use, or back into use, and settles a lost answer by reading back until ctx ends.
-func Set(ctx context.Context, objects platform.ObjectStore, name, by, operation string, drained bool) error {
+func Set(ctx context.Context, objects infra.ObjectStore, name, by, operation string, drained bool) error {
 	for {
 		err := set(ctx, objects, name, by, operation, drained)
-		if err == nil || !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, errRace) {
+		if err == nil || !errors.Is(err, infra.ErrUnavailable) && !errors.Is(err, errRace) {
 			return Error.Wrap(err)
 		}
 		select {
@@ -32,10 +32,10 @@
 
 var errRace = errors.New("another operator wrote first")
 
-func set(ctx context.Context, objects platform.ObjectStore, name, by, operation string, drained bool) error {
+func set(ctx context.Context, objects infra.ObjectStore, name, by, operation string, drained bool) error {
 	var d Drains
 	o, err := objects.Get(ctx, keys.Drains)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, infra.ErrNotFound) {
 		return err
 	}
 	if err == nil {
@@ -55,7 +55,7 @@
 		delete(d.Names, name)
 	}
 	outcome, _, err := objects.Put(ctx, keys.Drains, d, o.Version)
-	if outcome == platform.NotApplied && err == nil {
+	if outcome == infra.NotApplied && err == nil {
 		return errRace
 	}
 	return err
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -20,11 +20,11 @@
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/drains"
 	"moorrun.dev/moorrun/internal/httpcall"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/invariant"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/once"
 	"moorrun.dev/moorrun/internal/peer"
-	"moorrun.dev/moorrun/internal/platform"
 	"moorrun.dev/moorrun/internal/routing"
 )
 
@@ -49,7 +49,7 @@
 	Router    *routing.Router
 	Admission *admission.Admission
 	Calls     *httpcall.Client
-	Engine    platform.Engine
+	Engine    infra.Engine
 	Once      *once.Book
 	Burn      *burn.Recorder
 	Checker   *invariant.Checker
--- a/internal/holder/controller.go
+++ b/internal/holder/controller.go
@@ -17,11 +17,11 @@
 	"moorrun.dev/moorrun/internal/domains"
 	"moorrun.dev/moorrun/internal/drains"
 	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/invariant"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/mirror"
-	"moorrun.dev/moorrun/internal/platform"
 	"moorrun.dev/moorrun/internal/replica"
 )
 
@@ -42,8 +42,8 @@
 // Controller plans and orders while the lease is held.
 type Controller struct {
 	Keeper     *Keeper
-	Objects    platform.ObjectStore
-	Engine     platform.Engine
+	Objects    infra.ObjectStore
+	Engine     infra.Engine
 	Mirror     *mirror.Mirror
 	Book       *domains.Book
 	Drains     *drains.Book
@@ -176,7 +176,7 @@
 	for _, vm := range d.VMs {
 		view := c.report(vm.Name, now)
 		listed, known := c.VMs.State(vm.Name)
-		view.Leaving = drained.Has(vm.Name) || listed == platform.VMLeaving
+		view.Leaving = drained.Has(vm.Name) || listed == infra.VMLeaving
 		view.Gone = known && listed == "" && now.Sub(view.LastAnswer) > c.Policy.LossAfter
 		v.VMs[vm.Name] = view
 	}
@@ -205,7 +205,7 @@
 		return false
 	}
 	outcome, version, err := c.Objects.Put(ctx, keys.Domain(next.Domain), next, s.version)
-	if outcome != platform.Applied {
+	if outcome != infra.Applied {
 		_ = level.Warn(c.Logger).Log("msg", "assignment not written", "domain", next.Domain, "outcome", outcome, "err", err)
 		c.readBack(ctx, s, next)
 		return false
@@ -221,7 +221,7 @@
 	c.loads.AllowN(time.Now(), min(loadBurst, newLoads(s.latest, next)))
 	s.latest, s.version, s.claimed = next, version, true
 	if raw, err := json.Marshal(next); err == nil {
-		c.Mirror.Put(platform.Object{Key: keys.Domain(next.Domain), Version: version, Value: raw})
+		c.Mirror.Put(infra.Object{Key: keys.Domain(next.Domain), Version: version, Value: raw})
 	}
 	for _, change := range changes {
 		_ = level.Info(c.Logger).Log("msg", "assignment", "domain", next.Domain, "generation", next.Generation,
@@ -232,7 +232,7 @@
 // readBack learns how a write ended: by its operation it is known even when the answer was lost.
 func (c *Controller) readBack(ctx context.Context, s *domainState, sent *replica.Assignment) {
 	o, err := c.Objects.Get(ctx, keys.Domain(sent.Domain))
-	if errors.Is(err, platform.ErrNotFound) || err != nil {
+	if errors.Is(err, infra.ErrNotFound) || err != nil {
 		return
 	}
 	a := &replica.Assignment{}
--- a/internal/holder/controller_test.go
+++ b/internal/holder/controller_test.go
@@ -14,26 +14,26 @@
 	"moorrun.dev/moorrun/internal/domains"
 	"moorrun.dev/moorrun/internal/drains"
 	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/invariant"
 	"moorrun.dev/moorrun/internal/lease"
 	"moorrun.dev/moorrun/internal/mirror"
-	"moorrun.dev/moorrun/internal/platform"
 	"moorrun.dev/moorrun/internal/replica"
 )
 
 // stubStore takes every write.
 type stubStore struct {
-	platform.ObjectStore
+	infra.ObjectStore
 	writes int
 }
 
-// Put implements platform.ObjectStore.
-func (s *stubStore) Put(context.Context, string, any, int64) (platform.Outcome, int64, error) {
+// Put implements infra.ObjectStore.
+func (s *stubStore) Put(context.Context, string, any, int64) (infra.Outcome, int64, error) {
 	s.writes++
-	return platform.Applied, int64(s.writes), nil
+	return infra.Applied, int64(s.writes), nil
 }
 
-func newController(checker *invariant.Checker, store platform.ObjectStore) *Controller {
+func newController(checker *invariant.Checker, store infra.ObjectStore) *Controller {
 	k := NewKeeper(store, "dc", "vm", time.Minute, 0, func() bool { return true }, log.NewNopLogger())
 	return &Controller{Keeper: k, Objects: store, Mirror: mirror.New(), Checker: checker, Logger: log.NewNopLogger(), loads: rate.NewLimiter(1, 1)}
 }
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -13,18 +13,18 @@
 	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 
+	"moorrun.dev/moorrun/internal/infra"
+	"moorrun.dev/moorrun/internal/infra/rest"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/lease"
 	"moorrun.dev/moorrun/internal/loop"
-	"moorrun.dev/moorrun/internal/platform"
-	"moorrun.dev/moorrun/internal/platform/rest"
 )
 
 const keeperStep = 200 * time.Millisecond
 
 // Keeper keeps this node's view of its data centre's lease.
 type Keeper struct {
-	objects platform.ObjectStore
+	objects infra.ObjectStore
 	key     string
 	ttl     time.Duration
 	want    func() bool
@@ -35,7 +35,7 @@
 }
 
 // NewKeeper returns a Keeper for the lease of a data centre; want says whether this node should hold it.
-func NewKeeper(objects platform.ObjectStore, dataCentre, vm string, ttl, margin time.Duration, want func() bool, logger log.Logger) *Keeper {
+func NewKeeper(objects infra.ObjectStore, dataCentre, vm string, ttl, margin time.Duration, want func() bool, logger log.Logger) *Keeper {
 	return &Keeper{
 		objects: objects, key: keys.Lease(dataCentre), ttl: ttl, want: want, logger: logger,
 		lease: lease.New(vm, ttl, margin),
@@ -99,7 +99,7 @@
 	o, err := k.objects.Get(ctx, k.key)
 	var record lease.Record
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 	case err != nil:
 		return
 	default:
@@ -118,10 +118,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	switch outcome {
-	case platform.Applied:
+	case infra.Applied:
 		k.lease.Applied(version, record, time.Now())
-	case platform.NotApplied:
+	case infra.NotApplied:
 		k.lease.Refused(record.Operation)
-	case platform.Unknown: // the next step reads it back
+	case infra.Unknown: // the next step reads it back
 	}
 }
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -8,14 +8,14 @@
 	"github.com/go-kit/log/level"
 
 	"moorrun.dev/moorrun/internal/config"
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/replica"
 )
 
 // sentOrder is the last order given to a VM.
 type sentOrder struct {
 	at    time.Time
-	order platform.Order
+	order infra.Order
 }
 
 // order tells every VM that does not show the wanted end to come to it.
@@ -45,7 +45,7 @@
 	return vm.ChecksOrders || time.Since(c.since) > orderTimeout
 }
 
-func (c *Controller) send(ctx context.Context, vm config.VM, wanted platform.Order) {
+func (c *Controller) send(ctx context.Context, vm config.VM, wanted infra.Order) {
 	epoch := c.epoch
 	_, until, held := c.Keeper.Held(time.Now())
 	if !held {
@@ -69,8 +69,8 @@
 }
 
 // wantedEnd is the order that states what vm should be.
-func wantedEnd(a *replica.Assignment, d config.DomainOf, vm string) platform.Order {
-	o := platform.Order{VM: vm, Domain: a.Domain, Generation: a.Generation}
+func wantedEnd(a *replica.Assignment, d config.DomainOf, vm string) infra.Order {
+	o := infra.Order{VM: vm, Domain: a.Domain, Generation: a.Generation}
 	g := a.GroupOf(vm)
 	if g == nil {
 		if w, ok := a.WarmOn(vm); ok {
@@ -79,9 +79,9 @@
 		return o
 	}
 	o.Group, o.GroupBirth, o.Model, o.Version = g.ID, g.Birth, g.Model, g.Version
-	o.Adapters, o.Places, o.Role = g.Adapters, g.Places, platform.RoleWorker
+	o.Adapters, o.Places, o.Role = g.Adapters, g.Places, infra.RoleWorker
 	if g.VMs[0] == vm {
-		o.Role = platform.RoleLeader
+		o.Role = infra.RoleLeader
 	}
 	for _, member := range g.VMs {
 		i := slices.IndexFunc(d.VMs, func(v config.VM) bool { return v.Name == member })
@@ -92,7 +92,7 @@
 	return o
 }
 
-func obeyed(s platform.EngineState, o platform.Order) bool {
+func obeyed(s infra.EngineState, o infra.Order) bool {
 	return s.InGroup(o.Group, o.GroupBirth, o.Model, o.Version) && s.Role == o.Role ||
 		o.Group == "" && s.Group == "" && (o.Model == "" || s.Model == o.Model && s.Version == o.Version)
 }
--- a/internal/holder/pruner.go
+++ b/internal/holder/pruner.go
@@ -8,11 +8,11 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/mirror"
-	"moorrun.dev/moorrun/internal/platform"
 )
 
 const (
@@ -25,7 +25,7 @@
 // Pruner removes the registrations of nodes that are gone while the lease is held.
 type Pruner struct {
 	Active  func() bool
-	Objects platform.ObjectStore
+	Objects infra.ObjectStore
 	Mirror  *mirror.Mirror
 	Members *membership.Table
 	Logger  log.Logger
@@ -64,7 +64,7 @@
 }
 
 // heard reports whether the registered process itself has been heard lately.
-func (p *Pruner) heard(o platform.Object, now time.Time) bool {
+func (p *Pruner) heard(o infra.Object, now time.Time) bool {
 	var registered membership.Member
 	if json.Unmarshal(o.Value, &registered) != nil {
 		return false
--- a/internal/holder/pruner_test.go
+++ b/internal/holder/pruner_test.go
@@ -9,22 +9,22 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/mirror"
-	"moorrun.dev/moorrun/internal/platform"
 )
 
 // deletingStore notes which keys are deleted.
 type deletingStore struct {
-	platform.ObjectStore
+	infra.ObjectStore
 	deleted []string
 }
 
-// Delete implements platform.ObjectStore.
-func (s *deletingStore) Delete(_ context.Context, key string, _ int64) (platform.Outcome, error) {
+// Delete implements infra.ObjectStore.
+func (s *deletingStore) Delete(_ context.Context, key string, _ int64) (infra.Outcome, error) {
 	s.deleted = append(s.deleted, key)
-	return platform.Applied, nil
+	return infra.Applied, nil
 }
 
 func TestOnlySilentNodesLoseTheirRegistration(t *testing.T) {
@@ -34,7 +34,7 @@
 	register := func(vm string, version int64) {
 		raw, err := json.Marshal(membership.Member{VM: vm, DataCentre: "dc", Incarnation: "1"})
 		qt.Assert(t, err, qt.IsNil)
-		m.Put(platform.Object{Key: keys.Node("dc", vm), Version: version, Value: raw})
+		m.Put(infra.Object{Key: keys.Node("dc", vm), Version: version, Value: raw})
 	}
 	register("dead", 1)
 	register("alive", 2)
--- a/internal/holder/vm_watch.go
+++ b/internal/holder/vm_watch.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/loop"
-	"moorrun.dev/moorrun/internal/platform"
 )
 
 const (
@@ -17,25 +17,25 @@
 
 // VMWatch polls the platform's VM list and the weight store's limits while the lease is held.
 type VMWatch struct {
-	list    platform.VMList
-	weights platform.WeightStore
+	list    infra.VMList
+	weights infra.WeightStore
 	active  func() bool
 
 	mu     sync.RWMutex
-	vms    map[string]platform.VMState
+	vms    map[string]infra.VMState
 	seen   map[string]bool // VMs that have been listed once: a list that lags may not have new ones yet
 	read   time.Time
-	limits platform.WeightLimits
+	limits infra.WeightLimits
 }
 
 // NewVMWatch returns a VMWatch that polls while active returns true.
-func NewVMWatch(list platform.VMList, weights platform.WeightStore, active func() bool) *VMWatch {
+func NewVMWatch(list infra.VMList, weights infra.WeightStore, active func() bool) *VMWatch {
 	return &VMWatch{list: list, weights: weights, active: active, seen: make(map[string]bool)}
 }
 
 // State returns what the list says of a VM. known is false while the list is too old to say anything or
 // has never had the VM; a known VM that the list no longer has is "".
-func (w *VMWatch) State(vm string) (state platform.VMState, known bool) {
+func (w *VMWatch) State(vm string) (state infra.VMState, known bool) {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
 	if time.Since(w.read) > vmListMaxAge {
@@ -45,7 +45,7 @@
 }
 
 // Limits returns the weight store's limits, zero before they are known.
-func (w *VMWatch) Limits() platform.WeightLimits {
+func (w *VMWatch) Limits() infra.WeightLimits {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
 	return w.limits
@@ -72,7 +72,7 @@
 	if err != nil {
 		return
 	}
-	states := make(map[string]platform.VMState, len(vms))
+	states := make(map[string]infra.VMState, len(vms))
 	for _, vm := range vms {
 		states[vm.Name] = vm.State
 	}
--- a/internal/inforce/keeper.go
+++ b/internal/inforce/keeper.go
@@ -14,16 +14,16 @@
 
 	"moorrun.dev/moorrun/internal/accept"
 	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/invariant"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/mirror"
-	"moorrun.dev/moorrun/internal/platform"
 )
 
 // Source fetches parts of the configuration from relays or from the platform.
 type Source interface {
 	// Fetch returns the objects of those keys that it could get.
-	Fetch(ctx context.Context, keys []string) []platform.Object
+	Fetch(ctx context.Context, keys []string) []infra.Object
 }
 
 // Keeper holds the configuration in force.
@@ -37,15 +37,15 @@
 	current atomic.Pointer[config.Config]
 
 	mu    sync.RWMutex
-	parts map[string]platform.Object // by object key, those of the head in force
-	done  map[string]config.Part     // parsed, by object key
+	parts map[string]infra.Object // by object key, those of the head in force
+	done  map[string]config.Part  // parsed, by object key
 }
 
 // NewKeeper returns a Keeper without configuration; inForce is called after each change.
 func NewKeeper(m *mirror.Mirror, source Source, checker *invariant.Checker, logger log.Logger, inForce func(*config.Config)) *Keeper {
 	return &Keeper{
 		mirror: m, source: source, checker: checker, logger: logger, inForce: inForce,
-		parts: make(map[string]platform.Object), done: make(map[string]config.Part),
+		parts: make(map[string]infra.Object), done: make(map[string]config.Part),
 	}
 }
 
@@ -53,7 +53,7 @@
 func (k *Keeper) Current() *config.Config { return k.current.Load() }
 
 // Part implements peer.PartSource.
-func (k *Keeper) Part(key string) (platform.Object, bool) {
+func (k *Keeper) Part(key string) (infra.Object, bool) {
 	k.mu.RLock()
 	defer k.mu.RUnlock()
 	o, ok := k.parts[key]
--- a/internal/platform/listing.go
+++ b/internal/infra/listing.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 // Listing is a consistent answer of List or Watch.
 type Listing struct {
--- a/internal/platform/object.go
+++ b/internal/infra/object.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import "encoding/json"
 
--- a/internal/platform/object_store.go
+++ b/internal/infra/object_store.go
@@ -1,6 +1,6 @@
-// Package platform holds the narrow interfaces behind which the users' platform stands:
+// Package infra holds the narrow interfaces behind which the users' platform stands:
 // the object API, the VM list, the weight store and the model engines.
-package platform
+package infra
 
 import (
 	"context"
--- a/internal/platform/order.go
+++ b/internal/infra/order.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 // Role is what a VM does in its replica group.
 type Role string
--- a/internal/platform/outcome.go
+++ b/internal/infra/outcome.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 // Outcome is what a writer knows about its conditional write.
 type Outcome uint8
--- a/internal/platform/rest/engine.go
+++ b/internal/infra/rest/engine.go
@@ -7,10 +7,10 @@
 	"github.com/valyala/fasthttp"
 
 	"moorrun.dev/moorrun/internal/httpcall"
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 )
 
-// Engine is platform.Engine over HTTP.
+// Engine is infra.Engine over HTTP.
 type Engine struct {
 	caller caller
 }
@@ -20,9 +20,9 @@
 	return &Engine{caller{client, timeout}}
 }
 
-// State implements platform.Engine.
-func (e *Engine) State(ctx context.Context, address string) (platform.EngineState, error) {
-	var s platform.EngineState
+// State implements infra.Engine.
+func (e *Engine) State(ctx context.Context, address string) (infra.EngineState, error) {
+	var s infra.EngineState
 	status, err := e.caller.call(ctx, fasthttp.MethodGet, address, "/engine/state", nil, &s)
 	if err == nil && status != fasthttp.StatusOK {
 		err = Error.New("state of the engine at %s: status %d", address, status)
@@ -30,11 +30,11 @@
 	return s, err
 }
 
-// Order implements platform.Engine.
-func (e *Engine) Order(ctx context.Context, address string, order platform.Order) error {
+// Order implements infra.Engine.
+func (e *Engine) Order(ctx context.Context, address string, order infra.Order) error {
 	status, err := e.caller.call(ctx, fasthttp.MethodPost, address, "/engine/order", order, nil)
 	if err == nil && status == fasthttp.StatusConflict {
-		return platform.ErrFenced
+		return infra.ErrFenced
 	}
 	if err == nil && status != fasthttp.StatusOK {
 		err = Error.New("order to the engine at %s: status %d", address, status)
@@ -42,7 +42,7 @@
 	return err
 }
 
-// Cancel implements platform.Engine.
+// Cancel implements infra.Engine.
 func (e *Engine) Cancel(ctx context.Context, address, stream string) error {
 	_, err := e.caller.call(ctx, fasthttp.MethodDelete, address, "/engine/streams/"+stream, nil, nil)
 	return err
--- a/internal/platform/rest/source.go
+++ b/internal/infra/rest/source.go
@@ -6,7 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 )
 
 // source is one of the platform's read-only services.
@@ -20,7 +20,7 @@
 	var out T
 	status, err := s.caller.call(ctx, fasthttp.MethodGet, s.address, uri, nil, &out)
 	if err != nil || status != fasthttp.StatusOK {
-		return out, errors.Join(platform.ErrUnavailable, err)
+		return out, errors.Join(infra.ErrUnavailable, err)
 	}
 	return out, nil
 }
--- a/internal/platform/rest/vm_list.go
+++ b/internal/infra/rest/vm_list.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/httpcall"
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 )
 
-// VMList is platform.VMList over HTTP.
+// VMList is infra.VMList over HTTP.
 type VMList struct{ source source }
 
 // NewVMList returns the VM list at address (host:port).
@@ -16,7 +16,7 @@
 	return &VMList{source{address, caller{client, timeout}}}
 }
 
-// VMs implements platform.VMList.
-func (l *VMList) VMs(ctx context.Context) ([]platform.VM, error) {
-	return fetch[[]platform.VM](ctx, l.source, "/vms")
+// VMs implements infra.VMList.
+func (l *VMList) VMs(ctx context.Context) ([]infra.VM, error) {
+	return fetch[[]infra.VM](ctx, l.source, "/vms")
 }
--- a/internal/platform/rest/weight_store.go
+++ b/internal/infra/rest/weight_store.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/httpcall"
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 )
 
-// WeightStore is platform.WeightStore over HTTP.
+// WeightStore is infra.WeightStore over HTTP.
 type WeightStore struct{ source source }
 
 // NewWeightStore returns the weight store at address (host:port).
@@ -16,7 +16,7 @@
 	return &WeightStore{source{address, caller{client, timeout}}}
 }
 
-// Limits implements platform.WeightStore.
-func (s *WeightStore) Limits(ctx context.Context) (platform.WeightLimits, error) {
-	return fetch[platform.WeightLimits](ctx, s.source, "/weights/limits")
+// Limits implements infra.WeightStore.
+func (s *WeightStore) Limits(ctx context.Context) (infra.WeightLimits, error) {
+	return fetch[infra.WeightLimits](ctx, s.source, "/weights/limits")
 }
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/entry"
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/standin"
 	"moorrun.dev/moorrun/internal/verdict"
 )
@@ -38,7 +38,7 @@
 }
 
 // CompleteAtEngine sends a completion straight to an engine, or through something that knows nothing of moorrun.
-func (c *Caller) CompleteAtEngine(address string, engine platform.EngineState, k Completion) Reply {
+func (c *Caller) CompleteAtEngine(address string, engine infra.EngineState, k Completion) Reply {
 	body, _ := json.Marshal(map[string]any{"prompt": k.Prompt, "max_tokens": k.Tokens, "stream": true})
 	r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/engine/completions", bytes.NewReader(body))
 	r.Header.Set("X-Request-Id", k.Prompt)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/config"
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/standin"
 )
 
@@ -87,7 +87,7 @@
 	if err := os.MkdirAll(l.Files, 0o700); err != nil {
 		return err
 	}
-	var listed []platform.VM
+	var listed []infra.VM
 	for _, name := range names {
 		content, err := os.ReadFile(name)
 		if err != nil {
@@ -118,7 +118,7 @@
 	return os.WriteFile(filepath.Join(l.Files, file), pretty.Bytes(), 0o600)
 }
 
-func (l *Lab) fill(part config.Part, listed *[]platform.VM) error {
+func (l *Lab) fill(part config.Part, listed *[]infra.VM) error {
 	if part.DataCentre != nil {
 		for _, d := range part.DataCentre.Domains {
 			for i := range d.VMs {
@@ -129,7 +129,7 @@
 				if d.VMs[i].Address, err = l.engineAddress(e); err != nil {
 					return err
 				}
-				*listed = append(*listed, platform.VM{Name: e.VM, Address: e.Address, State: platform.VMLive})
+				*listed = append(*listed, infra.VM{Name: e.VM, Address: e.Address, State: infra.VMLive})
 			}
 		}
 	}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 )
 
 const shardCount = 16
@@ -27,7 +27,7 @@
 }
 
 type entry struct {
-	object   platform.Object
+	object   infra.Object
 	sequence uint64
 }
 
@@ -45,7 +45,7 @@
 }
 
 // Put stores the object when its version is higher than the one held, and reports whether it was.
-func (m *Mirror) Put(o platform.Object) bool {
+func (m *Mirror) Put(o infra.Object) bool {
 	s := m.shard(o.Key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -62,7 +62,7 @@
 }
 
 // Get returns the object under key unless it is absent or deleted.
-func (m *Mirror) Get(key string) (platform.Object, bool) {
+func (m *Mirror) Get(key string) (infra.Object, bool) {
 	s := m.shard(key)
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -71,8 +71,8 @@
 }
 
 // List returns the objects below prefix, in no order.
-func (m *Mirror) List(prefix string) []platform.Object {
-	var out []platform.Object
+func (m *Mirror) List(prefix string) []infra.Object {
+	var out []infra.Object
 	m.each(func(e entry) {
 		if !e.object.Deleted && strings.HasPrefix(e.object.Key, prefix) {
 			out = append(out, e.object)
@@ -82,14 +82,14 @@
 }
 
 // Since returns the objects stored after that sequence, deleted ones included, and the newest sequence.
-func (m *Mirror) Since(sequence uint64) ([]platform.Object, uint64) {
+func (m *Mirror) Since(sequence uint64) ([]infra.Object, uint64) {
 	m.mu.Lock()
 	newest := m.sequence
 	m.mu.Unlock()
 	if newest == sequence {
 		return nil, newest
 	}
-	var out []platform.Object
+	var out []infra.Object
 	m.each(func(e entry) {
 		if e.sequence > sequence && e.sequence <= newest {
 			out = append(out, e.object)
--- a/internal/mirror/view.go
+++ b/internal/mirror/view.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"sync"
 
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 )
 
 // View decodes objects of one type, each version once. What it returns must not be changed.
@@ -46,7 +46,7 @@
 	return out
 }
 
-func (v *View[T]) decode(o platform.Object) (*T, int64, bool) {
+func (v *View[T]) decode(o infra.Object) (*T, int64, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if p, ok := v.pages[o.Key]; ok && p.version == o.Version {
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -8,10 +8,10 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-kit/log/level"
 
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
-	"moorrun.dev/moorrun/internal/platform"
 )
 
 const (
@@ -51,11 +51,11 @@
 
 func (n *Node) putSelf(ctx context.Context, key string, self membership.Member) bool {
 	o, err := n.objects.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, infra.ErrNotFound) {
 		return false
 	}
 	outcome, version, _ := n.objects.Put(ctx, key, self, o.Version)
-	if outcome != platform.Applied {
+	if outcome != infra.Applied {
 		return false
 	}
 	_ = level.Info(n.logger).Log("msg", "registered", "version", version)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,8 @@
 	"moorrun.dev/moorrun/internal/holder"
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/inforce"
+	"moorrun.dev/moorrun/internal/infra"
+	"moorrun.dev/moorrun/internal/infra/rest"
 	"moorrun.dev/moorrun/internal/invariant"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
@@ -34,8 +36,6 @@
 	"moorrun.dev/moorrun/internal/once"
 	"moorrun.dev/moorrun/internal/peer"
 	"moorrun.dev/moorrun/internal/places"
-	"moorrun.dev/moorrun/internal/platform"
-	"moorrun.dev/moorrun/internal/platform/rest"
 	"moorrun.dev/moorrun/internal/relay"
 	"moorrun.dev/moorrun/internal/replica"
 	"moorrun.dev/moorrun/internal/routing"
@@ -58,7 +58,7 @@
 
 	fleet     *peer.Fleet
 	drains    *drains.Book
-	objects   platform.ObjectStore
+	objects   infra.ObjectStore
 	calls     *httpcall.Client
 	caller    *peer.Caller
 	links     *relay.Links
@@ -162,7 +162,7 @@
 	n.watcher = relay.NewWatcher(n.objects, n.fleet, n.links, n.logger)
 }
 
-func (n *Node) buildHolder(book *domains.Book, engine platform.Engine, current func() *config.Config, checker *invariant.Checker, losses *holder.LossMeter) {
+func (n *Node) buildHolder(book *domains.Book, engine infra.Engine, current func() *config.Config, checker *invariant.Checker, losses *holder.LossMeter) {
 	s := n.settings
 	n.tenancies = &tenancies{node: n, held: make(map[string]*holder.Keeper)}
 	n.vms = holder.NewVMWatch(
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/peer"
-	"moorrun.dev/moorrun/internal/platform"
 	"moorrun.dev/moorrun/internal/relay"
 )
 
@@ -16,12 +16,12 @@
 type partSource struct {
 	caller  *peer.Caller
 	links   *relay.Links
-	objects platform.ObjectStore
+	objects infra.ObjectStore
 }
 
 // Fetch implements inforce.Source.
-func (s partSource) Fetch(ctx context.Context, keys []string) []platform.Object {
-	var found []platform.Object
+func (s partSource) Fetch(ctx context.Context, keys []string) []infra.Object {
+	var found []infra.Object
 	for _, address := range s.links.Addresses() {
 		if len(keys) == 0 {
 			return found
@@ -44,7 +44,7 @@
 	return found
 }
 
-func missing(keys []string, found []platform.Object) []string {
+func missing(keys []string, found []infra.Object) []string {
 	have := make(map[string]bool, len(found))
 	for _, o := range found {
 		have[o.Key] = true
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -12,10 +12,10 @@
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/domains"
 	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer"
-	"moorrun.dev/moorrun/internal/platform"
 	"moorrun.dev/moorrun/internal/replica"
 )
 
@@ -30,7 +30,7 @@
 // Observer watches engines.
 type Observer struct {
 	fleet    *peer.Fleet
-	engine   platform.Engine
+	engine   infra.Engine
 	book     *domains.Book
 	config   func() *config.Config
 	orphans  *membership.Orphans
@@ -45,7 +45,7 @@
 
 // New returns an Observer that polls each VM every so often and gives evidence of that lifetime,
 // counted from the oldest last answer among a group's members.
-func New(fleet *peer.Fleet, engine platform.Engine, book *domains.Book, current func() *config.Config, orphans *membership.Orphans, every, lifetime time.Duration) *Observer {
+func New(fleet *peer.Fleet, engine infra.Engine, book *domains.Book, current func() *config.Config, orphans *membership.Orphans, every, lifetime time.Duration) *Observer {
 	return &Observer{
 		fleet: fleet, engine: engine, book: book, config: current, orphans: orphans, every: every, lifetime: lifetime,
 		running: make(map[string]watch),
--- a/internal/peer/caller.go
+++ b/internal/peer/caller.go
@@ -9,8 +9,8 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
-	"moorrun.dev/moorrun/internal/platform"
 )
 
 const (
@@ -45,12 +45,12 @@
 }
 
 // Parts fetches parts of the configuration from the node at address.
-func (c *Caller) Parts(ctx context.Context, address string, keys []string) ([]platform.Object, error) {
+func (c *Caller) Parts(ctx context.Context, address string, keys []string) ([]infra.Object, error) {
 	reply, err := c.client(ctx, address).Parts(ctx, &peerpb.PartsRequest{Keys: keys})
 	if err != nil {
 		return nil, err
 	}
-	out := make([]platform.Object, len(reply.Parts))
+	out := make([]infra.Object, len(reply.Parts))
 	for i, p := range reply.Parts {
 		out[i] = objectFromWire(p)
 	}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
-	"moorrun.dev/moorrun/internal/platform"
 	"moorrun.dev/moorrun/internal/replica"
 )
 
@@ -26,12 +26,12 @@
 	}
 }
 
-func objectToWire(o platform.Object) *peerpb.StateObject {
+func objectToWire(o infra.Object) *peerpb.StateObject {
 	return &peerpb.StateObject{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted}
 }
 
-func objectFromWire(o *peerpb.StateObject) platform.Object {
-	return platform.Object{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted}
+func objectFromWire(o *peerpb.StateObject) infra.Object {
+	return infra.Object{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted}
 }
 
 func lookToWire(l evidence.Look, now time.Time) *peerpb.DomainEvidence {
@@ -69,9 +69,9 @@
 func reportFromWire(r *peerpb.VMReport, asOf time.Time) replica.VMView {
 	return replica.VMView{
 		Answered: r.Answered, LastAnswer: asOf.Add(-millis(r.AgeMs)),
-		State: platform.EngineState{
+		State: infra.EngineState{
 			VM: r.Vm, Boot: r.Boot, Group: r.Group, GroupBirth: r.GroupBirth, Generation: r.Generation,
-			Role: platform.Role(r.Role), Model: r.Model, Version: r.Version, Ready: r.Ready,
+			Role: infra.Role(r.Role), Model: r.Model, Version: r.Version, Ready: r.Ready,
 			LoadMillis: int64(r.LoadMs), Running: int(r.Running), Waiting: int(r.Waiting),
 		},
 	}
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -8,10 +8,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/mirror"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
-	"moorrun.dev/moorrun/internal/platform"
 )
 
 func newTestLink() *LinkClient {
@@ -54,7 +54,7 @@
 		}
 		l := newTestLink()
 		l.clock.next(time.Now())
-		l.fleet.Mirror.Put(platform.Object{Key: "k", Version: 5})
+		l.fleet.Mirror.Put(infra.Object{Key: "k", Version: 5})
 		l.take(&down)
 		if o, ok := l.fleet.Mirror.Get("k"); ok && o.Version < 5 {
 			t.Fatalf("the state went back to version %d", o.Version)
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -10,9 +10,9 @@
 	"github.com/go-kit/log/level"
 
 	"moorrun.dev/moorrun/internal/accept"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/peer"
-	"moorrun.dev/moorrun/internal/platform"
 )
 
 const (
@@ -24,14 +24,14 @@
 
 // Watcher copies the platform's state objects into the mirror while this node is a relay.
 type Watcher struct {
-	objects platform.ObjectStore
+	objects infra.ObjectStore
 	fleet   *peer.Fleet
 	links   *Links
 	logger  log.Logger
 }
 
 // NewWatcher returns a Watcher.
-func NewWatcher(objects platform.ObjectStore, fleet *peer.Fleet, links *Links, logger log.Logger) *Watcher {
+func NewWatcher(objects infra.ObjectStore, fleet *peer.Fleet, links *Links, logger log.Logger) *Watcher {
 	return &Watcher{objects, fleet, links, logger}
 }
 
@@ -67,7 +67,7 @@
 }
 
 func (w *Watcher) next(ctx context.Context, version int64, list bool) (int64, error) {
-	var l platform.Listing
+	var l infra.Listing
 	var err error
 	if version == 0 || list {
 		l, err = w.objects.List(ctx, keys.State)
@@ -87,7 +87,7 @@
 }
 
 // slim leaves out of the head what only those who apply need, before it goes to every node.
-func slim(o platform.Object) platform.Object {
+func slim(o infra.Object) infra.Object {
 	if o.Key != keys.Head || o.Deleted {
 		return o
 	}
@@ -103,14 +103,14 @@
 }
 
 // dropMissing marks the objects that a full listing no longer has as deleted.
-func (w *Watcher) dropMissing(l platform.Listing) {
+func (w *Watcher) dropMissing(l infra.Listing) {
 	listed := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		listed[o.Key] = true
 	}
 	for _, o := range w.fleet.Mirror.List(keys.State) {
 		if !listed[o.Key] && o.Version <= l.Version {
-			w.fleet.Mirror.Put(platform.Object{Key: o.Key, Version: l.Version, Deleted: true})
+			w.fleet.Mirror.Put(infra.Object{Key: o.Key, Version: l.Version, Deleted: true})
 		}
 	}
 }
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 	_ "moorrun.dev/moorrun/internal/rapidseed"
 	"moorrun.dev/moorrun/internal/replica"
 	"moorrun.dev/moorrun/internal/replica/replicatest"
@@ -110,7 +110,7 @@
 			case 2:
 				vm.Gone = !vm.Gone
 			case 3: // a restart with nothing in memory
-				vm.View.State = platform.EngineState{}
+				vm.View.State = infra.EngineState{}
 			case 4:
 				b.Declare(model("m", fmt.Sprint(i), 4, 1, 2), model("n", "1", 5, rapid.IntRange(0, 1).Draw(t, "min"), 1))
 			case 5: // another holder, which remembers nothing
--- a/internal/replica/replicatest/domain.go
+++ b/internal/replica/replicatest/domain.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/config"
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/replica"
 )
 
@@ -131,7 +131,7 @@
 		if s.Model != g.Model || s.Version != g.Version {
 			vm.readyAt = now.Add(load)
 		}
-		*s = platform.EngineState{VM: name, Group: g.ID, GroupBirth: g.Birth, Model: g.Model, Version: g.Version}
+		*s = infra.EngineState{VM: name, Group: g.ID, GroupBirth: g.Birth, Model: g.Model, Version: g.Version}
 	}
 	s.Ready = !now.Before(vm.readyAt)
 }
--- a/internal/replica/vm_view.go
+++ b/internal/replica/vm_view.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 )
 
 // VMView is what the lease holder knows of one VM.
 type VMView struct {
 	Answered   bool      // it has answered some observer
 	LastAnswer time.Time // when the answer last received was asked for
-	State      platform.EngineState
+	State      infra.EngineState
 	Leaving    bool // the platform takes it away, or an operator drains it
 	Gone       bool // the platform's list no longer has it
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 )
 
 // EngineOptions shape a stand-in engine.
@@ -37,8 +37,8 @@
 	Cache     PrefixCache
 
 	mu       sync.Mutex
-	state    platform.EngineState
-	order    platform.Order
+	state    infra.EngineState
+	order    infra.Order
 	held     string // model and version whose weights are in memory
 	readyAt  time.Time
 	streams  map[string]*stream
@@ -73,8 +73,8 @@
 }
 
 func (e *Engine) reset() {
-	e.state = platform.EngineState{VM: e.VM, Boot: fmt.Sprintf("%x", rand.Uint64())}
-	e.order, e.held, e.streams = platform.Order{}, "", make(map[string]*stream)
+	e.state = infra.EngineState{VM: e.VM, Boot: fmt.Sprintf("%x", rand.Uint64())}
+	e.order, e.held, e.streams = infra.Order{}, "", make(map[string]*stream)
 	e.running, e.waiting = 0, 0
 }
 
@@ -95,7 +95,7 @@
 func (e *Engine) ready() bool { return e.state.Group != "" && !time.Now().Before(e.readyAt) }
 
 // State returns what the engine is, without lag.
-func (e *Engine) State() platform.EngineState {
+func (e *Engine) State() infra.EngineState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.state
@@ -118,7 +118,7 @@
 }
 
 func (e *Engine) obey(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o infra.Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/standin/object_api.go
+++ b/internal/standin/object_api.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 )
 
 // ObjectAPI is an object store in memory with versions, conditional updates, watches and faults.
@@ -23,14 +23,14 @@
 	LoseKey    atomic.Value // string: only writes to keys with that prefix lose answers
 	Calls      *CallCounter // what the platform would bill
 	mu         sync.Mutex   //
-	objects    map[string]platform.Object
+	objects    map[string]infra.Object
 	version    int64
 	changed    chan struct{}
 }
 
 // StartObjectAPI starts an empty store.
 func StartObjectAPI() (*ObjectAPI, error) {
-	s := &ObjectAPI{objects: make(map[string]platform.Object), changed: make(chan struct{}), Calls: NewCallCounter()}
+	s := &ObjectAPI{objects: make(map[string]infra.Object), changed: make(chan struct{}), Calls: NewCallCounter()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /objects", s.list)
 	mux.HandleFunc("GET /watch", s.watch)
@@ -76,7 +76,7 @@
 }
 
 // Object returns what the store holds under key.
-func (s *ObjectAPI) Object(key string) (platform.Object, bool) {
+func (s *ObjectAPI) Object(key string) (infra.Object, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[key]
@@ -85,9 +85,9 @@
 
 func (s *ObjectAPI) write(w http.ResponseWriter, r *http.Request) {
 	key := r.PathValue("key")
-	o := platform.Object{Key: key, Deleted: r.Method == http.MethodDelete}
+	o := infra.Object{Key: key, Deleted: r.Method == http.MethodDelete}
 	if !o.Deleted {
-		if err := json.NewDecoder(r.Body).Decode(&o.Value); err != nil || len(o.Value) > platform.MaxValueBytes {
+		if err := json.NewDecoder(r.Body).Decode(&o.Value); err != nil || len(o.Value) > infra.MaxValueBytes {
 			http.Error(w, "bad value", http.StatusBadRequest)
 			return
 		}
@@ -102,10 +102,10 @@
 		s.LoseAnswer.Add(-1)
 		panic(http.ErrAbortHandler)
 	}
-	answerJSON(w, platform.Object{Key: key, Version: version})
+	answerJSON(w, infra.Object{Key: key, Version: version})
 }
 
-func (s *ObjectAPI) put(o platform.Object, ifVersion int64) (int64, bool) {
+func (s *ObjectAPI) put(o infra.Object, ifVersion int64) (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held := s.objects[o.Key]
@@ -136,10 +136,10 @@
 	answerJSON(w, l)
 }
 
-func (s *ObjectAPI) below(prefix string, after int64) (platform.Listing, <-chan struct{}) {
+func (s *ObjectAPI) below(prefix string, after int64) (infra.Listing, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := platform.Listing{Version: s.version, Objects: []platform.Object{}}
+	l := infra.Listing{Version: s.version, Objects: []infra.Object{}}
 	for key, o := range s.objects {
 		if o.Version > after && strings.HasPrefix(key, prefix) {
 			l.Objects = append(l.Objects, o)
--- a/internal/standin/vm_list.go
+++ b/internal/standin/vm_list.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 )
 
 // VMList is a list of VMs that shows each change only after a lag.
@@ -18,7 +18,7 @@
 
 type vmListState struct {
 	at  time.Time
-	vms []platform.VM
+	vms []infra.VM
 }
 
 // StartVMList starts an empty list with that lag.
@@ -32,14 +32,14 @@
 }
 
 // Set replaces the list.
-func (l *VMList) Set(vms []platform.VM) {
+func (l *VMList) Set(vms []infra.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.history = append(l.history, vmListState{time.Now(), vms})
 }
 
 // Current returns the list without the lag.
-func (l *VMList) Current() []platform.VM {
+func (l *VMList) Current() []infra.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.history) == 0 {
@@ -48,10 +48,10 @@
 	return l.history[len(l.history)-1].vms
 }
 
-func (l *VMList) seen() []platform.VM {
+func (l *VMList) seen() []infra.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := []platform.VM{}
+	out := []infra.VM{}
 	for _, state := range l.history {
 		if time.Since(state.at) >= l.lag {
 			out = state.vms
--- a/internal/standin/weight_store.go
+++ b/internal/standin/weight_store.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"moorrun.dev/moorrun/internal/platform"
+	"moorrun.dev/moorrun/internal/infra"
 )
 
 // WeightStore bears a number of VM loads a second; loads beyond it wait.
@@ -23,7 +23,7 @@
 	s := &WeightStore{perSecond: perSecond, load: load}
 	var err error
 	s.Server, err = StartServer("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		answerJSON(w, platform.WeightLimits{LoadsPerSecond: perSecond})
+		answerJSON(w, infra.WeightLimits{LoadsPerSecond: perSecond})
 	}))
 	return s, err
 }
--- a/test/integration/orders_test.go
+++ b/test/integration/orders_test.go
@@ -9,8 +9,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"moorrun.dev/moorrun/internal/httpcall"
-	"moorrun.dev/moorrun/internal/platform"
-	"moorrun.dev/moorrun/internal/platform/rest"
+	"moorrun.dev/moorrun/internal/infra"
+	"moorrun.dev/moorrun/internal/infra/rest"
 )
 
 // TestLateOrderOfAnEarlierHolder sends orders as a holder of long ago would: an engine that checks refuses it; one
@@ -19,9 +19,9 @@
 	f := newFleet(t)
 	engines := rest.NewEngine(httpcall.NewClient(), time.Second)
 	late := func(vm string) error {
-		return engines.Order(context.Background(), f.Engines[vm].Address, platform.Order{VM: vm, Generation: 1})
+		return engines.Order(context.Background(), f.Engines[vm].Address, infra.Order{VM: vm, Generation: 1})
 	}
-	f.Check(errors.Is(late("rvk-1-a-2"), platform.ErrFenced), qt.IsTrue)
+	f.Check(errors.Is(late("rvk-1-a-2"), infra.ErrFenced), qt.IsTrue)
 
 	vm := "rvk-2-a-2"
 	id, usable, _ := f.groupOf(vm)
