--- /dev/null
+++ b/cmd/moorrund/cgo.go
@@ -0,0 +1,8 @@
+//go:build cgo
+
+package main
+
+/*
+#include <stdlib.h>
+*/
+import "C" // links the program against the system's C library, as the users' machines need it
--- a/cmd/moorrund/main.go
+++ b/cmd/moorrund/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"moorrun.dev/moorrun/internal/daemon"
+	"moorrun.dev/moorrun/platform"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:])) }
+func main() { os.Exit(daemon.Main(os.Args[1:], platform.New)) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,12 +11,13 @@
 
 	"moorrun.dev/moorrun/internal/exitcode"
 	"moorrun.dev/moorrun/internal/node"
+	"moorrun.dev/moorrun/internal/server"
 	"moorrun.dev/moorrun/internal/settings"
 	"moorrun.dev/moorrun/internal/version"
 )
 
-// Main runs moorrund and returns its exit code.
-func Main(args []string) int {
+// Main runs moorrund and returns its exit code; platform makes the adapter of the platform that the gateway serves.
+func Main(args []string, platform server.NewPlatform) int {
 	var file string
 	root := &cobra.Command{
 		Use: "moorrund --settings FILE", Short: "Serve callers and operators on one entry VM",
@@ -35,6 +36,7 @@
 	}
 	root.Flags().StringVar(&file, "settings", "", "JSON file with this process's settings")
 	_ = root.MarkFlagRequired("settings")
+	root.AddCommand(newGateway(platform))
 	return exitcode.Run(root, args)
 }
 
--- /dev/null
+++ b/internal/endpoint/endpoint.go
@@ -0,0 +1,56 @@
+// Package endpoint knows the endpoints that the platform lists, and the replica groups they say they are in.
+package endpoint
+
+// State is what an endpoint says of its part in a replica group.
+type State string
+
+const (
+	// Joining is a member that prepares itself.
+	Joining State = "joining"
+	// Ready is a member that may serve once its group opens.
+	Ready State = "ready"
+	// Open is a head that takes requests.
+	Open State = "open"
+	// Closing is a head that finishes its requests.
+	Closing State = "closing"
+	// Broken is a head that has lost a member.
+	Broken State = "broken"
+)
+
+// Membership is an endpoint's place in a replica group.
+type Membership struct {
+	Group string
+	Epoch int64
+	Rank  int // 0 is the head
+	State State
+}
+
+// Endpoint is one life of one endpoint as it was last listed.
+type Endpoint struct {
+	ID         string // differs at every start
+	Service    string
+	Address    string
+	Zone       string
+	Domain     string // of the fabric
+	Slots      int
+	Draining   bool
+	Models     []string // it holds ready
+	Staged     []string // on its host
+	Membership *Membership
+	Revision   int64 // of the platform's entry
+}
+
+// Holds reports whether the endpoint runs that model.
+func (e *Endpoint) Holds(model string) bool { return contains(e.Models, model) }
+
+// HasStaged reports whether the endpoint's host holds that model.
+func (e *Endpoint) HasStaged(model string) bool { return contains(e.Staged, model) }
+
+func contains(list []string, wanted string) bool {
+	for _, s := range list {
+		if s == wanted {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/follow/follower.go
@@ -0,0 +1,196 @@
+// Package follow keeps a node's copy of the platform's objects and knows how current it is.
+//
+// Few nodes watch the store itself: the leader, and whoever hears of nobody that is current. The others pull
+// what has changed from those. A copy is proved current by the instant before the store was asked; a relayed
+// proof counts from the sending of the beat that the relay has echoed, so that no clocks are compared.
+package follow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/infra"
+	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/mirror"
+)
+
+const (
+	configurationWait = 700 * time.Millisecond
+	endpointsWait     = 900 * time.Millisecond
+	endpointsGather   = 60 * time.Millisecond
+	// patience is how old the proof may get before this node watches the store by itself, plus rankPatience
+	// for each live node that would do so sooner.
+	patience     = 900 * time.Millisecond
+	rankPatience = 150 * time.Millisecond
+	// staleMargin is how much fresher a node must be that does not watch, for this one to pull from it.
+	staleMargin = 500 * time.Millisecond
+)
+
+// Puller fetches what another node has taken in since a sequence of its own.
+type Puller interface {
+	Pull(ctx context.Context, address, incarnation string, since uint64) (sequence uint64, objects []infra.Object, err error)
+}
+
+// Follower keeps the copy.
+type Follower struct {
+	Mirror *mirror.Mirror
+
+	objects infra.ObjectStore
+	puller  Puller
+	leads   func() bool
+	live    func(now time.Time) []*gossip.Peer
+	self    string
+	logger  log.Logger
+	started time.Time
+	proof   *proof
+	beats   chan *gossip.Peer
+
+	mu     sync.Mutex
+	pulled map[string]uint64 // by incarnation
+	lost   map[string]bool   // prefixes that the store does not give
+}
+
+// NewFollower returns a Follower for the node self; leads says whether it is the leader.
+func NewFollower(objects infra.ObjectStore, puller Puller, self string, leads func() bool, live func(now time.Time) []*gossip.Peer, logger log.Logger) *Follower {
+	return &Follower{
+		Mirror: mirror.New(), objects: objects, puller: puller, leads: leads, live: live, self: self, logger: logger,
+		started: time.Now(), proof: newProof(keys.Accepted, keys.Endpoints), beats: make(chan *gossip.Peer, 64),
+		pulled: make(map[string]uint64), lost: make(map[string]bool),
+	}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	var g errgroup.Group
+	for _, s := range []*source{
+		{prefix: keys.Accepted, wait: configurationWait},
+		{prefix: keys.Endpoints, wait: endpointsWait, gather: endpointsGather},
+	} {
+		s.objects, s.mirror, s.wanted = f.objects, f.Mirror, f.shouldWatch
+		s.proved, s.failed = f.proved, f.failed
+		g.Go(func() error { return s.run(ctx) })
+	}
+	g.Go(func() error { f.takeBeats(ctx); return nil })
+	return g.Wait()
+}
+
+func (f *Follower) proved(prefix string, at time.Time) {
+	f.proof.fromStore(prefix, at)
+	f.mu.Lock()
+	was := f.lost[prefix]
+	f.lost[prefix] = false
+	f.mu.Unlock()
+	if was {
+		_ = level.Info(f.logger).Log("msg", "dependency regained", "dependency", "store", "prefix", prefix)
+	}
+}
+
+func (f *Follower) failed(prefix string, err error) {
+	f.mu.Lock()
+	was := f.lost[prefix]
+	f.lost[prefix] = true
+	f.mu.Unlock()
+	if !was {
+		_ = level.Warn(f.logger).Log("msg", "dependency lost", "dependency", "store", "prefix", prefix, "err", err)
+	}
+}
+
+// shouldWatch reports whether this node watches the store itself now.
+func (f *Follower) shouldWatch() bool {
+	now := time.Now()
+	if f.leads() {
+		return true
+	}
+	rank := 0
+	for _, p := range f.live(now) {
+		if p.Watching && now.Sub(p.ProofAt) < patience && (p.LeaderEpoch > 0 || p.VM < f.self) {
+			return false
+		}
+		if p.VM < f.self {
+			rank++
+		}
+	}
+	at, _ := f.proof.whole()
+	if at.IsZero() {
+		at = f.started.Add(-patience / 2)
+	}
+	return now.Sub(at) > patience+time.Duration(rank)*rankPatience
+}
+
+// Heard takes in a beat; it never blocks.
+func (f *Follower) Heard(p *gossip.Peer) {
+	if p.ProofAt.IsZero() {
+		return
+	}
+	select {
+	case f.beats <- p:
+	default: // the next beat says the same
+	}
+}
+
+func (f *Follower) takeBeats(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-f.beats:
+			f.take(ctx, p)
+		}
+	}
+}
+
+func (f *Follower) take(ctx context.Context, p *gossip.Peer) {
+	at, _ := f.proof.whole()
+	if !p.ProofAt.After(at) && !p.Watching {
+		return
+	}
+	f.mu.Lock()
+	have, known := f.pulled[p.Incarnation]
+	f.mu.Unlock()
+	if known && have >= p.Sequence {
+		f.proof.fromPeer(p.ProofAt)
+		return
+	}
+	if !p.Watching && p.ProofAt.Sub(at) < staleMargin {
+		return
+	}
+	pullCtx, cancel := context.WithTimeout(ctx, lastRetry)
+	defer cancel()
+	sequence, objects, err := f.puller.Pull(pullCtx, p.PeerAddress, p.Incarnation, have)
+	if err != nil {
+		return
+	}
+	for _, o := range objects {
+		f.Mirror.Put(o)
+	}
+	f.mu.Lock()
+	f.pulled[p.Incarnation] = sequence
+	f.mu.Unlock()
+	if sequence >= p.Sequence {
+		f.proof.fromPeer(p.ProofAt)
+	}
+}
+
+// Current returns an instant as of which the objects below the prefix are certainly current.
+func (f *Follower) Current(prefix string) time.Time { return f.proof.of(prefix) }
+
+// Whole returns the instant for everything, and whether the store itself gave it.
+func (f *Follower) Whole() (at time.Time, watching bool) { return f.proof.whole() }
+
+// StoreAnswers reports whether the store does not refuse this node, as far as it has asked lately.
+func (f *Follower) StoreAnswers() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, lost := range f.lost {
+		if lost {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/follow/source.go
@@ -0,0 +1,121 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"moorrun.dev/moorrun/internal/infra"
+	"moorrun.dev/moorrun/internal/mirror"
+)
+
+const (
+	firstRetry = 100 * time.Millisecond
+	// lastRetry caps the wait between tries: every bound on a node out of touch is a few seconds.
+	lastRetry = 700 * time.Millisecond
+)
+
+// source copies the objects below one prefix from the store into the mirror, while it is wanted.
+type source struct {
+	prefix  string
+	objects infra.ObjectStore
+	mirror  *mirror.Mirror
+	wait    time.Duration // of one watch
+	gather  time.Duration // pause after a change, so that changes in a row cost one call
+	proved  func(prefix string, at time.Time)
+	failed  func(prefix string, err error)
+	wanted  func() bool
+}
+
+// run watches until ctx ends.
+func (s *source) run(ctx context.Context) error {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = firstRetry
+	retry.MaxInterval = lastRetry
+	version := int64(0)
+	for ctx.Err() == nil {
+		if !s.wanted() {
+			version = 0
+			sleep(ctx, firstRetry)
+			continue
+		}
+		sent := time.Now()
+		next, changed, err := s.next(ctx, version)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, infra.ErrHistoryGone) {
+			version = 0
+			continue
+		}
+		if err != nil {
+			s.failed(s.prefix, err)
+			sleep(ctx, retry.NextBackOff())
+			continue
+		}
+		retry.Reset()
+		version = next
+		s.proved(s.prefix, sent)
+		if changed {
+			sleep(ctx, s.gather)
+		}
+	}
+	return nil
+}
+
+// next lists or watches once and returns the store version reached and whether anything came.
+func (s *source) next(ctx context.Context, version int64) (int64, bool, error) {
+	if version > 0 {
+		l, err := s.objects.Watch(ctx, s.prefix, version, s.wait)
+		if err != nil {
+			return version, false, err
+		}
+		for _, o := range l.Objects {
+			s.mirror.Put(ordered(o))
+		}
+		return max(version, l.Version), len(l.Objects) > 0, nil
+	}
+	l, err := s.objects.List(ctx, s.prefix)
+	if err != nil {
+		return 0, false, err
+	}
+	listed := make(map[string]bool, len(l.Objects))
+	for _, o := range l.Objects {
+		listed[o.Key] = true
+		s.mirror.Put(ordered(o))
+	}
+	for _, o := range s.mirror.List(s.prefix) {
+		if !listed[o.Key] {
+			s.mirror.Put(ordered(infra.Object{Key: o.Key, Version: l.Version, Deleted: true}))
+		}
+	}
+	return l.Version, false, nil
+}
+
+// ordered gives an object a version at which its removal comes after its last change, though the store may tell
+// both with one revision.
+func ordered(o infra.Object) infra.Object {
+	o.Version *= 2
+	if o.Deleted {
+		o.Version++
+		o.Value = nil
+	}
+	return o
+}
+
+// Revision returns the store's revision of a mirrored object.
+func Revision(o infra.Object) int64 { return o.Version / 2 }
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/formation/controller.go
@@ -0,0 +1,263 @@
+package formation
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/route"
+)
+
+const (
+	stepEvery = 60 * time.Millisecond
+	// freshEnough is how old the copy of the endpoints' list may be for decisions.
+	freshEnough = 2500 * time.Millisecond
+	// askEvery is the least time between two questions to one endpoint.
+	askEvery  = 250 * time.Millisecond
+	askWait   = 300 * time.Millisecond
+	orderWait = 700 * time.Millisecond
+	// forgetContact is how long what asking has shown is kept.
+	forgetContact = 30 * time.Second
+)
+
+// Answer is what asking an endpoint directly has shown.
+type Answer uint8
+
+const (
+	// Answered means that the endpoint answered.
+	Answered Answer = iota + 1
+	// NobodyThere means that nothing listens there, or another endpoint does.
+	NobodyThere
+	// Silent means that nothing came.
+	Silent
+)
+
+// Engine talks to endpoints.
+type Engine interface {
+	// Ask asks the endpoint for a report.
+	Ask(ctx context.Context, e *endpoint.Endpoint) Answer
+	// Order gives an order.
+	Order(ctx context.Context, o Order) Outcome
+}
+
+// Options are what a Controller works with.
+type Options struct {
+	Engine    Engine
+	Directory *endpoint.Directory
+	Table     func() *route.Table
+	Lease     func(now time.Time) (epoch int64, until time.Time, ok bool)
+	Current   func() time.Time // the directory was certainly current then
+	Live      func(now time.Time) []*gossip.Peer
+	Own       func(now time.Time) gossip.Status // this node's own loads and doubts
+	Busy      func() bool                       // a caller has sent a request to this node
+	// Heard asks the other nodes whether they hear the endpoint.
+	Heard  func(ctx context.Context, e *endpoint.Endpoint) bool
+	Logger log.Logger
+}
+
+// Controller carries out the plans while this node leads.
+type Controller struct {
+	Options
+
+	mu       sync.Mutex
+	epoch    int64
+	planners map[string]*Planner // by service
+	contacts map[string]*contact
+	busy     bool
+	wake     chan struct{}
+}
+
+// contact is what is known from asking one endpoint.
+type contact struct {
+	Contact
+	asked  time.Time
+	asking bool
+}
+
+// NewController returns a Controller.
+func NewController(o Options) *Controller {
+	return &Controller{Options: o, planners: make(map[string]*Planner), contacts: make(map[string]*contact), wake: make(chan struct{}, 1)}
+}
+
+// Wake makes the controller look at once.
+func (c *Controller) Wake() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run plans until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for {
+		c.step(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-c.wake:
+		}
+	}
+}
+
+// Leads returns the epoch of this node's lease, or 0.
+func (c *Controller) Leads(now time.Time) int64 {
+	epoch, _, ok := c.Lease(now)
+	if !ok {
+		return 0
+	}
+	return epoch
+}
+
+// Retiring returns the groups that the plans of this tenure are about to end.
+func (c *Controller) Retiring() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for _, p := range c.planners {
+		out = append(out, p.Retiring()...)
+	}
+	return out
+}
+
+func (c *Controller) step(ctx context.Context, now time.Time) {
+	table := c.Table()
+	epoch, until, ok := c.Lease(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if epoch != c.epoch {
+		c.epoch = epoch
+		clear(c.planners)
+	}
+	if !ok || table == nil || now.Sub(c.Current()) > freshEnough || until.Sub(now) < orderWait {
+		return
+	}
+	for _, s := range table.Engines() {
+		p := c.planners[s.Name]
+		if p == nil {
+			p = NewPlanner(epoch, now)
+			p.Note = c.note
+			c.planners[s.Name] = p
+		}
+		v := c.view(s, now)
+		orders, ask := p.Step(v)
+		for _, o := range orders {
+			go c.carryOut(ctx, p, o)
+		}
+		for _, id := range ask {
+			c.ask(ctx, v.Snapshot, id, now)
+		}
+	}
+	for id, k := range c.contacts {
+		if now.Sub(k.asked) > forgetContact {
+			delete(c.contacts, id)
+		}
+	}
+}
+
+func (c *Controller) note(event, group string, pairs ...any) {
+	_ = level.Info(c.Logger).Log(append([]any{"msg", event, "group", group, "tenure", c.epoch}, pairs...)...)
+}
+
+func (c *Controller) view(s *route.Service, now time.Time) *View {
+	v := &View{
+		Now: now, Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
+		Loads: make(map[string]int), Suspects: make(map[string]bool),
+	}
+	for id, k := range c.contacts {
+		v.Contacts[id] = k.Contact
+	}
+	statuses := []gossip.Status{c.Own(now)}
+	for _, p := range c.Live(now) {
+		statuses = append(statuses, p.Status)
+	}
+	c.busy = c.busy || c.Busy()
+	for _, status := range statuses {
+		for id, n := range status.Loads {
+			v.Loads[id] += n
+			c.busy = c.busy || n > 0
+		}
+		for group := range status.Suspects {
+			v.Suspects[group] = true
+		}
+	}
+	v.Busy = c.busy
+	return v
+}
+
+// carryOut gives one order, unless the lease has ended meanwhile.
+func (c *Controller) carryOut(ctx context.Context, p *Planner, o Order) {
+	if c.Leads(time.Now()) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderWait)
+	defer cancel()
+	sent := time.Now()
+	outcome := c.Engine.Order(ctx, o)
+	_ = level.Info(c.Logger).Log("msg", "order", "kind", o.Kind.String(), "group", o.Group, "epoch", o.Epoch, "model", o.Model,
+		"endpoint", o.Endpoint.ID, "outcome", outcome.String(), "ms", time.Since(sent).Milliseconds())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.Result(o, outcome, time.Now())
+	if outcome != Unknown {
+		c.Wake()
+	}
+}
+
+// ask asks an endpoint directly, and the other nodes when it does not answer.
+func (c *Controller) ask(ctx context.Context, snapshot *endpoint.Snapshot, id string, now time.Time) {
+	k := c.contacts[id]
+	if k == nil {
+		k = &contact{}
+		c.contacts[id] = k
+	}
+	e := snapshot.Endpoints[id]
+	if gone, ok := snapshot.Gone[id]; ok && e == nil {
+		e = gone.Endpoint
+	}
+	if k.asking || e == nil || now.Sub(k.asked) < askEvery || k.Refused {
+		return
+	}
+	k.asking, k.asked = true, now
+	go c.askNow(ctx, e, k)
+}
+
+func (c *Controller) askNow(ctx context.Context, e *endpoint.Endpoint, k *contact) {
+	sent := time.Now()
+	askCtx, cancel := context.WithTimeout(ctx, askWait)
+	answer := c.Engine.Ask(askCtx, e)
+	cancel()
+	alone := answer == Silent && !c.Heard(ctx, e)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k.asking = false
+	was := k.Failed.IsZero()
+	switch answer {
+	case Answered:
+		k.Contact = Contact{Answered: sent}
+	case NobodyThere:
+		k.Refused = true
+		k.fail(sent)
+	case Silent:
+		k.Alone = alone
+		k.fail(sent)
+	}
+	if was != k.Failed.IsZero() {
+		_ = level.Info(c.Logger).Log("msg", "endpoint asked", "endpoint", e.ID, "address", e.Address, "answered", answer == Answered,
+			"refused", k.Refused, "alone", k.Alone)
+	}
+	c.Wake()
+}
+
+func (k *contact) fail(at time.Time) {
+	if k.Failed.IsZero() {
+		k.Failed = at
+	}
+}
--- /dev/null
+++ b/internal/formation/form.go
@@ -0,0 +1,182 @@
+package formation
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/route"
+)
+
+const (
+	// stealEvery is the least time between two groups ended for the sake of another model.
+	stealEvery = 3 * time.Second
+	// stealBelow is how far a model must fall behind the richest for that.
+	stealBelow = 0.55
+)
+
+// form orders free endpoints into groups, the model that is furthest behind its share first.
+func (p *Planner) form(v *View) {
+	free := p.freeByDomain(v)
+	have := p.assigned(v)
+	for {
+		if !p.formOne(v, free, have) {
+			break
+		}
+	}
+	p.steal(v, free, have)
+}
+
+func (p *Planner) freeByDomain(v *View) map[string][]*endpoint.Endpoint {
+	out := make(map[string][]*endpoint.Endpoint)
+	for _, e := range v.Snapshot.Services[v.Service.Name] {
+		if c, asked := v.Contacts[e.ID]; asked && !c.Failed.IsZero() {
+			p.ask(e.ID) // it may have come back
+		}
+		if p.free(v, e) {
+			out[e.Domain] = append(out[e.Domain], e)
+		}
+	}
+	for _, list := range out {
+		slices.SortFunc(list, func(a, b *endpoint.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return out
+}
+
+// assigned counts the endpoints in groups and plans by model.
+func (p *Planner) assigned(v *View) map[string]int {
+	have := make(map[string]int)
+	for name, g := range v.Snapshot.Groups {
+		_, ended := p.ended[name]
+		if g.Service == v.Service.Name && !ended && p.retiring[name] == nil && p.plans[name] == nil {
+			have[g.Model] += p.sizeOf(v, g)
+		}
+	}
+	for _, pl := range p.plans {
+		have[pl.model] += len(pl.members)
+	}
+	return have
+}
+
+// byNeed orders the models by how far they are behind their share.
+func byNeed(v *View, have map[string]int) []route.Model {
+	models := slices.Clone(v.Service.Engine.Models)
+	slices.SortStableFunc(models, func(a, b route.Model) int {
+		return cmp.Compare(supply(a, have), supply(b, have))
+	})
+	return models
+}
+
+// supply is the number of endpoints a model has for each part of the work.
+func supply(m route.Model, have map[string]int) float64 {
+	return float64(have[m.Name]) / max(m.Share, 0.01)
+}
+
+// formOne orders one group and reports whether there was one to order.
+func (p *Planner) formOne(v *View, free map[string][]*endpoint.Endpoint, have map[string]int) bool {
+	for _, m := range byNeed(v, have) {
+		domain, members := p.bestDomain(v, free, m)
+		if members == nil {
+			continue
+		}
+		free[domain] = slices.DeleteFunc(free[domain], func(e *endpoint.Endpoint) bool { return slices.Contains(members, e) })
+		have[m.Name] += m.Size
+		p.plan(v, m.Name, members, p.joinTime(v, m, members))
+		return true
+	}
+	return false
+}
+
+// bestDomain returns the members that would be ready soonest.
+func (p *Planner) bestDomain(v *View, free map[string][]*endpoint.Endpoint, m route.Model) (domain string, members []*endpoint.Endpoint) {
+	var best time.Duration
+	names := make([]string, 0, len(free))
+	for name := range free {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fit := p.fit(v, free[name], m)
+		if fit == nil {
+			continue
+		}
+		if within := p.joinTime(v, m, fit); members == nil || within < best {
+			domain, members, best = name, fit, within
+		}
+	}
+	return domain, members
+}
+
+// fit returns the quickest members for a group of the model, or nil if there are too few that need not load it
+// from the weight store first. Before any request has come loads are quick.
+func (p *Planner) fit(v *View, free []*endpoint.Endpoint, m route.Model) []*endpoint.Endpoint {
+	var warm []*endpoint.Endpoint
+	for _, e := range free {
+		if !v.Busy || e.Holds(m.Name) || e.HasStaged(m.Name) {
+			warm = append(warm, e)
+		}
+	}
+	if m.Size <= 0 || len(warm) < m.Size {
+		return nil
+	}
+	slices.SortStableFunc(warm, func(a, b *endpoint.Endpoint) int { return warmth(b, m) - warmth(a, m) })
+	return warm[:m.Size:m.Size]
+}
+
+// warmth is higher the sooner the endpoint can be ready for the model.
+func warmth(e *endpoint.Endpoint, m route.Model) int {
+	switch {
+	case e.Holds(m.Name):
+		return 2
+	case e.HasStaged(m.Name):
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (p *Planner) joinTime(v *View, m route.Model, members []*endpoint.Endpoint) time.Duration {
+	longest := time.Duration(0)
+	for _, e := range members {
+		switch warmth(e, m) {
+		case 1:
+			longest = max(longest, m.Warm)
+		case 0:
+			longest = max(longest, m.Load)
+		}
+	}
+	return longest + joinGrace
+}
+
+// steal ends a group of the model that has most, where its members let one of the most needed model form.
+func (p *Planner) steal(v *View, free map[string][]*endpoint.Endpoint, have map[string]int) {
+	models := byNeed(v, have)
+	if len(models) < 2 || !v.Busy || len(p.plans) > 0 || v.Now.Sub(p.stolen) < stealEvery || v.Now.Sub(p.started) < stealEvery {
+		return
+	}
+	needed, rich := models[0], models[len(models)-1]
+	if supply(needed, have) > stealBelow*supply(rich, have) {
+		return
+	}
+	var victim *endpoint.Group
+	for name, g := range v.Snapshot.Groups {
+		if g.Model != rich.Name || g.Head == nil || p.retiring[name] != nil {
+			continue
+		}
+		if _, ended := p.ended[name]; ended {
+			continue
+		}
+		members := slices.Clone(free[g.Domain])
+		for _, e := range g.Members {
+			members = append(members, e)
+		}
+		if p.fit(v, members, needed) != nil && (victim == nil || v.Loads[g.Head.ID] < v.Loads[victim.Head.ID]) {
+			victim = g
+		}
+	}
+	if victim != nil {
+		p.stolen = v.Now
+		p.retire(v, victim.Name, victim.Epoch, victim.Head, "model "+needed.Name+" needs its members", finishFor)
+	}
+}
--- /dev/null
+++ b/internal/formation/planner.go
@@ -0,0 +1,163 @@
+// Package formation decides which endpoints form which replica group. It does no I/O and reads no clock.
+//
+// Safety does not rest on there being one leader. Every group has a name and an epoch of its own; epochs carry
+// the leader's tenure and only grow, so an endpoint that has taken a later join refuses an earlier one. A group
+// is opened only after every member was seen ready in it, and its members join others only once its head has
+// left, is broken or is dead.
+package formation
+
+import (
+	"fmt"
+	"time"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+)
+
+const (
+	// tenureStep is how many groups one tenure can name.
+	tenureStep = 1 << 20
+	// forgetAfter is how long ended groups are remembered.
+	forgetAfter = 2 * time.Minute
+)
+
+// Planner plans the groups of one service during one tenure of the leader.
+type Planner struct {
+	tenure  int64
+	counter int64
+	started time.Time
+
+	plans     map[string]*plan
+	retiring  map[string]*retirement
+	ended     map[string]time.Time // groups whose members are free
+	strangers map[string]time.Time // first sight of groups of earlier tenures
+	complete  map[string]bool      // groups seen with all members ready
+	opened    map[string]time.Time // last order to open a stranger
+	stagings  map[string]staging   // by endpoint ID
+	loads     []time.Time          // begun during this tenure
+	stolen    time.Time            // last time a group was ended for another model
+
+	orders []Order
+	asked  map[string]bool
+	// Note is called with each decision; pairs are names and values.
+	Note func(event, group string, pairs ...any)
+}
+
+// NewPlanner returns a Planner for a tenure, whose number must be higher than that of any leader before.
+func NewPlanner(tenure int64, now time.Time) *Planner {
+	return &Planner{
+		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement),
+		ended: make(map[string]time.Time), strangers: make(map[string]time.Time), complete: make(map[string]bool),
+		opened: make(map[string]time.Time), stagings: make(map[string]staging), asked: make(map[string]bool),
+	}
+}
+
+func (p *Planner) note(event, group string, pairs ...any) {
+	if p.Note != nil {
+		p.Note(event, group, pairs...)
+	}
+}
+
+func (p *Planner) order(o Order) { p.orders = append(p.orders, o) }
+
+func (p *Planner) ask(ids ...string) {
+	for _, id := range ids {
+		p.asked[id] = true
+	}
+}
+
+// Step returns the orders that are due and the endpoints to be asked directly.
+func (p *Planner) Step(v *View) (orders []Order, ask []string) {
+	p.orders = nil
+	clear(p.asked)
+	p.followPlans(v)
+	p.reviewGroups(v)
+	p.followRetirements(v)
+	p.form(v)
+	p.stage(v)
+	p.forget(v)
+	for id := range p.asked {
+		ask = append(ask, id)
+	}
+	return p.orders, ask
+}
+
+// Retiring returns the groups that are to get no new requests.
+func (p *Planner) Retiring() []string {
+	out := make([]string, 0, len(p.retiring))
+	for name := range p.retiring {
+		out = append(out, name)
+	}
+	return out
+}
+
+// Result takes in what became of an order.
+func (p *Planner) Result(o Order, outcome Outcome, now time.Time) {
+	switch o.Kind {
+	case Join:
+		if pl := p.plans[o.Group]; pl != nil && (outcome == Refused || outcome == Elsewhere) {
+			pl.refused = true
+		}
+	case Leave:
+		if _, ok := p.retiring[o.Group]; ok && outcome != Unknown {
+			delete(p.retiring, o.Group)
+			p.ended[o.Group] = now
+			p.note("group ended", o.Group, "reason", "leave "+outcome.String())
+		}
+	case Stage:
+		if outcome == Refused || outcome == Elsewhere {
+			delete(p.stagings, o.Endpoint.ID)
+		}
+	case Open:
+	}
+}
+
+// free reports whether the endpoint may be ordered into a new group.
+func (p *Planner) free(v *View, e *endpoint.Endpoint) bool {
+	if e.Draining || v.down(e.ID) {
+		return false
+	}
+	for _, pl := range p.plans {
+		if pl.has(e.ID) {
+			return false
+		}
+	}
+	for _, r := range p.retiring {
+		if r.head.ID == e.ID {
+			return false
+		}
+	}
+	if e.Membership == nil {
+		return true
+	}
+	_, ended := p.ended[e.Membership.Group]
+	return ended
+}
+
+// plan orders the members into a new group.
+func (p *Planner) plan(v *View, model string, members []*endpoint.Endpoint, within time.Duration) {
+	p.counter++
+	pl := &plan{
+		epoch: p.tenure*tenureStep + p.counter, model: model, members: members, until: v.Now.Add(within),
+	}
+	pl.name = fmt.Sprintf("r%d-%d", p.tenure, p.counter)
+	p.plans[pl.name] = pl
+	p.note("group planned", pl.name, "model", model, "members", pl.ids(), "epoch", pl.epoch, "within_ms", within.Milliseconds())
+	for _, m := range members {
+		p.order(Order{Kind: Join, Endpoint: m, Group: pl.name, Epoch: pl.epoch, Model: model, Members: pl.ids()})
+	}
+}
+
+func (p *Planner) forget(v *View) {
+	for name, at := range p.ended {
+		if v.Now.Sub(at) > forgetAfter && v.Snapshot.Groups[name] == nil {
+			delete(p.ended, name)
+		}
+	}
+	for name := range p.strangers {
+		if v.Snapshot.Groups[name] == nil {
+			delete(p.strangers, name)
+			delete(p.opened, name)
+			delete(p.complete, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/formation/stage.go
@@ -0,0 +1,100 @@
+package formation
+
+import (
+	"time"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/route"
+)
+
+const (
+	// stagePart is the part of the weight store's rate that is used.
+	stagePart = 0.5
+	// stageGrace is what staging may take beyond the load.
+	stageGrace = 4 * time.Second
+	// settle is how long a new tenure starts no loads: the one before may have.
+	settle = time.Second
+)
+
+// staging is a model being loaded to an endpoint's host.
+type staging struct {
+	model string
+	until time.Time
+}
+
+// stage loads models to hosts: before any request has come the other model to every host, so that each endpoint
+// can soon serve either; later the most needed model to free endpoints that hold nothing of use.
+func (p *Planner) stage(v *View) {
+	running := 0
+	for id, s := range p.stagings {
+		e := v.Snapshot.Endpoints[id]
+		if e == nil || e.HasStaged(s.model) || v.Now.After(s.until) {
+			delete(p.stagings, id)
+			continue
+		}
+		running++
+	}
+	if !v.Busy {
+		p.stageOthers(v)
+		return
+	}
+	have := p.assigned(v)
+	for _, e := range v.Snapshot.Services[v.Service.Name] {
+		if running >= max(1, v.Service.Engine.LoadsAtOnce-1) || !p.mayLoad(v) {
+			return
+		}
+		if _, busy := p.stagings[e.ID]; busy || !p.free(v, e) || len(e.Models)+len(e.Staged) > 0 {
+			continue
+		}
+		if models := byNeed(v, have); len(models) > 0 {
+			p.stageOne(v, e, models[0])
+			have[models[0].Name]++
+			running++
+		}
+	}
+}
+
+// stageOthers gives every member of a group the model that it does not run.
+func (p *Planner) stageOthers(v *View) {
+	models := v.Service.Engine.Models
+	for _, e := range v.Snapshot.Services[v.Service.Name] {
+		if _, busy := p.stagings[e.ID]; busy || e.Draining || e.Membership == nil || e.Membership.State == endpoint.Joining || len(e.Models) == 0 || keepsAnother(e) {
+			continue
+		}
+		for _, m := range models {
+			if !e.Holds(m.Name) && !e.HasStaged(m.Name) {
+				p.stageOne(v, e, m)
+				break
+			}
+		}
+	}
+}
+
+// keepsAnother reports whether the host holds a model that the endpoint does not run.
+func keepsAnother(e *endpoint.Endpoint) bool {
+	for _, m := range e.Staged {
+		if !e.Holds(m) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) stageOne(v *View, e *endpoint.Endpoint, m route.Model) {
+	p.stagings[e.ID] = staging{m.Name, v.Now.Add(m.Load + stageGrace)}
+	p.loads = append(p.loads, v.Now)
+	p.note("model staged", "", "endpoint", e.ID, "model", m.Name)
+	p.order(Order{Kind: Stage, Endpoint: e, Model: m.Name})
+}
+
+// mayLoad keeps the loads of this tenure below the weight store's rate.
+func (p *Planner) mayLoad(v *View) bool {
+	if v.Now.Sub(p.started) < settle {
+		return false
+	}
+	recent := 0
+	for i := len(p.loads) - 1; i >= 0 && v.Now.Sub(p.loads[i]) < time.Second; i-- {
+		recent++
+	}
+	return float64(recent) < stagePart*v.Service.Engine.LoadsPerSecond
+}
--- /dev/null
+++ b/internal/formation/view.go
@@ -0,0 +1,69 @@
+package formation
+
+import (
+	"time"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/route"
+)
+
+// View is what a Planner sees in one step.
+type View struct {
+	Now      time.Time
+	Service  *route.Service
+	Snapshot *endpoint.Snapshot
+	Contacts map[string]Contact // by endpoint ID, of those that have been asked lately
+	Loads    map[string]int     // requests of all nodes, by ID of the head
+	Suspects map[string]bool    // groups that stand still at some node
+	Busy     bool               // callers have begun to send requests
+}
+
+// Contact is what asking an endpoint directly has shown.
+type Contact struct {
+	Answered time.Time // last answer
+	Failed   time.Time // first failure since then; zero if the last try was answered
+	Refused  bool      // nothing listens at its address
+	Alone    bool      // no other node has heard of it either since it failed
+}
+
+const (
+	// silentFor is how long an endpoint must fail to answer before it counts as down: a lost packet alone is
+	// sent again within it. For a member of a group that stands still one answer missed is enough.
+	silentFor      = 900 * time.Millisecond
+	silentForStill = 250 * time.Millisecond
+	// deadAfter is how long an endpoint that is not listed any more must be silent to all nodes before it counts
+	// as dead. Only then may the members of a group that it headed join others: it may still serve them.
+	deadAfter = 1200 * time.Millisecond
+)
+
+// down reports whether the endpoint does not answer, whether dead or cut off.
+func (v *View) down(id string) bool {
+	c, ok := v.Contacts[id]
+	if !ok || c.Failed.IsZero() {
+		return false
+	}
+	needed := silentFor
+	if e := v.Snapshot.Endpoints[id]; e != nil && e.Membership != nil && v.Suspects[e.Membership.Group] {
+		needed = silentForStill
+	}
+	return c.Refused || v.Now.Sub(c.Failed) >= needed
+}
+
+// dead reports whether the life of the endpoint is certainly over.
+func (v *View) dead(id string) bool {
+	c, ok := v.Contacts[id]
+	if !ok || c.Failed.IsZero() {
+		return false
+	}
+	if c.Refused {
+		return true
+	}
+	_, gone := v.Snapshot.Gone[id]
+	return gone && c.Alone && v.Now.Sub(c.Failed) >= deadAfter
+}
+
+// answers reports whether the endpoint has answered a direct question within that time.
+func (v *View) answers(id string, within time.Duration) bool {
+	c, ok := v.Contacts[id]
+	return ok && c.Failed.IsZero() && v.Now.Sub(c.Answered) <= within
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"moorrun.dev/moorrun/internal/picker"
+	"moorrun.dev/moorrun/internal/verdict"
+)
+
+const (
+	// hedgePart is the part of the objective after which a request that may run again is sent elsewhere.
+	hedgePart = 0.6
+	// serverError is the first status by which an endpoint reports a failure of its own.
+	serverError = 500
+)
+
+// call serves a request whose answer is passed on as a whole.
+func (f *flight) call(ctx context.Context) {
+	for {
+		place, err := f.acquire(ctx)
+		if err != nil {
+			f.noPlace(ctx, err)
+			return
+		}
+		again := f.callOnce(ctx, place)
+		place.Release()
+		if !again {
+			return
+		}
+		f.avoid(place)
+	}
+}
+
+// callOnce sends the request once and reports whether it is to be sent again.
+func (f *flight) callOnce(ctx context.Context, place *picker.Place) bool {
+	f.sends++
+	sent := time.Now()
+	f.log("sent", false, "endpoint", place.Endpoint.ID, "send", f.sends)
+	reply, err := f.exchange.Send(ctx, f.attempt(place, false))
+	if err != nil {
+		return f.callFailed(ctx, place, err)
+	}
+	defer reply.Close()
+	head, body, err := f.answer(ctx, reply, sent)
+	if err != nil {
+		return f.callFailed(ctx, place, err)
+	}
+	now := time.Now()
+	if head.NotRun {
+		place.Failed(false, now)
+		return f.notRun(ctx, place)
+	}
+	f.ran++
+	if head.Status >= serverError {
+		place.Failed(false, now)
+		if ctx.Err() == nil && f.mayResend(verdict.Ran) {
+			f.log("resend", false, "endpoint", place.Endpoint.ID, "status", head.Status)
+			return true
+		}
+	} else {
+		place.First(now.Sub(sent), now)
+	}
+	err = f.exchange.Whole(reply, body)
+	f.log("answered", err != nil, "endpoint", place.Endpoint.ID, "status", head.Status, "sends", f.sends,
+		"ms", now.Sub(f.request.Received).Milliseconds(), "err", err)
+	return false
+}
+
+// answer waits for the whole answer, or only for a part of the time if another endpoint may be asked.
+func (f *flight) answer(ctx context.Context, reply Reply, sent time.Time) (Head, []byte, error) {
+	until := f.deadline
+	if hedge := sent.Add(time.Duration(hedgePart * float64(f.route.Objective))); f.route.MayRepeat() && f.ran+1 < f.route.MaxAttempts && hedge.Before(until) {
+		until = hedge
+	}
+	head, err := reply.Head(until)
+	if errors.Is(err, ErrNotYet) && until.Before(f.deadline) && ctx.Err() == nil {
+		if f.sends < maxSends && f.budget.Take(time.Now()) {
+			return head, nil, errHedged
+		}
+		head, err = reply.Head(f.deadline)
+	}
+	if err != nil || head.NotRun {
+		return head, nil, err
+	}
+	body, err := reply.Body(f.deadline)
+	return head, body, err
+}
+
+// errHedged means that the answer has not come in time and another endpoint is to be asked; the repeat is paid.
+var errHedged = errors.New("no answer in time to ask another endpoint")
+
+func (f *flight) callFailed(ctx context.Context, place *picker.Place, err error) bool {
+	now := time.Now()
+	v := verdict.Of(err)
+	place.Failed(v == verdict.NotRun, now)
+	f.log("failed", false, "endpoint", place.Endpoint.ID, "verdict", v.String(), "err", err)
+	if errors.Is(err, errHedged) {
+		f.ran++
+		return true
+	}
+	if v == verdict.NotRun {
+		return f.notRun(ctx, place)
+	}
+	f.ran++
+	if ctx.Err() == nil && f.mayResend(v) {
+		return true
+	}
+	f.fail(ctx, err.Error())
+	return false
+}
+
+// notRun decides what follows an attempt that did not run.
+func (f *flight) notRun(ctx context.Context, place *picker.Place) bool {
+	if ctx.Err() == nil && f.mayResend(verdict.NotRun) {
+		f.log("resend", false, "endpoint", place.Endpoint.ID, "verdict", verdict.NotRun.String())
+		return true
+	}
+	if f.ran > 0 {
+		f.fail(ctx, "the last endpoint did not run it")
+		return false
+	}
+	f.refuse(Refusal{Reason: NotRun, Detail: "the endpoint did not run it", RetryAfter: comeBack})
+	return false
+}
--- /dev/null
+++ b/internal/gateway/flight.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"moorrun.dev/moorrun/internal/picker"
+	"moorrun.dev/moorrun/internal/retry"
+	"moorrun.dev/moorrun/internal/route"
+	"moorrun.dev/moorrun/internal/verdict"
+)
+
+// maxSends bounds the sendings of one request, those that did not run included.
+const maxSends = 4
+
+// flight is one request on its way.
+type flight struct {
+	gateway   *Gateway
+	request   *Request
+	exchange  Exchange
+	table     *route.Table
+	route     *route.Route
+	workspace *route.Workspace
+	service   *route.Service
+	budget    *retry.Budget
+	deadline  time.Time
+
+	sends  int      // to any endpoint
+	ran    int      // sendings that may have run
+	failed []string // groups and endpoints that have failed it
+	begun  bool     // the caller has the head of an answer
+	lastID string   // of the last event passed on
+}
+
+func (f *flight) log(event string, failure bool, pairs ...any) {
+	f.gateway.Log.Decision(f.request.ID, event, failure, pairs...)
+}
+
+// refuse answers for the system itself, or breaks off what has begun.
+func (f *flight) refuse(r Refusal) {
+	f.log("refused", true, "reason", r.Reason.String(), "detail", r.Detail, "retry_after_ms", r.RetryAfter.Milliseconds(),
+		"sends", f.sends, "begun", f.begun, "age_ms", time.Since(f.request.Received).Milliseconds())
+	if f.begun {
+		f.exchange.Abort()
+		return
+	}
+	f.exchange.Refuse(r)
+}
+
+// acquire finds a place for the next sending.
+func (f *flight) acquire(ctx context.Context) (*picker.Place, error) {
+	w := &picker.Want{
+		Service: f.service.Name, Workspace: f.workspace.Name, Priority: f.priority(), Exclude: f.failed,
+		Patience: time.Duration(patiencePart * float64(f.route.Objective)),
+	}
+	if e := f.service.Engine; e != nil {
+		model, ok := e.Model(f.request.Model)
+		if !ok {
+			return nil, errNoModel
+		}
+		w.Model, w.Slots, w.Size = model.Name, e.Slots, model.Size
+	}
+	if f.begun {
+		w.Patience = f.route.GapObjective / 2
+	}
+	return f.gateway.Picker.Acquire(ctx, w)
+}
+
+var errNoModel = errors.New("the service has no such model")
+
+func (f *flight) priority() int {
+	if f.workspace.HasPriority {
+		return f.workspace.Priority
+	}
+	return f.route.Priority
+}
+
+func (f *flight) attempt(place *picker.Place, stream bool) Attempt {
+	return Attempt{
+		Endpoint: place.Endpoint, Remaining: time.Until(f.deadline), Workspace: f.workspace, Priority: f.priority(),
+		ResumeAfter: f.resumeAfter(), Once: !f.route.MayRepeat(), Stream: stream,
+	}
+}
+
+func (f *flight) resumeAfter() string {
+	if f.lastID != "" {
+		return f.lastID
+	}
+	return f.request.ResumeAfter
+}
+
+// noPlace refuses a request that found no place. Nothing that may have run is refused as not run.
+func (f *flight) noPlace(ctx context.Context, err error) {
+	switch {
+	case f.ran > 0:
+		f.fail(ctx, "no place for another attempt: "+err.Error())
+	default:
+		f.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: comeBack})
+	}
+}
+
+// fail ends a request that may have run.
+func (f *flight) fail(ctx context.Context, detail string) {
+	reason := Failed
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = TimedOut
+	}
+	f.refuse(Refusal{Reason: reason, Detail: detail})
+}
+
+// mayResend reports whether the request may be sent once more after a failure with that verdict.
+func (f *flight) mayResend(v verdict.Verdict) bool {
+	if f.sends >= maxSends {
+		return false
+	}
+	if v != verdict.NotRun && (!f.route.MayRepeat() || f.ran >= max(1, f.route.MaxAttempts)) {
+		return false
+	}
+	return f.budget.Take(time.Now())
+}
+
+// avoid keeps further attempts from where one has failed.
+func (f *flight) avoid(place *picker.Place) {
+	if place.Group != "" {
+		f.failed = append(f.failed, place.Group)
+		return
+	}
+	f.failed = append(f.failed, place.Endpoint.ID)
+}
--- /dev/null
+++ b/internal/gossip/caller.go
@@ -0,0 +1,70 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"moorrun.dev/moorrun/internal/gossip/gossippb"
+	"moorrun.dev/moorrun/internal/infra"
+)
+
+const (
+	pooledPerPeer = 2
+	pooledFor     = 30 * time.Second
+	dialWait      = 300 * time.Millisecond
+)
+
+// errRestarted means that another process answers at the address than was asked.
+var errRestarted = errors.New("the node has started anew")
+
+// Caller makes calls to other nodes over pooled connections.
+type Caller struct {
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewCaller returns a Caller.
+func NewCaller() *Caller {
+	return &Caller{drpcpool.New[string, drpcpool.Conn](drpcpool.Options{KeyCapacity: pooledPerPeer, Expiration: pooledFor})}
+}
+
+func (c *Caller) client(ctx context.Context, address string) gossippb.DRPCGossipClient {
+	conn := c.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
+		d := net.Dialer{Timeout: dialWait}
+		raw, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return drpcconn.New(raw), nil
+	})
+	return gossippb.NewDRPCGossipClient(drpc.Conn(conn))
+}
+
+// Pull fetches what the node has taken in since a sequence of its own.
+func (c *Caller) Pull(ctx context.Context, address, incarnation string, since uint64) (uint64, []infra.Object, error) {
+	reply, err := c.client(ctx, address).Pull(ctx, &gossippb.PullRequest{Incarnation: incarnation, Since: since})
+	if err != nil {
+		return 0, nil, err
+	}
+	if reply.Incarnation != incarnation {
+		return 0, nil, errRestarted
+	}
+	return reply.Sequence, objectsFromWire(reply.Objects), nil
+}
+
+// Probe asks the node whether an endpoint answers it.
+func (c *Caller) Probe(ctx context.Context, address, id, endpointAddress string) (bool, error) {
+	reply, err := c.client(ctx, address).Probe(ctx, &gossippb.ProbeRequest{Id: id, Address: endpointAddress})
+	if err != nil {
+		return false, err
+	}
+	return reply.Answered, nil
+}
+
+// Close closes the pooled connections.
+func (c *Caller) Close() error { return c.pool.Close() }
--- /dev/null
+++ b/internal/gossip/convert.go
@@ -0,0 +1,68 @@
+package gossip
+
+import (
+	"time"
+
+	"moorrun.dev/moorrun/internal/gossip/gossippb"
+)
+
+const maxSuspects = 20
+
+func toWire(self Identity, s Status, known []*gossippb.KnownNode, now time.Time) *gossippb.Beat {
+	b := &gossippb.Beat{
+		Vm: self.VM, Incarnation: self.Incarnation, Zone: self.Zone, CallerAddress: self.CallerAddress,
+		GossipAddress: self.GossipAddress, PeerAddress: self.PeerAddress,
+		Leaving: s.Leaving, Serving: s.Serving, Watching: s.Watching, Eligible: s.Eligible, LeaderEpoch: s.LeaderEpoch, Sequence: s.Sequence,
+		Retiring: s.Retiring, Known: known,
+	}
+	if !s.ProofAt.IsZero() {
+		b.ProofAgeMs = max(1, roundUp(now.Sub(s.ProofAt)))
+	}
+	for endpoint, n := range s.Loads {
+		b.Loads = append(b.Loads, &gossippb.Load{Endpoint: endpoint, Requests: uint32(n)}) //nolint:gosec // never negative
+	}
+	for group, at := range s.Suspects {
+		if len(b.Suspects) < maxSuspects {
+			b.Suspects = append(b.Suspects, &gossippb.Suspect{Group: group, AgeMs: roundUp(now.Sub(at))})
+		}
+	}
+	for model, d := range s.Demands {
+		b.Demands = append(b.Demands, &gossippb.Demand{Model: model, Waiting: uint32(d.Waiting), Running: uint32(d.Running)}) //nolint:gosec // never negative
+	}
+	return b
+}
+
+// roundUp makes an age in whole milliseconds that is never too young.
+func roundUp(age time.Duration) uint32 {
+	return uint32((age + time.Millisecond - 1) / time.Millisecond) //nolint:gosec // ages are short
+}
+
+func fromWire(b *gossippb.Beat, asOf time.Time) *Peer {
+	p := &Peer{
+		Identity: Identity{
+			VM: b.Vm, Incarnation: b.Incarnation, Zone: b.Zone, CallerAddress: b.CallerAddress,
+			GossipAddress: b.GossipAddress, PeerAddress: b.PeerAddress,
+		},
+		Status: Status{
+			Leaving: b.Leaving, Serving: b.Serving, Watching: b.Watching, Eligible: b.Eligible, LeaderEpoch: b.LeaderEpoch, Sequence: b.Sequence,
+			Retiring: b.Retiring, Loads: make(map[string]int, len(b.Loads)),
+			Suspects: make(map[string]time.Time, len(b.Suspects)), Demands: make(map[string]Demand, len(b.Demands)),
+		},
+		Heard: asOf,
+	}
+	if b.ProofAgeMs > 0 {
+		p.ProofAt = asOf.Add(-millis(b.ProofAgeMs))
+	}
+	for _, l := range b.Loads {
+		p.Loads[l.Endpoint] = int(l.Requests)
+	}
+	for _, s := range b.Suspects {
+		p.Suspects[s.Group] = asOf.Add(-millis(s.AgeMs))
+	}
+	for _, d := range b.Demands {
+		p.Demands[d.Model] = Demand{int(d.Waiting), int(d.Running)}
+	}
+	return p
+}
+
+func millis(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/gossip/server.go
@@ -0,0 +1,61 @@
+package gossip
+
+import (
+	"context"
+	"net"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"moorrun.dev/moorrun/internal/gossip/gossippb"
+	"moorrun.dev/moorrun/internal/infra"
+	"moorrun.dev/moorrun/internal/mirror"
+)
+
+// Server answers the calls of other nodes.
+type Server struct {
+	incarnation string
+	mirror      *mirror.Mirror
+	ask         func(ctx context.Context, id, address string) bool
+}
+
+// NewServer returns a Server that gives out what m holds; ask tells whether an endpoint answers this node.
+func NewServer(incarnation string, m *mirror.Mirror, ask func(ctx context.Context, id, address string) bool) *Server {
+	return &Server{incarnation, m, ask}
+}
+
+// Serve answers on lis until ctx ends.
+func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
+	mux := drpcmux.New()
+	if err := gossippb.DRPCRegisterGossip(mux, s); err != nil {
+		return err
+	}
+	return drpcserver.New(mux).Serve(ctx, lis)
+}
+
+// Pull implements the drpc service.
+func (s *Server) Pull(_ context.Context, request *gossippb.PullRequest) (*gossippb.PullReply, error) {
+	since := request.Since
+	if request.Incarnation != s.incarnation {
+		since = 0
+	}
+	objects, sequence := s.mirror.Since(since)
+	reply := &gossippb.PullReply{Incarnation: s.incarnation, Sequence: sequence}
+	for _, o := range objects {
+		reply.Objects = append(reply.Objects, &gossippb.Object{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
+	}
+	return reply, nil
+}
+
+// Probe implements the drpc service.
+func (s *Server) Probe(ctx context.Context, request *gossippb.ProbeRequest) (*gossippb.ProbeReply, error) {
+	return &gossippb.ProbeReply{Answered: s.ask(ctx, request.Id, request.Address)}, nil
+}
+
+func objectsFromWire(list []*gossippb.Object) []infra.Object {
+	out := make([]infra.Object, len(list))
+	for i, o := range list {
+		out[i] = infra.Object{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted}
+	}
+	return out
+}
--- a/internal/httpcall/answer.go
+++ b/internal/httpcall/answer.go
@@ -14,6 +14,7 @@
 
 	client *Client
 	conn   *conn
+	ctx    context.Context //nolint:containedctx // of the call, to tell a cancelled wait from one that took too long
 	stop   func() bool
 	whole  bool
 }
@@ -32,6 +33,9 @@
 	return a.conn.SetReadDeadline(time.Now().Add(d))
 }
 
+// Cancelled reports whether the call's context has ended.
+func (a *Answer) Cancelled() bool { return a.ctx.Err() != nil }
+
 // Await waits until bytes can be read, within the read timeout. Unlike Read it may be called again after a
 // timeout, because it takes nothing in.
 func (a *Answer) Await() error {
@@ -62,5 +66,14 @@
 // watch closes the gap between a cancelled context and a blocked read or write.
 func (a *Answer) watch(ctx context.Context) {
 	c := a.conn
+	a.ctx = ctx
 	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 }
+
+// clearDeadline ends the bound on the sending, unless ctx has ended meanwhile.
+func (a *Answer) clearDeadline(ctx context.Context) {
+	_ = a.conn.SetDeadline(time.Time{})
+	if ctx.Err() != nil {
+		_ = a.conn.SetDeadline(time.Unix(1, 0))
+	}
+}
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -29,6 +29,9 @@
 
 // Client keeps idle connections by address.
 type Client struct {
+	// DialTimeout bounds the wait for a new connection; change it before the first call.
+	DialTimeout time.Duration
+
 	shards [shardCount]shard
 }
 
@@ -40,7 +43,7 @@
 
 // NewClient returns a Client without connections.
 func NewClient() *Client {
-	c := &Client{}
+	c := &Client{DialTimeout: dialTimeout}
 	for i := range c.shards {
 		c.shards[i].idle = make(map[string][]*conn)
 	}
@@ -58,33 +61,63 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	k, err := c.connect(ctx, address, o.Fresh, deadline)
+	a, err := c.start(ctx, address, request, o.Fresh, deadline)
+	if err != nil {
+		return nil, err
+	}
+	if err := a.Receive(o); err != nil {
+		_ = a.Close()
+		return nil, err
+	}
+	if o.Stream {
+		a.clearDeadline(ctx)
+	}
+	return a, nil
+}
+
+// Start sends request to address and returns without waiting for an answer, which Await and Receive take in.
+// Options.Timeout bounds the sending; the error, when there is one, is a *verdict.Error.
+func (c *Client) Start(ctx context.Context, address string, request *fasthttp.Request, o Options) (*Answer, error) {
+	a, err := c.start(ctx, address, request, o.Fresh, time.Now().Add(o.Timeout))
+	if err != nil {
+		return nil, err
+	}
+	a.clearDeadline(ctx)
+	return a, nil
+}
+
+func (c *Client) start(ctx context.Context, address string, request *fasthttp.Request, fresh bool, deadline time.Time) (*Answer, error) {
+	k, err := c.connect(ctx, address, fresh, deadline)
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, Error.Wrap(err))
 	}
 	a := &Answer{client: c, conn: k}
 	_ = k.SetDeadline(deadline)
 	a.watch(ctx)
-	if err := a.exchange(request, o); err != nil {
+	if err := a.send(request); err != nil {
 		_ = a.Close()
 		return nil, verdict.New(verdict.MayHaveRun, Error.Wrap(err))
 	}
-	if o.Stream {
-		_ = k.SetDeadline(time.Time{})
-		if ctx.Err() != nil {
-			_ = k.SetDeadline(time.Unix(1, 0))
-		}
-	}
 	return a, nil
 }
 
-func (a *Answer) exchange(request *fasthttp.Request, o Options) error {
+func (a *Answer) send(request *fasthttp.Request) error {
 	if err := request.Write(a.conn.writer); err != nil {
 		return err
 	}
-	if err := a.conn.writer.Flush(); err != nil {
-		return err
+	return a.conn.writer.Flush()
+}
+
+// Receive reads the answer's header, and its body unless Options.Stream is set. The error, when there is one,
+// is a *verdict.Error.
+func (a *Answer) Receive(o Options) error {
+	if err := a.receive(o); err != nil {
+		return verdict.New(verdict.MayHaveRun, Error.Wrap(err))
 	}
+	return nil
+}
+
+func (a *Answer) receive(o Options) error {
 	a.Response.StreamBody = o.Stream
 	if o.Stream {
 		return a.Response.Read(a.conn.reader)
@@ -109,7 +142,7 @@
 			return k, nil
 		}
 	}
-	wait := min(time.Until(deadline), dialTimeout)
+	wait := min(time.Until(deadline), c.DialTimeout)
 	if wait <= 0 {
 		return nil, context.DeadlineExceeded
 	}
--- a/internal/infra/object_store.go
+++ b/internal/infra/object_store.go
@@ -14,6 +14,9 @@
 // ErrUnavailable is returned when the platform does not answer.
 var ErrUnavailable = errors.New("platform store is unavailable")
 
+// ErrHistoryGone is returned by Watch when the store has forgotten the changes asked for: list again.
+var ErrHistoryGone = errors.New("the store's history is gone")
+
 // MaxValueBytes is the largest value the object API takes.
 const MaxValueBytes = 1 << 20
 
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -28,3 +28,12 @@
 
 // Lease returns the key of a data centre's lease.
 func Lease(dataCentre string) string { return Leases + dataCentre }
+
+const (
+	// Accepted is the prefix of the configuration that the platform has accepted by itself.
+	Accepted = "accepted/"
+	// Endpoints is the prefix of the platform's entries of endpoints, by ID.
+	Endpoints = "endpoints/"
+	// Gateways is the prefix of the registered nodes before a platform's endpoints.
+	Gateways = Root + "gateways/"
+)
--- a/internal/peer/link_client.go
+++ b/internal/peer/link_client.go
@@ -8,6 +8,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"moorrun.dev/moorrun/internal/freshness"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
 )
@@ -25,7 +26,7 @@
 	stream peerpb.DRPCPeer_LinkClient
 
 	mu    sync.Mutex
-	clock clock
+	clock freshness.Clock
 	echo  uint64
 }
 
@@ -68,7 +69,7 @@
 func (l *LinkClient) take(down *peerpb.Down) (time.Time, bool) {
 	l.mu.Lock()
 	l.echo = down.Tick
-	asOf, ok := l.clock.asOf(down.Echo)
+	asOf, ok := l.clock.AsOf(down.Echo)
 	l.mu.Unlock()
 	for _, o := range down.Objects {
 		l.fleet.Mirror.Put(objectFromWire(o))
@@ -110,7 +111,7 @@
 	defer l.mu.Unlock()
 	echo := l.echo
 	now := time.Now()
-	return &peerpb.Up{Tick: l.clock.next(now), Echo: echo}, now
+	return &peerpb.Up{Tick: l.clock.Next(now), Echo: echo}, now
 }
 
 func (l *LinkClient) send(ctx context.Context) error {
--- a/internal/peer/link_server.go
+++ b/internal/peer/link_server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/evidence"
+	"moorrun.dev/moorrun/internal/freshness"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
 )
@@ -24,7 +25,7 @@
 
 	mu    sync.Mutex
 	peer  membership.Member
-	clock clock
+	clock freshness.Clock
 	echo  uint64
 
 	// what has been sent, for the sending goroutine only
@@ -103,7 +104,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.echo = up.Tick
-	asOf, ok := l.clock.asOf(up.Echo)
+	asOf, ok := l.clock.AsOf(up.Echo)
 	if up.Member != nil {
 		l.peer = memberFromWire(up.Member, asOf)
 	}
@@ -140,7 +141,7 @@
 	defer l.mu.Unlock()
 	echo := l.echo
 	now := time.Now()
-	return &peerpb.Down{Tick: l.clock.next(now), Echo: echo}, now
+	return &peerpb.Down{Tick: l.clock.Next(now), Echo: echo}, now
 }
 
 func (l *linkServer) send() error {
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -24,7 +24,7 @@
 func TestEvidenceCountsFromTheEchoedTick(t *testing.T) {
 	l := newTestLink()
 	sent := time.Now().Add(-time.Second) // this side's tick was sent a second ago, and the answer lay in a buffer
-	tick := l.clock.next(sent)
+	tick := l.clock.Next(sent)
 	l.take(&peerpb.Down{Tick: 1, Echo: tick, Evidence: []*peerpb.DomainEvidence{{
 		Domain: "d", Observer: "o/1", Sequence: 1, Groups: []*peerpb.GroupEvidence{{Id: "g", Birth: 1, RemainingMs: 900}},
 	}}})
@@ -53,7 +53,7 @@
 			return
 		}
 		l := newTestLink()
-		l.clock.next(time.Now())
+		l.clock.Next(time.Now())
 		l.fleet.Mirror.Put(infra.Object{Key: "k", Version: 5})
 		l.take(&down)
 		if o, ok := l.fleet.Mirror.Get("k"); ok && o.Version < 5 {
--- /dev/null
+++ b/internal/picker/candidate.go
@@ -0,0 +1,133 @@
+package picker
+
+import (
+	"slices"
+	"time"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/gossip"
+)
+
+const (
+	// slowFrom is how many times the usual pause between events makes a replica group slow.
+	slowFrom = 1.8
+	// slowCost is what being a time slower than usual costs, in requests.
+	slowCost = 8.0
+	// failureCost is what failing always costs an endpoint that serves alone, in requests.
+	failureCost = 20.0
+	// latencyUnit turns the mean latency of an endpoint that serves alone into requests.
+	latencyUnit = 40 * time.Millisecond
+	// jitter spreads requests over equals.
+	jitter = 0.5
+)
+
+// candidate is an endpoint that could take a request.
+type candidate struct {
+	endpoint *endpoint.Endpoint
+	group    string
+	load     int // requests of all nodes
+	cost     float64
+}
+
+// candidates returns everything that may take the request, with its cost.
+func (p *Picker) candidates(w *Want, now time.Time) []candidate {
+	snapshot := p.options.Directory.Read()
+	peers := p.options.Live(now)
+	if w.Model == "" {
+		return p.alone(w, snapshot, peers, now)
+	}
+	return p.groups(w, snapshot, peers, now)
+}
+
+func (p *Picker) groups(w *Want, snapshot *endpoint.Snapshot, peers []*gossip.Peer, now time.Time) []candidate {
+	retiring := p.options.Retiring(now)
+	var out []candidate
+	usual := p.usualGap(w, snapshot)
+	for _, g := range snapshot.Groups {
+		if g.Service != w.Service || g.Model != w.Model || w.excludes(g.Name) || retiring[g.Name] || !p.usable(g, w.Size) {
+			continue
+		}
+		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(p.health[g.Name], peers, g.Head.ID)}
+		c.cost = float64(c.load) + p.extraCost(p.health[g.Name], g.Head, now)
+		if g.Draining() {
+			c.cost += drainCost
+		}
+		if h := p.health[g.Name]; h != nil && usual > 0 && float64(h.gap) > slowFrom*float64(usual) {
+			c.cost += slowCost * (float64(h.gap)/float64(usual) - 1)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// usable reports whether the head takes requests and every member has been ready at one time in this group.
+func (p *Picker) usable(g *endpoint.Group, size int) bool {
+	if g.Head == nil || g.Head.Draining || g.Head.Membership.State != endpoint.Open {
+		return false
+	}
+	if g.Ready(size) {
+		p.complete[g.Name] = true
+	}
+	return p.complete[g.Name]
+}
+
+// usualGap is the middle of the model's mean pauses between events, as seen by this node.
+func (p *Picker) usualGap(w *Want, snapshot *endpoint.Snapshot) time.Duration {
+	var gaps []time.Duration
+	for _, g := range snapshot.Groups {
+		if h := p.health[g.Name]; g.Model == w.Model && h != nil && h.gap > 0 {
+			gaps = append(gaps, h.gap)
+		}
+	}
+	if len(gaps) == 0 {
+		return 0
+	}
+	slices.Sort(gaps)
+	return gaps[len(gaps)/2]
+}
+
+func (p *Picker) alone(w *Want, snapshot *endpoint.Snapshot, peers []*gossip.Peer, now time.Time) []candidate {
+	var out []candidate
+	for _, e := range snapshot.Services[w.Service] {
+		if e.Draining || w.excludes(e.ID) {
+			continue
+		}
+		h := p.health[e.ID]
+		c := candidate{endpoint: e, load: totalLoad(h, peers, e.ID)}
+		c.cost = float64(c.load) + p.extraCost(h, e, now)
+		if h != nil {
+			c.cost += failureCost*h.failures + float64(h.latency)/float64(latencyUnit)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// extraCost is what speaks against an endpoint besides its load.
+func (p *Picker) extraCost(h *health, e *endpoint.Endpoint, now time.Time) float64 {
+	cost := p.draw() * jitter
+	if e.Zone != p.options.Zone {
+		cost += zoneCost
+	}
+	if h != nil && h.suspected(now) {
+		cost += suspectCost
+	}
+	return cost
+}
+
+// draw returns a number from 0 to 1 by a step of a small linear generator; it only breaks ties.
+func (p *Picker) draw() float64 {
+	p.random = p.random*6364136223846793005 + 1442695040888963407
+	return float64(p.random>>40) / (1 << 24)
+}
+
+func totalLoad(h *health, peers []*gossip.Peer, id string) int {
+	n := 0
+	if h != nil {
+		n = h.running
+	}
+	for _, peer := range peers {
+		n += peer.Loads[id]
+	}
+	return n
+}
--- /dev/null
+++ b/internal/picker/observe.go
@@ -0,0 +1,107 @@
+package picker
+
+import (
+	"time"
+
+	"moorrun.dev/moorrun/internal/gossip"
+)
+
+const (
+	// firstPatience is how long a replica group may send nothing at all before it counts as standing still.
+	firstPatience = 700 * time.Millisecond
+	// leastPatience and mostPatience bound the wait for the next event of a running stream.
+	leastPatience = 180 * time.Millisecond
+	mostPatience  = 600 * time.Millisecond
+	// gapsPatience is how many usual pauses between events are waited.
+	gapsPatience = 4
+)
+
+// First notes that the first event, or the answer, came after that time.
+func (p *Place) First(latency time.Duration, now time.Time) {
+	p.update(now, func(h *health) {
+		h.latency = mean(h.latency, latency)
+		h.failures -= smoothing * h.failures
+	})
+}
+
+// Progress notes an event that came that long after the one before.
+func (p *Place) Progress(gap time.Duration, now time.Time) {
+	p.update(now, func(h *health) { h.gap = mean(h.gap, gap) })
+}
+
+// update notes a sign of life and applies change.
+func (p *Place) update(now time.Time, change func(*health)) {
+	p.picker.mu.Lock()
+	defer p.picker.mu.Unlock()
+	h := p.picker.healthOf(p.key(), now)
+	h.progress = now
+	h.suspect = time.Time{}
+	change(h)
+}
+
+// Failed notes that the endpoint failed the request or could not be reached.
+func (p *Place) Failed(unreachable bool, now time.Time) {
+	p.picker.mu.Lock()
+	defer p.picker.mu.Unlock()
+	h := p.picker.healthOf(p.key(), now)
+	h.failures += smoothing * (1 - h.failures)
+	if unreachable {
+		h.suspect, h.avoid = now, now.Add(failedFor)
+	}
+}
+
+// Patience returns until when the next sign of life should come, for a request that got its last one (or was
+// sent) at since. Any sign of life of the same group counts for a request that has got nothing yet: its prompt
+// waits its turn.
+func (p *Place) Patience(since time.Time, begun bool) time.Time {
+	p.picker.mu.Lock()
+	defer p.picker.mu.Unlock()
+	h := p.picker.healthOf(p.key(), since)
+	if !begun {
+		if h.progress.After(since) {
+			since = h.progress
+		}
+		return since.Add(firstPatience)
+	}
+	return since.Add(min(max(gapsPatience*h.gap, leastPatience), mostPatience))
+}
+
+// StoodStill notes that nothing came in time.
+func (p *Place) StoodStill(now time.Time) {
+	p.picker.mu.Lock()
+	defer p.picker.mu.Unlock()
+	h := p.picker.healthOf(p.key(), now)
+	if h.suspect.IsZero() {
+		h.suspect = now
+	}
+	h.avoid = now.Add(suspectFor)
+}
+
+// Report fills in what the other nodes are told.
+func (p *Picker) Report(s *gossip.Status, now time.Time) {
+	snapshot := p.options.Directory.Read()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.Loads = make(map[string]int)
+	s.Suspects = make(map[string]time.Time)
+	for key, h := range p.health {
+		g := snapshot.Groups[key]
+		if h.running > 0 {
+			switch {
+			case g != nil && g.Head != nil:
+				s.Loads[g.Head.ID] = h.running
+			case snapshot.Endpoints[key] != nil:
+				s.Loads[key] = h.running
+			}
+		}
+		if h.suspected(now) && g != nil {
+			s.Suspects[key] = h.suspect
+		}
+	}
+	s.Demands = make(map[string]gossip.Demand)
+	for model, running := range p.busy {
+		if model != "" {
+			s.Demands[model] = gossip.Demand{Waiting: p.demand[model], Running: running}
+		}
+	}
+}
--- /dev/null
+++ b/internal/picker/picker.go
@@ -0,0 +1,170 @@
+// Package picker chooses the endpoint for each request: a replica group whose members have all been ready, or
+// an endpoint that serves alone, by the requests that all nodes have there and by what this node has seen of it.
+package picker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/gossip"
+)
+
+const (
+	// zoneCost is what a request more elsewhere would have to save for a request to leave its zone.
+	zoneCost = 3.0
+	// suspectCost keeps requests from what stands still, as long as anything else is there.
+	suspectCost = 1000.0
+	// drainCost keeps requests from a group of which a member is about to leave.
+	drainCost = 300.0
+	// overflow is how many requests may wait at a full replica group, by its own queue.
+	overflow = 6
+	// forgetAfter is how long the health of what is not used is kept.
+	forgetAfter = 30 * time.Second
+)
+
+// Options are what a Picker works with.
+type Options struct {
+	Zone      string
+	Directory *endpoint.Directory
+	Live      func(now time.Time) []*gossip.Peer
+	// Retiring returns the replica groups that the leader is about to end.
+	Retiring func(now time.Time) map[string]bool
+}
+
+// Picker chooses endpoints.
+type Picker struct {
+	options Options
+
+	mu       sync.Mutex
+	health   map[string]*health
+	running  map[string]int  // by workspace
+	complete map[string]bool // groups that had all their members ready
+	waiting  []*waiter
+	demand   map[string]int // waiting by model
+	busy     map[string]int // running by model
+	random   uint64
+}
+
+// New returns a Picker.
+func New(o Options) *Picker {
+	return &Picker{
+		options: o, health: make(map[string]*health), running: make(map[string]int), complete: make(map[string]bool),
+		demand: make(map[string]int), busy: make(map[string]int),
+	}
+}
+
+// Acquire returns a place, waiting for one up to the want's patience.
+func (p *Picker) Acquire(ctx context.Context, w *Want) (*Place, error) {
+	p.mu.Lock()
+	if !p.someoneWaitsFor(w) {
+		place, err := p.try(w, time.Now(), false)
+		if place != nil || err != nil && w.Patience <= 0 {
+			p.mu.Unlock()
+			return place, err
+		}
+	}
+	q := p.enqueue(w)
+	p.mu.Unlock()
+	timer := time.NewTimer(w.Patience)
+	defer timer.Stop()
+	select {
+	case place := <-q.granted:
+		return place, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dequeue(q)
+	select {
+	case place := <-q.granted:
+		return place, nil
+	default:
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	place, err := p.try(w, time.Now(), true)
+	if place == nil && err == nil {
+		err = ErrNoPlace
+	}
+	return place, err
+}
+
+// try returns a place if there is one; with full set, also one in the queue of a full replica group.
+func (p *Picker) try(w *Want, now time.Time, full bool) (*Place, error) {
+	candidates := p.candidates(w, now)
+	if len(candidates) == 0 {
+		return nil, ErrNoEndpoint
+	}
+	limit := w.Slots
+	if full {
+		limit += overflow
+	}
+	var best *candidate
+	for i := range candidates {
+		c := &candidates[i]
+		if w.Slots > 0 && c.load >= limit {
+			continue
+		}
+		if best == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	if best == nil {
+		return nil, nil //nolint:nilnil // neither a place nor a failure: wait
+	}
+	return p.take(w, best, now), nil
+}
+
+func (p *Picker) take(w *Want, c *candidate, now time.Time) *Place {
+	place := &Place{Endpoint: c.endpoint, Group: c.group, picker: p, workspace: w.Workspace, model: w.Model}
+	h := p.healthOf(place.key(), now)
+	h.running++
+	p.running[w.Workspace]++
+	p.busy[w.Model]++
+	return place
+}
+
+func (p *Picker) release(place *Place) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.healthOf(place.key(), now).running--
+	p.busy[place.model]--
+	if p.running[place.workspace]--; p.running[place.workspace] <= 0 {
+		delete(p.running, place.workspace)
+	}
+	p.grant(now)
+}
+
+func (p *Picker) healthOf(key string, now time.Time) *health {
+	h, ok := p.health[key]
+	if !ok {
+		h = &health{}
+		p.health[key] = h
+	}
+	h.touched = now
+	return h
+}
+
+// Review grants places after a change of the directory or of the other nodes' loads.
+func (p *Picker) Review() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.grant(time.Now())
+}
+
+// Sweep forgets the health of what is not used.
+func (p *Picker) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, h := range p.health {
+		if h.running == 0 && now.Sub(h.touched) > forgetAfter {
+			delete(p.health, key)
+			delete(p.complete, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/picker/queue.go
@@ -0,0 +1,66 @@
+package picker
+
+import (
+	"slices"
+	"time"
+)
+
+// waiter is a request that waits for a place.
+type waiter struct {
+	want    *Want
+	arrived time.Time
+	granted chan *Place
+}
+
+func (p *Picker) enqueue(w *Want) *waiter {
+	q := &waiter{want: w, arrived: time.Now(), granted: make(chan *Place, 1)}
+	p.waiting = append(p.waiting, q)
+	p.demand[w.Model]++
+	return q
+}
+
+func (p *Picker) dequeue(q *waiter) {
+	if i := slices.Index(p.waiting, q); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		p.demand[q.want.Model]--
+	}
+}
+
+// someoneWaitsFor reports whether a request for the same, at least as urgent, waits already.
+func (p *Picker) someoneWaitsFor(w *Want) bool {
+	for _, q := range p.waiting {
+		if q.want.Service == w.Service && q.want.Model == w.Model && q.want.Priority <= w.Priority {
+			return true
+		}
+	}
+	return false
+}
+
+// grant gives free places to waiting requests: the most urgent first, then those of the workspace that has the
+// fewest requests running, then the longest waiting.
+func (p *Picker) grant(now time.Time) {
+	if len(p.waiting) == 0 {
+		return
+	}
+	order := slices.Clone(p.waiting)
+	slices.SortStableFunc(order, func(a, b *waiter) int {
+		if a.want.Priority != b.want.Priority {
+			return a.want.Priority - b.want.Priority
+		}
+		return p.running[a.want.Workspace] - p.running[b.want.Workspace]
+	})
+	full := make(map[string]bool)
+	for _, q := range order {
+		kind := q.want.Service + "/" + q.want.Model
+		if full[kind] {
+			continue
+		}
+		place, _ := p.try(q.want, now, false)
+		if place == nil {
+			full[kind] = true
+			continue
+		}
+		p.dequeue(q)
+		q.granted <- place
+	}
+}
--- /dev/null
+++ b/internal/picker/want.go
@@ -0,0 +1,33 @@
+package picker
+
+import (
+	"errors"
+	"time"
+)
+
+// ErrNoPlace is returned when no endpoint may take the request in time. The request has not been sent.
+var ErrNoPlace = errors.New("no place at any endpoint")
+
+// ErrNoEndpoint is returned when no endpoint serves what is wanted. The request has not been sent.
+var ErrNoEndpoint = errors.New("no endpoint serves it")
+
+// Want says what a request needs.
+type Want struct {
+	Service   string
+	Model     string // empty for endpoints that serve alone
+	Slots     int    // requests that a replica group runs at once
+	Size      int    // members of a replica group
+	Priority  int    // 0 is the most urgent
+	Workspace string
+	Exclude   []string // groups and endpoints that have failed the request
+	Patience  time.Duration
+}
+
+func (w *Want) excludes(key string) bool {
+	for _, e := range w.Exclude {
+		if e == key {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,77 @@
+// Package retry bounds how much is sent again, so that repeats never grow into a load of their own.
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// slices divide the window; the oldest is dropped as a whole.
+	slices = 20
+	// ratioPart and slackPart keep a node below its share, because windows slide and nodes differ.
+	ratioPart = 0.7
+	slackPart = 0.6
+)
+
+// Limits are what all nodes together may send again of one service's requests in a window.
+type Limits struct {
+	Ratio  float64 // of the requests
+	Slack  float64 // requests
+	Window time.Duration
+}
+
+// Budget is one node's share of the repeats for one service. It keeps to it without talking to other nodes:
+// the ratio holds for each node's own requests, and the slack is divided among all nodes.
+type Budget struct {
+	limits Limits
+	nodes  func() int
+	start  time.Time // slices count from then on the steady clock
+
+	mu       sync.Mutex
+	slice    int64
+	requests [slices]int
+	repeats  [slices]int
+}
+
+// NewBudget returns a Budget whose windows count from start; nodes tells how many nodes share the slack.
+func NewBudget(limits Limits, nodes func() int, start time.Time) *Budget {
+	return &Budget{limits: limits, nodes: nodes, start: start}
+}
+
+// Request counts a request of a caller.
+func (b *Budget) Request(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	b.requests[b.slice%slices]++
+}
+
+// Take spends one repeat and reports whether there was one.
+func (b *Budget) Take(now time.Time) bool {
+	nodes := max(1, b.nodes())
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(now)
+	requests, repeats := 0, 0
+	for i := range slices {
+		requests += b.requests[i]
+		repeats += b.repeats[i]
+	}
+	allowed := ratioPart*b.limits.Ratio*float64(requests) + slackPart*b.limits.Slack/float64(nodes)
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	b.repeats[b.slice%slices]++
+	return true
+}
+
+// advance drops what has left the window.
+func (b *Budget) advance(now time.Time) {
+	slice := now.Sub(b.start).Nanoseconds() / int64(b.limits.Window/slices)
+	for at := max(b.slice+1, slice-slices+1); at <= slice; at++ {
+		b.requests[at%slices] = 0
+		b.repeats[at%slices] = 0
+	}
+	b.slice = max(b.slice, slice)
+}
--- /dev/null
+++ b/internal/server/changes.go
@@ -0,0 +1,73 @@
+package server
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/follow"
+	"moorrun.dev/moorrun/internal/infra"
+	"moorrun.dev/moorrun/internal/keys"
+)
+
+// takeChanges puts what the follower brings into force until ctx ends.
+func (n *Server) takeChanges(ctx context.Context) error {
+	var sequence uint64
+	for ctx.Err() == nil {
+		changed := n.follower.Mirror.Changed()
+		var objects []infra.Object
+		if objects, sequence = n.follower.Mirror.Since(sequence); len(objects) > 0 {
+			n.apply(objects, time.Now())
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+	return nil
+}
+
+func (n *Server) apply(objects []infra.Object, now time.Time) {
+	var changed []*endpoint.Endpoint
+	var removed []string
+	for _, o := range objects {
+		id, isEndpoint := strings.CutPrefix(o.Key, keys.Endpoints)
+		switch {
+		case isEndpoint && o.Deleted:
+			removed = append(removed, id)
+		case isEndpoint:
+			e, err := n.platform.Endpoint(id, follow.Revision(o), o.Value)
+			if err != nil {
+				_ = level.Warn(n.logger).Log("msg", "endpoint entry cannot be read", "endpoint", id, "err", err)
+				continue
+			}
+			changed = append(changed, e)
+		case strings.HasPrefix(o.Key, keys.Accepted) && !o.Deleted:
+			n.accept(o)
+		}
+	}
+	if len(changed)+len(removed) > 0 {
+		n.directory.Apply(changed, removed, now)
+		n.controller.Wake()
+		n.picker.Review()
+	}
+	n.gossip.Kick()
+}
+
+// accept puts a configuration in force unless a later one is.
+func (n *Server) accept(o infra.Object) {
+	t, err := n.platform.Table(follow.Revision(o), o.Value)
+	if err != nil {
+		_ = level.Error(n.logger).Log("msg", "configuration cannot be read", "key", o.Key, "revision", follow.Revision(o), "err", err)
+		return
+	}
+	if held := n.table.Load(); held != nil && held.Revision >= t.Revision {
+		return
+	}
+	n.table.Store(t)
+	_ = level.Info(n.logger).Log("msg", "configuration in force", "version", t.Version, "revision", t.Revision, "routes", t.Size())
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,161 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/eventlog"
+	"moorrun.dev/moorrun/internal/follow"
+	"moorrun.dev/moorrun/internal/formation"
+	"moorrun.dev/moorrun/internal/gateway"
+	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/holder"
+	"moorrun.dev/moorrun/internal/httpcall"
+	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/loop"
+	"moorrun.dev/moorrun/internal/picker"
+	"moorrun.dev/moorrun/internal/retry"
+	"moorrun.dev/moorrun/internal/route"
+	"moorrun.dev/moorrun/internal/settings"
+)
+
+const (
+	sweepEvery  = 2 * time.Second
+	dialTimeout = 350 * time.Millisecond
+	// leaseMarginPart is the part of the lease's term that others wait beyond it.
+	leaseMarginPart = 10
+	leaseName       = "formation"
+	headerWait      = 10 * time.Second
+	idleWait        = 30 * time.Second
+	maxHeaderBytes  = 64 << 10
+)
+
+// Server is one moorrund process before a platform's endpoints.
+type Server struct {
+	settings *settings.Gateway
+	logger   log.Logger
+	platform *Platform
+	started  time.Time
+
+	calls      *httpcall.Client
+	caller     *gossip.Caller
+	gossip     *gossip.Node
+	follower   *follow.Follower
+	directory  *endpoint.Directory
+	table      atomic.Pointer[route.Table]
+	keeper     *holder.Keeper
+	controller *formation.Controller
+	picker     *picker.Picker
+	gateway    *gateway.Gateway
+	rpc        *gossip.Server
+	requests   atomic.Int64
+	leaving    atomic.Bool
+
+	listeners listeners
+	datagrams *net.UDPConn
+}
+
+// New takes the process's addresses and puts its parts together; nothing runs yet.
+func New(s *settings.Gateway, newPlatform NewPlatform, logger log.Logger) (*Server, error) {
+	n := &Server{settings: s, logger: logger, started: time.Now(), calls: httpcall.NewClient(), directory: endpoint.NewDirectory(), caller: gossip.NewCaller()}
+	n.calls.DialTimeout = dialTimeout
+	n.platform = newPlatform(s, n.calls)
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	self := gossip.Identity{
+		VM: s.VM, Incarnation: uuid.NewString()[:8], Zone: s.DataCentre, CallerAddress: s.CallerAddress,
+		GossipAddress: s.PeerAddress, PeerAddress: s.PeerAddress,
+	}
+	n.gossip = gossip.NewNode(self, n.datagrams, n.status)
+	n.gossip.Add(s.Peers...)
+	leads := func() bool { return n.controller.Leads(time.Now()) > 0 }
+	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
+	n.gossip.OnBeat = n.heard
+	n.rpc = gossip.NewServer(self.Incarnation, n.follower.Mirror, n.askFor)
+	n.picker = picker.New(picker.Options{Zone: s.DataCentre, Directory: n.directory, Live: n.gossip.Live, Retiring: n.retiring})
+	ttl := s.LeaseTTL()
+	n.keeper = holder.NewKeeper(n.platform.Objects, leaseName, s.VM, ttl, ttl/leaseMarginPart, n.wantsLead, logger)
+	n.controller = formation.NewController(formation.Options{
+		Engine: n.platform.Engine, Directory: n.directory, Table: n.table.Load, Lease: n.keeper.Held,
+		Current: func() time.Time { return n.follower.Current(keys.Endpoints) }, Live: n.gossip.Live, Own: n.ownStatus,
+		Busy: func() bool { return n.requests.Load() > 0 }, Heard: n.heardElsewhere, Logger: logger,
+	})
+	n.gateway = gateway.New(gateway.Options{
+		Table: n.table.Load, Proof: func() time.Time { return n.follower.Current(keys.Accepted) }, ProofLimit: s.CredentialProof(),
+		Picker: n.picker, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
+		Nodes: func() int { return 1 + n.gossip.Known(time.Now()) },
+		Log:   eventlog.NewDecisions(logger, eventlog.Limits{SampleOneIn: s.SampleOneIn, Failures: s.FailureLinesSecond}),
+	})
+	return n, nil
+}
+
+func (n *Server) limits() route.Limits {
+	if t := n.table.Load(); t != nil {
+		return t.Limits
+	}
+	return route.Limits{}
+}
+
+// Run serves until ctx ends, and then finishes what has begun.
+func (n *Server) Run(ctx context.Context) error {
+	_ = level.Info(n.logger).Log("msg", "started", "caller", n.settings.CallerAddress, "peer", n.settings.PeerAddress, "store", n.settings.StoreAddress)
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	handler := n.platform.Callers(n.gateway, n.limits, n.leaving.Load)
+	callers := newHTTP(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.requests.Add(1)
+		handler.ServeHTTP(w, r)
+	}))
+	registry := newHTTP(n.platform.Registry(n.addresses, n.settings.AddressLifetime()))
+	readiness := newHTTP(n.platform.Readiness(n.ready))
+	var g errgroup.Group
+	g.Go(func() error { return served(callers.Serve(n.listeners.caller)) })
+	g.Go(func() error { return served(registry.Serve(n.listeners.registry)) })
+	g.Go(func() error { return served(readiness.Serve(n.listeners.readiness)) })
+	g.Go(func() error { _ = n.rpc.Serve(work, n.listeners.peer); return nil })
+	for _, run := range []func(context.Context) error{
+		n.gossip.Run, n.follower.Run, n.keeper.Run, n.controller.Run, n.takeChanges, n.register, n.sweep,
+	} {
+		g.Go(func() error { return run(work) })
+	}
+	g.Go(func() error {
+		<-ctx.Done()
+		n.leave(callers)
+		stop()
+		return errors.Join(registry.Close(), readiness.Close(), callers.Close())
+	})
+	err := g.Wait()
+	_ = level.Info(n.logger).Log("msg", "stopped", "err", err)
+	return errors.Join(err, n.caller.Close())
+}
+
+func newHTTP(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: maxHeaderBytes}
+}
+
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// sweep forgets what has grown old.
+func (n *Server) sweep(ctx context.Context) error {
+	loop.Every(ctx, sweepEvery, func(now time.Time) {
+		n.calls.Sweep()
+		n.picker.Sweep(now)
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/server/status.go
@@ -0,0 +1,126 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/formation"
+	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/keys"
+)
+
+const (
+	// leadAfter is how long a new process listens before it may want to lead.
+	leadAfter = 500 * time.Millisecond
+	// servePart is the part of the credential proof's limit up to which a node takes new callers.
+	servePart = 0.6
+	probeWait = 600 * time.Millisecond
+)
+
+// status is what the other nodes are told.
+func (n *Server) status(now time.Time) gossip.Status {
+	s := n.ownStatus(now)
+	s.Leaving = n.leaving.Load()
+	s.Serving = n.serving(now)
+	s.Eligible = !s.Leaving && n.follower.StoreAnswers()
+	s.LeaderEpoch = n.controller.Leads(now)
+	s.Sequence = n.follower.Mirror.Sequence()
+	s.ProofAt, s.Watching = n.follower.Whole()
+	if s.LeaderEpoch > 0 {
+		s.Retiring = n.controller.Retiring()
+	}
+	return s
+}
+
+// ownStatus is this node's loads and doubts.
+func (n *Server) ownStatus(now time.Time) gossip.Status {
+	var s gossip.Status
+	n.picker.Report(&s, now)
+	return s
+}
+
+// serving reports whether requests can be answered here.
+func (n *Server) serving(now time.Time) bool {
+	if n.table.Load() == nil {
+		return false
+	}
+	age := now.Sub(n.follower.Current(keys.Accepted))
+	return float64(age) < servePart*float64(n.settings.CredentialProof())
+}
+
+// ready reports whether this node takes new callers.
+func (n *Server) ready() bool { return !n.leaving.Load() && n.serving(time.Now()) }
+
+// wantsLead reports whether this node should hold the leader's lease: nobody else who could leads, and it is the
+// first of those who can.
+func (n *Server) wantsLead() bool {
+	now := time.Now()
+	if n.leaving.Load() || now.Sub(n.started) < leadAfter || n.table.Load() == nil || !n.follower.StoreAnswers() {
+		return false
+	}
+	if n.controller.Leads(now) > 0 {
+		return true
+	}
+	for _, p := range n.gossip.Live(now) {
+		if p.LeaderEpoch > 0 || p.Eligible && !p.Leaving && p.VM < n.settings.VM {
+			return false
+		}
+	}
+	return true
+}
+
+// heard takes in another node's beat.
+func (n *Server) heard(p *gossip.Peer) {
+	n.follower.Heard(p)
+	n.picker.Review()
+}
+
+// retiring returns the groups that the leader is about to end.
+func (n *Server) retiring(now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	for _, name := range n.controller.Retiring() {
+		out[name] = true
+	}
+	for _, p := range n.gossip.Live(now) {
+		for _, name := range p.Retiring {
+			out[name] = true
+		}
+	}
+	return out
+}
+
+// askFor asks an endpoint on behalf of another node.
+func (n *Server) askFor(ctx context.Context, id, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return n.platform.Engine.Ask(ctx, &endpoint.Endpoint{ID: id, Address: address}) == formation.Answered
+}
+
+// heardElsewhere asks all other nodes whether an endpoint answers them. A node that cannot be asked may hear it.
+func (n *Server) heardElsewhere(ctx context.Context, e *endpoint.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeWait)
+	defer cancel()
+	var g errgroup.Group
+	answers := make(chan bool, len(n.gossip.Live(time.Now())))
+	for _, p := range n.gossip.Live(time.Now()) {
+		g.Go(func() error {
+			answered, err := n.caller.Probe(ctx, p.PeerAddress, e.ID, e.Address)
+			select {
+			case answers <- answered && err == nil:
+			default:
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	close(answers)
+	for answered := range answers {
+		if answered {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,103 @@
+package settings
+
+import (
+	_ "embed"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"moorrun.dev/moorrun/internal/config"
+)
+
+//go:embed gateway.schema.json
+var gatewaySchemaJSON []byte
+
+var gatewaySchema = sync.OnceValue(func() *jsonschema.Schema {
+	return config.CompileSchema("gateway.schema.json", gatewaySchemaJSON)
+})
+
+// Gateway are the settings of a process that serves a platform's callers.
+type Gateway struct {
+	VM         string `json:"vm"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+
+	CallerAddress    string `json:"caller_address"`
+	ReadinessAddress string `json:"readiness_address"`
+	RegistryAddress  string `json:"registry_address"`
+	PeerAddress      string `json:"peer_address"` // drpc calls of other nodes, and their datagrams
+	MetricsAddress   string `json:"metrics_address,omitempty"`
+	StoreAddress     string `json:"store_address"`
+	// Peers are peer addresses of some nodes, to be tried before any is known.
+	Peers []string `json:"peers,omitempty"`
+
+	CredentialProofMS  int     `json:"credential_proof_ms"` // a credential counts while the configuration was proved current
+	GraceMS            int     `json:"grace_ms"`            // from the order to stop until the process is killed
+	AddressLifetimeMS  int     `json:"address_lifetime_ms"`
+	RepeatRatio        float64 `json:"repeat_ratio"`
+	RepeatSlack        float64 `json:"repeat_slack"`
+	RepeatWindowMS     int     `json:"repeat_window_ms"`
+	LeaseTTLMS         int     `json:"lease_ttl_ms,omitempty"`
+	LogLevel           string  `json:"log_level,omitempty"`
+	SampleOneIn        int     `json:"sample_one_in,omitempty"`
+	FailureLinesSecond float64 `json:"failure_lines_per_second,omitempty"`
+}
+
+var gatewayDefaults = Gateway{LeaseTTLMS: 2400, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
+
+// ReadGateway reads and checks the file; the error names every faulty field.
+func ReadGateway(file string) (*Gateway, error) {
+	content, err := os.ReadFile(file) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, err
+	}
+	return ParseGateway(file, content)
+}
+
+// ParseGateway checks the content of the file.
+func ParseGateway(file string, content []byte) (*Gateway, error) {
+	if problems := config.CheckSchema(gatewaySchema(), file, content); problems != nil {
+		return nil, problems
+	}
+	s := gatewayDefaults
+	if err := json.Unmarshal(content, &s); err != nil {
+		return nil, config.Problems{{File: file, Field: "/", Message: err.Error()}}
+	}
+	var problems config.Problems
+	check := func(field, address string) {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			problems = append(problems, config.Problem{File: file, Field: field, Message: err.Error() + "; write an IP address and a port, such as 10.0.0.1:7000"})
+		}
+	}
+	check("/caller_address", s.CallerAddress)
+	check("/readiness_address", s.ReadinessAddress)
+	check("/registry_address", s.RegistryAddress)
+	check("/peer_address", s.PeerAddress)
+	check("/store_address", s.StoreAddress)
+	for _, p := range s.Peers {
+		check("/peers", p)
+	}
+	if problems != nil {
+		return nil, problems
+	}
+	return &s, nil
+}
+
+// CredentialProof is how old the proof of the configuration may be for requests with a credential.
+func (s *Gateway) CredentialProof() time.Duration { return millis(s.CredentialProofMS) }
+
+// Grace is the time from the order to stop until the process is killed.
+func (s *Gateway) Grace() time.Duration { return millis(s.GraceMS) }
+
+// AddressLifetime is how long callers may keep an answer to which address to use.
+func (s *Gateway) AddressLifetime() time.Duration { return millis(s.AddressLifetimeMS) }
+
+// LeaseTTL is the term of the leader's lease.
+func (s *Gateway) LeaseTTL() time.Duration { return millis(s.LeaseTTLMS) }
+
+// RepeatWindow is the window in which repeats are counted.
+func (s *Gateway) RepeatWindow() time.Duration { return millis(s.RepeatWindowMS) }
