Wait for the endpoints to appear before the first groups are formed

Change: before the first request, groups are formed once no endpoint has appeared for 0.9 s. A summary line a second tells the supply of each model.

--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -10,6 +10,10 @@
 )
 
 const (
+	// gatherFor is how long no endpoint may have appeared before the first groups are formed, if no request has
+	// come, and gatherAtMost bounds the wait.
+	gatherFor    = 900 * time.Millisecond
+	gatherAtMost = 5 * time.Second
 	// stealEvery is the least time between two groups ended for the sake of another model.
 	stealEvery = 3 * time.Second
 	// stealBelow is how far a model must fall behind the richest for that.
@@ -18,6 +22,9 @@
 
 // form orders free endpoints into groups, the model that is furthest behind its share first.
 func (p *Planner) form(v *View) {
+	if p.gathering(v) {
+		return
+	}
 	free := p.freeByDomain(v)
 	have := p.assigned(v)
 	for {
@@ -28,6 +35,15 @@
 	p.steal(v, free, have)
 }
 
+// gathering reports whether endpoints are still appearing before the first request: groups formed too soon would
+// all be of the model that needs fewest.
+func (p *Planner) gathering(v *View) bool {
+	if n := len(v.Snapshot.Services[v.Service.Name]); n != p.listed {
+		p.listed, p.listedAt = n, v.Now
+	}
+	return !v.Busy && v.Now.Sub(p.listedAt) < gatherFor && v.Now.Sub(p.started) < gatherAtMost
+}
+
 func (p *Planner) freeByDomain(v *View) map[string][]*endpoint.Endpoint {
 	out := make(map[string][]*endpoint.Endpoint)
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -36,8 +36,11 @@
 	loads     []time.Time          // begun during this tenure
 	stolen    time.Time            // last time a group was ended for another model
 
-	orders []Order
-	asked  map[string]bool
+	listed   int       // endpoints of the service at the last step
+	listedAt time.Time // when that number last changed
+	told     time.Time // last summary
+	orders   []Order
+	asked    map[string]bool
 	// Note is called with each decision; pairs are names and values.
 	Note func(event, group string, pairs ...any)
 }
@@ -75,6 +78,7 @@
 	p.form(v)
 	p.stage(v)
 	p.forget(v)
+	p.summarise(v)
 	for id := range p.asked {
 		ask = append(ask, id)
 	}
