Form and convert groups by the part of each model's places in use

Cause: a group of four that loses a member strands three, which were at once formed into groups of two, so the model of four fell to three groups with 67 requests while 16 groups of the other had 94. Change: while requests come, the model with the larger part of its places in use comes first, a model that is not in need gets no group while another is, and groups of the one least in need are ended for the other.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -21,12 +21,12 @@
 )
 
 const (
-	configurationWait = 700 * time.Millisecond
-	endpointsWait     = 900 * time.Millisecond
-	endpointsGather   = 60 * time.Millisecond
+	// watchWait is how long one watch waits. The proof is twice as old at the most while the store answers.
+	watchWait       = 450 * time.Millisecond
+	endpointsGather = 60 * time.Millisecond
 	// patience is how old the proof may get before this node watches the store by itself, plus rankPatience
 	// for each live node that would do so sooner.
-	patience     = 900 * time.Millisecond
+	patience     = 1100 * time.Millisecond
 	rankPatience = 150 * time.Millisecond
 	// staleMargin is how much fresher a node must be that does not watch, for this one to pull from it.
 	staleMargin = 500 * time.Millisecond
@@ -69,8 +69,8 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var g errgroup.Group
 	for _, s := range []*source{
-		{prefix: keys.Accepted, wait: configurationWait},
-		{prefix: keys.Endpoints, wait: endpointsWait, gather: endpointsGather},
+		{prefix: keys.Accepted, wait: watchWait},
+		{prefix: keys.Endpoints, wait: watchWait, gather: endpointsGather},
 	} {
 		s.objects, s.mirror, s.wanted = f.objects, f.Mirror, f.shouldWatch
 		s.proved, s.failed = f.proved, f.failed
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -169,7 +169,7 @@
 func (c *Controller) view(s *route.Service, now time.Time) *View {
 	v := &View{
 		Now: now, Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
-		Loads: make(map[string]int), Suspects: make(map[string]bool),
+		Loads: make(map[string]int), Suspects: make(map[string]bool), Demand: make(map[string]int),
 	}
 	for id, k := range c.contacts {
 		v.Contacts[id] = k.Contact
@@ -184,6 +184,9 @@
 			v.Loads[id] += n
 			c.busy = c.busy || n > 0
 		}
+		for model, d := range status.Demands {
+			v.Demand[model] += d.Running + d.Waiting
+		}
 		for group := range status.Suspects {
 			v.Suspects[group] = true
 		}
--- /dev/null
+++ b/internal/formation/convert.go
@@ -0,0 +1,87 @@
+package formation
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/route"
+)
+
+const (
+	// convertEvery is the least time between two conversions.
+	convertEvery = 600 * time.Millisecond
+	// pressed is the pressure from which a model gets the members of another one's groups.
+	pressed = 0.7
+	// spareBelow is the pressure that the other model may have without those groups.
+	spareBelow = 0.6
+)
+
+// convert ends groups of the model that is least in need, where their members let one of the most needed form.
+func (p *Planner) convert(v *View, free map[string][]*endpoint.Endpoint, have map[string]int) {
+	models := p.byNeed(v, have)
+	if len(models) < 2 || !v.Busy || v.Now.Sub(p.converted) < convertEvery || v.Now.Sub(p.started) < settle {
+		return
+	}
+	needed, rich := models[0], models[len(models)-1]
+	if p.pressure(v, needed, have) < pressed || p.planned(needed.Name) {
+		return
+	}
+	victims := p.victims(v, free, needed, rich)
+	if len(victims) == 0 {
+		return
+	}
+	left := map[string]int{rich.Name: have[rich.Name] - len(victims)*rich.Size}
+	if p.pressure(v, rich, left) > spareBelow {
+		return
+	}
+	p.converted = v.Now
+	for _, g := range victims {
+		p.retire(v, g.Name, g.Epoch, g.Head, "model "+needed.Name+" needs its members", finishFor)
+	}
+}
+
+// planned reports whether a group of the model is on its way, or members for one are being freed.
+func (p *Planner) planned(model string) bool {
+	if len(p.retiring) > 0 {
+		return true
+	}
+	for _, pl := range p.plans {
+		if pl.model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// victims returns the fewest groups of one domain whose members, with those that are free there, can form a group.
+func (p *Planner) victims(v *View, free map[string][]*endpoint.Endpoint, needed, rich route.Model) []*endpoint.Group {
+	byDomain := make(map[string][]*endpoint.Group)
+	for name, g := range v.Snapshot.Groups {
+		_, ended := p.ended[name]
+		if g.Service == v.Service.Name && g.Model == rich.Name && g.Head != nil && p.retiring[name] == nil && p.plans[name] == nil && !ended {
+			byDomain[g.Domain] = append(byDomain[g.Domain], g)
+		}
+	}
+	var best []*endpoint.Group
+	for domain, groups := range byDomain {
+		slices.SortFunc(groups, func(a, b *endpoint.Group) int {
+			return cmp.Or(cmp.Compare(v.Loads[a.Head.ID], v.Loads[b.Head.ID]), cmp.Compare(a.Name, b.Name))
+		})
+		members := slices.Clone(free[domain])
+		for i, g := range groups {
+			for _, e := range g.Members {
+				members = append(members, e)
+			}
+			if p.fit(v, members, needed) == nil {
+				continue
+			}
+			if best == nil || i+1 < len(best) {
+				best = groups[:i+1]
+			}
+			break
+		}
+	}
+	return best
+}
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -14,10 +14,6 @@
 	// come, and gatherAtMost bounds the wait.
 	gatherFor    = 900 * time.Millisecond
 	gatherAtMost = 5 * time.Second
-	// stealEvery is the least time between two groups ended for the sake of another model.
-	stealEvery = 3 * time.Second
-	// stealBelow is how far a model must fall behind the richest for that.
-	stealBelow = 0.55
 )
 
 // form orders free endpoints into groups, the model that is furthest behind its share first.
@@ -32,7 +28,7 @@
 			break
 		}
 	}
-	p.steal(v, free, have)
+	p.convert(v, free, have)
 }
 
 // gathering reports whether endpoints are still appearing before the first request: groups formed too soon would
@@ -75,23 +71,14 @@
 	return have
 }
 
-// byNeed orders the models by how far they are behind their share.
-func byNeed(v *View, have map[string]int) []route.Model {
-	models := slices.Clone(v.Service.Engine.Models)
-	slices.SortStableFunc(models, func(a, b route.Model) int {
-		return cmp.Compare(supply(a, have), supply(b, have))
-	})
-	return models
-}
-
-// supply is the number of endpoints a model has for each part of the work.
-func supply(m route.Model, have map[string]int) float64 {
-	return float64(have[m.Name]) / max(m.Share, 0.01)
-}
-
-// formOne orders one group and reports whether there was one to order.
+// formOne orders one group and reports whether there was one to order. A model that is not the most needed gets
+// one only if it needs it itself, or if none is in need: what is free now may soon make up a group of the other.
 func (p *Planner) formOne(v *View, free map[string][]*endpoint.Endpoint, have map[string]int) bool {
-	for _, m := range byNeed(v, have) {
+	models := p.byNeed(v, have)
+	for i, m := range models {
+		if i > 0 && p.pressure(v, models[0], have) > relaxed && p.pressure(v, m, have) < relaxed {
+			return false
+		}
 		domain, members := p.bestDomain(v, free, m)
 		if members == nil {
 			continue
@@ -164,35 +151,3 @@
 	}
 	return longest + joinGrace
 }
-
-// steal ends a group of the model that has most, where its members let one of the most needed model form.
-func (p *Planner) steal(v *View, free map[string][]*endpoint.Endpoint, have map[string]int) {
-	models := byNeed(v, have)
-	if len(models) < 2 || !v.Busy || len(p.plans) > 0 || v.Now.Sub(p.stolen) < stealEvery || v.Now.Sub(p.started) < stealEvery {
-		return
-	}
-	needed, rich := models[0], models[len(models)-1]
-	if supply(needed, have) > stealBelow*supply(rich, have) {
-		return
-	}
-	var victim *endpoint.Group
-	for name, g := range v.Snapshot.Groups {
-		if g.Model != rich.Name || g.Head == nil || p.retiring[name] != nil {
-			continue
-		}
-		if _, ended := p.ended[name]; ended {
-			continue
-		}
-		members := slices.Clone(free[g.Domain])
-		for _, e := range g.Members {
-			members = append(members, e)
-		}
-		if p.fit(v, members, needed) != nil && (victim == nil || v.Loads[g.Head.ID] < v.Loads[victim.Head.ID]) {
-			victim = g
-		}
-	}
-	if victim != nil {
-		p.stolen = v.Now
-		p.retire(v, victim.Name, victim.Epoch, victim.Head, "model "+needed.Name+" needs its members", finishFor)
-	}
-}
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -34,7 +34,8 @@
 	opened    map[string]time.Time // last order to open a stranger
 	stagings  map[string]staging   // by endpoint ID
 	loads     []time.Time          // begun during this tenure
-	stolen    time.Time            // last time a group was ended for another model
+	converted time.Time            // last time a group was ended for another model
+	demand    map[string]float64   // requests by model, a running mean
 
 	listed   int       // endpoints of the service at the last step
 	listedAt time.Time // when that number last changed
@@ -50,7 +51,7 @@
 	return &Planner{
 		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement),
 		ended: make(map[string]time.Time), strangers: make(map[string]time.Time), complete: make(map[string]bool),
-		opened: make(map[string]time.Time), stagings: make(map[string]staging), asked: make(map[string]bool),
+		opened: make(map[string]time.Time), stagings: make(map[string]staging), asked: make(map[string]bool), demand: make(map[string]float64),
 	}
 }
 
@@ -72,6 +73,7 @@
 func (p *Planner) Step(v *View) (orders []Order, ask []string) {
 	p.orders = nil
 	clear(p.asked)
+	p.measure(v)
 	p.followPlans(v)
 	p.reviewGroups(v)
 	p.followRetirements(v)
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -46,7 +46,7 @@
 		if _, busy := p.stagings[e.ID]; busy || !p.free(v, e) || len(e.Models)+len(e.Staged) > 0 {
 			continue
 		}
-		if models := byNeed(v, have); len(models) > 0 {
+		if models := p.byNeed(v, have); len(models) > 0 {
 			p.stageOne(v, e, models[0])
 			have[models[0].Name]++
 			running++
--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -14,6 +14,7 @@
 	Snapshot *endpoint.Snapshot
 	Contacts map[string]Contact // by endpoint ID, of those that have been asked lately
 	Loads    map[string]int     // requests of all nodes, by ID of the head
+	Demand   map[string]int     // requests of all nodes, running and waiting, by model
 	Suspects map[string]bool    // groups that stand still at some node
 	Busy     bool               // callers have begun to send requests
 }
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -41,32 +41,41 @@
 	return nil
 }
 
+// registerOnce writes this node's address first and reads the others' after it: of two nodes that start at once
+// the later writer reads the earlier one's.
 func (n *Server) registerOnce(ctx context.Context) bool {
+	if !n.writeRegistration(ctx) {
+		return false
+	}
 	l, err := n.platform.Objects.List(ctx, keys.Gateways)
 	if err != nil {
 		return false
 	}
-	version := int64(0)
-	key := keys.Gateways + n.settings.VM
 	for _, o := range l.Objects {
 		var r registration
-		if json.Unmarshal(o.Value, &r) != nil {
-			continue
+		if json.Unmarshal(o.Value, &r) == nil {
+			n.gossip.Add(r.PeerAddress)
 		}
-		if o.Key == key {
-			if r.PeerAddress == n.settings.PeerAddress {
-				version = -1
-				continue
-			}
-			version = o.Version
-			continue
-		}
-		n.gossip.Add(r.PeerAddress)
 	}
-	if version < 0 {
+	return true
+}
+
+// writeRegistration makes sure that the store holds this node's address.
+func (n *Server) writeRegistration(ctx context.Context) bool {
+	key := keys.Gateways + n.settings.VM
+	own := registration{n.settings.PeerAddress}
+	if outcome, _, _ := n.platform.Objects.Put(ctx, key, own, 0); outcome == infra.Applied {
+		return true
+	}
+	held, err := n.platform.Objects.Get(ctx, key)
+	if err != nil {
+		return false
+	}
+	var r registration
+	if json.Unmarshal(held.Value, &r) == nil && r == own {
 		return true
 	}
-	outcome, _, _ := n.platform.Objects.Put(ctx, key, registration{n.settings.PeerAddress}, version)
+	outcome, _, _ := n.platform.Objects.Put(ctx, key, own, held.Version)
 	return outcome == infra.Applied
 }
 
