Keep a domain for the model its members are freed for; let the longest running node lead

Change: a reservation of the domain for 5 s, no group for a model without need, the forgotten model is staged again, uptime decides who leads, and the lease lasts 1.5 s.

--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -16,8 +16,16 @@
 	pressed = 0.7
 	// spareBelow is the pressure that the other model may have without those groups.
 	spareBelow = 0.6
+	// reserveFor is how long the members of a domain are kept for the model that they are freed for.
+	reserveFor = 5 * time.Second
 )
 
+// reservation keeps a domain's free endpoints for one model.
+type reservation struct {
+	model string
+	until time.Time
+}
+
 // convert ends groups of the model that is least in need, where their members let one of the most needed form.
 func (p *Planner) convert(v *View, free map[string][]*endpoint.Endpoint, have map[string]int) {
 	models := p.byNeed(v, have)
@@ -37,6 +45,7 @@
 		return
 	}
 	p.converted = v.Now
+	p.reserved[victims[0].Domain] = reservation{needed.Name, v.Now.Add(reserveFor)}
 	for _, g := range victims {
 		p.retire(v, g.Name, g.Epoch, g.Head, "model "+needed.Name+" needs its members", finishFor)
 	}
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -71,13 +71,17 @@
 	return have
 }
 
-// formOne orders one group and reports whether there was one to order. A model that is not the most needed gets
-// one only if it needs it itself, or if none is in need: what is free now may soon make up a group of the other.
+// formOne orders one group and reports whether there was one to order. While requests come, only a model in need
+// gets one: what stays free can replace a lost member of either, and an endpoint that changes its model forgets
+// the one before. A model that is not pressed leaves what is free to one that is.
 func (p *Planner) formOne(v *View, free map[string][]*endpoint.Endpoint, have map[string]int) bool {
 	models := p.byNeed(v, have)
 	for i, m := range models {
-		if i > 0 && p.pressure(v, models[0], have) > relaxed && p.pressure(v, m, have) < relaxed {
-			return false
+		if v.Busy {
+			need := p.pressure(v, m, have)
+			if need < relaxed || i > 0 && need < pressed && p.pressure(v, models[0], have) >= pressed {
+				return false
+			}
 		}
 		domain, members := p.bestDomain(v, free, m)
 		if members == nil {
@@ -100,6 +104,9 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
+		if r, ok := p.reserved[name]; ok && r.model != m.Name && v.Now.Before(r.until) {
+			continue
+		}
 		fit := p.fit(v, free[name], m)
 		if fit == nil {
 			continue
--- a/internal/formation/need.go
+++ b/internal/formation/need.go
@@ -10,7 +10,7 @@
 
 const (
 	// relaxed is the part of a model's places in use below which it needs no more groups.
-	relaxed = 0.5
+	relaxed = 0.4
 	// demandSmoothing is the weight of one step's demand in the running mean.
 	demandSmoothing = 0.06
 	// leastDemand is assumed of every model, in requests.
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -28,14 +28,15 @@
 
 	plans     map[string]*plan
 	retiring  map[string]*retirement
-	ended     map[string]time.Time // groups whose members are free
-	strangers map[string]time.Time // first sight of groups of earlier tenures
-	complete  map[string]bool      // groups seen with all members ready
-	opened    map[string]time.Time // last order to open a stranger
-	stagings  map[string]staging   // by endpoint ID
-	loads     []time.Time          // begun during this tenure
-	converted time.Time            // last time a group was ended for another model
-	demand    map[string]float64   // requests by model, a running mean
+	ended     map[string]time.Time   // groups whose members are free
+	strangers map[string]time.Time   // first sight of groups of earlier tenures
+	complete  map[string]bool        // groups seen with all members ready
+	opened    map[string]time.Time   // last order to open a stranger
+	stagings  map[string]staging     // by endpoint ID
+	loads     []time.Time            // begun during this tenure
+	converted time.Time              // last time a group was ended for another model
+	reserved  map[string]reservation // by domain
+	demand    map[string]float64     // requests by model, a running mean
 
 	listed   int       // endpoints of the service at the last step
 	listedAt time.Time // when that number last changed
@@ -51,7 +52,7 @@
 	return &Planner{
 		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement),
 		ended: make(map[string]time.Time), strangers: make(map[string]time.Time), complete: make(map[string]bool),
-		opened: make(map[string]time.Time), stagings: make(map[string]staging), asked: make(map[string]bool), demand: make(map[string]float64),
+		opened: make(map[string]time.Time), stagings: make(map[string]staging), asked: make(map[string]bool), demand: make(map[string]float64), reserved: make(map[string]reservation),
 	}
 }
 
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -23,7 +23,8 @@
 }
 
 // stage loads models to hosts: before any request has come the other model to every host, so that each endpoint
-// can soon serve either; later the most needed model to free endpoints that hold nothing of use.
+// can soon serve either; later a first model to free endpoints that hold none, and then the other model to those
+// that have forgotten it.
 func (p *Planner) stage(v *View) {
 	running := 0
 	for id, s := range p.stagings {
@@ -38,20 +39,46 @@
 		p.stageOthers(v)
 		return
 	}
-	have := p.assigned(v)
-	for _, e := range v.Snapshot.Services[v.Service.Name] {
-		if running >= max(1, v.Service.Engine.LoadsAtOnce-1) || !p.mayLoad(v) {
-			return
+	for _, kind := range []func(*View, *endpoint.Endpoint) (route.Model, bool){p.forCold, p.forOneSided} {
+		for _, e := range v.Snapshot.Services[v.Service.Name] {
+			if running >= max(1, v.Service.Engine.LoadsAtOnce-1) || !p.mayLoad(v) {
+				return
+			}
+			if _, busy := p.stagings[e.ID]; busy || e.Draining || v.down(e.ID) {
+				continue
+			}
+			if m, wanted := kind(v, e); wanted {
+				p.stageOne(v, e, m)
+				running++
+			}
 		}
-		if _, busy := p.stagings[e.ID]; busy || !p.free(v, e) || len(e.Models)+len(e.Staged) > 0 {
-			continue
+	}
+}
+
+// forCold returns the model that a free endpoint without any can have soonest.
+func (p *Planner) forCold(v *View, e *endpoint.Endpoint) (m route.Model, wanted bool) {
+	if len(e.Models)+len(e.Staged) > 0 || !p.free(v, e) {
+		return m, false
+	}
+	for _, other := range v.Service.Engine.Models {
+		if !wanted || other.Load < m.Load {
+			m, wanted = other, true
 		}
-		if models := p.byNeed(v, have); len(models) > 0 {
-			p.stageOne(v, e, models[0])
-			have[models[0].Name]++
-			running++
+	}
+	return m, wanted
+}
+
+// forOneSided returns the model that an endpoint has forgotten when it changed to another.
+func (p *Planner) forOneSided(v *View, e *endpoint.Endpoint) (m route.Model, wanted bool) {
+	if len(e.Models) == 0 || keepsAnother(e) || e.Membership != nil && e.Membership.State == endpoint.Joining {
+		return m, false
+	}
+	for _, other := range v.Service.Engine.Models {
+		if !e.Holds(other.Name) {
+			return other, true
 		}
 	}
+	return m, false
 }
 
 // stageOthers gives every member of a group the model that it does not run.
--- a/internal/gossip/convert.go
+++ b/internal/gossip/convert.go
@@ -13,7 +13,7 @@
 		Vm: self.VM, Incarnation: self.Incarnation, Zone: self.Zone, CallerAddress: self.CallerAddress,
 		GossipAddress: self.GossipAddress, PeerAddress: self.PeerAddress,
 		Leaving: s.Leaving, Serving: s.Serving, Watching: s.Watching, Eligible: s.Eligible, LeaderEpoch: s.LeaderEpoch, Sequence: s.Sequence,
-		Retiring: s.Retiring, Known: known,
+		Retiring: s.Retiring, Known: known, UptimeMs: uint32(s.Uptime / time.Millisecond), //nolint:gosec // 49 days fit
 	}
 	if !s.ProofAt.IsZero() {
 		b.ProofAgeMs = max(1, roundUp(now.Sub(s.ProofAt)))
@@ -45,7 +45,7 @@
 		},
 		Status: Status{
 			Leaving: b.Leaving, Serving: b.Serving, Watching: b.Watching, Eligible: b.Eligible, LeaderEpoch: b.LeaderEpoch, Sequence: b.Sequence,
-			Retiring: b.Retiring, Loads: make(map[string]int, len(b.Loads)),
+			Retiring: b.Retiring, Uptime: millis(b.UptimeMs), Loads: make(map[string]int, len(b.Loads)),
 			Suspects: make(map[string]time.Time, len(b.Suspects)), Demands: make(map[string]Demand, len(b.Demands)),
 		},
 		Heard: asOf,
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -18,6 +18,7 @@
 	Serving     bool  // it can serve callers
 	Eligible    bool  // it may lead
 	LeaderEpoch int64 // while it leads, else 0
+	Uptime      time.Duration
 	Sequence    uint64
 	Watching    bool           // its copy comes from the store itself
 	ProofAt     time.Time      // its copy of the store is current as of then; zero if unknown
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -17,6 +17,10 @@
 	leadAfter = 500 * time.Millisecond
 	// servePart is the part of the credential proof's limit up to which a node takes new callers.
 	servePart = 0.6
+	// settled is the uptime from which nodes are alike as leaders, and sameStart how far apart the starts of nodes
+	// may be that have started together.
+	settled   = 40 * time.Second
+	sameStart = 3 * time.Second
 	probeWait = 600 * time.Millisecond
 )
 
@@ -27,6 +31,7 @@
 	s.Serving = n.serving(now)
 	s.Eligible = !s.Leaving && n.follower.StoreAnswers()
 	s.LeaderEpoch = n.controller.Leads(now)
+	s.Uptime = now.Sub(n.started)
 	s.Sequence = n.follower.Mirror.Sequence()
 	s.ProofAt, s.Watching = n.follower.Whole()
 	if s.LeaderEpoch > 0 {
@@ -65,13 +70,25 @@
 		return true
 	}
 	for _, p := range n.gossip.Live(now) {
-		if p.LeaderEpoch > 0 || p.Eligible && !p.Leaving && p.VM < n.settings.VM {
+		if p.LeaderEpoch > 0 || p.Eligible && !p.Leaving && n.goesFirst(p, now) {
 			return false
 		}
 	}
 	return true
 }
 
+// goesFirst reports whether another node is the better leader: one that has run for longer remembers endpoints
+// that are not listed any more.
+func (n *Server) goesFirst(p *gossip.Peer, now time.Time) bool {
+	own := now.Sub(n.started)
+	if own < settled || p.Uptime < settled {
+		if apart := p.Uptime - own; apart > sameStart || apart < -sameStart {
+			return apart > 0
+		}
+	}
+	return p.VM < n.settings.VM
+}
+
 // heard takes in another node's beat.
 func (n *Server) heard(p *gossip.Peer) {
 	n.follower.Heard(p)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -47,7 +47,7 @@
 	FailureLinesSecond float64 `json:"failure_lines_per_second,omitempty"`
 }
 
-var gatewayDefaults = Gateway{LeaseTTLMS: 2400, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
+var gatewayDefaults = Gateway{LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
 
 // ReadGateway reads and checks the file; the error names every faulty field.
 func ReadGateway(file string) (*Gateway, error) {
