--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -15,7 +15,7 @@
 	// pressed is the pressure from which a model gets the members of another one's groups.
 	pressed = 0.7
 	// spareBelow is the pressure that the other model may have without those groups.
-	spareBelow = 0.6
+	spareBelow = 0.8
 	// reserveFor is how long the members of a domain are kept for the model that they are freed for.
 	reserveFor = 5 * time.Second
 )
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -41,7 +41,7 @@
 	}
 	for _, kind := range []func(*View, *endpoint.Endpoint) (route.Model, bool){p.forCold, p.forOneSided} {
 		for _, e := range v.Snapshot.Services[v.Service.Name] {
-			if running >= max(1, v.Service.Engine.LoadsAtOnce-1) || !p.mayLoad(v) {
+			if running >= max(1, v.Service.Engine.LoadsAtOnce) || !p.mayLoad(v) {
 				return
 			}
 			if _, busy := p.stagings[e.ID]; busy || e.Draining || v.down(e.ID) {
