Give the nodes a total order of who leads

Change: uptime alone, told a little late so that two may want but never none, and after 2.5 s without a leader everyone.

--- /dev/null
+++ b/internal/server/election.go
@@ -0,0 +1,56 @@
+package server
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"moorrun.dev/moorrun/internal/gossip"
+)
+
+const (
+	// leadAfter is how long a new process listens before it may want to lead.
+	leadAfter = 500 * time.Millisecond
+	// leaderlessFor is how long nobody may have led until every node wants to.
+	leaderlessFor = 2500 * time.Millisecond
+)
+
+// election says whether a node should try to get the leader's lease. The lease alone decides who leads; the
+// election only keeps all nodes but one from asking for it.
+type election struct {
+	started time.Time
+
+	mu  sync.Mutex
+	led time.Time // a leader was last heard
+}
+
+func newElection(started time.Time) *election { return &election{started: started, led: started} }
+
+// wants reports whether this node should hold the lease: nobody else leads, and of those who could it has run for
+// longest. After a while without a leader everyone wants it. able says whether this node could lead.
+func (e *election) wants(now time.Time, able, leads bool, live []*gossip.Peer) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	others := slices.ContainsFunc(live, func(p *gossip.Peer) bool { return p.LeaderEpoch > 0 })
+	if leads || others {
+		e.led = now
+	}
+	switch {
+	case !able || now.Sub(e.started) < leadAfter:
+		return false
+	case leads:
+		return true
+	case others:
+		return false
+	case now.Sub(e.led) > leaderlessFor:
+		return true
+	}
+	return !slices.ContainsFunc(live, func(p *gossip.Peer) bool { return e.goesFirst(p, now) })
+}
+
+// goesFirst reports whether another node is the better leader: one that has run for longer remembers endpoints
+// that are not listed any more. What a beat tells is a little old, so of two nodes that started together both
+// may take themselves for the first, but never neither.
+func (e *election) goesFirst(p *gossip.Peer, now time.Time) bool {
+	return p.Eligible && !p.Leaving && p.Uptime > now.Sub(e.started)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -60,6 +60,7 @@
 	rpc        *gossip.Server
 	requests   atomic.Int64
 	leaving    atomic.Bool
+	election   *election
 
 	listeners listeners
 	datagrams *net.UDPConn
@@ -69,6 +70,7 @@
 func New(s *settings.Gateway, newPlatform NewPlatform, logger log.Logger) (*Server, error) {
 	n := &Server{settings: s, logger: logger, started: time.Now(), calls: httpcall.NewClient(), directory: endpoint.NewDirectory(), caller: gossip.NewCaller()}
 	n.calls.DialTimeout = dialTimeout
+	n.election = newElection(n.started)
 	n.platform = newPlatform(s, n.calls)
 	if err := n.listen(); err != nil {
 		return nil, err
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -13,14 +13,8 @@
 )
 
 const (
-	// leadAfter is how long a new process listens before it may want to lead.
-	leadAfter = 500 * time.Millisecond
 	// servePart is the part of the credential proof's limit up to which a node takes new callers.
 	servePart = 0.6
-	// settled is the uptime from which nodes are alike as leaders, and sameStart how far apart the starts of nodes
-	// may be that have started together.
-	settled   = 40 * time.Second
-	sameStart = 3 * time.Second
 	probeWait = 600 * time.Millisecond
 )
 
@@ -59,34 +53,11 @@
 // ready reports whether this node takes new callers.
 func (n *Server) ready() bool { return !n.leaving.Load() && n.serving(time.Now()) }
 
-// wantsLead reports whether this node should hold the leader's lease: nobody else who could leads, and it is the
-// first of those who can.
+// wantsLead reports whether this node should hold the leader's lease.
 func (n *Server) wantsLead() bool {
 	now := time.Now()
-	if n.leaving.Load() || now.Sub(n.started) < leadAfter || n.table.Load() == nil || !n.follower.StoreAnswers() {
-		return false
-	}
-	if n.controller.Leads(now) > 0 {
-		return true
-	}
-	for _, p := range n.gossip.Live(now) {
-		if p.LeaderEpoch > 0 || p.Eligible && !p.Leaving && n.goesFirst(p, now) {
-			return false
-		}
-	}
-	return true
-}
-
-// goesFirst reports whether another node is the better leader: one that has run for longer remembers endpoints
-// that are not listed any more.
-func (n *Server) goesFirst(p *gossip.Peer, now time.Time) bool {
-	own := now.Sub(n.started)
-	if own < settled || p.Uptime < settled {
-		if apart := p.Uptime - own; apart > sameStart || apart < -sameStart {
-			return apart > 0
-		}
-	}
-	return p.VM < n.settings.VM
+	able := !n.leaving.Load() && n.table.Load() != nil && n.follower.StoreAnswers()
+	return n.election.wants(now, able, n.controller.Leads(now) > 0, n.gossip.Live(now))
 }
 
 // heard takes in another node's beat.
