Let no leader open what an earlier one left, and decide on views of its own tenure only

Change: a group that an earlier leader has not opened is left by its head and formed anew under a higher epoch; nothing is planned before the listing is proved current as of the tenure's start.

--- /dev/null
+++ b/internal/endpoint/directory_test.go
@@ -0,0 +1,61 @@
+package endpoint_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+)
+
+var origin = time.Unix(1000, 0)
+
+func member(id, group string, epoch int64, rank int, state endpoint.State) *endpoint.Endpoint {
+	return &endpoint.Endpoint{
+		ID: id, Service: "lm", Models: []string{"m"}, Membership: &endpoint.Membership{Group: group, Epoch: epoch, Rank: rank, State: state},
+	}
+}
+
+func TestGroupIsReadyWithAllItsMembersOnly(t *testing.T) {
+	d := endpoint.NewDirectory()
+	d.Apply([]*endpoint.Endpoint{member("a", "g", 1, 0, endpoint.Open), member("b", "g", 1, 1, endpoint.Joining)}, nil, origin)
+	g := d.Read().Groups["g"]
+	qt.Check(t, g.Head.ID, qt.Equals, "a")
+	qt.Check(t, g.Model, qt.Equals, "m")
+	qt.Check(t, g.Ready(2), qt.IsFalse, qt.Commentf("one is still joining"))
+	d.Apply([]*endpoint.Endpoint{member("b", "g", 1, 1, endpoint.Ready)}, nil, origin)
+	qt.Check(t, d.Read().Groups["g"].Ready(2), qt.IsTrue)
+	qt.Check(t, d.Read().Groups["g"].Ready(3), qt.IsFalse, qt.Commentf("one is missing"))
+	qt.Check(t, g.Ready(2), qt.IsFalse, qt.Commentf("a snapshot does not change"))
+}
+
+func TestMembersOfAnEarlierEpochDoNotCount(t *testing.T) {
+	d := endpoint.NewDirectory()
+	d.Apply([]*endpoint.Endpoint{member("a", "g", 2, 0, endpoint.Ready), member("b", "g", 1, 1, endpoint.Ready)}, nil, origin)
+	qt.Check(t, d.Read().Groups["g"].Ready(2), qt.IsFalse)
+	qt.Check(t, d.Read().Groups["g"].Epoch, qt.Equals, int64(2))
+}
+
+func TestRemovedEndpointsAreRememberedForAWhile(t *testing.T) {
+	d := endpoint.NewDirectory()
+	d.Apply([]*endpoint.Endpoint{member("a", "g", 1, 0, endpoint.Open)}, nil, origin)
+	d.Apply(nil, []string{"a", "unknown"}, origin.Add(time.Second))
+	s := d.Read()
+	qt.Check(t, s.Groups, qt.HasLen, 0)
+	qt.Check(t, s.Gone["a"].Endpoint.Membership.Group, qt.Equals, "g")
+	qt.Check(t, s.Gone, qt.HasLen, 1)
+	d.Apply([]*endpoint.Endpoint{member("a", "g", 1, 0, endpoint.Open)}, nil, origin.Add(2*time.Second))
+	qt.Check(t, d.Read().Gone, qt.HasLen, 0, qt.Commentf("it is listed again"))
+	d.Apply(nil, []string{"a"}, origin.Add(3*time.Second))
+	d.Apply([]*endpoint.Endpoint{member("b", "h", 1, 0, endpoint.Open)}, nil, origin.Add(time.Minute))
+	qt.Check(t, d.Read().Gone, qt.HasLen, 0, qt.Commentf("forgotten"))
+}
+
+func TestDrainingMemberMarksItsGroup(t *testing.T) {
+	d := endpoint.NewDirectory()
+	leaving := member("b", "g", 1, 1, endpoint.Ready)
+	leaving.Draining = true
+	d.Apply([]*endpoint.Endpoint{member("a", "g", 1, 0, endpoint.Open), leaving}, nil, origin)
+	qt.Check(t, d.Read().Groups["g"].Draining(), qt.IsTrue)
+}
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -168,7 +168,7 @@
 
 func (c *Controller) view(s *route.Service, now time.Time) *View {
 	v := &View{
-		Now: now, Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
+		Now: now, AsOf: c.Current(), Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
 		Loads: make(map[string]int), Suspects: make(map[string]bool), Demand: make(map[string]int),
 	}
 	for id, k := range c.contacts {
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -31,7 +31,6 @@
 	ended     map[string]time.Time   // groups whose members are free
 	strangers map[string]time.Time   // first sight of groups of earlier tenures
 	complete  map[string]bool        // groups seen with all members ready
-	opened    map[string]time.Time   // last order to open a stranger
 	stagings  map[string]staging     // by endpoint ID
 	loads     []time.Time            // begun during this tenure
 	converted time.Time              // last time a group was ended for another model
@@ -52,7 +51,7 @@
 	return &Planner{
 		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement),
 		ended: make(map[string]time.Time), strangers: make(map[string]time.Time), complete: make(map[string]bool),
-		opened: make(map[string]time.Time), stagings: make(map[string]staging), asked: make(map[string]bool), demand: make(map[string]float64), reserved: make(map[string]reservation),
+		stagings: make(map[string]staging), asked: make(map[string]bool), demand: make(map[string]float64), reserved: make(map[string]reservation),
 	}
 }
 
@@ -70,10 +69,14 @@
 	}
 }
 
-// Step returns the orders that are due and the endpoints to be asked directly.
+// Step returns the orders that are due and the endpoints to be asked directly. Nothing is decided on a view from
+// before the tenure: what the leader before ordered last would not show in it.
 func (p *Planner) Step(v *View) (orders []Order, ask []string) {
 	p.orders = nil
 	clear(p.asked)
+	if v.AsOf.Before(p.started) {
+		return nil, nil
+	}
 	p.measure(v)
 	p.followPlans(v)
 	p.reviewGroups(v)
@@ -163,7 +166,6 @@
 	for name := range p.strangers {
 		if v.Snapshot.Groups[name] == nil {
 			delete(p.strangers, name)
-			delete(p.opened, name)
 			delete(p.complete, name)
 		}
 	}
--- a/internal/formation/running.go
+++ b/internal/formation/running.go
@@ -7,16 +7,20 @@
 )
 
 const (
-	// strangerGrace is how long a group that this tenure did not plan may stay incomplete.
-	strangerGrace = 2500 * time.Millisecond
+	// unopenedGrace is how long a group that this tenure did not plan may stay unopened: an order to open it may
+	// just have been given.
+	unopenedGrace = 700 * time.Millisecond
+	// incompleteGrace is how long such a group may lack a member in the listing.
+	incompleteGrace = 2500 * time.Millisecond
 	// orphanHold is how long members are left alone whose head nobody knows: it may still serve them.
 	orphanHold = 12 * time.Second
 	// askAgain is how old an answer may be that speaks for an endpoint that is not listed.
 	askAgain = time.Second
 )
 
-// reviewGroups looks after the groups that no plan is about: it opens what an earlier leader left ready, and
-// retires what has lost a member.
+// reviewGroups looks after the groups that no plan is about and retires what has lost a member. A group that an
+// earlier leader has not opened is retired too, also when it is ready: that leader may have given it up, and
+// joins of its members to others may still be on their way.
 func (p *Planner) reviewGroups(v *View) {
 	for name, g := range v.Snapshot.Groups {
 		if g.Service != v.Service.Name || p.plans[name] != nil || p.retiring[name] != nil {
@@ -47,8 +51,8 @@
 		p.retire(v, g.Name, g.Epoch, g.Head, "a member is leaving", finishFor)
 		return
 	}
-	seen, known := p.strangers[g.Name]
-	if !known {
+	seen, met := p.strangers[g.Name]
+	if !met {
 		p.strangers[g.Name] = v.Now
 		seen = v.Now
 	}
@@ -56,14 +60,12 @@
 	if whole {
 		p.complete[g.Name] = true
 	}
+	known := v.Now.Sub(seen)
 	switch {
-	case whole && g.Head.Membership.State == endpoint.Ready:
-		if v.Now.Sub(p.opened[g.Name]) >= openAgain {
-			p.opened[g.Name] = v.Now
-			p.order(Order{Kind: Open, Endpoint: g.Head, Group: g.Name, Epoch: g.Epoch})
-		}
-	case !whole && !p.complete[g.Name] && v.Now.Sub(seen) > strangerGrace:
-		p.retire(v, g.Name, g.Epoch, g.Head, "it stays incomplete", 0)
+	case g.Head.Membership.State != endpoint.Open && known > unopenedGrace:
+		p.retire(v, g.Name, g.Epoch, g.Head, "an earlier leader has not opened it", 0)
+	case !whole && !p.complete[g.Name] && known > incompleteGrace:
+		p.retire(v, g.Name, g.Epoch, g.Head, "a member is missing", 0)
 	}
 }
 
--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -10,6 +10,7 @@
 // View is what a Planner sees in one step.
 type View struct {
 	Now      time.Time
+	AsOf     time.Time // the snapshot is certainly current as of then
 	Service  *route.Service
 	Snapshot *endpoint.Snapshot
 	Contacts map[string]Contact // by endpoint ID, of those that have been asked lately
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,84 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"moorrun.dev/moorrun/internal/retry"
+)
+
+var origin = time.Unix(1000, 0)
+
+var limits = retry.Limits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}
+
+func one() int { return 1 }
+
+func TestSlackAllowsFirstRepeats(t *testing.T) {
+	b := retry.NewBudget(limits, one, origin)
+	qt.Check(t, b.Take(origin), qt.IsTrue)
+}
+
+func TestSlackIsDividedAmongNodes(t *testing.T) {
+	taken := func(nodes int) int {
+		b := retry.NewBudget(limits, func() int { return nodes }, origin)
+		n := 0
+		for b.Take(origin) {
+			n++
+		}
+		return n
+	}
+	qt.Check(t, taken(9) <= taken(1)/9, qt.IsTrue, qt.Commentf("%d and %d", taken(9), taken(1)))
+	qt.Check(t, taken(9) > 0, qt.IsTrue)
+}
+
+func TestRepeatsAreForgottenAfterTheWindow(t *testing.T) {
+	b := retry.NewBudget(limits, one, origin)
+	for b.Take(origin) { //nolint:revive // spends all
+	}
+	qt.Check(t, b.Take(origin.Add(9*time.Second)), qt.IsFalse)
+	qt.Check(t, b.Take(origin.Add(11*time.Second)), qt.IsTrue)
+}
+
+// TestAllNodesTogetherKeepTheLimit plays nodes that start at different times and take whatever they can; in no
+// window may they pass what the limits allow all together.
+func TestAllNodesTogetherKeepTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 9).Draw(t, "nodes")
+		budgets := make([]*retry.Budget, nodes)
+		for i := range budgets {
+			start := origin.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "start")) * time.Millisecond)
+			budgets[i] = retry.NewBudget(limits, func() int { return nodes }, start)
+		}
+		var requests, repeats []time.Time
+		now := origin
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")]
+			for range rapid.IntRange(0, 8).Draw(t, "requests") {
+				b.Request(now)
+				requests = append(requests, now)
+			}
+			for range rapid.IntRange(0, 30).Draw(t, "repeats") {
+				if b.Take(now) {
+					repeats = append(repeats, now)
+				}
+			}
+			inWindow := func(list []time.Time, span time.Duration) int {
+				n := 0
+				for _, at := range list {
+					if now.Sub(at) < span {
+						n++
+					}
+				}
+				return n
+			}
+			allowed := limits.Ratio*float64(inWindow(requests, limits.Window)) + limits.Slack
+			if got := inWindow(repeats, limits.Window); float64(got) > allowed {
+				t.Fatalf("%d repeats in a window, allowed %.1f", got, allowed)
+			}
+		}
+	})
+}
