--- a/Makefile
+++ b/Makefile
@@ -22,4 +22,7 @@
 	go run ./test/soak -seed $(SEED) -for $(FOR)
 slopes:
 	go run ./test/slopes | tee docs/slopes.txt
-.PHONY: all build test lint demo bench soak slopes
+
+days:
+	script/days
+.PHONY: all build test lint demo bench soak slopes days
