Test the gateway, the choice of endpoints, gossip, the copy of the store and the log; 504 at the time-out

Cause, found by TestRouteTimeoutIsAnsweredAsTimedOut: when nothing had come at the deadline itself the context did not always say so yet, and the caller got may-have-run (502) in place of timed-out (504). Change: the deadline decides.

--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,79 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"moorrun.dev/moorrun/internal/eventlog"
+)
+
+// stuck is a writer that does not take anything until it is freed.
+type stuck struct {
+	free chan bool
+	mu   sync.Mutex
+	got  bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.free
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(p)
+}
+
+func TestReaderThatDoesNotReadBlocksNobody(t *testing.T) {
+	out := &stuck{free: make(chan bool)}
+	w := eventlog.NewWriter(out)
+	line := []byte(strings.Repeat("x", 1000) + "\n")
+	for range 5000 { // five times what may wait
+		n, err := w.Write(line)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, n, qt.Equals, len(line))
+	}
+	qt.Check(t, w.Dropped() > 0, qt.IsTrue)
+	close(out.free)
+	qt.Assert(t, w.Close(), qt.IsNil)
+	lines := int64(strings.Count(out.got.String(), "\n"))
+	qt.Check(t, lines+w.Dropped(), qt.Equals, int64(5000), qt.Commentf("every line is written or counted"))
+}
+
+func TestSampledRequestsAreLoggedWholeAndTheSameEverywhere(t *testing.T) {
+	logged := func() map[string]int {
+		var out bytes.Buffer
+		d := eventlog.NewDecisions(log.NewLogfmtLogger(&out), eventlog.Limits{SampleOneIn: 10})
+		count := map[string]int{}
+		for i := range 500 {
+			for range 3 {
+				before := out.Len()
+				d.Decision(fmt.Sprint(i), "sent", false)
+				if out.Len() > before {
+					count[fmt.Sprint(i)]++
+				}
+			}
+		}
+		return count
+	}
+	first := logged()
+	qt.Check(t, len(first) > 20 && len(first) < 100, qt.IsTrue, qt.Commentf("%d", len(first)))
+	for id, n := range first {
+		qt.Check(t, n, qt.Equals, 3, qt.Commentf(id))
+	}
+	qt.Check(t, logged(), qt.DeepEquals, first)
+}
+
+func TestFailuresAreKeptUpToARateAndCountedBeyond(t *testing.T) {
+	var out bytes.Buffer
+	d := eventlog.NewDecisions(log.NewLogfmtLogger(&out), eventlog.Limits{SampleOneIn: 1 << 30, Failures: 5})
+	for i := range 1000 {
+		d.Decision(fmt.Sprint(i), "refused", true)
+	}
+	qt.Check(t, strings.Count(out.String(), "msg=refused") < 50, qt.IsTrue)
+	qt.Check(t, strings.Count(out.String(), "msg=refused") > 0, qt.IsTrue)
+	qt.Check(t, strings.Contains(out.String(), "failures not logged"), qt.IsTrue)
+}
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -103,8 +103,8 @@
 // fail ends a request that may have run.
 func (f *flight) fail(ctx context.Context, detail string) {
 	reason := Failed
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		reason = TimedOut
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(f.deadline) {
+		reason = TimedOut // the context may learn of it a moment later
 	}
 	f.refuse(Refusal{Reason: reason, Detail: detail})
 }
--- /dev/null
+++ b/internal/gossip/node_test.go
@@ -0,0 +1,136 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/gossip/gossippb"
+	"moorrun.dev/moorrun/internal/infra"
+	"moorrun.dev/moorrun/internal/mirror"
+)
+
+func newTestNode(t *testing.T, i int, status func(time.Time) Status) *Node {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	address := conn.LocalAddr().String()
+	return NewNode(Identity{VM: fmt.Sprintf("node-%d", i), Incarnation: fmt.Sprint(i), GossipAddress: address}, conn, status)
+}
+
+func TestNodesFindEachOtherThroughOne(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var nodes []*Node
+	for i := range 4 {
+		n := newTestNode(t, i, func(time.Time) Status { return Status{Serving: true, Loads: map[string]int{"e": i}} })
+		if i > 0 {
+			n.Add(nodes[0].Self().GossipAddress)
+		}
+		nodes = append(nodes, n)
+		wg.Go(func() { _ = n.Run(ctx) })
+	}
+	for _, n := range nodes {
+		for len(n.Live(time.Now())) < len(nodes)-1 {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	p := nodes[3].Live(time.Now())[2]
+	qt.Check(t, p.VM, qt.Equals, "node-2")
+	qt.Check(t, p.Loads["e"], qt.Equals, 2)
+	qt.Check(t, p.Heard.After(time.Now()), qt.IsFalse)
+	cancel()
+	wg.Wait()
+}
+
+// hear gives n a beat of another node and returns what n makes of it.
+func hear(n *Node, b *gossippb.Beat) *Peer { return n.take(b, time.Now()) }
+
+func TestBeatCountsFromTheSendingThatItEchoes(t *testing.T) {
+	n := newTestNode(t, 0, func(time.Time) Status { return Status{} })
+	beat := &gossippb.Beat{Vm: "b", Incarnation: "1", GossipAddress: "127.0.0.1:9", Tick: 1}
+	qt.Check(t, hear(n, beat), qt.IsNil, qt.Commentf("it echoes nothing, so its age is not known"))
+	sent := time.Now()
+	n.send(sent, true)
+	beat.Tick, beat.Echo, beat.ProofAgeMs = 2, 1, 30
+	p := hear(n, beat)
+	qt.Assert(t, p, qt.IsNotNil)
+	qt.Check(t, p.Heard.Equal(sent), qt.IsTrue)
+	qt.Check(t, p.ProofAt.Equal(sent.Add(-30*time.Millisecond)), qt.IsTrue)
+	qt.Check(t, hear(n, beat), qt.IsNil, qt.Commentf("the same beat again"))
+	beat.Tick = 1
+	qt.Check(t, hear(n, beat), qt.IsNil, qt.Commentf("an older one that was overtaken"))
+}
+
+func TestLateBeatOfAnEarlierLifeIsIgnored(t *testing.T) {
+	n := newTestNode(t, 0, func(time.Time) Status { return Status{} })
+	n.Add("127.0.0.1:9")
+	n.send(time.Now(), true)
+	time.Sleep(2 * time.Millisecond)
+	n.send(time.Now(), true)
+	second := &gossippb.Beat{Vm: "b", Incarnation: "2", GossipAddress: "127.0.0.1:9", Tick: 1, Echo: 2}
+	qt.Assert(t, hear(n, second), qt.IsNotNil)
+	first := &gossippb.Beat{Vm: "b", Incarnation: "1", GossipAddress: "127.0.0.1:9", Tick: 50, Echo: 1}
+	qt.Check(t, hear(n, first), qt.IsNil)
+	qt.Check(t, n.Live(time.Now())[0].Incarnation, qt.Equals, "2")
+}
+
+func TestStatusSurvivesTheWire(t *testing.T) {
+	now := time.Now()
+	s := Status{
+		Leaving: true, Serving: true, Watching: true, Eligible: true, LeaderEpoch: 7, Uptime: 5 * time.Second, Sequence: 9,
+		ProofAt: now.Add(-40 * time.Millisecond), Loads: map[string]int{"a": 3}, Retiring: []string{"g"},
+		Suspects: map[string]time.Time{"g": now.Add(-time.Second)}, Demands: map[string]Demand{"m": {Waiting: 1, Running: 2}},
+	}
+	p := fromWire(toWire(Identity{VM: "v", Zone: "z"}, s, nil, now), now)
+	qt.Check(t, p.Status, qt.DeepEquals, s)
+	qt.Check(t, p.Zone, qt.Equals, "z")
+}
+
+func TestPullReturnsWhatIsNewToTheOtherSide(t *testing.T) {
+	m := mirror.New()
+	m.Put(infra.Object{Key: "a", Version: 1, Value: []byte("1")})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := NewServer("x", m, func(_ context.Context, id, _ string) bool { return id == "up" })
+	go func() { _ = s.Serve(ctx, lis) }()
+	c := NewCaller()
+	defer c.Close() //nolint:errcheck // the test is over
+	address := lis.Addr().String()
+	sequence, objects, err := c.Pull(ctx, address, "x", 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, objects, qt.HasLen, 1)
+	m.Put(infra.Object{Key: "b", Version: 2, Deleted: true})
+	_, objects, err = c.Pull(ctx, address, "x", sequence)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, objects, qt.DeepEquals, []infra.Object{{Key: "b", Version: 2, Deleted: true}})
+	_, _, err = c.Pull(ctx, address, "another life", 0)
+	qt.Check(t, err, qt.IsNotNil)
+	up, err := c.Probe(ctx, address, "up", "")
+	qt.Check(t, up && err == nil, qt.IsTrue)
+}
+
+func FuzzTake(f *testing.F) {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck // the test is over
+	f.Add("v", "i", "127.0.0.1:9", uint64(1), uint64(0))
+	f.Add("v", "i", "not an address", uint64(1), uint64(1<<63))
+	f.Fuzz(func(_ *testing.T, vm, incarnation, address string, tick, echo uint64) {
+		n := NewNode(Identity{VM: "self", GossipAddress: "127.0.0.1:1"}, conn, func(time.Time) Status { return Status{} })
+		for range 2 {
+			n.take(&gossippb.Beat{Vm: vm, Incarnation: incarnation, GossipAddress: address, Tick: tick, Echo: echo}, time.Now())
+			n.known(time.Now())
+		}
+	})
+}
--- /dev/null
+++ b/internal/picker/picker_test.go
@@ -0,0 +1,218 @@
+package picker_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/picker"
+)
+
+// fleet is a directory with what the other nodes tell.
+type fleet struct {
+	directory *endpoint.Directory
+	peers     []*gossip.Peer
+	retiring  map[string]bool
+	picker    *picker.Picker
+}
+
+func newFleet() *fleet {
+	f := &fleet{directory: endpoint.NewDirectory(), retiring: map[string]bool{}}
+	f.picker = picker.New(picker.Options{
+		Zone: "near", Directory: f.directory,
+		Live:     func(time.Time) []*gossip.Peer { return f.peers },
+		Retiring: func(time.Time) map[string]bool { return f.retiring },
+	})
+	return f
+}
+
+// group lists a group of two in a zone.
+func (f *fleet) group(name, zone string, head, other endpoint.State) {
+	var members []*endpoint.Endpoint
+	for rank, state := range []endpoint.State{head, other} {
+		members = append(members, &endpoint.Endpoint{
+			ID: fmt.Sprintf("%s-%d", name, rank), Service: "lm", Zone: zone, Models: []string{"m"},
+			Membership: &endpoint.Membership{Group: name, Epoch: 1, Rank: rank, State: state},
+		})
+	}
+	f.directory.Apply(members, nil, time.Now())
+}
+
+func want() *picker.Want { return &picker.Want{Service: "lm", Model: "m", Slots: 4, Size: 2} }
+
+func (f *fleet) acquire(t *testing.T, w *picker.Want) *picker.Place {
+	t.Helper()
+	place, err := f.picker.Acquire(context.Background(), w)
+	qt.Assert(t, err, qt.IsNil)
+	return place
+}
+
+func TestOnlyWholeOpenGroupsServe(t *testing.T) {
+	f := newFleet()
+	f.group("joining", "near", endpoint.Open, endpoint.Joining)
+	f.group("ready", "near", endpoint.Ready, endpoint.Ready)
+	f.group("closing", "near", endpoint.Closing, endpoint.Ready)
+	f.group("broken", "near", endpoint.Broken, endpoint.Ready)
+	_, err := f.picker.Acquire(context.Background(), want())
+	qt.Check(t, errors.Is(err, picker.ErrNoEndpoint), qt.IsTrue, qt.Commentf("%v", err))
+	f.group("open", "far", endpoint.Open, endpoint.Ready)
+	qt.Check(t, f.acquire(t, want()).Endpoint.ID, qt.Equals, "open-0", qt.Commentf("requests go to the head"))
+}
+
+func TestGroupThatWasWholeServesOnWhileAMemberIsNotListed(t *testing.T) {
+	f := newFleet()
+	f.group("g", "near", endpoint.Open, endpoint.Ready)
+	f.acquire(t, want())
+	f.directory.Apply(nil, []string{"g-1"}, time.Now())
+	qt.Check(t, f.acquire(t, want()).Group, qt.Equals, "g")
+	f.directory.Apply(nil, []string{"g-0"}, time.Now())
+	_, err := f.picker.Acquire(context.Background(), want())
+	qt.Check(t, errors.Is(err, picker.ErrNoEndpoint), qt.IsTrue, qt.Commentf("without its head it does not"))
+}
+
+func TestLeavingHeadGetsNothing(t *testing.T) {
+	f := newFleet()
+	f.group("g", "near", endpoint.Open, endpoint.Ready)
+	head := *f.directory.Read().Endpoints["g-0"]
+	head.Draining = true
+	f.directory.Apply([]*endpoint.Endpoint{&head}, nil, time.Now())
+	_, err := f.picker.Acquire(context.Background(), want())
+	qt.Check(t, errors.Is(err, picker.ErrNoEndpoint), qt.IsTrue)
+}
+
+func TestRetiringGroupGetsNothing(t *testing.T) {
+	f := newFleet()
+	f.group("g", "near", endpoint.Open, endpoint.Ready)
+	f.retiring["g"] = true
+	_, err := f.picker.Acquire(context.Background(), want())
+	qt.Check(t, errors.Is(err, picker.ErrNoEndpoint), qt.IsTrue)
+}
+
+func TestOwnZoneIsPreferredUntilItIsBusier(t *testing.T) {
+	f := newFleet()
+	f.group("a", "near", endpoint.Open, endpoint.Ready)
+	f.group("b", "far", endpoint.Open, endpoint.Ready)
+	zones := map[string]int{}
+	for range 8 {
+		zones[f.acquire(t, want()).Endpoint.Zone]++
+	}
+	qt.Check(t, zones, qt.DeepEquals, map[string]int{"near": 4, "far": 4}, qt.Commentf("both are full"))
+	first := newFleet()
+	first.group("a", "near", endpoint.Open, endpoint.Ready)
+	first.group("b", "far", endpoint.Open, endpoint.Ready)
+	for range 2 {
+		qt.Check(t, first.acquire(t, want()).Group, qt.Equals, "a")
+	}
+}
+
+func TestLoadsOfOtherNodesCount(t *testing.T) {
+	f := newFleet()
+	f.group("a", "near", endpoint.Open, endpoint.Ready)
+	f.group("b", "far", endpoint.Open, endpoint.Ready)
+	f.peers = []*gossip.Peer{{Status: gossip.Status{Loads: map[string]int{"a-0": 4}}}}
+	qt.Check(t, f.acquire(t, want()).Group, qt.Equals, "b")
+}
+
+func TestFullGroupsTakeAFewIntoTheirQueueAndThenNoMore(t *testing.T) {
+	f := newFleet()
+	f.group("a", "near", endpoint.Open, endpoint.Ready)
+	w := want()
+	w.Patience = time.Millisecond
+	n := 0
+	for {
+		_, err := f.picker.Acquire(context.Background(), w)
+		if err != nil {
+			qt.Check(t, errors.Is(err, picker.ErrNoPlace), qt.IsTrue)
+			break
+		}
+		n++
+	}
+	qt.Check(t, n > 4 && n <= 12, qt.IsTrue, qt.Commentf("%d", n))
+}
+
+func TestReleasedPlaceGoesToTheMostUrgentWaiter(t *testing.T) {
+	f := newFleet()
+	f.group("a", "near", endpoint.Open, endpoint.Ready)
+	var held []*picker.Place
+	for range 4 {
+		held = append(held, f.acquire(t, want()))
+	}
+	got := make(chan int, 2)
+	started := make(chan bool, 2)
+	for _, priority := range []int{5, 1} {
+		go func() {
+			w := want()
+			w.Priority, w.Patience = priority, time.Minute
+			started <- true
+			if _, err := f.picker.Acquire(context.Background(), w); err == nil {
+				got <- priority
+			}
+		}()
+	}
+	<-started
+	<-started
+	for waiting(f) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	held[0].Release()
+	qt.Check(t, <-got, qt.Equals, 1)
+	held[0].Release() // a second release changes nothing
+	held[1].Release()
+	qt.Check(t, <-got, qt.Equals, 5)
+}
+
+// waiting returns how many requests wait, as the other nodes are told.
+func waiting(f *fleet) int {
+	var s gossip.Status
+	f.picker.Report(&s, time.Now())
+	return s.Demands["m"].Waiting
+}
+
+func TestGroupThatStoodStillIsAvoidedUntilItMoves(t *testing.T) {
+	f := newFleet()
+	f.group("a", "near", endpoint.Open, endpoint.Ready)
+	f.group("b", "far", endpoint.Open, endpoint.Ready)
+	place := f.acquire(t, want())
+	qt.Assert(t, place.Group, qt.Equals, "a")
+	place.StoodStill(time.Now())
+	qt.Check(t, f.acquire(t, want()).Group, qt.Equals, "b")
+	var s gossip.Status
+	f.picker.Report(&s, time.Now())
+	_, told := s.Suspects["a"]
+	qt.Check(t, told, qt.IsTrue)
+	place.Progress(time.Millisecond, time.Now())
+	qt.Check(t, f.acquire(t, want()).Group, qt.Equals, "a")
+}
+
+func TestPatienceCountsFromTheGroupsLastSignBeforeTheFirstEvent(t *testing.T) {
+	f := newFleet()
+	f.group("a", "near", endpoint.Open, endpoint.Ready)
+	waits, runs := f.acquire(t, want()), f.acquire(t, want())
+	sent := time.Now()
+	before := waits.Patience(sent, false)
+	runs.Progress(20*time.Millisecond, sent.Add(500*time.Millisecond))
+	qt.Check(t, waits.Patience(sent, false).After(before), qt.IsTrue, qt.Commentf("another stream goes on: its prompt waits its turn"))
+	qt.Check(t, waits.Patience(sent, true).Before(before), qt.IsTrue, qt.Commentf("once begun, events come soon"))
+}
+
+func TestEndpointsThatServeAlone(t *testing.T) {
+	f := newFleet()
+	f.directory.Apply([]*endpoint.Endpoint{
+		{ID: "good", Service: "plain", Zone: "far"}, {ID: "bad", Service: "plain", Zone: "near"},
+		{ID: "leaving", Service: "plain", Zone: "near", Draining: true},
+	}, nil, time.Now())
+	w := &picker.Want{Service: "plain", Exclude: nil}
+	first := f.acquire(t, w)
+	qt.Check(t, first.Endpoint.ID, qt.Equals, "bad")
+	for range 10 {
+		first.Failed(false, time.Now())
+	}
+	qt.Check(t, f.acquire(t, w).Endpoint.ID, qt.Equals, "good", qt.Commentf("it fails too often"))
+	qt.Check(t, f.acquire(t, &picker.Want{Service: "plain", Exclude: []string{"good"}}).Endpoint.ID, qt.Equals, "bad")
+}
