--- /dev/null
+++ b/internal/standin/estate/estate.go
@@ -0,0 +1,124 @@
+package estate
+
+import (
+	"fmt"
+	"sync"
+)
+
+// Estate is a whole stand-in platform.
+type Estate struct {
+	Store *Store
+
+	mu       sync.Mutex
+	workers  []*Worker
+	runs     []Run
+	ready    map[string]map[string]bool // group → members that have been ready in it
+	breaches []string
+}
+
+// New starts an estate without workers.
+func New() *Estate { return &Estate{Store: NewStore(), ready: make(map[string]map[string]bool)} }
+
+// Add starts a worker of a service.
+func (e *Estate) Add(service string) *Worker {
+	e.mu.Lock()
+	w := &Worker{ID: fmt.Sprintf("i-%02d", len(e.workers)+1), Service: service, estate: e}
+	e.workers = append(e.workers, w)
+	e.mu.Unlock()
+	w.start()
+	return w
+}
+
+// Close stops everything.
+func (e *Estate) Close() {
+	for _, w := range e.Workers() {
+		w.Stall(false)
+		w.server.CloseClientConnections()
+		w.server.Close()
+	}
+	e.Store.Close()
+}
+
+// Workers returns all workers, dead ones included.
+func (e *Estate) Workers() []*Worker {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]*Worker(nil), e.workers...)
+}
+
+// OpenHeads returns the heads of open groups.
+func (e *Estate) OpenHeads() []*Worker {
+	var out []*Worker
+	for _, w := range e.Workers() {
+		if w.OpenHead() {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+func (e *Estate) ran(r Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs = append(e.runs, r)
+}
+
+func (e *Estate) readied(group, id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ready[group] == nil {
+		e.ready[group] = make(map[string]bool)
+	}
+	e.ready[group][id] = true
+}
+
+// opening notes a breach if a group opens of which a member has never been ready.
+func (e *Estate) opening(group string, members []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, id := range members {
+		if !e.ready[group][id] {
+			e.breaches = append(e.breaches, fmt.Sprintf("%s opens though %s has never been ready in it", group, id))
+		}
+	}
+}
+
+// Runs returns the runs of one attempt.
+func (e *Estate) Runs(attempt string) []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []Run
+	for _, r := range e.runs {
+		if r.Attempt == attempt {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Breaches returns what has been seen that must never be.
+func (e *Estate) Breaches() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.breaches...)
+}
+
+// Configure writes the operator's configuration. Keys hold the credentials of the one tenant; MS is the
+// time-out of streams.
+func (e *Estate) Configure(version, streamTimeoutMS int, keys ...string) {
+	routes := []map[string]any{
+		{"name": "lm", "hostname": "h.example", "path_prefix": "/lm/", "route_kind": "streaming", "resumable": true, "sticky": true, "service": "engines", "timeout_ms": streamTimeoutMS, "slo_ms": 500, "gap_target_ms": 300, "max_attempts": 2, "priority": 1},
+		{"name": "once", "hostname": "h.example", "path_prefix": "/once/", "route_kind": "non_idempotent", "service": "plain", "timeout_ms": 1500, "slo_ms": 300, "max_attempts": 1, "priority": 2},
+		{"name": "again", "hostname": "h.example", "path_prefix": "/again/", "route_kind": "idempotent", "service": "plain", "timeout_ms": 1500, "slo_ms": 300, "max_attempts": 2, "priority": 2},
+	}
+	engine := map[string]any{
+		"slots": 4, "loads_per_s": 5, "loads_at_once": 7, "form_ms": 10,
+		"models": []map[string]any{{"name": "m", "size": 2, "share": 1.0, "pace": 1.0, "load_s": 1.0, "warm_s": 0.2}},
+	}
+	e.Store.Write("config", "main", map[string]any{
+		"version": version, "routes": routes,
+		"services": []map[string]any{{"name": "engines", "engine": engine}, {"name": "plain"}},
+		"limits":   map[string]any{"max_body_bytes": 1 << 20},
+		"tenants":  []map[string]any{{"name": "tenant-1", "api_keys": keys, "priority": 1}},
+	})
+}
--- /dev/null
+++ b/test/gateway/fleet_test.go
@@ -0,0 +1,280 @@
+// Package gateway tests moorrund's gateway as real processes before a stand-in of the users' platform.
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/settings"
+	"moorrun.dev/moorrun/internal/standin/estate"
+)
+
+// patience bounds waits that only a broken product makes long.
+const patience = 20 * time.Second
+
+// program is the daemon, built once.
+var program string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "moorrun-gateway")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir) //nolint:errcheck // a temporary folder
+	program = filepath.Join(dir, "moorrund")
+	out, err := exec.Command("go", "build", "-race", "-o", program, "moorrun.dev/moorrun/cmd/moorrund").CombinedOutput()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err, string(out))
+		return 1
+	}
+	return m.Run()
+}
+
+// node is one moorrund process.
+type node struct {
+	settings settings.Gateway
+	command  *exec.Cmd
+	log      string // file
+	ended    chan error
+}
+
+// fleet is three nodes before an estate of eight engine workers and two plain ones.
+type fleet struct {
+	t      *testing.T
+	estate *estate.Estate
+	nodes  []*node
+	next   int
+	mu     sync.Mutex
+}
+
+// hosts numbers loopback addresses: a port that is free at one of its own is not taken by anybody's outgoing
+// connection before the node listens there.
+var hosts atomic.Int32
+
+// freeAddresses returns addresses with ports of the kernel's choice, all at one loopback address.
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	host := fmt.Sprintf("127.7.%d.1:0", hosts.Add(1))
+	var out []string
+	for range n {
+		lis, err := net.Listen("tcp", host)
+		qt.Assert(t, err, qt.IsNil)
+		defer lis.Close() //nolint:errcheck // only its port is wanted
+		out = append(out, lis.Addr().String())
+	}
+	return out
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, estate: estate.New()}
+	t.Cleanup(f.close)
+	f.estate.Configure(1, 5000, "key-1", "key-2")
+	for range 8 {
+		f.estate.Add("engines")
+	}
+	for range 2 {
+		f.estate.Add("plain")
+	}
+	for i := range 3 {
+		free := freeAddresses(t, 5)
+		n := &node{log: filepath.Join(t.TempDir(), "log"), settings: settings.Gateway{
+			VM: fmt.Sprintf("vm-%d", i), DataCentre: "z1", Region: "r1", CallerAddress: free[0], ReadinessAddress: free[1],
+			RegistryAddress: free[2], PeerAddress: free[3], MetricsAddress: free[4], StoreAddress: f.estate.Store.Address(),
+			CredentialProofMS: 5000, GraceMS: 6000, AddressLifetimeMS: 1000, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindowMS: 10000,
+			SampleOneIn: 1, FailureLinesSecond: 1000,
+		}}
+		f.nodes = append(f.nodes, n)
+		f.start(n)
+	}
+	f.await("every node serves", func() bool {
+		for _, n := range f.nodes {
+			if !n.isReady() {
+				return false
+			}
+		}
+		return true
+	})
+	f.await("four groups are open", func() bool { return len(f.estate.OpenHeads()) == 4 })
+	f.await("a stream is served", func() bool { return f.stream(f.nodes[0], "key-1").whole() })
+	return f
+}
+
+func (f *fleet) start(n *node) {
+	file := filepath.Join(f.t.TempDir(), "settings.json")
+	raw, err := json.Marshal(n.settings)
+	qt.Assert(f.t, err, qt.IsNil)
+	qt.Assert(f.t, os.WriteFile(file, raw, 0o600), qt.IsNil)
+	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	qt.Assert(f.t, err, qt.IsNil)
+	n.command = exec.Command(program, "gateway", "--settings", file)
+	n.command.Stdout, n.command.Stderr = log, log
+	qt.Assert(f.t, n.command.Start(), qt.IsNil)
+	n.ended = make(chan error, 1)
+	go func() { n.ended <- n.command.Wait(); _ = log.Close() }()
+}
+
+func (f *fleet) close() {
+	for _, n := range f.nodes {
+		_ = n.command.Process.Kill()
+		<-n.ended
+	}
+	breaches := f.estate.Breaches()
+	f.estate.Close()
+	qt.Check(f.t, breaches, qt.HasLen, 0)
+	for _, n := range f.nodes {
+		content, _ := os.ReadFile(n.log)
+		if strings.Contains(string(content), "DATA RACE") {
+			f.t.Errorf("%s: %s", n.settings.VM, content)
+		}
+	}
+}
+
+// await waits until a condition holds; the deadline is for a broken product only.
+func (f *fleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			for _, n := range f.nodes {
+				content, _ := os.ReadFile(n.log)
+				f.t.Logf("%s:\n%s", n.settings.VM, tail(content))
+			}
+			f.t.Fatalf("it never came that %s", what)
+		}
+	}
+}
+
+func tail(b []byte) []byte { return b[max(0, len(b)-4000):] }
+
+func (n *node) isReady() bool {
+	r, err := http.Get("http://" + n.settings.ReadinessAddress + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close() //nolint:errcheck // nothing is read
+	return r.StatusCode == http.StatusOK
+}
+
+func (n *node) kill() { _ = n.command.Process.Kill(); <-n.ended }
+
+func (n *node) signal(s syscall.Signal) { _ = n.command.Process.Signal(s) }
+
+// leads reports whether the node's log says that it holds the lease.
+func (n *node) leads() bool {
+	content, _ := os.ReadFile(n.log)
+	last := strings.LastIndex(string(content), `"msg":"lease"`)
+	if last < 0 {
+		return false
+	}
+	line := string(content)[strings.LastIndexByte(string(content[:last]), '\n')+1:]
+	line, _, _ = strings.Cut(line, "\n")
+	return strings.Contains(line, `"held":true`)
+}
+
+func (f *fleet) leader() *node {
+	var leader *node
+	f.await("one node leads", func() bool {
+		leader = nil
+		for _, n := range f.nodes {
+			if n.command.ProcessState == nil && n.leads() {
+				leader = n
+			}
+		}
+		return leader != nil
+	})
+	return leader
+}
+
+// result is what a caller got.
+type result struct {
+	id      string
+	status  int
+	header  http.Header
+	events  []string
+	body    string
+	err     error
+}
+
+// whole reports whether the stream came whole and belongs to the request.
+func (r *result) whole() bool {
+	if r.err != nil || r.status != http.StatusOK || len(r.events) != estate.Events {
+		return false
+	}
+	for i, e := range r.events {
+		if e != fmt.Sprintf("id: %d\ndata: %s", i+1, r.id) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) request(ctx context.Context, n *node, method, path, credential string) (*http.Response, string, error) {
+	f.mu.Lock()
+	f.next++
+	id := fmt.Sprintf("attempt-%d", f.next)
+	f.mu.Unlock()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.settings.CallerAddress+path, strings.NewReader("body"))
+	if err != nil {
+		return nil, id, err
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Moorrun-Attempt-Id", id)
+	r.Header.Set("X-Moorrun-Model", "m")
+	r.Header.Set("X-Moorrun-Deadline-Ms", "8000")
+	r.Header.Set("Authorization", "Bearer "+credential)
+	transport := &http.Transport{DisableKeepAlives: true}
+	answer, err := transport.RoundTrip(r)
+	return answer, id, err
+}
+
+// stream asks for a stream and reads it to its end.
+func (f *fleet) stream(n *node, credential string) *result {
+	answer, id, err := f.request(context.Background(), n, http.MethodPost, "/lm/x", credential)
+	if err != nil {
+		return &result{id: id, err: err}
+	}
+	defer answer.Body.Close() //nolint:errcheck // it is read to its end
+	out := &result{id: id, status: answer.StatusCode, header: answer.Header}
+	in := bufio.NewScanner(answer.Body)
+	var event []string
+	for in.Scan() {
+		if in.Text() != "" {
+			event = append(event, in.Text())
+			continue
+		}
+		out.events = append(out.events, strings.Join(event, "\n"))
+		event = nil
+	}
+	out.err = in.Err()
+	return out
+}
+
+// call asks a plain route.
+func (f *fleet) call(n *node, path, credential string) *result {
+	answer, id, err := f.request(context.Background(), n, http.MethodPost, path, credential)
+	if err != nil {
+		return &result{id: id, err: err}
+	}
+	defer answer.Body.Close() //nolint:errcheck // it is read to its end
+	body, err := io.ReadAll(answer.Body)
+	return &result{id: id, status: answer.StatusCode, header: answer.Header, body: string(body), err: err}
+}
--- /dev/null
+++ b/test/gateway/gateway_test.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/standin/estate"
+)
+
+func TestAnswersOfBothKindsComeWhole(t *testing.T) {
+	f := newFleet(t)
+	for _, n := range f.nodes {
+		s := f.stream(n, "key-2")
+		qt.Check(t, s.whole(), qt.IsTrue, qt.Commentf("%+v", s))
+		qt.Check(t, s.header.Get("X-Moorrun-Server-Seal"), qt.Equals, "seal-"+s.id)
+		qt.Check(t, f.estate.Runs(s.id)[0].Tenant, qt.Equals, "tenant-1")
+		c := f.call(n, "/once/x", "key-1")
+		qt.Check(t, c.body, qt.Equals, "whole answer to "+c.id)
+	}
+	var list struct {
+		Addresses []string `json:"addresses"`
+	}
+	r, err := http.Get("http://" + f.nodes[0].settings.RegistryAddress + "/v1/resolve?name=h.example&zone=z1")
+	qt.Assert(t, err, qt.IsNil)
+	defer r.Body.Close() //nolint:errcheck // it is read to its end
+	qt.Assert(t, json.NewDecoder(r.Body).Decode(&list), qt.IsNil)
+	qt.Check(t, list.Addresses, qt.HasLen, 3)
+	qt.Check(t, f.call(f.nodes[0], "/none/x", "key-1").status, qt.Equals, http.StatusNotFound)
+	qt.Check(t, f.call(f.nodes[0], "/once/x", "stolen").status, qt.Equals, http.StatusUnauthorized)
+}
+
+func TestStreamsOutliveTheDeathOfAHead(t *testing.T) {
+	f := newFleet(t)
+	var wg sync.WaitGroup
+	results := make(chan *result, 12)
+	for i := range 12 {
+		wg.Go(func() { results <- f.stream(f.nodes[i%3], "key-1") })
+	}
+	time.Sleep(4 * estate.EventGap)
+	f.estate.OpenHeads()[0].Kill(300 * time.Millisecond)
+	wg.Wait()
+	close(results)
+	for r := range results {
+		qt.Check(t, r.whole(), qt.IsTrue, qt.Commentf("%s: status %d, %d events, %v", r.id, r.status, len(r.events), r.err))
+		qt.Check(t, len(f.estate.Runs(r.id)) <= 2, qt.IsTrue)
+	}
+	f.await("the others form a group again", func() bool { return len(f.estate.OpenHeads()) == 3 })
+}
+
+func TestStreamsOutliveAGroupThatStandsStill(t *testing.T) {
+	f := newFleet(t)
+	head := f.estate.OpenHeads()[0]
+	head.Stall(true)
+	for range 12 {
+		r := f.stream(f.nodes[0], "key-1")
+		qt.Check(t, r.whole(), qt.IsTrue, qt.Commentf("%+v", r))
+	}
+}
+
+func TestRequestThatMayRunOnceRunsOnceThoughItsAnswerIsLost(t *testing.T) {
+	f := newFleet(t)
+	for _, w := range f.estate.Workers() {
+		if w.Service == "plain" {
+			w.Lose(1)
+		}
+	}
+	r := f.call(f.nodes[0], "/once/x", "key-1")
+	qt.Check(t, r.status, qt.Equals, http.StatusGatewayTimeout)
+	qt.Check(t, f.estate.Runs(r.id), qt.HasLen, 1)
+	r = f.call(f.nodes[0], "/again/x", "key-1")
+	qt.Check(t, r.body, qt.Equals, "whole answer to "+r.id, qt.Commentf("one that may be repeated is asked elsewhere"))
+}
+
+func TestRefusalAsNotRunIsTrueAndSaysWhenToComeBack(t *testing.T) {
+	f := newFleet(t)
+	for _, w := range f.estate.Workers() {
+		w.Shed(true)
+	}
+	for _, path := range []string{"/once/x", "/again/x", "/lm/x"} {
+		r := f.call(f.nodes[0], path, "key-1")
+		qt.Check(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Check(t, r.header.Get("Retry-After") != "", qt.IsTrue)
+		qt.Check(t, f.estate.Runs(r.id), qt.HasLen, 0)
+	}
+}
+
+func TestConfigurationIsInForceEverywhereAndCredentialsEnd(t *testing.T) {
+	f := newFleet(t)
+	f.estate.Configure(2, 5000, "key-2", "key-3")
+	for _, n := range f.nodes {
+		f.await("the new credential counts", func() bool { return f.call(n, "/once/x", "key-3").status == http.StatusOK })
+		qt.Check(t, f.call(n, "/once/x", "key-1").status, qt.Equals, http.StatusUnauthorized, qt.Commentf("it never goes back"))
+	}
+}
+
+func TestWithoutTheStoreCredentialsCountForAWhileOnly(t *testing.T) {
+	f := newFleet(t)
+	f.estate.Store.SetDown(true)
+	qt.Check(t, f.call(f.nodes[0], "/once/x", "key-1").status, qt.Equals, http.StatusOK)
+	f.await("nothing is let in that could have been revoked", func() bool {
+		r := f.call(f.nodes[1], "/once/x", "key-1")
+		return r.status == http.StatusServiceUnavailable && len(f.estate.Runs(r.id)) == 0
+	})
+	f.estate.Store.SetDown(false)
+	f.await("it is served again", func() bool { return f.call(f.nodes[1], "/once/x", "key-1").status == http.StatusOK })
+}
+
+func TestRestartedNodeLearnsFromTheOthersWhileTheStoreIsDown(t *testing.T) {
+	f := newFleet(t)
+	f.estate.Store.SetDown(true)
+	n := f.nodes[2]
+	n.kill()
+	f.start(n)
+	f.await("it knows the configuration", func() bool {
+		content, _ := os.ReadFile(n.log)
+		return strings.Count(string(content), "configuration in force") == 2
+	})
+}
+
+func TestAnotherNodeLeadsAfterTheLeadersDeath(t *testing.T) {
+	f := newFleet(t)
+	leader := f.leader()
+	leader.kill()
+	f.await("another leads", func() bool {
+		for _, n := range f.nodes {
+			if n != leader && n.leads() {
+				return true
+			}
+		}
+		return false
+	})
+	f.start(leader)
+	f.estate.OpenHeads()[0].Kill(300 * time.Millisecond)
+	f.await("what is left is whole groups", func() bool { return len(f.estate.OpenHeads()) == 3 })
+	f.await("it serves", func() bool { return f.stream(leader, "key-1").whole() })
+}
+
+func TestPlannedStopCutsOffNothing(t *testing.T) {
+	f := newFleet(t)
+	leaving := f.nodes[1]
+	var wg sync.WaitGroup
+	results := make(chan *result, 30)
+	for i := range 10 {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 40 * time.Millisecond)
+			results <- f.stream(leaving, "key-1")
+			results <- f.call(leaving, "/once/x", "key-1")
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	leaving.signal(syscall.SIGTERM)
+	wg.Wait()
+	close(results)
+	for r := range results {
+		qt.Check(t, r.err, qt.IsNil)
+		qt.Check(t, r.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", r))
+	}
+	qt.Check(t, leaving.isReady(), qt.IsFalse)
+	qt.Check(t, <-leaving.ended, qt.IsNil)
+	leaving.ended <- nil
+}
+
+func TestLeavingWorkerGetsNothingNew(t *testing.T) {
+	f := newFleet(t)
+	var leaving *estate.Worker
+	for _, w := range f.estate.Workers() {
+		if w.Service == "plain" {
+			leaving = w
+		}
+	}
+	leaving.Drain()
+	free := 0
+	f.await("twenty calls in a row pass it by", func() bool {
+		r := f.call(f.nodes[0], "/once/x", "key-1")
+		free++
+		if f.estate.Runs(r.id)[0].Worker == leaving.ID {
+			free = 0
+		}
+		return free == 20
+	})
+}
+
+func TestReloadKeepsTheProcess(t *testing.T) {
+	f := newFleet(t)
+	f.nodes[0].signal(syscall.SIGHUP)
+	f.await("the settings are reloaded", func() bool {
+		content, _ := os.ReadFile(f.nodes[0].log)
+		return strings.Contains(string(content), "settings reloaded")
+	})
+	qt.Check(t, f.call(f.nodes[0], "/once/x", "key-1").status, qt.Equals, http.StatusOK)
+}
