Serve the gateway's metrics; write timers' tags where they belong

Cause: the gateway's settings took an address for metrics that nothing served; and the reporter wrote name{tags}_seconds{quantile} for timers with tags, which no reader of the format takes. Lint findings mended.

--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -43,15 +43,14 @@
 		}
 		sent := time.Now()
 		next, changed, err := s.next(ctx, version)
-		if ctx.Err() != nil {
-			return nil
-		}
 		if errors.Is(err, infra.ErrHistoryGone) {
 			version = 0
 			continue
 		}
 		if err != nil {
-			s.failed(s.prefix, err)
+			if ctx.Err() == nil {
+				s.failed(s.prefix, err)
+			}
 			sleep(ctx, retry.NextBackOff())
 			continue
 		}
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -23,10 +23,7 @@
 	}
 	free := p.freeByDomain(v)
 	have := p.assigned(v)
-	for {
-		if !p.formOne(v, free, have) {
-			break
-		}
+	for p.formOne(v, free, have) { //nolint:revive // until there is none to order
 	}
 	p.convert(v, free, have)
 }
@@ -89,7 +86,7 @@
 		}
 		free[domain] = slices.DeleteFunc(free[domain], func(e *endpoint.Endpoint) bool { return slices.Contains(members, e) })
 		have[m.Name] += m.Size
-		p.plan(v, m.Name, members, p.joinTime(v, m, members))
+		p.plan(v, m.Name, members, joinTime(m, members))
 		return true
 	}
 	return false
@@ -111,7 +108,7 @@
 		if fit == nil {
 			continue
 		}
-		if within := p.joinTime(v, m, fit); members == nil || within < best {
+		if within := joinTime(m, fit); members == nil || within < best {
 			domain, members, best = name, fit, within
 		}
 	}
@@ -146,7 +143,8 @@
 	}
 }
 
-func (p *Planner) joinTime(v *View, m route.Model, members []*endpoint.Endpoint) time.Duration {
+// joinTime is how long the members take to be ready, at the most.
+func joinTime(m route.Model, members []*endpoint.Endpoint) time.Duration {
 	longest := time.Duration(0)
 	for _, e := range members {
 		switch warmth(e, m) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -36,6 +36,7 @@
 // callOnce sends the request once and reports whether it is to be sent again.
 func (f *flight) callOnce(ctx context.Context, place *picker.Place) bool {
 	f.sends++
+	f.gateway.meters.sends.Inc(1)
 	sent := time.Now()
 	f.log("sent", false, "endpoint", place.Endpoint.ID, "send", f.sends)
 	reply, err := f.exchange.Send(ctx, f.attempt(place, false))
@@ -63,6 +64,7 @@
 		place.First(now.Sub(sent), now)
 	}
 	err = f.exchange.Whole(reply, body)
+	f.gateway.meters.done(head.Status, now.Sub(f.request.Received))
 	f.log("answered", err != nil, "endpoint", place.Endpoint.ID, "status", head.Status, "sends", f.sends,
 		"ms", now.Sub(f.request.Received).Milliseconds(), "err", err)
 	return false
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -42,9 +42,11 @@
 	f.log("refused", true, "reason", r.Reason.String(), "detail", r.Detail, "retry_after_ms", r.RetryAfter.Milliseconds(),
 		"sends", f.sends, "begun", f.begun, "age_ms", time.Since(f.request.Received).Milliseconds())
 	if f.begun {
+		f.gateway.meters.broken.Inc(1)
 		f.exchange.Abort()
 		return
 	}
+	f.gateway.meters.refused[r.Reason].Inc(1)
 	f.exchange.Refuse(r)
 }
 
@@ -64,7 +66,10 @@
 	if f.begun {
 		w.Patience = f.route.GapObjective / 2
 	}
-	return f.gateway.Picker.Acquire(ctx, w)
+	began := time.Now()
+	place, err := f.gateway.Picker.Acquire(ctx, w)
+	f.gateway.meters.queued.Record(time.Since(began))
+	return place, err
 }
 
 var errNoModel = errors.New("the service has no such model")
@@ -117,7 +122,11 @@
 	if v != verdict.NotRun && (!f.route.MayRepeat() || f.ran >= max(1, f.route.MaxAttempts)) {
 		return false
 	}
-	return f.budget.Take(time.Now())
+	if !f.budget.Take(time.Now()) {
+		return false
+	}
+	f.gateway.meters.resends.Inc(1)
+	return true
 }
 
 // avoid keeps further attempts from where one has failed.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
@@ -34,6 +36,7 @@
 	Limits     retry.Limits
 	Nodes      func() int
 	Log        Log
+	Scope      tally.Scope
 }
 
 // Log takes one line for each decision on a request.
@@ -46,6 +49,7 @@
 type Gateway struct {
 	Options
 	started time.Time
+	meters  *meters
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // by service
@@ -53,7 +57,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	return &Gateway{Options: o, started: time.Now(), budgets: make(map[string]*retry.Budget)}
+	return &Gateway{Options: o, started: time.Now(), meters: newMeters(o.Scope), budgets: make(map[string]*retry.Budget)}
 }
 
 // budget returns the budget of a service's repeats.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
 
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/gateway"
@@ -43,7 +44,7 @@
 }
 
 type reply struct {
-	script
+	play script
 	next int
 }
 
@@ -53,14 +54,14 @@
 	if s.sendErr != nil {
 		return nil, s.sendErr
 	}
-	return &reply{script: s}, nil
+	return &reply{play: s}, nil
 }
 
 func (x *exchange) Whole(r gateway.Reply, body []byte) error {
-	x.status, x.body = r.(*reply).head.Status, string(body)
+	x.status, x.body = r.(*reply).play.head.Status, string(body)
 	return nil
 }
-func (x *exchange) Begin(r gateway.Reply) error { x.status = r.(*reply).head.Status; return nil }
+func (x *exchange) Begin(r gateway.Reply) error { x.status = r.(*reply).play.head.Status; return nil }
 func (x *exchange) Event(e gateway.Event) error { x.events = append(x.events, e.ID); return nil }
 func (x *exchange) Refuse(r gateway.Refusal)    { x.refusal = &r }
 func (x *exchange) Abort()                      { x.aborted = true }
@@ -72,22 +73,22 @@
 }
 
 func (r *reply) Head(until time.Time) (gateway.Head, error) {
-	if r.mute {
+	if r.play.mute {
 		return gateway.Head{}, wait(until)
 	}
-	return r.head, r.headErr
+	return r.play.head, r.play.headErr
 }
-func (r *reply) Body(time.Time) ([]byte, error) { return []byte(r.body), r.broken }
+func (r *reply) Body(time.Time) ([]byte, error) { return []byte(r.play.body), r.play.broken }
 func (r *reply) Next(until time.Time) (gateway.Event, error) {
-	if r.next < len(r.script.events) {
+	if r.next < len(r.play.events) {
 		r.next++
-		return gateway.Event{ID: r.script.events[r.next-1]}, nil
+		return gateway.Event{ID: r.play.events[r.next-1]}, nil
 	}
 	switch {
-	case r.stall:
+	case r.play.stall:
 		return gateway.Event{}, wait(until)
-	case r.broken != nil:
-		return gateway.Event{}, r.broken
+	case r.play.broken != nil:
+		return gateway.Event{}, r.play.broken
 	}
 	return gateway.Event{}, io.EOF
 }
@@ -129,7 +130,7 @@
 	s.gateway = gateway.New(gateway.Options{
 		Table: func() *route.Table { return s.table }, Proof: func() time.Time { return s.proof }, ProofLimit: 5 * time.Second,
 		Picker: picker.New(picker.Options{Directory: d, Live: nobody, Retiring: func(time.Time) map[string]bool { return nil }}),
-		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() int { return 1 }, Log: noLog{},
+		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() int { return 1 }, Log: noLog{}, Scope: tally.NoopScope,
 	})
 	return s
 }
--- /dev/null
+++ b/internal/gateway/meters.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// meters count what becomes of requests.
+type meters struct {
+	answered, failed tally.Counter // by endpoints, with success and otherwise
+	refused          map[Reason]tally.Counter
+	broken           tally.Counter // answers broken off
+	sends, resends   tally.Counter
+	stalls           tally.Counter
+	first, whole     tally.Timer // until the first event, and the whole answer
+	queued           tally.Timer // wait for a place
+}
+
+func newMeters(scope tally.Scope) *meters {
+	m := &meters{
+		answered: scope.Counter("requests_answered"), failed: scope.Counter("requests_failed_by_endpoint"),
+		refused: make(map[Reason]tally.Counter), broken: scope.Counter("answers_broken_off"),
+		sends: scope.Counter("sends"), resends: scope.Counter("resends"), stalls: scope.Counter("stalls"),
+		first: scope.Timer("first_event"), whole: scope.Timer("answer"), queued: scope.Timer("queue_wait"),
+	}
+	for r := NoRoute; r <= TimedOut; r++ {
+		m.refused[r] = scope.Tagged(map[string]string{"reason": r.String()}).Counter("requests_refused")
+	}
+	return m
+}
+
+// done notes an answer that was passed on.
+func (m *meters) done(status int, took time.Duration) {
+	m.whole.Record(took)
+	if status >= serverError {
+		m.failed.Inc(1)
+		return
+	}
+	m.answered.Inc(1)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,6 +31,7 @@
 // streamOnce sends the request once, passes on what comes, and reports whether it is to be sent again.
 func (f *flight) streamOnce(ctx context.Context, place *picker.Place) bool {
 	f.sends++
+	f.gateway.meters.sends.Inc(1)
 	sent := time.Now()
 	f.log("sent", false, "endpoint", place.Endpoint.ID, "group", place.Group, "send", f.sends, "resume_after", f.resumeAfter())
 	reply, err := f.exchange.Send(ctx, f.attempt(place, true))
@@ -60,6 +61,7 @@
 		return f.streamFailed(ctx, place, err)
 	}
 	f.ran++
+	f.gateway.meters.done(head.Status, time.Since(f.request.Received))
 	f.log("answered", false, "endpoint", place.Endpoint.ID, "group", place.Group, "sends", f.sends, "last", f.lastID,
 		"first_ms", s.first.Sub(f.request.Received).Milliseconds(), "ms", time.Since(f.request.Received).Milliseconds())
 	return false
@@ -83,6 +85,7 @@
 		return false
 	}
 	err = f.exchange.Whole(reply, body)
+	f.gateway.meters.done(head.Status, time.Since(f.request.Received))
 	f.log("answered", true, "endpoint", place.Endpoint.ID, "status", head.Status, "sends", f.sends, "err", err)
 	return false
 }
@@ -159,6 +162,7 @@
 		return nil // another stream of the group has gone on
 	}
 	s.place.StoodStill(now)
+	s.flight.gateway.meters.stalls.Inc(1)
 	s.flight.ran++
 	again := s.flight.mayResend(verdict.MayHaveRun)
 	s.flight.ran--
@@ -198,6 +202,7 @@
 func (s *streaming) note(now time.Time) {
 	if s.first.IsZero() {
 		s.first = now
+		s.flight.gateway.meters.first.Record(now.Sub(s.flight.request.Received))
 		s.place.First(now.Sub(s.sent), now)
 	} else {
 		s.place.Progress(now.Sub(s.last), now)
--- a/internal/metrics/reporter.go
+++ b/internal/metrics/reporter.go
@@ -118,14 +118,22 @@
 	return nil
 }
 
-func writeTimer(w io.Writer, name string, h *hdrhistogram.Histogram) error {
+func writeTimer(w io.Writer, series string, h *hdrhistogram.Histogram) error {
+	name, tags, tagged := strings.Cut(strings.TrimSuffix(series, "}"), "{")
+	if tagged {
+		tags += ","
+	}
 	for _, q := range []float64{50, 95, 99} {
 		seconds := float64(h.ValueAtQuantile(q)) / float64(time.Second/time.Microsecond)
-		if _, err := fmt.Fprintf(w, "%s_seconds{quantile=\"%g\"} %g\n", name, q/100, seconds); err != nil {
+		if _, err := fmt.Fprintf(w, "%s_seconds{%squantile=\"%g\"} %g\n", name, tags, q/100, seconds); err != nil {
 			return err
 		}
 	}
-	_, err := fmt.Fprintf(w, "%s_seconds_count %d\n", name, h.TotalCount())
+	count := name + "_seconds_count"
+	if tagged {
+		count += "{" + strings.TrimSuffix(tags, ",") + "}"
+	}
+	_, err := fmt.Fprintf(w, "%s %d\n", count, h.TotalCount())
 	return err
 }
 
--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -5,7 +5,7 @@
 )
 
 // listeners are the sockets of a process, besides the one for datagrams.
-type listeners struct{ caller, registry, readiness, peer net.Listener }
+type listeners struct{ caller, registry, readiness, peer, metrics net.Listener }
 
 // listen opens the sockets.
 func (n *Server) listen() (err error) {
@@ -15,8 +15,11 @@
 		to      *net.Listener
 	}{
 		{s.CallerAddress, &n.listeners.caller}, {s.RegistryAddress, &n.listeners.registry},
-		{s.ReadinessAddress, &n.listeners.readiness}, {s.PeerAddress, &n.listeners.peer},
+		{s.ReadinessAddress, &n.listeners.readiness}, {s.PeerAddress, &n.listeners.peer}, {s.MetricsAddress, &n.listeners.metrics},
 	} {
+		if l.address == "" {
+			continue
+		}
 		if *l.to, err = net.Listen("tcp", l.address); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/server/metrics.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/loop"
+	"moorrun.dev/moorrun/internal/metrics"
+)
+
+const (
+	metricsPrefix = "moorrun"
+	metricsEvery  = time.Second
+	metricsPath   = "/metrics"
+)
+
+// newScope returns the root of this process's metrics, whose values reporter keeps.
+func newScope(reporter *metrics.Reporter, dataCentre string) tally.Scope {
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: metricsPrefix, Reporter: reporter, Separator: "_", Tags: map[string]string{"data_centre": dataCentre},
+	}, metricsEvery)
+	return scope
+}
+
+// metricsHandler serves what reporter keeps.
+func metricsHandler(reporter *metrics.Reporter) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_ = reporter.Write(w)
+	})
+	return mux
+}
+
+// gauge sets the gauges until ctx ends.
+func (n *Server) gauge(ctx context.Context) error {
+	s := n.scope
+	loop.Every(ctx, metricsEvery, func(now time.Time) {
+		s.Gauge("configuration_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Accepted)).Seconds())
+		s.Gauge("endpoints_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Endpoints)).Seconds())
+		s.Gauge("peers_live").Update(float64(len(n.gossip.Live(now))))
+		s.Gauge("leader_epoch").Update(float64(n.controller.Leads(now)))
+		if t := n.table.Load(); t != nil {
+			s.Gauge("configuration_version").Update(float64(t.Version))
+		}
+		snapshot := n.directory.Read()
+		open := 0
+		for _, g := range snapshot.Groups {
+			if g.Head != nil && g.Head.Membership.State == endpoint.Open {
+				open++
+			}
+		}
+		s.Gauge("groups").Update(float64(len(snapshot.Groups)))
+		s.Gauge("groups_open").Update(float64(open))
+		s.Gauge("endpoints").Update(float64(len(snapshot.Endpoints)))
+		status := n.ownStatus(now)
+		running, waiting := 0, 0
+		for _, d := range status.Demands {
+			running += d.Running
+			waiting += d.Waiting
+		}
+		s.Gauge("requests_running").Update(float64(running))
+		s.Gauge("requests_waiting").Update(float64(waiting))
+		s.Gauge("groups_suspected").Update(float64(len(status.Suspects)))
+		s.Gauge("goroutines").Update(float64(runtime.NumGoroutine()))
+	})
+	return nil
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"moorrun.dev/moorrun/internal/endpoint"
@@ -23,6 +24,7 @@
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
+	"moorrun.dev/moorrun/internal/metrics"
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
@@ -58,6 +60,8 @@
 	picker     *picker.Picker
 	gateway    *gateway.Gateway
 	rpc        *gossip.Server
+	reporter   *metrics.Reporter
+	scope      tally.Scope
 	requests   atomic.Int64
 	leaving    atomic.Bool
 	election   *election
@@ -70,6 +74,8 @@
 func New(s *settings.Gateway, newPlatform NewPlatform, logger log.Logger) (*Server, error) {
 	n := &Server{settings: s, logger: logger, started: time.Now(), calls: httpcall.NewClient(), directory: endpoint.NewDirectory(), caller: gossip.NewCaller()}
 	n.calls.DialTimeout = dialTimeout
+	n.reporter = metrics.NewReporter()
+	n.scope = newScope(n.reporter, s.DataCentre)
 	n.election = newElection(n.started)
 	n.platform = newPlatform(s, n.calls)
 	if err := n.listen(); err != nil {
@@ -98,6 +104,7 @@
 		Picker: n.picker, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
 		Nodes: func() int { return 1 + n.gossip.Known(time.Now()) },
 		Log:   eventlog.NewDecisions(logger, eventlog.Limits{SampleOneIn: s.SampleOneIn, Failures: s.FailureLinesSecond}),
+		Scope: n.scope,
 	})
 	return n, nil
 }
@@ -125,9 +132,13 @@
 	g.Go(func() error { return served(callers.Serve(n.listeners.caller)) })
 	g.Go(func() error { return served(registry.Serve(n.listeners.registry)) })
 	g.Go(func() error { return served(readiness.Serve(n.listeners.readiness)) })
+	figures := newHTTP(metricsHandler(n.reporter))
+	if n.listeners.metrics != nil {
+		g.Go(func() error { return served(figures.Serve(n.listeners.metrics)) })
+	}
 	g.Go(func() error { _ = n.rpc.Serve(work, n.listeners.peer); return nil })
 	for _, run := range []func(context.Context) error{
-		n.gossip.Run, n.follower.Run, n.keeper.Run, n.controller.Run, n.takeChanges, n.register, n.sweep,
+		n.gossip.Run, n.follower.Run, n.keeper.Run, n.controller.Run, n.takeChanges, n.register, n.sweep, n.gauge,
 	} {
 		g.Go(func() error { return run(work) })
 	}
@@ -135,7 +146,7 @@
 		<-ctx.Done()
 		n.leave(callers)
 		stop()
-		return errors.Join(registry.Close(), readiness.Close(), callers.Close())
+		return errors.Join(registry.Close(), readiness.Close(), callers.Close(), figures.Close())
 	})
 	err := g.Wait()
 	_ = level.Info(n.logger).Log("msg", "stopped", "err", err)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -78,6 +78,9 @@
 	check("/registry_address", s.RegistryAddress)
 	check("/peer_address", s.PeerAddress)
 	check("/store_address", s.StoreAddress)
+	if s.MetricsAddress != "" {
+		check("/metrics_address", s.MetricsAddress)
+	}
 	for _, p := range s.Peers {
 		check("/peers", p)
 	}
--- a/test/gateway/fleet_test.go
+++ b/test/gateway/fleet_test.go
@@ -206,12 +206,12 @@
 
 // result is what a caller got.
 type result struct {
-	id      string
-	status  int
-	header  http.Header
-	events  []string
-	body    string
-	err     error
+	id     string
+	status int
+	header http.Header
+	events []string
+	body   string
+	err    error
 }
 
 // whole reports whether the stream came whole and belongs to the request.
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -188,6 +189,28 @@
 	})
 }
 
+func TestMetricsTellWhatBecameOfRequests(t *testing.T) {
+	f := newFleet(t)
+	qt.Check(t, f.call(f.nodes[0], "/once/x", "stolen").status, qt.Equals, http.StatusUnauthorized)
+	var text []byte
+	defer func() {
+		if t.Failed() {
+			t.Logf("%s", text)
+		}
+	}()
+	f.await("the metrics show it", func() bool {
+		r, err := http.Get("http://" + f.nodes[0].settings.MetricsAddress + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer r.Body.Close() //nolint:errcheck // it is read to its end
+		text, _ = io.ReadAll(r.Body)
+		return strings.Contains(string(text), `moorrun_requests_refused{data_centre="z1",reason="no-credential"} 1`) &&
+			strings.Contains(string(text), `moorrun_groups_open{data_centre="z1"} 4`) &&
+			strings.Contains(string(text), `moorrun_first_event_seconds_count{data_centre="z1"} `)
+	})
+}
+
 func TestReloadKeepsTheProcess(t *testing.T) {
 	f := newFleet(t)
 	f.nodes[0].signal(syscall.SIGHUP)
