Order free endpoints out of ended groups, and share doubts about groups that stand still

Change: what stays free is ordered to leave; a group that another node doubts costs as much as one that this node doubts; a group is avoided longer each time.

--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -14,6 +14,10 @@
 	// come, and gatherAtMost bounds the wait.
 	gatherFor    = 900 * time.Millisecond
 	gatherAtMost = 5 * time.Second
+	// clearAfter is how long an endpoint may stay free before it is ordered to leave the group that has ended, and
+	// clearAgain the pause before the order is repeated.
+	clearAfter = 500 * time.Millisecond
+	clearAgain = 4 * time.Second
 )
 
 // form orders free endpoints into groups, the model that is furthest behind its share first.
@@ -25,9 +29,24 @@
 	have := p.assigned(v)
 	for p.formOne(v, free, have) { //nolint:revive // until there is none to order
 	}
+	p.clear(v, free)
 	p.convert(v, free, have)
 }
 
+// clear orders endpoints that stay free to leave the groups that have ended, so that a later leader, who does not
+// know of the end, need not wait for their heads.
+func (p *Planner) clear(v *View, free map[string][]*endpoint.Endpoint) {
+	for _, list := range free {
+		for _, e := range list {
+			if e.Membership == nil || v.Now.Sub(p.ended[e.Membership.Group]) < clearAfter || v.Now.Sub(p.cleared[e.ID]) < clearAgain {
+				continue
+			}
+			p.cleared[e.ID] = v.Now
+			p.order(Order{Kind: Leave, Endpoint: e, Group: e.Membership.Group, Epoch: e.Membership.Epoch})
+		}
+	}
+}
+
 // gathering reports whether endpoints are still appearing before the first request: groups formed too soon would
 // all be of the model that needs fewest.
 func (p *Planner) gathering(v *View) bool {
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -34,6 +34,7 @@
 	stagings  map[string]staging     // by endpoint ID
 	loads     []time.Time            // begun during this tenure
 	converted time.Time              // last time a group was ended for another model
+	cleared   map[string]time.Time   // last order to a free endpoint to leave, by ID
 	reserved  map[string]reservation // by domain
 	demand    map[string]float64     // requests by model, a running mean
 
@@ -51,7 +52,7 @@
 	return &Planner{
 		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement),
 		ended: make(map[string]time.Time), strangers: make(map[string]time.Time), complete: make(map[string]bool),
-		stagings: make(map[string]staging), asked: make(map[string]bool), demand: make(map[string]float64), reserved: make(map[string]reservation),
+		stagings: make(map[string]staging), asked: make(map[string]bool), demand: make(map[string]float64), reserved: make(map[string]reservation), cleared: make(map[string]time.Time),
 	}
 }
 
@@ -163,6 +164,11 @@
 			delete(p.ended, name)
 		}
 	}
+	for id := range p.cleared {
+		if v.Snapshot.Endpoints[id] == nil {
+			delete(p.cleared, id)
+		}
+	}
 	for name := range p.strangers {
 		if v.Snapshot.Groups[name] == nil {
 			delete(p.strangers, name)
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -49,6 +49,9 @@
 		}
 		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(p.health[g.Name], peers, g.Head.ID)}
 		c.cost = float64(c.load) + p.extraCost(p.health[g.Name], g.Head, now)
+		if doubted(g.Name, p.health[g.Name], peers, now) {
+			c.cost += suspectCost
+		}
 		if g.Draining() {
 			c.cost += drainCost
 		}
@@ -121,6 +124,19 @@
 	return float64(p.random>>40) / (1 << 24)
 }
 
+// doubted reports whether another node has lately seen the group stand still, and this one no sign of life since.
+func doubted(group string, h *health, peers []*gossip.Peer, now time.Time) bool {
+	if h != nil && now.Sub(h.progress) < trustOwn {
+		return false
+	}
+	for _, peer := range peers {
+		if _, doubts := peer.Suspects[group]; doubts {
+			return true
+		}
+	}
+	return false
+}
+
 func totalLoad(h *health, peers []*gossip.Peer, id string) int {
 	n := 0
 	if h != nil {
--- a/internal/picker/health.go
+++ b/internal/picker/health.go
@@ -5,8 +5,12 @@
 const (
 	// smoothing is the weight of a new sample in a running mean.
 	smoothing = 0.2
-	// suspectFor is how long a group that stood still is avoided if nothing is heard of it.
-	suspectFor = 3 * time.Second
+	// suspectFor is how long a group that stood still is avoided if nothing is heard of it; each further time it
+	// is avoided twice as long, up to suspectAtMost.
+	suspectFor    = 3 * time.Second
+	suspectAtMost = 12 * time.Second
+	// trustOwn is how long a sign of life of a group counts more than the doubts of other nodes.
+	trustOwn = 400 * time.Millisecond
 	// failedFor is how long an endpoint that refused a connection is avoided.
 	failedFor = time.Second
 )
@@ -20,6 +24,7 @@
 	failures float64       // running mean of failures, 0 to 1
 	suspect  time.Time     // stood still since; zero if not
 	avoid    time.Time     // until then
+	stood    int           // times in a row that it stood still
 	touched  time.Time
 }
 
@@ -30,6 +35,15 @@
 	return old + time.Duration(smoothing*float64(sample-old))
 }
 
+// avoidMore avoids a group for longer each time, as long as nothing comes from it.
+func (h *health) avoidMore(now time.Time) {
+	if now.Before(h.avoid) {
+		return // another request of the same trouble
+	}
+	h.avoid = now.Add(min(suspectFor<<h.stood, suspectAtMost))
+	h.stood++
+}
+
 func (h *health) suspected(now time.Time) bool {
 	return !h.suspect.IsZero() && now.Before(h.avoid)
 }
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -36,6 +36,7 @@
 	h := p.picker.healthOf(p.key(), now)
 	h.progress = now
 	h.suspect = time.Time{}
+	h.stood = 0
 	change(h)
 }
 
@@ -45,8 +46,13 @@
 	defer p.picker.mu.Unlock()
 	h := p.picker.healthOf(p.key(), now)
 	h.failures += smoothing * (1 - h.failures)
-	if unreachable {
+	switch {
+	case !unreachable:
+	case p.Group == "":
 		h.suspect, h.avoid = now, now.Add(failedFor)
+	default:
+		h.suspect = now
+		h.avoidMore(now)
 	}
 }
 
@@ -74,7 +80,7 @@
 	if h.suspect.IsZero() {
 		h.suspect = now
 	}
-	h.avoid = now.Add(suspectFor)
+	h.avoidMore(now)
 }
 
 // Report fills in what the other nodes are told.
@@ -94,7 +100,7 @@
 				s.Loads[key] = h.running
 			}
 		}
-		if h.suspected(now) && g != nil {
+		if h.suspected(now) && g != nil && now.Sub(h.suspect) < suspectFor {
 			s.Suspects[key] = h.suspect
 		}
 	}
