moorrun trace: the story of a request from the logs of the nodes

Each of three failures (refused though places were free, cut midway, timed out after a lost answer) is provoked with real processes and explained from the request's id alone (test/gateway/explain_test.go). A sending that did not run is logged with its verdict; before, the refusal's own line was all there was. OPERATING.md is OPERATIONS.md.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -47,7 +47,7 @@
 
 // commands are the commands of moorrun.
 var commands = []*Command{
-	cmdCheck, cmdDiff, cmdApply, cmdGet, cmdStatus, cmdWhich, cmdDrain, cmdOperation, cmdReport, cmdHash, cmdVersion,
+	cmdCheck, cmdDiff, cmdApply, cmdGet, cmdStatus, cmdWhich, cmdDrain, cmdOperation, cmdReport, cmdTrace, cmdHash, cmdVersion,
 }
 
 // Main runs moorrun and returns its exit code.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -51,6 +51,7 @@
 	now := time.Now()
 	if head.NotRun {
 		place.Failed(false, now)
+		f.shed(place, head)
 		return f.notRun(ctx, place)
 	}
 	f.ran++
@@ -113,6 +114,11 @@
 	return false
 }
 
+// shed notes that an endpoint said it would not run the request.
+func (f *flight) shed(place *picker.Place, head Head) {
+	f.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", verdict.NotRun.String(), "status", head.Status)
+}
+
 // notRun decides what follows an attempt that did not run.
 func (f *flight) notRun(ctx context.Context, place *picker.Place) bool {
 	if ctx.Err() == nil && f.mayResend(verdict.NotRun) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,6 +46,7 @@
 		return f.streamFailed(ctx, place, err)
 	case head.NotRun:
 		place.Failed(false, time.Now())
+		f.shed(place, head)
 		return f.notRun(ctx, place)
 	case !head.OK() || !head.Events:
 		return f.plainAnswer(ctx, place, reply, head)
--- a/internal/picker/want.go
+++ b/internal/picker/want.go
@@ -9,7 +9,7 @@
 var ErrNoPlace = errors.New("no place at any endpoint")
 
 // ErrNoEndpoint is returned when no endpoint serves what is wanted. The request has not been sent.
-var ErrNoEndpoint = errors.New("no endpoint serves it")
+var ErrNoEndpoint = errors.New("no endpoint that serves it is left")
 
 // Want says what a request needs.
 type Want struct {
--- /dev/null
+++ b/test/gateway/explain_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// explain runs moorrun trace over the logs of all nodes.
+func (f *fleet) explain(id string) string {
+	f.t.Helper()
+	tool := filepath.Join(f.t.TempDir(), "moorrun")
+	out, err := exec.Command("go", "build", "-o", tool, "moorrun.dev/moorrun/cmd/moorrun").CombinedOutput()
+	qt.Assert(f.t, err, qt.IsNil, qt.Commentf("%s", out))
+	args := []string{"trace", id}
+	for _, n := range f.nodes {
+		args = append(args, "--log", n.log)
+	}
+	var story string
+	f.await("the log has the request's end", func() bool {
+		text, err := exec.Command(tool, args...).CombinedOutput()
+		story = string(text)
+		return err == nil && (strings.Contains(story, "refused") || strings.Contains(story, "answered"))
+	})
+	return story
+}
+
+// The three failures of docs/OPERATIONS.md, each explained from the request's id alone.
+
+func TestExplainRefusedThoughPlacesWereFree(t *testing.T) {
+	f := newFleet(t)
+	for _, w := range f.estate.Workers() {
+		w.Shed(true)
+	}
+	r := f.call(f.nodes[0], "/once/x", "key-1")
+	qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+	story := f.explain(r.id)
+	qt.Check(t, strings.Contains(story, "verdict=not-run"), qt.IsTrue, qt.Commentf(story))
+	qt.Check(t, strings.Contains(story, "status=503") && strings.Contains(story, "reason=not-run"), qt.IsTrue, qt.Commentf(story))
+}
+
+func TestExplainCutMidwayWhenAMemberDied(t *testing.T) {
+	f := newFleet(t)
+	for _, w := range f.estate.Workers() {
+		if w.Service == "engines" {
+			w.Stall(true) // no other group can take the stream up
+		}
+	}
+	r := f.stream(f.nodes[0], "key-1")
+	qt.Check(t, r.whole(), qt.IsFalse)
+	story := f.explain(r.id)
+	qt.Check(t, strings.Contains(story, "the replica group stands still"), qt.IsTrue, qt.Commentf(story))
+	qt.Check(t, strings.Contains(story, "reason=timed-out"), qt.IsTrue, qt.Commentf(story))
+}
+
+func TestExplainTimedOutAfterALostAnswer(t *testing.T) {
+	f := newFleet(t)
+	for _, w := range f.estate.Workers() {
+		w.Lose(1)
+	}
+	r := f.call(f.nodes[0], "/once/x", "key-1")
+	qt.Assert(t, r.status, qt.Equals, http.StatusGatewayTimeout)
+	story := f.explain(r.id)
+	qt.Check(t, strings.Contains(story, "send=1"), qt.IsTrue, qt.Commentf(story))
+	qt.Check(t, strings.Contains(story, "verdict=may-have-run"), qt.IsTrue, qt.Commentf(story))
+	qt.Check(t, strings.Contains(story, "reason=timed-out"), qt.IsTrue, qt.Commentf(story))
+}
--- a/test/integration/docs_test.go
+++ b/test/integration/docs_test.go
@@ -25,7 +25,7 @@
 		"--remove workspace/NAME", "", "NAME", "rvk-1-a-9", "DIR", into, "< operator.token", "", "SHELL", "bash",
 	)
 	seen := 0
-	for _, page := range []string{"README.md", "docs/OPERATING.md", "docs/INSTALL.md", "docs/API.md"} {
+	for _, page := range []string{"README.md", "docs/OPERATIONS.md", "docs/INSTALL.md", "docs/API.md"} {
 		content, err := os.ReadFile(filepath.Join("..", "..", page))
 		f.Assert(err, qt.IsNil)
 		for _, match := range documented.FindAllStringSubmatch(string(content), -1) {
