Keep a tenure's plans when its lease lapses and is found to be held still; no lock for the retiring groups

A lease whose renewal is answered late lapses and is then found held, with its epoch; the controller had dropped its plans and counted from one again, so names and epochs stood twice and the members of an open group were taken for free. Change: only another epoch begins anew; the retiring groups are read without a lock. Figures: TestLapsedLeaseThatIsStillHeldNamesNoGroupTwice and TestRetiringDoesNotWaitForAStep fail before, pass now.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -64,8 +65,10 @@
 type Controller struct {
 	Options
 
+	retiring atomic.Pointer[[]string] // read without the lock: those who ask may hold locks that steps need
+
 	mu       sync.Mutex
-	epoch    int64
+	epoch    int64               // of the last tenure
 	planners map[string]*Planner // by service
 	contacts map[string]*contact
 	busy     bool
@@ -118,13 +121,19 @@
 
 // Retiring returns the groups that the plans of this tenure are about to end.
 func (c *Controller) Retiring() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []string
+	if list := c.retiring.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+// tellRetiring notes what Retiring returns.
+func (c *Controller) tellRetiring() {
+	var list []string
 	for _, p := range c.planners {
-		out = append(out, p.Retiring()...)
+		list = append(list, p.Retiring()...)
 	}
-	return out
+	c.retiring.Store(&list)
 }
 
 func (c *Controller) step(ctx context.Context, now time.Time) {
@@ -132,10 +141,11 @@
 	epoch, until, ok := c.Lease(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if epoch != c.epoch {
-		c.epoch = epoch
+	if ok && epoch != c.epoch {
+		c.epoch = epoch // a lease that lapsed and was found to be held still is the same tenure
 		clear(c.planners)
 	}
+	defer c.tellRetiring()
 	if !ok || table == nil || now.Sub(c.Current()) > freshEnough || until.Sub(now) < orderWait {
 		return
 	}
--- /dev/null
+++ b/internal/formation/controller_test.go
@@ -0,0 +1,105 @@
+package formation
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/route"
+)
+
+// fakeEngine refuses every order and remembers it.
+type fakeEngine struct {
+	mu     sync.Mutex
+	orders []Order
+}
+
+func (f *fakeEngine) Ask(context.Context, *endpoint.Endpoint) Answer { return Answered }
+func (f *fakeEngine) Order(_ context.Context, o Order) Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, o)
+	return Refused
+}
+
+func (f *fakeEngine) joins() map[string][]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string][]string)
+	for _, o := range f.orders {
+		if o.Kind == Join {
+			out[o.Group] = o.Members
+		}
+	}
+	return out
+}
+
+func newTestController(e Engine, lease func(time.Time) (int64, time.Time, bool)) *Controller {
+	d := endpoint.NewDirectory()
+	var list []*endpoint.Endpoint
+	for _, id := range []string{"a", "b", "c"} {
+		list = append(list, &endpoint.Endpoint{ID: id, Service: "lm", Domain: "d"})
+	}
+	d.Apply(list, nil, origin)
+	table := route.NewTable(1, 1, nil, []*route.Service{testService()})
+	return NewController(Options{
+		Engine: e, Directory: d, Table: func() *route.Table { return table }, Lease: lease,
+		Current: func() time.Time { return origin.Add(time.Hour) },
+		Live:    func(time.Time) []*gossip.Peer { return nil }, Own: func(time.Time) gossip.Status { return gossip.Status{} },
+		Busy: func() bool { return false }, Heard: func(context.Context, *endpoint.Endpoint) bool { return true }, Logger: log.NewNopLogger(),
+	})
+}
+
+// TestLapsedLeaseThatIsStillHeldNamesNoGroupTwice: a lease whose renewal was answered late lapses and is then found
+// to be held still, with its epoch. A leader that counted from the beginning again gave the names and epochs of
+// its first groups to others, and took the members of the first for free.
+func TestLapsedLeaseThatIsStillHeldNamesNoGroupTwice(t *testing.T) {
+	e := &fakeEngine{}
+	now := origin
+	held := true
+	c := newTestController(e, func(time.Time) (int64, time.Time, bool) {
+		if !held {
+			return 0, time.Time{}, false
+		}
+		return 1, time.Now().Add(time.Hour), true
+	})
+	play := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(tick) {
+			c.step(context.Background(), now)
+			time.Sleep(time.Millisecond) // orders are given beside the steps
+		}
+	}
+	play(4 * time.Second)
+	before := len(e.joins())
+	qt.Assert(t, before > 0, qt.IsTrue)
+	counter := c.planners["lm"].counter
+	held = false
+	play(time.Second)
+	held = true
+	play(4 * time.Second)
+	qt.Check(t, c.planners["lm"].counter > counter, qt.IsTrue, qt.Commentf("it counts on"))
+	qt.Check(t, len(e.joins()) > before, qt.IsTrue, qt.Commentf("new groups have new names"))
+}
+
+// TestRetiringDoesNotWaitForAStep: the choice of an endpoint asks for the retiring groups under its own lock, and
+// a step asks it for this node's loads.
+func TestRetiringDoesNotWaitForAStep(t *testing.T) {
+	c := newTestController(&fakeEngine{}, func(time.Time) (int64, time.Time, bool) { return 1, time.Now().Add(time.Hour), true })
+	c.Own = func(time.Time) gossip.Status {
+		c.Retiring() // a deadlock if it takes the lock of the step
+		return gossip.Status{}
+	}
+	done := make(chan bool)
+	go func() { c.step(context.Background(), origin); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("a step waits for itself")
+	}
+}
