--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -9,21 +9,6 @@
 // goneFor is how long an endpoint that is no longer listed is remembered.
 const goneFor = 30 * time.Second
 
-// Snapshot is the state of a Directory at one moment. It is never changed.
-type Snapshot struct {
-	Endpoints map[string]*Endpoint
-	Services  map[string][]*Endpoint
-	Groups    map[string]*Group
-	// Gone are endpoints that are no longer listed, with the instant at which this was noticed.
-	Gone map[string]Gone
-}
-
-// Gone is an endpoint that is no longer listed. It may be dead, leaving, or cut off from the platform.
-type Gone struct {
-	Endpoint *Endpoint
-	At       time.Time
-}
-
 // Directory is this node's copy of the platform's list of endpoints.
 type Directory struct {
 	mu      sync.Mutex
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"moorrun.dev/moorrun/internal/endpoint"
@@ -26,41 +25,6 @@
 	forgetContact = 30 * time.Second
 )
 
-// Answer is what asking an endpoint directly has shown.
-type Answer uint8
-
-const (
-	// Answered means that the endpoint answered.
-	Answered Answer = iota + 1
-	// NobodyThere means that nothing listens there, or another endpoint does.
-	NobodyThere
-	// Silent means that nothing came.
-	Silent
-)
-
-// Engine talks to endpoints.
-type Engine interface {
-	// Ask asks the endpoint for a report.
-	Ask(ctx context.Context, e *endpoint.Endpoint) Answer
-	// Order gives an order.
-	Order(ctx context.Context, o Order) Outcome
-}
-
-// Options are what a Controller works with.
-type Options struct {
-	Engine    Engine
-	Directory *endpoint.Directory
-	Table     func() *route.Table
-	Lease     func(now time.Time) (epoch int64, until time.Time, ok bool)
-	Current   func() time.Time // the directory was certainly current then
-	Live      func(now time.Time) []*gossip.Peer
-	Own       func(now time.Time) gossip.Status // this node's own loads and doubts
-	Busy      func() bool                       // a caller has sent a request to this node
-	// Heard asks the other nodes whether they hear the endpoint.
-	Heard  func(ctx context.Context, e *endpoint.Endpoint) bool
-	Logger log.Logger
-}
-
 // Controller carries out the plans while this node leads.
 type Controller struct {
 	Options
--- /dev/null
+++ b/internal/formation/options.go
@@ -0,0 +1,27 @@
+package formation
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/route"
+)
+
+// Options are what a Controller works with.
+type Options struct {
+	Engine    Engine
+	Directory *endpoint.Directory
+	Table     func() *route.Table
+	Lease     func(now time.Time) (epoch int64, until time.Time, ok bool)
+	Current   func() time.Time // the directory was certainly current then
+	Live      func(now time.Time) []*gossip.Peer
+	Own       func(now time.Time) gossip.Status // this node's own loads and doubts
+	Busy      func() bool                       // a caller has sent a request to this node
+	// Heard asks the other nodes whether they hear the endpoint.
+	Heard  func(ctx context.Context, e *endpoint.Endpoint) bool
+	Logger log.Logger
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,9 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
-	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
 )
@@ -27,24 +24,6 @@
 	defaultTimeout = time.Minute
 )
 
-// Options are what a Gateway works with.
-type Options struct {
-	Table      func() *route.Table
-	Proof      func() time.Time // the table was certainly current then
-	ProofLimit time.Duration    // how old the proof may be for requests with a credential
-	Picker     *picker.Picker
-	Limits     retry.Limits
-	Nodes      func() int
-	Log        Log
-	Scope      tally.Scope
-}
-
-// Log takes one line for each decision on a request.
-type Log interface {
-	// Decision notes a decision on the request; pairs are names and values.
-	Decision(id, event string, failure bool, pairs ...any)
-}
-
 // Gateway serves requests.
 type Gateway struct {
 	Options
--- /dev/null
+++ b/internal/gossip/identity.go
@@ -0,0 +1,11 @@
+package gossip
+
+// Identity names one node's process and its addresses.
+type Identity struct {
+	VM            string
+	Incarnation   string // differs at every start
+	Zone          string
+	CallerAddress string
+	GossipAddress string // of its datagrams
+	PeerAddress   string // of its drpc calls
+}
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -2,35 +2,6 @@
 
 import "time"
 
-// Identity names one node's process and its addresses.
-type Identity struct {
-	VM            string
-	Incarnation   string // differs at every start
-	Zone          string
-	CallerAddress string
-	GossipAddress string // of its datagrams
-	PeerAddress   string // of its drpc calls
-}
-
-// Status is what a node says of itself in each beat.
-type Status struct {
-	Leaving     bool  // no new callers
-	Serving     bool  // it can serve callers
-	Eligible    bool  // it may lead
-	LeaderEpoch int64 // while it leads, else 0
-	Uptime      time.Duration
-	Sequence    uint64
-	Watching    bool           // its copy comes from the store itself
-	ProofAt     time.Time      // its copy of the store is current as of then; zero if unknown
-	Loads       map[string]int // requests it has at an endpoint
-	Suspects    map[string]time.Time
-	Retiring    []string
-	Demands     map[string]Demand
-}
-
-// Demand is what a node lately got to do for a model.
-type Demand struct{ Waiting, Running int }
-
 // Peer is another node as it was last heard.
 type Peer struct {
 	Identity
--- /dev/null
+++ b/internal/route/engine.go
@@ -0,0 +1,22 @@
+package route
+
+import "time"
+
+// Engine describes the model engines of a service, whose endpoints serve in replica groups.
+type Engine struct {
+	Slots          int // requests that a replica group runs at once
+	Models         []Model
+	LoadsPerSecond float64 // loads of weights that may begin a second, over all endpoints
+	LoadsAtOnce    int     // loads beyond these slow each other
+	Open           time.Duration
+}
+
+// Model returns the model of that name.
+func (e *Engine) Model(name string) (Model, bool) {
+	for _, m := range e.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Model{}, false
+}
