Let nodes of a large fleet hear each other through relays

Cause: every node sent every other a datagram each 100 ms. Change: above 12 nodes the root of their number, the largest first, are relays. Every other node reports to one of them and subscribes to a second; relays tell each other the sum of what they and their reporters have, and answer with the whole fleet's totals less the receiver's own. Rosters travel by digest, only to those that lack them. Small fleets work as before. The picker and the controller read totals in place of all peers. Whether other nodes hear a silent head is asked of 12 nodes by chance, anew each time; one that hears it starts the wait anew.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -28,6 +28,8 @@
 	// for each live node that would do so sooner.
 	patience     = 1100 * time.Millisecond
 	rankPatience = 150 * time.Millisecond
+	// lastRank bounds the wait in a large fleet.
+	lastRank = 10
 	// staleMargin is how much fresher a node must be that does not watch, for this one to pull from it.
 	staleMargin = 500 * time.Millisecond
 )
@@ -120,7 +122,7 @@
 	if at.IsZero() {
 		at = f.started.Add(-patience / 2)
 	}
-	return now.Sub(at) > patience+time.Duration(rank)*rankPatience
+	return now.Sub(at) > patience+time.Duration(min(rank, lastRank))*rankPatience
 }
 
 // Heard takes in a beat; it never blocks.
@@ -147,7 +149,8 @@
 
 func (f *Follower) take(ctx context.Context, p *gossip.Peer) {
 	at, _ := f.proof.whole()
-	if !p.ProofAt.After(at) && !p.Watching {
+	source := p.Watching || p.Upstream
+	if !p.ProofAt.After(at) && !source {
 		return
 	}
 	f.mu.Lock()
@@ -157,7 +160,7 @@
 		f.proof.fromPeer(p.ProofAt)
 		return
 	}
-	if !p.Watching && p.ProofAt.Sub(at) < staleMargin {
+	if !source && p.ProofAt.Sub(at) < staleMargin {
 		return
 	}
 	pullCtx, cancel := context.WithTimeout(ctx, lastRetry)
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -143,28 +143,23 @@
 func (c *Controller) view(s *route.Service, now time.Time) *View {
 	v := &View{
 		Now: now, AsOf: c.Current(), Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
-		Loads: make(map[string]int), Suspects: make(map[string]bool), Demand: make(map[string]int),
+		Suspects: make(map[string]bool), Demand: make(map[string]int),
 	}
 	for id, k := range c.contacts {
 		v.Contacts[id] = k.Contact
 	}
-	statuses := []gossip.Status{c.Own(now)}
-	for _, p := range c.Live(now) {
-		statuses = append(statuses, p.Status)
+	total := gossip.NewTotals()
+	total.AddTotals(c.Others(now))
+	own := c.Own(now)
+	total.Add(&own)
+	v.Loads = total.Loads
+	for model, d := range total.Demands {
+		v.Demand[model] = d.Running + d.Waiting
 	}
-	c.busy = c.busy || c.Busy()
-	for _, status := range statuses {
-		for id, n := range status.Loads {
-			v.Loads[id] += n
-			c.busy = c.busy || n > 0
-		}
-		for model, d := range status.Demands {
-			v.Demand[model] += d.Running + d.Waiting
-		}
-		for group := range status.Suspects {
-			v.Suspects[group] = true
-		}
+	for group := range total.Suspects {
+		v.Suspects[group] = true
 	}
+	c.busy = c.busy || c.Busy() || len(total.Loads) > 0
 	v.Busy = c.busy
 	return v
 }
@@ -223,16 +218,27 @@
 		k.Refused = true
 		k.fail(sent)
 	case Silent:
-		k.Alone = alone
 		k.fail(sent)
+		k.alone(alone, sent)
 	}
 	if was != k.Failed.IsZero() {
 		_ = level.Info(c.Logger).Log("msg", "endpoint asked", "endpoint", e.ID, "address", e.Address, "answered", answer == Answered,
-			"refused", k.Refused, "alone", k.Alone)
+			"refused", k.Refused, "alone", !k.Alone.IsZero())
 	}
 	c.Wake()
 }
 
+// alone notes whether nobody else heard the endpoint either. Who is asked changes each time in a large fleet, so
+// one that hears it starts the wait anew.
+func (k *contact) alone(alone bool, at time.Time) {
+	switch {
+	case !alone:
+		k.Alone = time.Time{}
+	case k.Alone.IsZero():
+		k.Alone = at
+	}
+}
+
 func (k *contact) fail(at time.Time) {
 	if k.Failed.IsZero() {
 		k.Failed = at
--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -51,7 +51,7 @@
 	return NewController(Options{
 		Engine: e, Directory: d, Table: func() *route.Table { return table }, Lease: lease,
 		Current: func() time.Time { return origin.Add(time.Hour) },
-		Live:    func(time.Time) []*gossip.Peer { return nil }, Own: func(time.Time) gossip.Status { return gossip.Status{} },
+		Others:  func(time.Time) *gossip.Totals { return gossip.NewTotals() }, Own: func(time.Time) gossip.Status { return gossip.Status{} },
 		Busy: func() bool { return false }, Heard: func(context.Context, *endpoint.Endpoint) bool { return true }, Logger: log.NewNopLogger(),
 	})
 }
--- a/internal/formation/options.go
+++ b/internal/formation/options.go
@@ -17,10 +17,10 @@
 	Directory *endpoint.Directory
 	Table     func() *route.Table
 	Lease     func(now time.Time) (epoch int64, until time.Time, ok bool)
-	Current   func() time.Time // the directory was certainly current then
-	Live      func(now time.Time) []*gossip.Peer
-	Own       func(now time.Time) gossip.Status // this node's own loads and doubts
-	Busy      func() bool                       // a caller has sent a request to this node
+	Current   func() time.Time                   // the directory was certainly current then
+	Others    func(now time.Time) *gossip.Totals // loads and doubts of the other nodes
+	Own       func(now time.Time) gossip.Status  // this node's own loads and doubts
+	Busy      func() bool                        // a caller has sent a request to this node
 	// Heard asks the other nodes whether they hear the endpoint.
 	Heard  func(ctx context.Context, e *endpoint.Endpoint) bool
 	Logger log.Logger
--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -25,7 +25,7 @@
 	Answered time.Time // last answer
 	Failed   time.Time // first failure since then; zero if the last try was answered
 	Refused  bool      // nothing listens at its address
-	Alone    bool      // no other node has heard of it either since it failed
+	Alone    time.Time // since when none of the other nodes that were asked has heard it either; zero if one has
 }
 
 const (
@@ -61,7 +61,7 @@
 		return true
 	}
 	_, gone := v.Snapshot.Gone[id]
-	return gone && c.Alone && v.Now.Sub(c.Failed) >= deadAfter
+	return gone && !c.Alone.IsZero() && v.Now.Sub(c.Alone) >= deadAfter
 }
 
 // answers reports whether the endpoint has answered a direct question within that time.
--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -191,7 +191,11 @@
 	v := &View{Now: w.now, AsOf: w.now.Add(-time.Duration(len(w.history)-1-at) * tick), Service: w.service, Snapshot: snapshot, Contacts: make(map[string]Contact), Loads: make(map[string]int), Suspects: make(map[string]bool), Demand: make(map[string]int)}
 	for id, x := range w.workers {
 		if !x.failed.IsZero() {
-			v.Contacts[id] = Contact{Failed: x.failed, Alone: !x.up}
+			contact := Contact{Failed: x.failed}
+			if !x.up {
+				contact.Alone = x.failed
+			}
+			v.Contacts[id] = contact
 		}
 		if !x.up && x.Membership != nil {
 			v.Suspects[x.Membership.Group] = true
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -126,10 +126,10 @@
 		list = append(list, &endpoint.Endpoint{ID: fmt.Sprintf("p%d", i), Service: "plain"})
 	}
 	d.Apply(list, nil, time.Now())
-	nobody := func(time.Time) []*gossip.Peer { return nil }
+	nobody := func(time.Time) *gossip.Totals { return gossip.NewTotals() }
 	s.gateway = gateway.New(gateway.Options{
 		Table: func() *route.Table { return s.table }, Proof: func() time.Time { return s.proof }, ProofLimit: 5 * time.Second,
-		Picker: picker.New(picker.Options{Directory: d, Live: nobody, Retiring: func(time.Time) map[string]bool { return nil }}),
+		Picker: picker.New(picker.Options{Directory: d, Others: nobody, Retiring: func(time.Time) map[string]bool { return nil }}),
 		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() int { return 1 }, Log: noLog{}, Scope: tally.NoopScope,
 	})
 	return s
--- /dev/null
+++ b/internal/gossip/contact.go
@@ -0,0 +1,69 @@
+package gossip
+
+import (
+	"net/netip"
+	"time"
+
+	"moorrun.dev/moorrun/internal/freshness"
+	"moorrun.dev/moorrun/internal/gossip/gossippb"
+)
+
+// contact is one address that this node exchanges beats with.
+type contact struct {
+	address netip.AddrPort
+	clock   freshness.Clock
+	echo    uint64
+	peer    *Peer // nil until heard
+	sent    time.Time
+	added   time.Time
+	tick    uint64    // the highest taken in of that incarnation
+	tried   time.Time // since when it has been sent to without being heard; zero if it answers
+
+	// What its last beat said.
+	subscribes bool
+	reports    bool
+	wholeFleet bool
+	holds      map[uint64]bool // rosters that it has
+	rosters    []uint64        // rosters that it goes by
+}
+
+func (c *contact) fresh(now time.Time) bool { return c.peer != nil && c.peer.Fresh(now, LiveFor) }
+
+// relay reports whether it is heard and passes on what others tell it.
+func (c *contact) relay(now time.Time) bool { return c.fresh(now) && c.peer.Relay }
+
+// reporter reports whether this node passes on what it tells.
+func (c *contact) reporter(now time.Time) bool { return c.fresh(now) && c.reports && !c.peer.Relay }
+
+// silent reports whether it has been tried for long enough without an answer.
+func (c *contact) silent(now time.Time) bool {
+	return !c.fresh(now) && !c.tried.IsZero() && now.Sub(c.tried) > LiveFor && now.Sub(c.tried) < retryRelay
+}
+
+func (c *contact) lastSign() time.Time {
+	if c.peer != nil && c.peer.Heard.After(c.added) {
+		return c.peer.Heard
+	}
+	return c.added
+}
+
+// sending notes that a beat is sent and returns the fields that only this receiver gets.
+func (c *contact) sending(now time.Time) *gossippb.Beat {
+	if !c.fresh(now) && (c.tried.IsZero() || now.Sub(c.tried) >= retryRelay) {
+		c.tried = now
+	}
+	c.sent = now
+	return &gossippb.Beat{Tick: c.clock.Next(now), Echo: c.echo}
+}
+
+// takeFlags notes what a beat says besides the status.
+func (c *contact) takeFlags(b *gossippb.Beat) {
+	c.tick = b.Tick
+	c.tried = time.Time{}
+	c.subscribes, c.reports, c.wholeFleet = b.Subscribes, b.Reports, b.WholeFleet
+	c.rosters = b.Rosters
+	c.holds = make(map[uint64]bool, len(b.Holds))
+	for _, digest := range b.Holds {
+		c.holds[digest] = true
+	}
+}
--- a/internal/gossip/convert.go
+++ b/internal/gossip/convert.go
@@ -8,12 +8,12 @@
 
 const maxSuspects = 20
 
-func toWire(self Identity, s Status, known []*gossippb.KnownNode, now time.Time) *gossippb.Beat {
+func toWire(self Identity, s Status, now time.Time) *gossippb.Beat {
 	b := &gossippb.Beat{
 		Vm: self.VM, Incarnation: self.Incarnation, Zone: self.Zone, CallerAddress: self.CallerAddress,
 		GossipAddress: self.GossipAddress, PeerAddress: self.PeerAddress,
 		Leaving: s.Leaving, Serving: s.Serving, Watching: s.Watching, Eligible: s.Eligible, LeaderEpoch: s.LeaderEpoch, Sequence: s.Sequence,
-		Retiring: s.Retiring, Known: known, UptimeMs: uint32(s.Uptime / time.Millisecond), //nolint:gosec // 49 days fit
+		Retiring: s.Retiring, Relay: s.Relay, Capacity: self.Capacity, UptimeMs: uint32(s.Uptime / time.Millisecond), //nolint:gosec // 49 days fit
 	}
 	if !s.ProofAt.IsZero() {
 		b.ProofAgeMs = max(1, roundUp(now.Sub(s.ProofAt)))
@@ -41,11 +41,11 @@
 	p := &Peer{
 		Identity: Identity{
 			VM: b.Vm, Incarnation: b.Incarnation, Zone: b.Zone, CallerAddress: b.CallerAddress,
-			GossipAddress: b.GossipAddress, PeerAddress: b.PeerAddress,
+			GossipAddress: b.GossipAddress, PeerAddress: b.PeerAddress, Capacity: b.Capacity,
 		},
 		Status: Status{
 			Leaving: b.Leaving, Serving: b.Serving, Watching: b.Watching, Eligible: b.Eligible, LeaderEpoch: b.LeaderEpoch, Sequence: b.Sequence,
-			Retiring: b.Retiring, Uptime: millis(b.UptimeMs), Loads: make(map[string]int, len(b.Loads)),
+			Retiring: b.Retiring, Relay: b.Relay, Uptime: millis(b.UptimeMs), Loads: make(map[string]int, len(b.Loads)),
 			Suspects: make(map[string]time.Time, len(b.Suspects)), Demands: make(map[string]Demand, len(b.Demands)),
 		},
 		Heard: asOf,
--- a/internal/gossip/identity.go
+++ b/internal/gossip/identity.go
@@ -8,4 +8,5 @@
 	CallerAddress string
 	GossipAddress string // of its datagrams
 	PeerAddress   string // of its drpc calls
+	Capacity      uint32 // of its VM, in thousandths of a core
 }
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -1,5 +1,10 @@
-// Package gossip lets the nodes of a fleet find and hear each other: each sends every other a datagram some
-// times a second with its loads, what it doubts, and how current its copy of the platform's store is.
+// Package gossip lets the nodes of a fleet find and hear each other: some times a second each tells its loads, what
+// it doubts, and how current its copy of the platform's store is.
+//
+// In a small fleet each node sends every other a datagram. In a larger one some nodes are relays: every other node
+// reports to one of them, which answers with what the whole fleet has, and subscribes to a second one. The relays
+// tell each other the sum of what they and those that report to them have. So what a node sends and takes in grows
+// with the root of the fleet's size.
 package gossip
 
 import (
@@ -7,13 +12,9 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	"moorrun.dev/moorrun/internal/freshness"
 	"moorrun.dev/moorrun/internal/gossip/gossippb"
 )
 
@@ -24,8 +25,18 @@
 	LiveFor = 800 * time.Millisecond
 	// slowEvery is the interval between two beats to a node that does not answer.
 	slowEvery = 700 * time.Millisecond
+	// standbyEvery is the interval between two beats to the second relay.
+	standbyEvery = 300 * time.Millisecond
+	// retryRelay is how long a relay that did not answer is left out.
+	retryRelay = 4 * time.Second
 	// forgetAfter is how long a node that does not answer is kept.
 	forgetAfter = 40 * time.Second
+	// rosterFor is how long a roster is kept that no relay goes by any more.
+	rosterFor = 2 * time.Second
+	// viewFor is how old what is worked out of the beats may get before it is worked out again.
+	viewFor = 20 * time.Millisecond
+	// kickPause is the least time between two urgent rounds of beats.
+	kickPause   = 10 * time.Millisecond
 	maxDatagram = 60 << 10
 	knownPart   = 6 // other nodes told in one beat
 )
@@ -38,25 +49,29 @@
 	// OnBeat is called with each beat taken in; it must not block.
 	OnBeat func(p *Peer)
 
-	mu    sync.Mutex
-	peers map[string]*contact // by gossip address
-	kick  chan struct{}
-}
-
-// contact is one address this node sends to.
-type contact struct {
-	address netip.AddrPort
-	clock   freshness.Clock
-	echo    uint64
-	peer    *Peer // nil until heard
-	sent    time.Time
-	added   time.Time
-	tick    uint64 // the highest taken in of that incarnation
+	mu         sync.Mutex
+	peers      map[string]*contact // by gossip address
+	rosters    map[uint64]*roster  // by digest
+	own        *roster             // while this node is a relay
+	seen       map[string]time.Time
+	relaying   bool
+	subscribed []string // addresses of the relays that this node reports and subscribes to
+	last       Status   // what this node said last
+
+	liveAt   time.Time
+	liveList []*Peer
+	changed  bool // something was heard since liveList was made
+	others   *Totals
+	othersAt time.Time
+	kick     chan struct{}
 }
 
 // NewNode returns a Node that sends and hears on conn; status tells what to say.
 func NewNode(self Identity, conn *net.UDPConn, status func(now time.Time) Status) *Node {
-	return &Node{self: self, conn: conn, status: status, peers: make(map[string]*contact), kick: make(chan struct{}, 1)}
+	return &Node{
+		self: self, conn: conn, status: status, peers: make(map[string]*contact), rosters: make(map[uint64]*roster),
+		seen: make(map[string]time.Time), kick: make(chan struct{}, 1),
+	}
 }
 
 // Self returns this process's identity.
@@ -108,6 +123,7 @@
 		case <-ctx.Done():
 		case <-n.kick:
 			n.send(time.Now(), true)
+			time.Sleep(kickPause)
 		case <-timer.C:
 			n.send(time.Now(), false)
 			timer.Reset(Every + time.Duration(rand.Int64N(int64(Every/10)))) //nolint:gosec // jitter
@@ -118,125 +134,18 @@
 	return nil
 }
 
-func (n *Node) send(now time.Time, urgent bool) {
-	status := n.status(now)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	common, err := proto.Marshal(toWire(n.self, status, n.known(now), now))
-	if err != nil {
-		return
-	}
-	for address, c := range n.peers {
-		live := c.peer != nil && c.peer.Fresh(now, LiveFor)
-		if !live && !urgent && now.Sub(c.sent) < slowEvery {
-			continue
-		}
-		if c.lastSign().Add(forgetAfter).Before(now) {
-			delete(n.peers, address)
-			continue
-		}
-		c.sent = now
-		// A second message appended to the first sets the fields that differ from peer to peer.
-		own, err := proto.Marshal(&gossippb.Beat{Tick: c.clock.Next(now), Echo: c.echo})
-		if err != nil {
-			continue
-		}
-		_, _ = n.conn.WriteToUDPAddrPort(slices.Concat(common, own), c.address)
-	}
-}
-
-func (c *contact) lastSign() time.Time {
-	if c.peer != nil && c.peer.Heard.After(c.added) {
-		return c.peer.Heard
-	}
-	return c.added
-}
-
-// known returns some of the nodes that are heard.
+// known returns some of the nodes that are heard, relays first.
 func (n *Node) known(now time.Time) []*gossippb.KnownNode {
 	var out []*gossippb.KnownNode
-	for address, c := range n.peers { // in random order
-		if len(out) == knownPart {
-			break
-		}
-		if c.peer != nil && c.peer.Fresh(now, LiveFor) {
-			out = append(out, &gossippb.KnownNode{Vm: c.peer.VM, GossipAddress: address})
-		}
-	}
-	return out
-}
-
-func (n *Node) receive(ctx context.Context) {
-	buffer := make([]byte, maxDatagram)
-	for ctx.Err() == nil {
-		size, _, err := n.conn.ReadFromUDPAddrPort(buffer)
-		if err != nil {
-			if ctx.Err() == nil {
-				time.Sleep(Every)
+	for _, wantRelay := range []bool{true, false} {
+		for address, c := range n.peers { // in random order
+			if len(out) == knownPart {
+				return out
+			}
+			if c.fresh(now) && c.peer.Relay == wantRelay {
+				out = append(out, &gossippb.KnownNode{Vm: c.peer.VM, GossipAddress: address})
 			}
-			continue
-		}
-		var b gossippb.Beat
-		if proto.Unmarshal(buffer[:size], &b) != nil || b.Vm == n.self.VM {
-			continue
-		}
-		if p := n.take(&b, time.Now()); p != nil && n.OnBeat != nil {
-			n.OnBeat(p)
-		}
-	}
-}
-
-// take takes in a beat and returns the peer, unless the beat is old or its age is unknown.
-func (n *Node) take(b *gossippb.Beat, now time.Time) *Peer {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	c := n.add(b.GossipAddress, now)
-	if c == nil {
-		return nil
-	}
-	for _, k := range b.Known {
-		n.add(k.GossipAddress, now)
-	}
-	same := c.peer != nil && c.peer.Incarnation == b.Incarnation
-	if same && b.Tick <= c.tick {
-		return nil
-	}
-	c.echo = b.Tick
-	asOf, ok := c.clock.AsOf(b.Echo)
-	if !ok {
-		return nil
-	}
-	if c.peer != nil && !same && asOf.Before(c.peer.Heard) {
-		return nil // a late beat of an earlier life
-	}
-	c.tick = b.Tick
-	c.peer = fromWire(b, asOf)
-	return c.peer
-}
-
-// Live returns the other nodes heard lately, in order of VM.
-func (n *Node) Live(now time.Time) []*Peer { return n.list(now, LiveFor) }
-
-// Known returns how many other nodes have been heard and are not forgotten.
-func (n *Node) Known(now time.Time) int { return len(n.list(now, forgetAfter)) }
-
-func (n *Node) list(now time.Time, within time.Duration) []*Peer {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var out []*Peer
-	for _, c := range n.peers {
-		if c.peer != nil && c.peer.Fresh(now, within) {
-			out = append(out, c.peer)
 		}
 	}
-	slices.SortFunc(out, func(a, b *Peer) int {
-		switch {
-		case a.VM < b.VM:
-			return -1
-		case a.VM > b.VM:
-			return 1
-		}
-		return 0
-	})
 	return out
 }
--- a/internal/gossip/node_test.go
+++ b/internal/gossip/node_test.go
@@ -88,7 +88,7 @@
 		ProofAt: now.Add(-40 * time.Millisecond), Loads: map[string]int{"a": 3}, Retiring: []string{"g"},
 		Suspects: map[string]time.Time{"g": now.Add(-time.Second)}, Demands: map[string]Demand{"m": {Waiting: 1, Running: 2}},
 	}
-	p := fromWire(toWire(Identity{VM: "v", Zone: "z"}, s, nil, now), now)
+	p := fromWire(toWire(Identity{VM: "v", Zone: "z"}, s, now), now)
 	qt.Check(t, p.Status, qt.DeepEquals, s)
 	qt.Check(t, p.Zone, qt.Equals, "z")
 }
--- a/internal/gossip/peer.go
+++ b/internal/gossip/peer.go
@@ -6,7 +6,8 @@
 type Peer struct {
 	Identity
 	Status
-	Heard time.Time // it was certainly alive then
+	Heard    time.Time // it was certainly alive then
+	Upstream bool      // the relay that this node reports to
 }
 
 // Fresh reports whether the peer was alive within that time.
--- /dev/null
+++ b/internal/gossip/receive.go
@@ -0,0 +1,80 @@
+package gossip
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"moorrun.dev/moorrun/internal/gossip/gossippb"
+)
+
+func (n *Node) receive(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		size, _, err := n.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				time.Sleep(Every)
+			}
+			continue
+		}
+		var b gossippb.Beat
+		if proto.Unmarshal(buffer[:size], &b) != nil || b.Vm == n.self.VM {
+			continue
+		}
+		now := time.Now()
+		p := n.take(&b, now)
+		n.answer(&b, now)
+		if p != nil && n.OnBeat != nil {
+			n.OnBeat(p)
+		}
+	}
+}
+
+// take takes in a beat and returns the peer, unless the beat is old or its age is unknown.
+func (n *Node) take(b *gossippb.Beat, now time.Time) *Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.add(b.GossipAddress, now)
+	if c == nil {
+		return nil
+	}
+	for _, k := range b.Known {
+		n.add(k.GossipAddress, now)
+	}
+	same := c.peer != nil && c.peer.Incarnation == b.Incarnation
+	if same && b.Tick <= c.tick {
+		return nil
+	}
+	c.echo = b.Tick
+	asOf, ok := c.clock.AsOf(b.Echo)
+	if !ok {
+		return nil
+	}
+	if c.peer != nil && !same && asOf.Before(c.peer.Heard) {
+		return nil // a late beat of an earlier life
+	}
+	news := n.isNews(c, b, now)
+	c.takeFlags(b)
+	c.peer = fromWire(b, asOf)
+	c.peer.Upstream = !n.relaying && len(n.subscribed) > 0 && n.subscribed[0] == b.GossipAddress
+	for _, w := range b.NewRosters {
+		n.rosters[w.Digest] = rosterFromWire(w, asOf)
+	}
+	n.changed = n.changed || news || len(b.NewRosters) > 0
+	if news && n.relaying {
+		n.Kick()
+	}
+	return c.peer
+}
+
+// isNews reports whether a beat tells something of a node that a relay passes on at once.
+func (n *Node) isNews(c *contact, b *gossippb.Beat, now time.Time) bool {
+	if !c.fresh(now) {
+		return true
+	}
+	s := &c.peer.Status
+	return s.Leaving != b.Leaving || s.Serving != b.Serving || s.LeaderEpoch != b.LeaderEpoch || !slices.Equal(c.rosters, b.Rosters)
+}
--- /dev/null
+++ b/internal/gossip/relays_test.go
@@ -0,0 +1,149 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// fleet is some nodes that run in this process.
+type fleet struct {
+	nodes []*Node
+	stop  []context.CancelFunc
+	done  []chan struct{}
+}
+
+// newFleet runs nodes that each have one request at the same endpoint and know only the first node.
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{}
+	for i := range size {
+		n := newTestNode(t, i, func(time.Time) Status {
+			return Status{
+				Serving: true, Loads: map[string]int{"e": 1}, Suspects: map[string]time.Time{},
+				Demands: map[string]Demand{"m": {Running: 1}},
+			}
+		})
+		n.self.Zone = fmt.Sprintf("z%d", i%3)
+		if i > 0 {
+			n.Add(f.nodes[0].Self().GossipAddress)
+		}
+		f.start(n)
+	}
+	t.Cleanup(func() {
+		for i := range f.nodes {
+			f.end(i)
+		}
+	})
+	return f
+}
+
+func (f *fleet) start(n *Node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	f.nodes, f.stop, f.done = append(f.nodes, n), append(f.stop, cancel), append(f.done, done)
+	go func() { defer close(done); _ = n.Run(ctx) }()
+}
+
+// end stops a node without a word to the others beyond its last beat.
+func (f *fleet) end(i int) {
+	f.stop[i]()
+	<-f.done[i]
+}
+
+// relays returns the numbers of the nodes that pass on what others tell.
+func (f *fleet) relays() []int {
+	var out []int
+	for i, n := range f.nodes {
+		n.mu.Lock()
+		if n.relaying {
+			out = append(out, i)
+		}
+		n.mu.Unlock()
+	}
+	return out
+}
+
+// awaitWhole waits until each of the nodes sees all the others, and each of their requests once.
+func (f *fleet) awaitWhole(nodes []*Node) {
+	for _, n := range nodes {
+		for {
+			now := time.Now()
+			total := n.Others(now)
+			if len(n.Live(now)) == len(nodes)-1 && total.Loads["e"] == len(nodes)-1 && total.Demands["m"].Running == len(nodes)-1 {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+func TestLargeFleetIsHeardThroughRelays(t *testing.T) {
+	const size = 30
+	f := newFleet(t, size)
+	f.awaitWhole(f.nodes)
+	for len(f.relays()) != relayCount(size) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.awaitWhole(f.nodes)
+	for _, n := range f.nodes {
+		qt.Check(t, n.Known(time.Now()), qt.Equals, size-1)
+	}
+}
+
+func TestFleetFindsOtherRelaysWhenSomeAreLost(t *testing.T) {
+	const size, lost = 30, 4
+	f := newFleet(t, size)
+	f.awaitWhole(f.nodes)
+	gone := make(map[int]bool)
+	for _, i := range f.relays()[:lost] {
+		gone[i] = true
+		f.end(i)
+	}
+	var left []*Node
+	for i, n := range f.nodes {
+		if !gone[i] {
+			left = append(left, n)
+		}
+	}
+	f.awaitWhole(left)
+}
+
+func TestRelaysGrowWithTheRootOfTheFleet(t *testing.T) {
+	qt.Check(t, relayCount(9), qt.Equals, 9)
+	qt.Check(t, relayCount(61), qt.Equals, 8)
+	qt.Check(t, relayCount(780), qt.Equals, 28)
+}
+
+func TestLargestNodesAreRelaysAndLeavingOnesAreNot(t *testing.T) {
+	var nodes []*Peer
+	for i := range 40 {
+		nodes = append(nodes, &Peer{Identity: Identity{VM: fmt.Sprint(i), Capacity: uint32(i % 5)}})
+	}
+	nodes[4].Leaving = true
+	for _, p := range relaysOf(nodes) {
+		qt.Check(t, p.Capacity, qt.Equals, uint32(4))
+		qt.Check(t, p.VM, qt.Not(qt.Equals), "4")
+	}
+}
+
+func TestNodesPreferRelaysOfTheirDataCentre(t *testing.T) {
+	relays := []*Peer{{Identity: Identity{VM: "far", Zone: "b"}}, {Identity: Identity{VM: "near", Zone: "a"}}}
+	qt.Check(t, preferredRelays(Identity{VM: "x", Zone: "a"}, relays)[0].VM, qt.Equals, "near")
+}
+
+func TestTotalsWithoutOneNode(t *testing.T) {
+	a := Status{Loads: map[string]int{"e": 2, "f": 1}, Demands: map[string]Demand{"m": {Waiting: 1, Running: 3}}, Retiring: []string{"g"}}
+	b := Status{Loads: map[string]int{"e": 5}, Demands: map[string]Demand{"m": {Running: 5}}, Retiring: []string{"g"}}
+	total := NewTotals()
+	total.Add(&a)
+	total.Add(&b)
+	qt.Check(t, total.Loads, qt.DeepEquals, map[string]int{"e": 7, "f": 1})
+	qt.Check(t, total.Retiring, qt.DeepEquals, []string{"g"})
+	rest := total.without(&a)
+	qt.Check(t, rest.Loads, qt.DeepEquals, map[string]int{"e": 5})
+	qt.Check(t, rest.Demands, qt.DeepEquals, map[string]Demand{"m": {Running: 5}})
+	qt.Check(t, total.Loads["e"], qt.Equals, 7)
+}
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -9,6 +9,7 @@
 	Eligible    bool  // it may lead
 	LeaderEpoch int64 // while it leads, else 0
 	Uptime      time.Duration
+	Relay       bool // it passes on what other nodes tell it
 	Sequence    uint64
 	Watching    bool           // its copy comes from the store itself
 	ProofAt     time.Time      // its copy of the store is current as of then; zero if unknown
--- /dev/null
+++ b/internal/gossip/totals.go
@@ -0,0 +1,70 @@
+package gossip
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Totals are the loads and doubts of several nodes together.
+type Totals struct {
+	Loads    map[string]int       // requests by endpoint
+	Suspects map[string]time.Time // groups that stand still, since when at the latest
+	Retiring []string             // groups that a leader is about to end
+	Demands  map[string]Demand    // by model
+}
+
+// NewTotals returns Totals of no node.
+func NewTotals() *Totals {
+	return &Totals{Loads: make(map[string]int), Suspects: make(map[string]time.Time), Demands: make(map[string]Demand)}
+}
+
+// Add counts in what a node has told.
+func (t *Totals) Add(s *Status) {
+	for endpoint, n := range s.Loads {
+		t.Loads[endpoint] += n
+	}
+	for group, at := range s.Suspects {
+		if at.After(t.Suspects[group]) {
+			t.Suspects[group] = at
+		}
+	}
+	for model, d := range s.Demands {
+		sum := t.Demands[model]
+		t.Demands[model] = Demand{Waiting: sum.Waiting + d.Waiting, Running: sum.Running + d.Running}
+	}
+	for _, group := range s.Retiring {
+		if !slices.Contains(t.Retiring, group) {
+			t.Retiring = append(t.Retiring, group)
+		}
+	}
+}
+
+// AddTotals counts in what other totals cover.
+func (t *Totals) AddTotals(other *Totals) {
+	s := other.over(Status{})
+	t.Add(&s)
+}
+
+// without returns the totals less the loads and demands of one of the nodes that were counted in. Its doubts stay:
+// it knows them anyway.
+func (t *Totals) without(s *Status) *Totals {
+	out := *t
+	out.Loads, out.Demands = maps.Clone(t.Loads), maps.Clone(t.Demands)
+	for endpoint, n := range s.Loads {
+		if out.Loads[endpoint] -= n; out.Loads[endpoint] <= 0 {
+			delete(out.Loads, endpoint)
+		}
+	}
+	for model, d := range s.Demands {
+		sum := out.Demands[model]
+		out.Demands[model] = Demand{Waiting: max(0, sum.Waiting-d.Waiting), Running: max(0, sum.Running-d.Running)}
+	}
+	return &out
+}
+
+// over returns the status with the totals in place of the node's own loads and doubts.
+func (t *Totals) over(s Status) Status {
+	s.Loads, s.Suspects, s.Retiring, s.Demands = t.Loads, t.Suspects, t.Retiring, t.Demands
+	return s
+}
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -32,14 +32,14 @@
 // candidates returns everything that may take the request, with its cost.
 func (p *Picker) candidates(w *Want, now time.Time) []candidate {
 	snapshot := p.options.Directory.Read()
-	peers := p.options.Live(now)
+	others := p.options.Others(now)
 	if w.Model == "" {
-		return p.alone(w, snapshot, peers, now)
+		return p.alone(w, snapshot, others, now)
 	}
-	return p.groups(w, snapshot, peers, now)
+	return p.groups(w, snapshot, others, now)
 }
 
-func (p *Picker) groups(w *Want, snapshot *endpoint.Snapshot, peers []*gossip.Peer, now time.Time) []candidate {
+func (p *Picker) groups(w *Want, snapshot *endpoint.Snapshot, others *gossip.Totals, now time.Time) []candidate {
 	retiring := p.options.Retiring(now)
 	var out []candidate
 	usual := p.usualGap(w, snapshot)
@@ -47,9 +47,9 @@
 		if g.Service != w.Service || g.Model != w.Model || w.excludes(g.Name) || retiring[g.Name] || !p.usable(g, w.Size) {
 			continue
 		}
-		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(p.health[g.Name], peers, g.Head.ID)}
+		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(p.health[g.Name], others, g.Head.ID)}
 		c.cost = float64(c.load) + p.extraCost(p.health[g.Name], g.Head, now)
-		if doubted(g.Name, p.health[g.Name], peers, now) {
+		if doubted(g.Name, p.health[g.Name], others, now) {
 			c.cost += suspectCost
 		}
 		if g.Draining() {
@@ -89,14 +89,14 @@
 	return gaps[len(gaps)/2]
 }
 
-func (p *Picker) alone(w *Want, snapshot *endpoint.Snapshot, peers []*gossip.Peer, now time.Time) []candidate {
+func (p *Picker) alone(w *Want, snapshot *endpoint.Snapshot, others *gossip.Totals, now time.Time) []candidate {
 	var out []candidate
 	for _, e := range snapshot.Services[w.Service] {
 		if e.Draining || w.excludes(e.ID) {
 			continue
 		}
 		h := p.health[e.ID]
-		c := candidate{endpoint: e, load: totalLoad(h, peers, e.ID)}
+		c := candidate{endpoint: e, load: totalLoad(h, others, e.ID)}
 		c.cost = float64(c.load) + p.extraCost(h, e, now)
 		if h != nil {
 			c.cost += failureCost*h.failures + float64(h.latency)/float64(latencyUnit)
@@ -125,25 +125,17 @@
 }
 
 // doubted reports whether another node has lately seen the group stand still, and this one no sign of life since.
-func doubted(group string, h *health, peers []*gossip.Peer, now time.Time) bool {
+func doubted(group string, h *health, others *gossip.Totals, now time.Time) bool {
 	if h != nil && now.Sub(h.progress) < trustOwn {
 		return false
 	}
-	for _, peer := range peers {
-		if _, doubts := peer.Suspects[group]; doubts {
-			return true
-		}
-	}
-	return false
+	_, doubts := others.Suspects[group]
+	return doubts
 }
 
-func totalLoad(h *health, peers []*gossip.Peer, id string) int {
-	n := 0
-	if h != nil {
-		n = h.running
-	}
-	for _, peer := range peers {
-		n += peer.Loads[id]
+func totalLoad(h *health, others *gossip.Totals, id string) int {
+	if h == nil {
+		return others.Loads[id]
 	}
-	return n
+	return h.running + others.Loads[id]
 }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -28,7 +28,8 @@
 type Options struct {
 	Zone      string
 	Directory *endpoint.Directory
-	Live      func(now time.Time) []*gossip.Peer
+	// Others returns the loads and doubts of the other nodes.
+	Others func(now time.Time) *gossip.Totals
 	// Retiring returns the replica groups that the leader is about to end.
 	Retiring func(now time.Time) map[string]bool
 }
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -26,7 +26,13 @@
 	f := &fleet{directory: endpoint.NewDirectory(), retiring: map[string]bool{}}
 	f.picker = picker.New(picker.Options{
 		Zone: "near", Directory: f.directory,
-		Live:     func(time.Time) []*gossip.Peer { return f.peers },
+		Others: func(time.Time) *gossip.Totals {
+			total := gossip.NewTotals()
+			for _, p := range f.peers {
+				total.Add(&p.Status)
+			}
+			return total
+		},
 		Retiring: func(time.Time) map[string]bool { return f.retiring },
 	})
 	return f
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -40,6 +40,8 @@
 	headerWait      = 10 * time.Second
 	idleWait        = 30 * time.Second
 	maxHeaderBytes  = 64 << 10
+	// capacityUnit turns cores into the unit in which nodes tell each other their capacity.
+	capacityUnit = 1000
 )
 
 // Server is one moorrund process before a platform's endpoints.
@@ -83,7 +85,7 @@
 	}
 	self := gossip.Identity{
 		VM: s.VM, Incarnation: uuid.NewString()[:8], Zone: s.DataCentre, CallerAddress: s.CallerAddress,
-		GossipAddress: s.PeerAddress, PeerAddress: s.PeerAddress,
+		GossipAddress: s.PeerAddress, PeerAddress: s.PeerAddress, Capacity: uint32(s.Capacity * capacityUnit),
 	}
 	n.gossip = gossip.NewNode(self, n.datagrams, n.status)
 	n.gossip.Add(s.Peers...)
@@ -91,12 +93,12 @@
 	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
 	n.gossip.OnBeat = n.heard
 	n.rpc = gossip.NewServer(self.Incarnation, n.follower.Mirror, n.askFor)
-	n.picker = picker.New(picker.Options{Zone: s.DataCentre, Directory: n.directory, Live: n.gossip.Live, Retiring: n.retiring})
+	n.picker = picker.New(picker.Options{Zone: s.DataCentre, Directory: n.directory, Others: n.gossip.Others, Retiring: n.retiring})
 	ttl := s.LeaseTTL()
 	n.keeper = holder.NewKeeper(n.platform.Objects, leaseName, s.VM, ttl, ttl/leaseMarginPart, n.wantsLead, logger)
 	n.controller = formation.NewController(formation.Options{
 		Engine: n.platform.Engine, Directory: n.directory, Table: n.table.Load, Lease: n.keeper.Held,
-		Current: func() time.Time { return n.follower.Current(keys.Endpoints) }, Live: n.gossip.Live, Own: n.ownStatus,
+		Current: func() time.Time { return n.follower.Current(keys.Endpoints) }, Others: n.gossip.Others, Own: n.ownStatus,
 		Busy: func() bool { return n.requests.Load() > 0 }, Heard: n.heardElsewhere, Logger: logger,
 	})
 	n.gateway = gateway.New(gateway.Options{
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -16,6 +18,8 @@
 	// servePart is the part of the credential proof's limit up to which a node takes new callers.
 	servePart = 0.6
 	probeWait = 600 * time.Millisecond
+	// probeNodes is how many other nodes are asked at a time whether they hear an endpoint.
+	probeNodes = 12
 )
 
 // status is what the other nodes are told.
@@ -72,10 +76,8 @@
 	for _, name := range n.controller.Retiring() {
 		out[name] = true
 	}
-	for _, p := range n.gossip.Live(now) {
-		for _, name := range p.Retiring {
-			out[name] = true
-		}
+	for _, name := range n.gossip.Others(now).Retiring {
+		out[name] = true
 	}
 	return out
 }
@@ -87,13 +89,16 @@
 	return n.platform.Engine.Ask(ctx, &endpoint.Endpoint{ID: id, Address: address}) == formation.Answered
 }
 
-// heardElsewhere asks all other nodes whether an endpoint answers them. A node that cannot be asked may hear it.
+// heardElsewhere asks other nodes, in a large fleet some by chance, whether an endpoint answers them.
 func (n *Server) heardElsewhere(ctx context.Context, e *endpoint.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeWait)
 	defer cancel()
 	var g errgroup.Group
-	answers := make(chan bool, len(n.gossip.Live(time.Now())))
-	for _, p := range n.gossip.Live(time.Now()) {
+	asked := slices.Clone(n.gossip.Live(time.Now()))
+	rand.Shuffle(len(asked), func(i, j int) { asked[i], asked[j] = asked[j], asked[i] })
+	asked = asked[:min(len(asked), probeNodes)]
+	answers := make(chan bool, len(asked))
+	for _, p := range asked {
 		g.Go(func() error {
 			answered, err := n.caller.Probe(ctx, p.PeerAddress, e.ID, e.Address)
 			select {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -31,6 +31,8 @@
 	PeerAddress      string `json:"peer_address"` // drpc calls of other nodes, and their datagrams
 	MetricsAddress   string `json:"metrics_address,omitempty"`
 	StoreAddress     string `json:"store_address"`
+	// Capacity is the VM's share of processors, in cores.
+	Capacity float64 `json:"capacity,omitempty"`
 	// Peers are peer addresses of some nodes, to be tried before any is known.
 	Peers []string `json:"peers,omitempty"`
 
@@ -46,7 +48,7 @@
 	FailureLinesSecond float64 `json:"failure_lines_per_second,omitempty"`
 }
 
-var gatewayDefaults = Gateway{LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
+var gatewayDefaults = Gateway{Capacity: 1, LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
 
 // ReadGateway reads and checks the file; the error names every faulty field.
 func ReadGateway(file string) (*Gateway, error) {
