Use idle endpoints beside a pressed model, and load what completes a group of it

Free ones were kept for the pressed model, which could not use them; conversions stopped while any group was retiring, which is most of the time; and loads went to the model that loads quickest. Change: beside a pressed model another one forms groups of what the pressed one would have to load first, needed or not, so that it can give up members elsewhere. Conversions run side by side, counted by the domains reserved for them. Loads go first to the free endpoints that complete a group of the model in need, fewest missing first. The log of an answered stream tells its longest pause.

--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,7 +34,7 @@
 		return
 	}
 	needed, rich := models[0], models[len(models)-1]
-	if p.pressure(v, needed, have) < pressed || p.planned(needed.Name) {
+	if p.pressure(v, needed, p.withReserved(v, have)) < pressed {
 		return
 	}
 	victims := p.victims(v, free, needed, rich)
@@ -51,17 +52,18 @@
 	}
 }
 
-// planned reports whether a group of the model is on its way, or members for one are being freed.
-func (p *Planner) planned(model string) bool {
-	if len(p.retiring) > 0 {
-		return true
-	}
-	for _, pl := range p.plans {
-		if pl.model == model {
-			return true
+// withReserved counts in the groups for which members are being freed.
+func (p *Planner) withReserved(v *View, have map[string]int) map[string]int {
+	out := maps.Clone(have)
+	for domain, r := range p.reserved {
+		if v.Now.After(r.until) {
+			delete(p.reserved, domain)
+			continue
 		}
+		m, _ := v.Service.Engine.Model(r.model)
+		out[r.model] += m.Size
 	}
-	return false
+	return out
 }
 
 // victims returns the fewest groups of one domain whose members, with those that are free there, can form a group.
@@ -75,6 +77,9 @@
 	}
 	var best []*endpoint.Group
 	for domain, groups := range byDomain {
+		if _, reserved := p.reserved[domain]; reserved {
+			continue
+		}
 		slices.SortFunc(groups, func(a, b *endpoint.Group) int {
 			return cmp.Or(cmp.Compare(v.Loads[a.Head.ID], v.Loads[b.Head.ID]), cmp.Compare(a.Name, b.Name))
 		})
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -89,20 +89,28 @@
 
 // formOne orders one group and reports whether there was one to order. While requests come, only a model in need
 // gets one: what stays free can replace a lost member of either, and an endpoint that changes its model forgets
-// the one before. A model that is not pressed leaves what is free to one that is.
+// the one before. Beside a model that is pressed another one gets what the pressed one cannot use soon, whether it
+// needs it or not: it can then give up members that the pressed one can use.
 func (p *Planner) formOne(v *View, free map[string][]*endpoint.Endpoint, have map[string]int) bool {
 	models := p.byNeed(v, have)
 	for i, m := range models {
+		usable := free
 		if v.Busy {
 			need := p.pressure(v, m, have)
-			if need < relaxed || i > 0 && need < pressed && p.pressure(v, models[0], have) >= pressed {
+			switch {
+			case i > 0 && need < pressed && p.pressure(v, models[0], have) >= pressed:
+				usable = p.uselessFor(models[0], free)
+			case need < relaxed:
 				return false
 			}
 		}
-		domain, members := p.bestDomain(v, free, m)
+		domain, members := p.bestDomain(v, usable, m)
 		if members == nil {
 			continue
 		}
+		if p.reserved[domain].model == m.Name {
+			delete(p.reserved, domain)
+		}
 		free[domain] = slices.DeleteFunc(free[domain], func(e *endpoint.Endpoint) bool { return slices.Contains(members, e) })
 		have[m.Name] += m.Size
 		p.plan(v, m.Name, members, joinTime(m, members))
@@ -111,6 +119,19 @@
 	return false
 }
 
+// uselessFor returns those of the free endpoints that would have to load the model from the weight store.
+func (p *Planner) uselessFor(m route.Model, free map[string][]*endpoint.Endpoint) map[string][]*endpoint.Endpoint {
+	out := make(map[string][]*endpoint.Endpoint, len(free))
+	for domain, list := range free {
+		for _, e := range list {
+			if warmth(e, m) == 0 && p.stagings[e.ID].model != m.Name {
+				out[domain] = append(out[domain], e)
+			}
+		}
+	}
+	return out
+}
+
 // bestDomain returns the members that would be ready soonest.
 func (p *Planner) bestDomain(v *View, free map[string][]*endpoint.Endpoint, m route.Model) (domain string, members []*endpoint.Endpoint) {
 	var best time.Duration
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -23,8 +23,8 @@
 }
 
 // stage loads models to hosts: before any request has come the other model to every host, so that each endpoint
-// can soon serve either; later a first model to free endpoints that hold none, and then the other model to those
-// that have forgotten it.
+// can soon serve either; later what a domain lacks for a group of the model in need, then a first model to free
+// endpoints that hold none, and then the other model to those that have forgotten it.
 func (p *Planner) stage(v *View) {
 	running := 0
 	for id, s := range p.stagings {
@@ -39,22 +39,36 @@
 		p.stageOthers(v)
 		return
 	}
-	for _, kind := range []func(*View, *endpoint.Endpoint) (route.Model, bool){p.forCold, p.forOneSided} {
-		for _, e := range v.Snapshot.Services[v.Service.Name] {
-			if running >= max(1, v.Service.Engine.LoadsAtOnce) || !p.mayLoad(v) {
+	models := p.byNeed(v, p.assigned(v))
+	if needed := models[0]; p.pressure(v, needed, p.assigned(v)) >= relaxed {
+		for _, e := range p.completions(v, needed) {
+			if !p.stageWithin(v, &running, e, needed) {
 				return
 			}
+		}
+	}
+	for _, kind := range []func(*View, *endpoint.Endpoint) (route.Model, bool){p.forCold, p.forOneSided} {
+		for _, e := range v.Snapshot.Services[v.Service.Name] {
 			if _, busy := p.stagings[e.ID]; busy || e.Draining || v.down(e.ID) {
 				continue
 			}
-			if m, wanted := kind(v, e); wanted {
-				p.stageOne(v, e, m)
-				running++
+			if m, wanted := kind(v, e); wanted && !p.stageWithin(v, &running, e, m) {
+				return
 			}
 		}
 	}
 }
 
+// stageWithin loads the model to the endpoint's host and reports true, unless enough loads are running.
+func (p *Planner) stageWithin(v *View, running *int, e *endpoint.Endpoint, m route.Model) bool {
+	if *running >= max(1, v.Service.Engine.LoadsAtOnce) || !p.mayLoad(v) {
+		return false
+	}
+	p.stageOne(v, e, m)
+	*running++
+	return true
+}
+
 // forCold returns the model that a free endpoint without any can have soonest.
 func (p *Planner) forCold(v *View, e *endpoint.Endpoint) (m route.Model, wanted bool) {
 	if len(e.Models)+len(e.Staged) > 0 || !p.free(v, e) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -64,7 +64,7 @@
 	f.ran++
 	f.gateway.meters.done(head.Status, time.Since(f.request.Received))
 	f.log("answered", false, "endpoint", place.Endpoint.ID, "group", place.Group, "sends", f.sends, "last", f.lastID,
-		"first_ms", s.first.Sub(f.request.Received).Milliseconds(), "ms", time.Since(f.request.Received).Milliseconds())
+		"first_ms", s.first.Sub(f.request.Received).Milliseconds(), "pause_ms", s.pause.Milliseconds(), "ms", time.Since(f.request.Received).Milliseconds())
 	return false
 }
 
@@ -129,8 +129,9 @@
 	place  *picker.Place
 	reply  Reply
 	sent   time.Time
-	last   time.Time // sign of life on this stream
-	first  time.Time // first event
+	last   time.Time     // sign of life on this stream
+	first  time.Time     // first event
+	pause  time.Duration // longest between two events
 }
 
 func (s *streaming) head(ctx context.Context) (Head, error) {
@@ -206,6 +207,7 @@
 		s.flight.gateway.meters.first.Record(now.Sub(s.flight.request.Received))
 		s.place.First(now.Sub(s.sent), now)
 	} else {
+		s.pause = max(s.pause, now.Sub(s.last))
 		s.place.Progress(now.Sub(s.last), now)
 	}
 	s.last = now
