Load what completes a group at the least cost, of all models

Cause: loads are what binds: two workers are lost each 3 s and two empty ones come, which takes 24 s of loading for the smaller model alone, and seven loads at once give 21 s. The model in need came first however much it lacked. Change: what domains lack for one more group is ranked by seconds of loading over the model's pressure.

--- a/internal/formation/completion.go
+++ b/internal/formation/completion.go
@@ -8,28 +8,38 @@
 	"moorrun.dev/moorrun/internal/route"
 )
 
+// mostNeed bounds the weight of a model's pressure.
+const mostNeed = 3
+
 // completion is what a domain lacks for one more group of a model.
 type completion struct {
+	model   route.Model
 	missing int
 	from    []*endpoint.Endpoint // free endpoints that could be given the model, those that hold none first
+	cost    float64              // seconds of loading for what the model needs
 }
 
-// completions returns the free endpoints that need only be given the model for their domain to have one more group
-// of it, those of the domains that lack the fewest first.
-func (p *Planner) completions(v *View, m route.Model) []*endpoint.Endpoint {
-	var lacking []completion
-	for _, list := range p.byDomain(v) {
-		if c := p.completionOf(v, m, list); c.missing <= len(c.from) {
-			lacking = append(lacking, c)
+// completions returns what domains lack for one more group of the models in need, the cheapest first.
+func (p *Planner) completions(v *View) []completion {
+	have := p.assigned(v)
+	domains := p.byDomain(v)
+	var out []completion
+	for _, m := range v.Service.Engine.Models {
+		need := p.pressure(v, m, have)
+		if need < relaxed {
+			continue
+		}
+		for _, list := range domains {
+			c := p.completionOf(v, m, list)
+			c.cost = float64(c.missing) * m.Load.Seconds() / min(need, mostNeed)
+			if c.missing <= len(c.from) {
+				out = append(out, c)
+			}
 		}
 	}
-	slices.SortFunc(lacking, func(a, b completion) int {
-		return cmp.Or(cmp.Compare(a.missing, b.missing), cmp.Compare(a.from[0].ID, b.from[0].ID))
+	slices.SortFunc(out, func(a, b completion) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.from[0].ID, b.from[0].ID))
 	})
-	var out []*endpoint.Endpoint
-	for _, c := range lacking {
-		out = append(out, c.from[:c.missing]...)
-	}
 	return out
 }
 
@@ -37,7 +47,7 @@
 // their groups can be ended for it.
 func (p *Planner) completionOf(v *View, m route.Model, list []*endpoint.Endpoint) completion {
 	warm := 0
-	c := completion{}
+	c := completion{model: m}
 	for _, e := range list {
 		loading, busy := p.stagings[e.ID]
 		switch {
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -39,10 +39,9 @@
 		p.stageOthers(v)
 		return
 	}
-	models := p.byNeed(v, p.assigned(v))
-	if needed := models[0]; p.pressure(v, needed, p.assigned(v)) >= relaxed {
-		for _, e := range p.completions(v, needed) {
-			if !p.stageWithin(v, &running, e, needed) {
+	for _, c := range p.completions(v) {
+		for _, e := range c.from[:c.missing] {
+			if _, busy := p.stagings[e.ID]; !busy && !p.stageWithin(v, &running, e, c.model) {
 				return
 			}
 		}
