Tell the version of the leader's lease in beats, so that a successor need not read it first

Change: the leader's beats carry the version and term of its lease. A node counts from when it first heard of that version. One that is not the latest does no harm: the write on it is refused. The random histories of the lease tell it too.

--- a/internal/gossip/node_test.go
+++ b/internal/gossip/node_test.go
@@ -84,7 +84,7 @@
 func TestStatusSurvivesTheWire(t *testing.T) {
 	now := time.Now()
 	s := Status{
-		Leaving: true, Serving: true, Watching: true, Eligible: true, LeaderEpoch: 7, Uptime: 5 * time.Second, Sequence: 9,
+		Leaving: true, Serving: true, Watching: true, Eligible: true, LeaderEpoch: 7, Lease: Lease{12, 1500 * time.Millisecond}, Uptime: 5 * time.Second, Sequence: 9,
 		ProofAt: now.Add(-40 * time.Millisecond), Loads: map[string]int{"a": 3}, Retiring: []string{"g"},
 		Suspects: map[string]time.Time{"g": now.Add(-time.Second)}, Demands: map[string]Demand{"m": {Waiting: 1, Running: 2}},
 	}
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -8,6 +8,7 @@
 	Serving     bool  // it can serve callers
 	Eligible    bool  // it may lead
 	LeaderEpoch int64 // while it leads, else 0
+	Lease       Lease // of the leader, while it leads
 	Uptime      time.Duration
 	Relay       bool // it passes on what other nodes tell it
 	Sequence    uint64
@@ -19,5 +20,11 @@
 	Demands     map[string]Demand
 }
 
+// Lease is what a leader tells of its lease.
+type Lease struct {
+	Version int64 // in the store
+	Term    time.Duration
+}
+
 // Demand is what a node lately got to do for a model.
 type Demand struct{ Waiting, Running int }
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -49,6 +49,20 @@
 	return k.lease.Held(now)
 }
 
+// Latest returns the version and the record of the lease as last seen.
+func (k *Keeper) Latest() (int64, lease.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease.Latest()
+}
+
+// Told takes in what the holder of the lease has told of it.
+func (k *Keeper) Told(version int64, record lease.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lease.Told(version, record, time.Now())
+}
+
 // Run contends for the lease while this node should hold it, until ctx ends; then it is released.
 func (k *Keeper) Run(ctx context.Context) error {
 	held := false
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -101,6 +101,24 @@
 	clear(l.inflight)
 }
 
+// Told takes in that the holder itself has told another process of a version of the object, heard at that instant.
+// Whoever contends for the lease after the holder's death then need not first read the object and wait out a term
+// from there. A version that is not the latest does no harm: a write that is conditional on it is refused.
+func (l *Lease) Told(version int64, record Record, at time.Time) {
+	if version <= l.version || len(l.inflight) > 0 || record.Holder == l.self {
+		return
+	}
+	l.version = version
+	l.record = record
+	l.seenAt = at
+	l.readAt = at
+	l.known = true
+	l.epoch = 0
+}
+
+// Latest returns the version and record of the object as last seen.
+func (l *Lease) Latest() (int64, Record) { return l.version, l.record }
+
 // resolve forgets writes in flight that are older than any answer may be late; while they could still
 // take effect the version shown by the object decides, because every write is conditional on it.
 func (l *Lease) resolve(at time.Time) {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// tell lets a holder tell the other nodes of its lease.
+func (f *fleet) tell(node int) {
+	if _, _, ok := f.nodes[node].Held(f.now); !ok {
+		return
+	}
+	version, record := f.nodes[node].Latest()
+	for i, l := range f.nodes {
+		if i != node {
+			l.Told(version, record, f.now)
+		}
+	}
+}
+
 func TestOneHolderWhateverIsLostOrLate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(3)
@@ -114,6 +127,10 @@
 			want := rapid.IntRange(0, 4).Draw(t, "want") > 0
 			f.step(node, fate != 0, fate > 1, want)
 			f.check(t)
+			if rapid.Bool().Draw(t, "tell") {
+				f.tell(node)
+				f.check(t)
+			}
 		}
 	})
 }
@@ -131,6 +148,33 @@
 	qt.Assert(t, until, qt.Equals, f.now.Add(ttl))
 }
 
+func TestSuccessorThatWasToldWaitsFromTheLastRenewal(t *testing.T) {
+	f := newFleet(2)
+	f.step(0, true, true, true) // read
+	f.step(0, true, true, true) // written
+	f.tell(0)
+	f.now = f.now.Add(ttl + margin + time.Millisecond)
+	f.step(1, true, true, true) // the very first step writes
+	epoch, _, held := f.nodes[1].Held(f.now)
+	qt.Assert(t, held, qt.IsTrue)
+	qt.Assert(t, epoch, qt.Equals, int64(2))
+}
+
+func TestSuccessorThatWasToldOfAnEarlierVersionIsRefused(t *testing.T) {
+	f := newFleet(2)
+	f.step(0, true, true, true) // read
+	f.step(0, true, true, true) // written
+	f.tell(0)
+	f.now = f.now.Add(ttl - time.Millisecond)
+	f.step(0, true, true, true) // renewed, and nobody told
+	f.now = f.now.Add(margin + 2*time.Millisecond)
+	f.step(1, true, true, true)
+	_, _, held := f.nodes[1].Held(f.now)
+	qt.Check(t, held, qt.IsFalse)
+	_, _, held = f.nodes[0].Held(f.now)
+	qt.Check(t, held, qt.IsTrue)
+}
+
 func TestPausedHolderKnowsItHasLapsed(t *testing.T) {
 	f := newFleet(2)
 	f.step(0, true, true, true)
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -12,6 +12,7 @@
 	"moorrun.dev/moorrun/internal/formation"
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/lease"
 )
 
 const (
@@ -34,6 +35,8 @@
 	s.ProofAt, s.Watching = n.follower.Whole()
 	if s.LeaderEpoch > 0 {
 		s.Retiring = n.controller.Retiring()
+		version, record := n.keeper.Latest()
+		s.Lease = gossip.Lease{Version: version, Term: time.Duration(record.TTLMillis) * time.Millisecond}
 	}
 	return s
 }
@@ -67,6 +70,9 @@
 // heard takes in another node's beat.
 func (n *Server) heard(p *gossip.Peer) {
 	n.follower.Heard(p)
+	if p.LeaderEpoch > 0 && p.Lease.Version > 0 {
+		n.keeper.Told(p.Lease.Version, lease.Record{Holder: p.VM, Epoch: p.LeaderEpoch, TTLMillis: p.Lease.Term.Milliseconds()})
+	}
 	n.picker.Review()
 }
 
