--- /dev/null
+++ b/internal/formation/busy_test.go
@@ -0,0 +1,146 @@
+package formation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+)
+
+// estate lists endpoints of several domains while requests come.
+type estate struct {
+	list   []*endpoint.Endpoint
+	demand map[string]int
+	now    time.Time
+}
+
+// add lists an endpoint that holds one model and has another staged on its host; either may be empty.
+func (s *estate) add(domain, model, staged string) *endpoint.Endpoint {
+	e := &endpoint.Endpoint{ID: fmt.Sprintf("e%02d", len(s.list)), Service: "lm", Domain: domain, Revision: 1}
+	if model != "" {
+		e.Models = []string{model}
+	}
+	if staged != "" {
+		e.Staged = []string{staged}
+	}
+	s.list = append(s.list, e)
+	return e
+}
+
+// group lists an open group of the model whose members have the other one staged.
+func (s *estate) group(name, domain, model, staged string, size int) {
+	for rank := range size {
+		state := endpoint.Ready
+		if rank == 0 {
+			state = endpoint.Open
+		}
+		s.add(domain, model, staged).Membership = &endpoint.Membership{Group: name, Epoch: 1, Rank: rank, State: state}
+	}
+}
+
+// settled returns a planner that has led for long enough to load and to convert, and knows the demand.
+func (s *estate) settled() *Planner {
+	p := NewPlanner(2, origin)
+	s.now = origin.Add(2 * settle)
+	for model, n := range s.demand {
+		p.demand[model] = float64(n)
+	}
+	return p
+}
+
+func (s *estate) view() *View {
+	d := endpoint.NewDirectory()
+	d.Apply(s.list, nil, s.now)
+	return &View{Now: s.now, AsOf: s.now, Service: testService(), Snapshot: d.Read(), Demand: s.demand, Busy: true}
+}
+
+// orders returns the endpoints that get an order of that kind, with the model.
+func orders(list []Order, kind Kind) map[string]string {
+	out := make(map[string]string)
+	for _, o := range list {
+		if o.Kind == kind {
+			out[o.Endpoint.ID] = o.Model
+		}
+	}
+	return out
+}
+
+func TestIdleEndpointsServeTheOtherModelBesideAPressedOne(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 9, "small": 1}} // 0.9 and 0.1 of their places
+	s.group("a", "d1", "big", "small", 3)
+	s.group("b", "d1", "small", "big", 2)
+	one, two := s.add("d2", "", "small"), s.add("d2", "", "small")
+	given, _ := s.settled().Step(s.view())
+	qt.Check(t, orders(given, Join), qt.DeepEquals, map[string]string{one.ID: "small", two.ID: "small"})
+}
+
+func TestEndpointsThatThePressedModelCanUseAreLeftToIt(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 9, "small": 1}}
+	s.group("a", "d1", "big", "small", 3)
+	s.group("b", "d1", "small", "big", 2)
+	s.add("d2", "", "big")
+	s.add("d2", "", "big")
+	given, _ := s.settled().Step(s.view())
+	qt.Check(t, orders(given, Join), qt.HasLen, 0)
+}
+
+func TestConversionDoesNotWaitForGroupsThatRetireElsewhere(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 9, "small": 2}}
+	s.group("a", "d1", "big", "small", 3)
+	s.group("b", "d2", "small", "big", 2)
+	s.group("c", "d2", "small", "big", 2)
+	s.group("d", "d3", "small", "small", 2)
+	s.group("e", "d3", "small", "small", 2)
+	p := s.settled()
+	v := s.view()
+	p.retire(v, "e", 1, v.Snapshot.Groups["e"].Head, "its head is silent", time.Minute)
+	p.Step(v)
+	qt.Check(t, p.Retiring(), qt.HasLen, 3, qt.Commentf("both groups of d2 are ended for the other model: %v", p.Retiring()))
+	qt.Check(t, p.reserved["d2"].model, qt.Equals, "big")
+}
+
+func TestConversionsUnderWayCountAsSupply(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 9, "small": 2}}
+	s.group("a", "d1", "big", "small", 3)
+	for i, domain := range []string{"d2", "d3"} {
+		s.group(fmt.Sprint("b", i), domain, "small", "big", 2)
+		s.group(fmt.Sprint("c", i), domain, "small", "big", 2)
+	}
+	p := s.settled()
+	p.Step(s.view())
+	s.now = s.now.Add(2 * convertEvery)
+	p.Step(s.view())
+	qt.Check(t, p.reserved, qt.HasLen, 1, qt.Commentf("one more group of three is enough for nine requests"))
+}
+
+func TestLoadsCompleteAGroupOfTheModelInNeed(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 9, "small": 5}}
+	s.group("a", "d1", "big", "small", 3)
+	s.group("b", "d1", "small", "big", 2)
+	s.add("d2", "", "big")
+	s.add("d2", "", "big")
+	empty := s.add("d2", "", "")
+	given, _ := s.settled().Step(s.view())
+	qt.Check(t, orders(given, Stage)[empty.ID], qt.Equals, "big", qt.Commentf("the other model would load sooner"))
+}
+
+func TestCheapestCompletionComesFirst(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 9, "small": 9}}
+	s.group("a", "d1", "big", "small", 3)
+	s.group("b", "d1", "small", "big", 2)
+	for range 3 {
+		s.add("d2", "", "")
+	}
+	s.add("d3", "", "big")
+	s.add("d3", "", "big")
+	last := s.add("d3", "", "")
+	p := s.settled()
+	v := s.view()
+	list := p.completions(v)
+	qt.Assert(t, len(list) > 1, qt.IsTrue)
+	qt.Check(t, list[0].from[0].ID, qt.Equals, last.ID)
+	qt.Check(t, list[0].missing, qt.Equals, 1)
+}
