--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -74,10 +74,11 @@
 	var g errgroup.Group
 	for _, s := range []*source{
 		{prefix: keys.Accepted, wait: watchWait},
-		{prefix: keys.Endpoints, wait: watchWait, gather: endpointsGather},
+		{prefix: keys.Endpoints, wait: watchWait, gather: endpointsGather, lapses: true},
 	} {
 		s.objects, s.mirror, s.wanted = f.objects, f.Mirror, f.shouldWatch
 		s.proved, s.failed = f.proved, f.failed
+		s.age = func(now time.Time) time.Duration { return now.Sub(f.Current(s.prefix)) }
 		g.Go(func() error { return s.run(ctx) })
 	}
 	g.Go(func() error { f.takeBeats(ctx); return nil })
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -28,6 +28,11 @@
 	proved  func(prefix string, at time.Time)
 	failed  func(prefix string, err error)
 	wanted  func() bool
+	// lapses, if set, says that entries may run out while the store is away, and that those of endpoints that live
+	// come back soon after. age tells how old the copy is.
+	lapses bool
+	age    func(now time.Time) time.Duration
+	absent absentees
 }
 
 // run watches until ctx ends.
@@ -58,6 +63,9 @@
 		retry.Reset()
 		version = next
 		s.proved(s.prefix, sent)
+		for _, o := range s.absent.due(time.Now()) {
+			s.mirror.Put(o)
+		}
 		if changed {
 			loop.Sleep(ctx, s.gather)
 		}
@@ -67,13 +75,15 @@
 
 // next lists or watches once and returns the store version reached and whether anything came.
 func (s *source) next(ctx context.Context, version int64) (int64, bool, error) {
+	away := s.lapses && s.age(time.Now()) > awayFor
 	if version > 0 {
 		l, err := s.objects.Watch(ctx, s.prefix, version, s.wait)
 		if err != nil {
 			return version, false, err
 		}
+		s.returned(away)
 		for _, o := range l.Objects {
-			s.mirror.Put(ordered(o))
+			s.put(ordered(o))
 		}
 		return max(version, l.Version), len(l.Objects) > 0, nil
 	}
@@ -81,19 +91,35 @@
 	if err != nil {
 		return 0, false, err
 	}
+	s.returned(away)
 	listed := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		listed[o.Key] = true
-		s.mirror.Put(ordered(o))
+		s.put(ordered(o))
 	}
 	for _, o := range s.mirror.List(s.prefix) {
 		if !listed[o.Key] {
-			s.mirror.Put(ordered(infra.Object{Key: o.Key, Version: l.Version, Deleted: true}))
+			s.put(ordered(infra.Object{Key: o.Key, Version: l.Version, Deleted: true}))
 		}
 	}
 	return l.Version, false, nil
 }
 
+// returned notes that the store has answered, after it was away or not.
+func (s *source) returned(away bool) {
+	if away {
+		s.absent.wait(time.Now())
+	}
+}
+
+// put takes an object into the copy. For some time after the store was away, removals are held back.
+func (s *source) put(o infra.Object) {
+	if s.absent.holds(o, time.Now()) {
+		return
+	}
+	s.mirror.Put(o)
+}
+
 // ordered gives an object a version at which its removal comes after its last change, though the store may tell
 // both with one revision.
 func ordered(o infra.Object) infra.Object {
