Wait longer before a replica group counts as standing still

Of the groups that "stood still" most had lost nobody: a pass that reads several prompts of 2,000 tokens is silent for 300 ms, more than four usual pauses. Their streams went to other groups all at once, whose passes grew in turn. With 90 nodes a node seldom has another stream of the same group that would tell it otherwise. Change: 600 to 1,000 ms in a stream (were 180 to 600), 1,500 ms for the first event (was 700).

--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -8,10 +8,12 @@
 
 const (
 	// firstPatience is how long a replica group may send nothing at all before it counts as standing still.
-	firstPatience = 700 * time.Millisecond
-	// leastPatience and mostPatience bound the wait for the next event of a running stream.
-	leastPatience = 180 * time.Millisecond
-	mostPatience  = 600 * time.Millisecond
+	firstPatience = 1500 * time.Millisecond
+	// leastPatience and mostPatience bound the wait for the next event of a running stream. A group that reads several
+	// long prompts in one pass is silent for some 300 ms; taking it for dead sends its streams to others, whose
+	// passes grow in turn, and a stream that is sent again is late in any case.
+	leastPatience = 600 * time.Millisecond
+	mostPatience  = 1000 * time.Millisecond
 	// gapsPatience is how many usual pauses between events are waited.
 	gapsPatience = 4
 )
