Doubt a silent group early, and send its streams elsewhere once the leader has found the loss

Cause: with the longer patience the streams of a group that has really lost a member wait up to 1.5 s, and new requests go there as long. Change: doubts come as early as before (250 to 600 ms in a stream, 700 ms before its first event): others are preferred and the leader asks the members. A stream is sent elsewhere when the leader tells that the group has lost a member, or after the long patience. The leader tells for 3 s, in its beats.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -165,3 +165,19 @@
 	qt.Check(t, p.Retiring(), qt.DeepEquals, []string{"a"})
 	qt.Check(t, p.free(v, head), qt.IsFalse)
 }
+
+func TestOthersAreToldOfAGroupThatHasLostAMember(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 1, "small": 1}}
+	s.group("a", "d1", "big", "small", 3)
+	s.group("b", "d1", "small", "big", 2)
+	p, v := s.settled(), s.view()
+	v.Suspects = map[string]bool{"a": true}
+	v.Contacts = map[string]Contact{"e01": {Failed: s.now, Refused: true}}
+	p.Step(v)
+	qt.Check(t, p.Lost(), qt.DeepEquals, []string{"a"})
+	s.now = s.now.Add(tellLostFor + time.Millisecond)
+	v = s.view()
+	v.Contacts = map[string]Contact{"e01": {Failed: s.now, Refused: true}}
+	p.Step(v)
+	qt.Check(t, p.Lost(), qt.HasLen, 0)
+}
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -29,7 +29,8 @@
 type Controller struct {
 	Options
 
-	retiring atomic.Pointer[[]string] // read without the lock: those who ask may hold locks that steps need
+	// Read without the lock: those who ask may hold locks that steps need.
+	retiring, lost atomic.Pointer[[]string]
 
 	mu       sync.Mutex
 	epoch    int64               // of the last tenure
@@ -84,20 +85,27 @@
 }
 
 // Retiring returns the groups that the plans of this tenure are about to end.
-func (c *Controller) Retiring() []string {
-	if list := c.retiring.Load(); list != nil {
-		return *list
+func (c *Controller) Retiring() []string { return told(&c.retiring) }
+
+// Lost returns the groups that this tenure has lately found to have lost a member.
+func (c *Controller) Lost() []string { return told(&c.lost) }
+
+func told(list *atomic.Pointer[[]string]) []string {
+	if names := list.Load(); names != nil {
+		return *names
 	}
 	return nil
 }
 
-// tellRetiring notes what Retiring returns.
-func (c *Controller) tellRetiring() {
-	var list []string
+// tell notes what Retiring and Lost return.
+func (c *Controller) tell() {
+	var retiring, lost []string
 	for _, p := range c.planners {
-		list = append(list, p.Retiring()...)
+		retiring = append(retiring, p.Retiring()...)
+		lost = append(lost, p.Lost()...)
 	}
-	c.retiring.Store(&list)
+	c.retiring.Store(&retiring)
+	c.lost.Store(&lost)
 }
 
 func (c *Controller) step(ctx context.Context, now time.Time) {
@@ -109,7 +117,7 @@
 		c.epoch = epoch // a lease that lapsed and was found to be held still is the same tenure
 		clear(c.planners)
 	}
-	defer c.tellRetiring()
+	defer c.tell()
 	if !ok || table == nil || now.Sub(c.Current()) > freshEnough || until.Sub(now) < orderWait {
 		return
 	}
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -18,6 +18,8 @@
 	tenureStep = 1 << 20
 	// forgetAfter is how long ended groups are remembered.
 	forgetAfter = 2 * time.Minute
+	// tellLostFor is how long the other nodes are told of a group that has lost a member.
+	tellLostFor = 3 * time.Second
 )
 
 // Planner plans the groups of one service during one tenure of the leader.
@@ -29,6 +31,7 @@
 	plans     map[string]*plan
 	retiring  map[string]*retirement
 	ended     map[string]time.Time   // groups whose members are free
+	lostAt    map[string]time.Time   // groups found to have lost a member
 	strangers map[string]time.Time   // first sight of groups of earlier tenures
 	complete  map[string]bool        // groups seen with all members ready
 	stagings  map[string]staging     // by endpoint ID
@@ -51,7 +54,7 @@
 func NewPlanner(tenure int64, now time.Time) *Planner {
 	return &Planner{
 		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement),
-		ended: make(map[string]time.Time), strangers: make(map[string]time.Time), complete: make(map[string]bool),
+		ended: make(map[string]time.Time), lostAt: make(map[string]time.Time), strangers: make(map[string]time.Time), complete: make(map[string]bool),
 		stagings: make(map[string]staging), asked: make(map[string]bool), demand: make(map[string]float64), reserved: make(map[string]reservation), cleared: make(map[string]time.Time),
 	}
 }
@@ -104,6 +107,15 @@
 	return out
 }
 
+// Lost returns the groups that have lately been found to have lost a member: nothing more comes from them.
+func (p *Planner) Lost() []string {
+	out := make([]string, 0, len(p.lostAt))
+	for name := range p.lostAt {
+		out = append(out, name)
+	}
+	return out
+}
+
 // Result takes in what became of an order.
 func (p *Planner) Result(o Order, outcome Outcome, now time.Time) {
 	switch o.Kind {
@@ -167,6 +179,11 @@
 			delete(p.ended, name)
 		}
 	}
+	for name, at := range p.lostAt {
+		if v.Now.Sub(at) > tellLostFor {
+			delete(p.lostAt, name)
+		}
+	}
 	for id := range p.cleared {
 		if v.Snapshot.Endpoints[id] == nil {
 			delete(p.cleared, id)
--- a/internal/formation/running.go
+++ b/internal/formation/running.go
@@ -44,6 +44,7 @@
 		return
 	}
 	if lost, reason := p.lost(v, g); lost {
+		p.lostAt[g.Name] = v.Now
 		p.retire(v, g.Name, g.Epoch, g.Head, reason, 0)
 		return
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -100,6 +100,7 @@
 
 // site is a gateway before two groups and two endpoints that serve alone.
 type site struct {
+	lost    bool // the leader has found every group to have lost a member
 	gateway *gateway.Gateway
 	proof   time.Time
 	table   *route.Table
@@ -129,7 +130,7 @@
 	nobody := func(time.Time) *gossip.Totals { return gossip.NewTotals() }
 	s.gateway = gateway.New(gateway.Options{
 		Table: func() *route.Table { return s.table }, Proof: func() time.Time { return s.proof }, ProofLimit: 5 * time.Second,
-		Picker: picker.New(picker.Options{Directory: d, Others: nobody, Retiring: func(time.Time) map[string]bool { return nil }}),
+		Picker: picker.New(picker.Options{Directory: d, Others: nobody, Retiring: func(time.Time) map[string]bool { return nil }, Lost: func(string, time.Time) bool { return s.lost }}),
 		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() int { return 1 }, Log: noLog{}, Scope: tally.NoopScope,
 	})
 	return s
@@ -267,3 +268,21 @@
 	qt.Check(t, x.attempts, qt.HasLen, 2)
 	qt.Check(t, x.aborted, qt.IsTrue)
 }
+
+func TestStreamOfAGroupThatIsKnownToBeLostIsSentElsewhereSooner(t *testing.T) {
+	s := newSite()
+	serve := func() *exchange {
+		x := &exchange{scripts: []script{{mute: true}, {head: events, events: []string{"1"}}}}
+		// Shorter than the wait for a first event when nothing is known of the group.
+		r := &gateway.Request{ID: "r", Host: "h", Path: "/stream/a", Credential: "key", Model: "m", Received: time.Now(), Patience: 1400 * time.Millisecond}
+		s.gateway.Serve(context.Background(), r, x)
+		return x
+	}
+	x := serve()
+	qt.Assert(t, x.refusal, qt.IsNotNil)
+	qt.Check(t, x.refusal.Reason, qt.Equals, gateway.TimedOut)
+	s.lost = true
+	x = serve()
+	qt.Check(t, x.refusal, qt.IsNil)
+	qt.Check(t, x.events, qt.DeepEquals, []string{"1"})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -123,6 +123,9 @@
 	return false
 }
 
+// lookAgain is how often a stream that stands still looks whether its group is known to be lost.
+const lookAgain = 100 * time.Millisecond
+
 // streaming is one endpoint's stream while it arrives.
 type streaming struct {
 	flight *flight
@@ -146,8 +149,16 @@
 	}
 }
 
+// until returns when to look again if nothing has come.
 func (s *streaming) until() time.Time {
-	until := s.place.Patience(s.last, !s.first.IsZero())
+	doubt, until := s.place.Patience(s.last, !s.first.IsZero())
+	now := time.Now()
+	switch {
+	case now.Before(doubt):
+		until = doubt
+	case now.Add(lookAgain).Before(until):
+		until = now.Add(lookAgain)
+	}
 	if until.After(s.flight.deadline) {
 		return s.flight.deadline
 	}
@@ -160,10 +171,14 @@
 	if err := ctx.Err(); err != nil || !now.Before(s.flight.deadline) {
 		return verdict.New(verdict.MayHaveRun, context.DeadlineExceeded)
 	}
-	if now.Before(s.until()) {
+	doubt, until := s.place.Patience(s.last, !s.first.IsZero())
+	if now.Before(doubt) {
 		return nil // another stream of the group has gone on
 	}
 	s.place.StoodStill(now)
+	if now.Before(until) && !s.place.Lost(now) {
+		return nil
+	}
 	s.flight.gateway.meters.stalls.Inc(1)
 	s.flight.ran++
 	again := s.flight.mayResend(verdict.MayHaveRun)
--- a/internal/gossip/convert.go
+++ b/internal/gossip/convert.go
@@ -14,7 +14,7 @@
 		GossipAddress: self.GossipAddress, PeerAddress: self.PeerAddress,
 		Leaving: s.Leaving, Serving: s.Serving, Watching: s.Watching, Eligible: s.Eligible, LeaderEpoch: s.LeaderEpoch, Sequence: s.Sequence,
 		LeaseVersion: s.Lease.Version, LeaseTtlMs: uint32(s.Lease.Term / time.Millisecond), //nolint:gosec // terms are short
-		Retiring: s.Retiring, Relay: s.Relay, Capacity: self.Capacity, UptimeMs: uint32(s.Uptime / time.Millisecond), //nolint:gosec // 49 days fit
+		Retiring: s.Retiring, Lost: s.Lost, Relay: s.Relay, Capacity: self.Capacity, UptimeMs: uint32(s.Uptime / time.Millisecond), //nolint:gosec // 49 days fit
 	}
 	if !s.ProofAt.IsZero() {
 		b.ProofAgeMs = max(1, roundUp(now.Sub(s.ProofAt)))
@@ -46,7 +46,7 @@
 		},
 		Status: Status{
 			Leaving: b.Leaving, Serving: b.Serving, Watching: b.Watching, Eligible: b.Eligible, LeaderEpoch: b.LeaderEpoch, Sequence: b.Sequence,
-			Lease: Lease{b.LeaseVersion, millis(b.LeaseTtlMs)}, Retiring: b.Retiring, Relay: b.Relay, Uptime: millis(b.UptimeMs), Loads: make(map[string]int, len(b.Loads)),
+			Lease: Lease{b.LeaseVersion, millis(b.LeaseTtlMs)}, Retiring: b.Retiring, Lost: b.Lost, Relay: b.Relay, Uptime: millis(b.UptimeMs), Loads: make(map[string]int, len(b.Loads)),
 			Suspects: make(map[string]time.Time, len(b.Suspects)), Demands: make(map[string]Demand, len(b.Demands)),
 		},
 		Heard: asOf,
--- a/internal/gossip/node_test.go
+++ b/internal/gossip/node_test.go
@@ -85,7 +85,7 @@
 	now := time.Now()
 	s := Status{
 		Leaving: true, Serving: true, Watching: true, Eligible: true, LeaderEpoch: 7, Lease: Lease{12, 1500 * time.Millisecond}, Uptime: 5 * time.Second, Sequence: 9,
-		ProofAt: now.Add(-40 * time.Millisecond), Loads: map[string]int{"a": 3}, Retiring: []string{"g"},
+		ProofAt: now.Add(-40 * time.Millisecond), Loads: map[string]int{"a": 3}, Retiring: []string{"g"}, Lost: []string{"h"},
 		Suspects: map[string]time.Time{"g": now.Add(-time.Second)}, Demands: map[string]Demand{"m": {Waiting: 1, Running: 2}},
 	}
 	p := fromWire(toWire(Identity{VM: "v", Zone: "z"}, s, now), now)
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -16,7 +16,8 @@
 	ProofAt     time.Time      // its copy of the store is current as of then; zero if unknown
 	Loads       map[string]int // requests it has at an endpoint
 	Suspects    map[string]time.Time
-	Retiring    []string
+	Retiring    []string // groups that the leader is about to end
+	Lost        []string // groups that the leader has found to have lost a member
 	Demands     map[string]Demand
 }
 
--- a/internal/gossip/totals.go
+++ b/internal/gossip/totals.go
@@ -11,6 +11,7 @@
 	Loads    map[string]int       // requests by endpoint
 	Suspects map[string]time.Time // groups that stand still, since when at the latest
 	Retiring []string             // groups that a leader is about to end
+	Lost     []string             // groups that a leader has found to have lost a member
 	Demands  map[string]Demand    // by model
 }
 
@@ -33,11 +34,18 @@
 		sum := t.Demands[model]
 		t.Demands[model] = Demand{Waiting: sum.Waiting + d.Waiting, Running: sum.Running + d.Running}
 	}
-	for _, group := range s.Retiring {
-		if !slices.Contains(t.Retiring, group) {
-			t.Retiring = append(t.Retiring, group)
+	t.Retiring = union(t.Retiring, s.Retiring)
+	t.Lost = union(t.Lost, s.Lost)
+}
+
+// union adds what the list does not hold yet.
+func union(list, more []string) []string {
+	for _, name := range more {
+		if !slices.Contains(list, name) {
+			list = append(list, name)
 		}
 	}
+	return list
 }
 
 // AddTotals counts in what other totals cover.
@@ -65,6 +73,6 @@
 
 // over returns the status with the totals in place of the node's own loads and doubts.
 func (t *Totals) over(s Status) Status {
-	s.Loads, s.Suspects, s.Retiring, s.Demands = t.Loads, t.Suspects, t.Retiring, t.Demands
+	s.Loads, s.Suspects, s.Retiring, s.Lost, s.Demands = t.Loads, t.Suspects, t.Retiring, t.Lost, t.Demands
 	return s
 }
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -14,6 +14,11 @@
 	// passes grow in turn, and a stream that is sent again is late in any case.
 	leastPatience = 600 * time.Millisecond
 	mostPatience  = 1000 * time.Millisecond
+	// firstDoubt, leastDoubt and mostDoubt are the waits after which a group is doubted: others are preferred for new
+	// requests, and the leader asks its members.
+	firstDoubt = 700 * time.Millisecond
+	leastDoubt = 250 * time.Millisecond
+	mostDoubt  = 600 * time.Millisecond
 	// gapsPatience is how many usual pauses between events are waited.
 	gapsPatience = 4
 )
@@ -59,9 +64,9 @@
 }
 
 // Patience returns until when the next sign of life should come, for a request that got its last one (or was
-// sent) at since. Any sign of life of the same group counts for a request that has got nothing yet: its prompt
-// waits its turn.
-func (p *Place) Patience(since time.Time, begun bool) time.Time {
+// sent) at since, and from when on the group is to be doubted. Any sign of life of the same group counts for a
+// request that has got nothing yet: its prompt waits its turn.
+func (p *Place) Patience(since time.Time, begun bool) (doubt, until time.Time) {
 	p.picker.mu.Lock()
 	defer p.picker.mu.Unlock()
 	h := p.picker.healthOf(p.key(), since)
@@ -69,9 +74,15 @@
 		if h.progress.After(since) {
 			since = h.progress
 		}
-		return since.Add(firstPatience)
+		return since.Add(firstDoubt), since.Add(firstPatience)
 	}
-	return since.Add(min(max(gapsPatience*h.gap, leastPatience), mostPatience))
+	usual := gapsPatience * h.gap
+	return since.Add(min(max(usual, leastDoubt), mostDoubt)), since.Add(min(max(usual, leastPatience), mostPatience))
+}
+
+// Lost reports whether the leader has found the group to have lost a member, so that nothing more comes from it.
+func (p *Place) Lost(now time.Time) bool {
+	return p.Group != "" && p.picker.options.Lost != nil && p.picker.options.Lost(p.Group, now)
 }
 
 // StoodStill notes that nothing came in time.
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -33,6 +33,8 @@
 	Others func(now time.Time) *gossip.Totals
 	// Retiring returns the replica groups that the leader is about to end.
 	Retiring func(now time.Time) map[string]bool
+	// Lost reports whether the leader has found a replica group to have lost a member; nil if nobody tells.
+	Lost func(group string, now time.Time) bool
 }
 
 // Picker chooses endpoints.
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -201,10 +201,14 @@
 	f.group("a", "near", endpoint.Open, endpoint.Ready)
 	waits, runs := f.acquire(t, want()), f.acquire(t, want())
 	sent := time.Now()
-	before := waits.Patience(sent, false)
+	_, before := waits.Patience(sent, false)
 	runs.Progress(20*time.Millisecond, sent.Add(500*time.Millisecond))
-	qt.Check(t, waits.Patience(sent, false).After(before), qt.IsTrue, qt.Commentf("another stream goes on: its prompt waits its turn"))
-	qt.Check(t, waits.Patience(sent, true).Before(before), qt.IsTrue, qt.Commentf("once begun, events come soon"))
+	doubt, until := waits.Patience(sent, false)
+	qt.Check(t, until.After(before), qt.IsTrue, qt.Commentf("another stream goes on: its prompt waits its turn"))
+	qt.Check(t, doubt.Before(until), qt.IsTrue, qt.Commentf("doubts come before the stream is given up"))
+	doubt, until = waits.Patience(sent, true)
+	qt.Check(t, until.Before(before), qt.IsTrue, qt.Commentf("once begun, events come soon"))
+	qt.Check(t, doubt.Before(until), qt.IsTrue)
 }
 
 func TestEndpointsThatServeAlone(t *testing.T) {
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -35,6 +35,7 @@
 	s.ProofAt, s.Watching = n.follower.Whole()
 	if s.LeaderEpoch > 0 {
 		s.Retiring = n.controller.Retiring()
+		s.Lost = n.controller.Lost()
 		version, record := n.keeper.Latest()
 		s.Lease = gossip.Lease{Version: version, Term: time.Duration(record.TTLMillis) * time.Millisecond}
 	}
@@ -88,6 +89,11 @@
 	return out
 }
 
+// lost reports whether the leader has found a group to have lost a member.
+func (n *Server) lost(group string, now time.Time) bool {
+	return slices.Contains(n.controller.Lost(), group) || slices.Contains(n.gossip.Others(now).Lost, group)
+}
+
 // askFor asks an endpoint on behalf of another node.
 func (n *Server) askFor(ctx context.Context, id, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
