Split the sending of beats by who sends: relays, those that report, and what both share

Read as a newcomer: one file of 220 lines held three jobs, one switch had the same outcome in two branches, and the fields of one receiver were copied from a second message. Behaviour as before; the tests of the relays pass.

--- a/internal/gossip/contact.go
+++ b/internal/gossip/contact.go
@@ -47,13 +47,13 @@
 	return c.added
 }
 
-// sending notes that a beat is sent and returns the fields that only this receiver gets.
-func (c *contact) sending(now time.Time) *gossippb.Beat {
+// sending notes that a beat is sent and returns its number and the last one heard.
+func (c *contact) sending(now time.Time) (tick, echo uint64) {
 	if !c.fresh(now) && (c.tried.IsZero() || now.Sub(c.tried) >= retryRelay) {
 		c.tried = now
 	}
 	c.sent = now
-	return &gossippb.Beat{Tick: c.clock.Next(now), Echo: c.echo}
+	return c.clock.Next(now), c.echo
 }
 
 // takeFlags notes what a beat says besides the status.
--- /dev/null
+++ b/internal/gossip/report.go
@@ -0,0 +1,64 @@
+package gossip
+
+import (
+	"slices"
+	"time"
+
+	"moorrun.dev/moorrun/internal/gossip/gossippb"
+)
+
+// report tells this node's status to its relays: to the first each time, to the second now and then.
+func (n *Node) report(now time.Time, urgent bool, relays []*Peer) {
+	n.own = nil
+	n.subscribe(now, relays)
+	b := toWire(n.self, n.last, now)
+	b.Known = n.known(now)
+	common := n.marshal(b)
+	for i, address := range n.subscribed {
+		c := n.peers[address]
+		if i > 0 && c.fresh(now) && !urgent && now.Sub(c.sent) < standbyEvery {
+			continue
+		}
+		n.write(c, now, common, &gossippb.Beat{Subscribes: true, Reports: i == 0})
+	}
+	if n.upstream(now) != nil {
+		return
+	}
+	for _, c := range n.peers { // nobody answers: anyone may know more
+		if !c.fresh(now) && now.Sub(c.sent) >= slowEvery {
+			n.write(c, now, common, &gossippb.Beat{})
+		}
+	}
+}
+
+// relaysPerNode is how many relays a node that is none subscribes to.
+const relaysPerNode = 2
+
+// subscribe keeps the relays that answer and finds others for those that do not.
+func (n *Node) subscribe(now time.Time, relays []*Peer) {
+	n.subscribed = slices.DeleteFunc(n.subscribed, func(address string) bool {
+		c := n.peers[address]
+		isRelay := slices.ContainsFunc(relays, func(p *Peer) bool { return p.GossipAddress == address })
+		return c == nil || !isRelay || c.silent(now)
+	})
+	// One that answers comes before one that is only tried.
+	slices.SortStableFunc(n.subscribed, func(a, b string) int { return n.untried(a, now) - n.untried(b, now) })
+	for _, p := range preferredRelays(n.self, relays) {
+		if len(n.subscribed) >= relaysPerNode {
+			return
+		}
+		c := n.add(p.GossipAddress, now)
+		if c == nil || c.silent(now) || slices.Contains(n.subscribed, p.GossipAddress) {
+			continue
+		}
+		n.subscribed = append(n.subscribed, p.GossipAddress)
+	}
+}
+
+// untried returns 0 for an address that answers and 1 for one that is only tried.
+func (n *Node) untried(address string, now time.Time) int {
+	if n.peers[address].fresh(now) {
+		return 0
+	}
+	return 1
+}
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -13,6 +13,7 @@
 	return n.live(now)
 }
 
+// live is Live with the lock held.
 func (n *Node) live(now time.Time) []*Peer {
 	if n.liveAt.Equal(now) || now.Sub(n.liveAt) < viewFor && !n.changed {
 		return n.liveList
@@ -80,6 +81,7 @@
 	return n.othersNow(now)
 }
 
+// othersNow is Others with the lock held.
 func (n *Node) othersNow(now time.Time) *Totals {
 	if n.others == nil || now.Sub(n.othersAt) >= viewFor {
 		n.others, n.othersAt = n.sum(now), now
@@ -107,13 +109,10 @@
 	if n.relaying {
 		return nil
 	}
-	var best *contact
 	for _, address := range n.subscribed {
-		c := n.peers[address]
-		if c != nil && c.fresh(now) && c.wholeFleet {
-			best = c
-			break
+		if c := n.peers[address]; c != nil && c.fresh(now) && c.wholeFleet {
+			return c
 		}
 	}
-	return best
+	return nil
 }
