A refused connection is no proof of the death of a head that leaves

A head that drains stops listening while it still serves what it has begun. The order to leave found nobody listening, the group counted as ended, and its members joined another while the head was open. Orders carried out late kept the group retiring until then. Change: a head where nothing listens is dead if a listing taken after the refusal still shows it and not as leaving; if it was leaving, once its entry is gone; if it is not listed and had said nothing, 11 s after the refusal. An order to leave that finds nobody ends nothing by itself. TestHeadThatLeavesServesOnAfterItHasStoppedListening fails without it.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -181,3 +181,35 @@
 	p.Step(v)
 	qt.Check(t, p.Lost(), qt.HasLen, 0)
 }
+
+func TestHeadThatLeavesServesOnAfterItHasStoppedListening(t *testing.T) {
+	// Found by a hunt (gjafabru trouble-1 --seed 733279487052): TWO.
+	s := &estate{demand: map[string]int{"big": 1, "small": 1}}
+	s.group("a", "d1", "big", "small", 3)
+	head := s.list[0]
+	head.Draining = true
+	p, v := s.settled(), s.view()
+	p.retire(v, "a", 1, head, "a member is leaving", 0)
+	p.Result(Order{Kind: Leave, Endpoint: head, Group: "a", Epoch: 1}, Elsewhere, s.now)
+	v.Contacts = map[string]Contact{head.ID: {Failed: s.now.Add(-time.Second), Refused: true}}
+	p.Step(v)
+	qt.Check(t, p.Retiring(), qt.DeepEquals, []string{"a"})
+	delete(v.Snapshot.Endpoints, head.ID)
+	v.Snapshot.Gone = map[string]endpoint.Gone{head.ID: {Endpoint: head, At: s.now}}
+	qt.Check(t, v.dead(head.ID), qt.IsTrue, qt.Commentf("its entry is removed once it has left"))
+	head.Draining = false
+	qt.Check(t, v.dead(head.ID), qt.IsFalse, qt.Commentf("it left without a word and may serve on"))
+	v.Now = v.Now.Add(leavesWithin)
+	qt.Check(t, v.dead(head.ID), qt.IsTrue)
+}
+
+func TestCrashedHeadIsDeadAtOnce(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 1, "small": 1}}
+	s.group("a", "d1", "big", "small", 3)
+	s.settled()
+	v := s.view()
+	v.Contacts = map[string]Contact{"e00": {Failed: s.now, Refused: true}}
+	qt.Check(t, v.dead("e00"), qt.IsTrue)
+	v.Contacts = map[string]Contact{"e00": {Failed: s.now.Add(time.Millisecond), Refused: true}}
+	qt.Check(t, v.dead("e00"), qt.IsFalse, qt.Commentf("the listing is older than the refusal"))
+}
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -124,7 +124,7 @@
 			pl.refused = true
 		}
 	case Leave:
-		if _, ok := p.retiring[o.Group]; ok && (outcome == Taken || outcome == Refused || outcome == Elsewhere) {
+		if _, ok := p.retiring[o.Group]; ok && (outcome == Taken || outcome == Refused) {
 			delete(p.retiring, o.Group)
 			p.ended[o.Group] = now
 			p.note("group ended", o.Group, "reason", "leave "+outcome.String())
--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -36,6 +36,8 @@
 	// deadAfter is how long an endpoint that is not listed any more must be silent to all nodes before it counts
 	// as dead. Only then may the members of a group that it headed join others: it may still serve them.
 	deadAfter = 1200 * time.Millisecond
+	// leavesWithin is how long an endpoint that leaves may serve what it has begun after it has stopped listening.
+	leavesWithin = 11 * time.Second
 )
 
 // down reports whether the endpoint does not answer, whether dead or cut off.
@@ -58,12 +60,27 @@
 		return false
 	}
 	if c.Refused {
-		return true
+		return v.ended(id, c)
 	}
 	_, gone := v.Snapshot.Gone[id]
 	return gone && !c.Alone.IsZero() && v.Now.Sub(c.Alone) >= deadAfter
 }
 
+// ended reports whether an endpoint where nothing listens has ended. One that leaves stops listening before that and
+// serves what it has begun: it is listed as draining until it has ended, or is not listed from the beginning.
+func (v *View) ended(id string, c Contact) bool {
+	if v.AsOf.Before(c.Failed) {
+		return false // it may have begun to leave meanwhile
+	}
+	if e, listed := v.Snapshot.Endpoints[id]; listed {
+		return !e.Draining
+	}
+	if gone, known := v.Snapshot.Gone[id]; known && gone.Endpoint.Draining {
+		return true
+	}
+	return v.Now.Sub(c.Failed) >= leavesWithin
+}
+
 // answers reports whether the endpoint has answered a direct question within that time.
 func (v *View) answers(id string, within time.Duration) bool {
 	c, ok := v.Contacts[id]
