Let credentials count without a proof where the deployment does not ask for one

Cause: the settings pass the bound on the proof's age although the deployment does not enforce it.

Change: the setting credential_proof_required (true). Where it is false a node without a current proof serves on with the newest configuration it has; it logs when the proof runs out and when it is back. What that configuration does not hold is refused as not run, as before. Where it is true nothing changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,10 +95,13 @@
 	}
 	f.workspace = &route.Workspace{}
 	if table.NeedsCredential(f.route) {
-		if !proved {
+		if !proved && !g.ProofOptional {
 			return unproved(age)
 		}
 		f.workspace = table.Workspace(f.request.Credential)
+		if f.workspace == nil && !proved {
+			return unproved(age)
+		}
 		if f.workspace == nil {
 			return &Refusal{Reason: NoCredential, Detail: "the credential is not known"}
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -232,6 +232,19 @@
 	qt.Check(t, reasonOf(s.serve("/none/a", script{head: fine})), qt.Equals, gateway.NotRun, qt.Commentf("the route may be there by now"))
 }
 
+func TestWithoutProofCredentialsCountWhereItIsOptional(t *testing.T) {
+	s := newSite()
+	s.gateway.ProofOptional = true
+	s.proof = time.Now().Add(-time.Hour)
+	qt.Check(t, s.serve("/once/a", script{head: fine}).status, qt.Equals, 200)
+	qt.Check(t, reasonOf(s.serve("/none/a", script{head: fine})), qt.Equals, gateway.NotRun, qt.Commentf("the route may be there by now"))
+	x := &exchange{scripts: []script{{head: fine}}}
+	s.gateway.Serve(context.Background(), &gateway.Request{Host: "h", Path: "/once/a", Credential: "new", Received: time.Now()}, x)
+	qt.Check(t, reasonOf(x), qt.Equals, gateway.NotRun, qt.Commentf("the credential may have been added by now"))
+	s.table = nil
+	qt.Check(t, reasonOf(s.serve("/once/a", script{head: fine})), qt.Equals, gateway.NotRun, qt.Commentf("no configuration is known"))
+}
+
 func TestRefusalsOfTheGatewayItself(t *testing.T) {
 	s := newSite()
 	qt.Check(t, reasonOf(s.serve("/none/a", script{head: fine})), qt.Equals, gateway.NoRoute)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -15,11 +15,14 @@
 	Table      func() *route.Table
 	Proof      func() time.Time // the table was certainly current then
 	ProofLimit time.Duration    // how old the proof may be for requests with a credential
-	Picker     *picker.Picker
-	Limits     retry.Limits
-	Nodes      func() int
-	Log        Log
-	Scope      tally.Scope
+	// ProofOptional lets credentials that the newest known configuration holds count without that proof, too. What
+	// that configuration does not hold is still not refused for good then: a later one may hold it.
+	ProofOptional bool
+	Picker        *picker.Picker
+	Limits        retry.Limits
+	Nodes         func() int
+	Log           Log
+	Scope         tally.Scope
 }
 
 // Log takes one line for each decision on a request.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -103,7 +103,8 @@
 	})
 	n.gateway = gateway.New(gateway.Options{
 		Table: n.table.Load, Proof: func() time.Time { return n.follower.Current(keys.Accepted) }, ProofLimit: s.CredentialProof(),
-		Picker: n.picker, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
+		ProofOptional: !s.CredentialProofRequired,
+		Picker:        n.picker, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
 		Nodes: func() int { return 1 + n.gossip.Known(time.Now()) },
 		Log:   eventlog.NewDecisions(logger, eventlog.Limits{SampleOneIn: s.SampleOneIn, Failures: s.FailureLinesSecond}),
 		Scope: n.scope,
@@ -140,7 +141,7 @@
 	}
 	g.Go(func() error { _ = n.rpc.Serve(work, n.listeners.peer); return nil })
 	for _, run := range []func(context.Context) error{
-		n.gossip.Run, n.follower.Run, n.keeper.Run, n.controller.Run, n.takeChanges, n.register, n.sweep, n.gauge,
+		n.gossip.Run, n.follower.Run, n.keeper.Run, n.controller.Run, n.takeChanges, n.register, n.sweep, n.gauge, n.watchProof,
 	} {
 		g.Go(func() error { return run(work) })
 	}
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -54,6 +54,9 @@
 	if n.table.Load() == nil {
 		return false
 	}
+	if !n.settings.CredentialProofRequired {
+		return true
+	}
 	age := now.Sub(n.follower.Current(keys.Accepted))
 	return float64(age) < servePart*float64(n.settings.CredentialProof())
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -36,8 +36,12 @@
 	// Peers are peer addresses of some nodes, to be tried before any is known.
 	Peers []string `json:"peers,omitempty"`
 
-	CredentialProofMS  int     `json:"credential_proof_ms"` // a credential counts while the configuration was proved current
-	GraceMS            int     `json:"grace_ms"`            // from the order to stop until the process is killed
+	CredentialProofMS int `json:"credential_proof_ms"` // a credential counts while the configuration was proved current
+	// CredentialProofRequired says whether a credential counts only with that proof. Without it a node that cannot
+	// reach the store goes on with the newest configuration it has.
+	CredentialProofRequired bool `json:"credential_proof_required"`
+
+	GraceMS            int     `json:"grace_ms"` // from the order to stop until the process is killed
 	AddressLifetimeMS  int     `json:"address_lifetime_ms"`
 	RepeatRatio        float64 `json:"repeat_ratio"`
 	RepeatSlack        float64 `json:"repeat_slack"`
@@ -48,7 +52,7 @@
 	FailureLinesSecond float64 `json:"failure_lines_per_second,omitempty"`
 }
 
-var gatewayDefaults = Gateway{Capacity: 1, LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
+var gatewayDefaults = Gateway{CredentialProofRequired: true, Capacity: 1, LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
 
 // ReadGateway reads and checks the file; the error names every faulty field.
 func ReadGateway(file string) (*Gateway, error) {
--- a/test/gateway/fleet_test.go
+++ b/test/gateway/fleet_test.go
@@ -85,6 +85,12 @@
 }
 
 func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	return newFleetWith(t, func(*settings.Gateway) {})
+}
+
+// newFleetWith starts a fleet whose nodes' settings have been changed by adjust.
+func newFleetWith(t *testing.T, adjust func(s *settings.Gateway)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, estate: estate.New()}
 	t.Cleanup(f.close)
@@ -100,9 +106,10 @@
 		n := &node{log: filepath.Join(t.TempDir(), "log"), settings: settings.Gateway{
 			VM: fmt.Sprintf("vm-%d", i), DataCentre: "z1", Region: "r1", CallerAddress: free[0], ReadinessAddress: free[1],
 			RegistryAddress: free[2], PeerAddress: free[3], MetricsAddress: free[4], StoreAddress: f.estate.Store.Address(),
-			CredentialProofMS: 5000, GraceMS: 6000, AddressLifetimeMS: 1000, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindowMS: 10000,
+			CredentialProofMS: 5000, CredentialProofRequired: true, GraceMS: 6000, AddressLifetimeMS: 1000, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindowMS: 10000,
 			SampleOneIn: 1, FailureLinesSecond: 1000,
 		}}
+		adjust(&n.settings)
 		f.nodes = append(f.nodes, n)
 		f.start(n)
 	}
@@ -178,6 +185,12 @@
 
 func (n *node) signal(s syscall.Signal) { _ = n.command.Process.Signal(s) }
 
+// logged counts how often the text stands in the node's log.
+func (n *node) logged(text string) int {
+	content, _ := os.ReadFile(n.log)
+	return strings.Count(string(content), text)
+}
+
 // leads reports whether the node's log says that it holds the lease.
 func (n *node) leads() bool {
 	content, _ := os.ReadFile(n.log)
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"moorrun.dev/moorrun/internal/settings"
 	"moorrun.dev/moorrun/internal/standin/estate"
 )
 
@@ -114,6 +115,25 @@
 	f.await("it is served again", func() bool { return f.call(f.nodes[1], "/once/x", "key-1").status == http.StatusOK })
 }
 
+func TestWithoutTheStoreCredentialsGoOnCountingWhereNoProofIsRequired(t *testing.T) {
+	proof := 600 * time.Millisecond
+	f := newFleetWith(t, func(s *settings.Gateway) {
+		s.CredentialProofRequired = false
+		s.CredentialProofMS = int(proof.Milliseconds())
+	})
+	f.estate.Store.SetDown(true)
+	f.await("the log tells that the configuration is not proved current", func() bool {
+		return f.nodes[1].logged("configuration is not proved current") > 0
+	})
+	time.Sleep(2 * proof)
+	qt.Check(t, f.call(f.nodes[1], "/once/x", "key-1").status, qt.Equals, http.StatusOK)
+	qt.Check(t, f.nodes[1].isReady(), qt.IsTrue)
+	qt.Check(t, f.call(f.nodes[1], "/once/x", "key-new").status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("it may have been added by now"))
+	f.estate.Store.SetDown(false)
+	f.estate.Configure(2, 5000, "key-2")
+	f.await("the newer configuration is in force", func() bool { return f.call(f.nodes[1], "/once/x", "key-1").status == http.StatusUnauthorized })
+}
+
 func TestRestartedNodeLearnsFromTheOthersWhileTheStoreIsDown(t *testing.T) {
 	f := newFleet(t)
 	f.estate.Store.SetDown(true)
@@ -121,8 +141,7 @@
 	n.kill()
 	f.start(n)
 	f.await("it knows the configuration", func() bool {
-		content, _ := os.ReadFile(n.log)
-		return strings.Count(string(content), "configuration in force") == 2
+		return n.logged("configuration in force") == 2
 	})
 }
 
