Join no endpoint that has to wait for a load of another model

Such a join waits for the load, up to 16 s; the plan was given up after 2.3 s ("it took too long"), and both members were lost to the pool for that time.

Change: while a load runs, an endpoint joins only groups of the model that it holds, which needs nothing from the host.

Test: TestJoinDoesNotWaitForALoadOfAnotherModel.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -127,6 +127,22 @@
 	qt.Check(t, orders(given, Stage)[empty.ID], qt.Equals, "big", qt.Commentf("the other model would load sooner"))
 }
 
+func TestJoinDoesNotWaitForALoadOfAnotherModel(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 1, "small": 9}}
+	s.group("a", "d1", "big", "small", 3)
+	busy := s.add("d2", "big", "small")
+	s.add("d2", "big", "small")
+	s.add("d2", "small", "big")
+	p := s.settled()
+	p.stagings[busy.ID] = staging{"big", s.now.Add(time.Minute)}
+	given, _ := p.Step(s.view())
+	qt.Check(t, orders(given, Join), qt.DeepEquals, map[string]string{"e04": "small", "e05": "small"})
+	p = s.settled()
+	p.stagings["e05"] = staging{"big", s.now.Add(time.Minute)}
+	given, _ = p.Step(s.view())
+	qt.Check(t, orders(given, Join)["e05"], qt.Equals, "small", qt.Commentf("what it holds is ready at once"))
+}
+
 func TestCheapestCompletionComesFirst(t *testing.T) {
 	s := &estate{demand: map[string]int{"big": 9, "small": 9}}
 	s.group("a", "d1", "big", "small", 3)
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -160,7 +160,7 @@
 func (p *Planner) fit(v *View, free []*endpoint.Endpoint, m route.Model) []*endpoint.Endpoint {
 	var warm []*endpoint.Endpoint
 	for _, e := range free {
-		if !v.Busy || e.Holds(m.Name) || e.HasStaged(m.Name) {
+		if !v.Busy || e.Holds(m.Name) || e.HasStaged(m.Name) && !p.loading(e) {
 			warm = append(warm, e)
 		}
 	}
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -58,6 +58,13 @@
 	}
 }
 
+// loading reports whether a model is being loaded to the endpoint's host. A join to a model from the host waits for
+// that; one to the model that the endpoint holds does not.
+func (p *Planner) loading(e *endpoint.Endpoint) bool {
+	_, busy := p.stagings[e.ID]
+	return busy
+}
+
 // stageWithin loads the model to the endpoint's host and reports true, unless enough loads are running.
 func (p *Planner) stageWithin(v *View, running *int, e *endpoint.Endpoint, m route.Model) bool {
 	if *running >= max(1, v.Service.Engine.LoadsAtOnce) || !p.mayLoad(v) {
