Form groups of those endpoints that forget nothing; keep models from being forgotten that could not be served afterwards

Hypothesis: an endpoint that joins a group of its host's model forgets the one it holds, and only a load of 12 to 16 s brings it back; the planner spent such endpoints on a model that was not pressed. Change: of the groups that could be formed the one is taken that costs the other models least (groups that could not be formed any more, then members that forget), and none that would leave another model uncomfortable, unless this one is 1.5 times as pressed as that would be. Conversions look at the data centres' domains in a fixed order.

Tests: TestGroupIsFormedOfThoseThatForgetNothing, TestNoModelIsForgottenThatCouldNotServeItsRequestsAfterwards.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -143,6 +143,34 @@
 	qt.Check(t, orders(given, Join)["e05"], qt.Equals, "small", qt.Commentf("what it holds is ready at once"))
 }
 
+func TestGroupIsFormedOfThoseThatForgetNothing(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 2, "small": 6}}
+	s.group("a", "d1", "big", "small", 3)
+	s.group("b", "d1", "small", "big", 2)
+	s.add("d2", "big", "small") // would forget the larger model
+	s.add("d2", "small", "big")
+	s.add("d2", "small", "")
+	given, _ := s.settled().Step(s.view())
+	qt.Check(t, orders(given, Join), qt.DeepEquals, map[string]string{"e06": "small", "e07": "small"})
+}
+
+func TestNoModelIsForgottenThatCouldNotServeItsRequestsAfterwards(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 6, "small": 8}} // of ten places each
+	s.group("a", "d1", "big", "small", 3)
+	s.group("b", "d1", "small", "", 2)
+	for range 3 {
+		s.add("d2", "big", "small") // the only other group of the larger model there could be
+	}
+	given, _ := s.settled().Step(s.view())
+	qt.Check(t, orders(given, Join), qt.DeepEquals, map[string]string{"e05": "big", "e06": "big", "e07": "big"})
+	s.demand = map[string]int{"big": 5, "small": 6}
+	s.list = s.list[:7]
+	s.add("d2", "", "") // of those in d2 only two are left that hold it
+	s.add("d1", "big", "small")
+	given, _ = s.settled().Step(s.view())
+	qt.Check(t, orders(given, Join), qt.DeepEquals, map[string]string{"e05": "small", "e06": "small"}, qt.Commentf("alone they are of no use to the larger one"))
+}
+
 func TestCheapestCompletionComesFirst(t *testing.T) {
 	s := &estate{demand: map[string]int{"big": 9, "small": 9}}
 	s.group("a", "d1", "big", "small", 3)
--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -76,7 +76,8 @@
 		}
 	}
 	var best []*endpoint.Group
-	for domain, groups := range byDomain {
+	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
+		groups := byDomain[domain]
 		if _, reserved := p.reserved[domain]; reserved {
 			continue
 		}
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -104,16 +104,16 @@
 				return false
 			}
 		}
-		domain, members := p.bestDomain(v, usable, m)
-		if members == nil {
+		c := p.bestCandidate(v, usable, have, m)
+		if c == nil {
 			continue
 		}
-		if p.reserved[domain].model == m.Name {
-			delete(p.reserved, domain)
+		if p.reserved[c.domain].model == m.Name {
+			delete(p.reserved, c.domain)
 		}
-		free[domain] = slices.DeleteFunc(free[domain], func(e *endpoint.Endpoint) bool { return slices.Contains(members, e) })
+		free[c.domain] = slices.DeleteFunc(free[c.domain], func(e *endpoint.Endpoint) bool { return slices.Contains(c.members, e) })
 		have[m.Name] += m.Size
-		p.plan(v, m.Name, members, joinTime(m, members))
+		p.plan(v, m.Name, c.members, c.within)
 		return true
 	}
 	return false
@@ -131,68 +131,3 @@
 	}
 	return out
 }
-
-// bestDomain returns the members that would be ready soonest.
-func (p *Planner) bestDomain(v *View, free map[string][]*endpoint.Endpoint, m route.Model) (domain string, members []*endpoint.Endpoint) {
-	var best time.Duration
-	names := make([]string, 0, len(free))
-	for name := range free {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		if r, ok := p.reserved[name]; ok && r.model != m.Name && v.Now.Before(r.until) {
-			continue
-		}
-		fit := p.fit(v, free[name], m)
-		if fit == nil {
-			continue
-		}
-		if within := joinTime(m, fit); members == nil || within < best {
-			domain, members, best = name, fit, within
-		}
-	}
-	return domain, members
-}
-
-// fit returns the quickest members for a group of the model, or nil if there are too few that need not load it
-// from the weight store first. Before any request has come loads are quick.
-func (p *Planner) fit(v *View, free []*endpoint.Endpoint, m route.Model) []*endpoint.Endpoint {
-	var warm []*endpoint.Endpoint
-	for _, e := range free {
-		if !v.Busy || e.Holds(m.Name) || e.HasStaged(m.Name) && !p.loading(e) {
-			warm = append(warm, e)
-		}
-	}
-	if m.Size <= 0 || len(warm) < m.Size {
-		return nil
-	}
-	slices.SortStableFunc(warm, func(a, b *endpoint.Endpoint) int { return warmth(b, m) - warmth(a, m) })
-	return warm[:m.Size:m.Size]
-}
-
-// warmth is higher the sooner the endpoint can be ready for the model.
-func warmth(e *endpoint.Endpoint, m route.Model) int {
-	switch {
-	case e.Holds(m.Name):
-		return 2
-	case e.HasStaged(m.Name):
-		return 1
-	default:
-		return 0
-	}
-}
-
-// joinTime is how long the members take to be ready, at the most.
-func joinTime(m route.Model, members []*endpoint.Endpoint) time.Duration {
-	longest := time.Duration(0)
-	for _, e := range members {
-		switch warmth(e, m) {
-		case 1:
-			longest = max(longest, m.Warm)
-		case 0:
-			longest = max(longest, m.Load)
-		}
-	}
-	return longest + joinGrace
-}
