Remember the model of an endpoint's last group

Cause: an endpoint that has left a group lists no model, so the planner took it to have lost what it held. The platform's pages say that an endpoint is ready again in 0.2 s for the model of its last group since its start.

Change: the directory keeps the model in the endpoint's record until the endpoint joins another group.

Test: TestModelOfTheLastGroupIsKept.

--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -49,6 +49,7 @@
 		next.Endpoints[id] = e
 	}
 	for _, e := range changed {
+		e.recall(old)
 		next.Endpoints[e.ID] = e
 		delete(next.Gone, e.ID)
 	}
--- a/internal/endpoint/directory_test.go
+++ b/internal/endpoint/directory_test.go
@@ -52,6 +52,25 @@
 	qt.Check(t, d.Read().Gone, qt.HasLen, 0, qt.Commentf("forgotten"))
 }
 
+func TestModelOfTheLastGroupIsKept(t *testing.T) {
+	d := endpoint.NewDirectory()
+	left := func() *endpoint.Endpoint { return &endpoint.Endpoint{ID: "a", Service: "lm", Staged: []string{"n"}} }
+	d.Apply([]*endpoint.Endpoint{left()}, nil, origin)
+	qt.Check(t, d.Read().Endpoints["a"].Holds("m"), qt.IsFalse)
+	d.Apply([]*endpoint.Endpoint{member("a", "g", 1, 0, endpoint.Open)}, nil, origin)
+	d.Apply([]*endpoint.Endpoint{left()}, nil, origin)
+	d.Apply([]*endpoint.Endpoint{left()}, nil, origin)
+	qt.Check(t, d.Read().Endpoints["a"].Holds("m"), qt.IsTrue, qt.Commentf("it has left its group"))
+	d.Apply(nil, []string{"a"}, origin)
+	d.Apply([]*endpoint.Endpoint{left()}, nil, origin)
+	qt.Check(t, d.Read().Endpoints["a"].Holds("m"), qt.IsTrue, qt.Commentf("it was not listed for a while"))
+	joins := member("a", "h", 2, 0, endpoint.Joining)
+	joins.Models = nil
+	d.Apply([]*endpoint.Endpoint{joins}, nil, origin)
+	d.Apply([]*endpoint.Endpoint{left()}, nil, origin)
+	qt.Check(t, d.Read().Endpoints["a"].Holds("m"), qt.IsFalse, qt.Commentf("it may have begun to join another model's group"))
+}
+
 func TestDrainingMemberMarksItsGroup(t *testing.T) {
 	d := endpoint.NewDirectory()
 	leaving := member("b", "g", 1, 1, endpoint.Ready)
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -27,14 +27,16 @@
 
 // Endpoint is one life of one endpoint as it was last listed.
 type Endpoint struct {
-	ID         string // differs at every start
-	Service    string
-	Address    string
-	Zone       string
-	Domain     string // of the fabric
-	Slots      int
-	Draining   bool
-	Models     []string // it holds ready
+	ID       string // differs at every start
+	Service  string
+	Address  string
+	Zone     string
+	Domain   string // of the fabric
+	Slots    int
+	Draining bool
+	// Models it holds ready. An endpoint that has left its group lists none, but is ready for the model of that group
+	// again without a load, so that model stays here.
+	Models     []string
 	Staged     []string // on its host
 	Membership *Membership
 	Revision   int64 // of the platform's entry
@@ -54,3 +56,17 @@
 	}
 	return false
 }
+
+// recall takes over the model of the last group from what was known of an endpoint that has left it.
+func (e *Endpoint) recall(known *Snapshot) {
+	if e.Membership != nil || len(e.Models) > 0 {
+		return
+	}
+	if before, listed := known.Endpoints[e.ID]; listed {
+		e.Models = before.Models
+		return
+	}
+	if gone, ok := known.Gone[e.ID]; ok {
+		e.Models = gone.Endpoint.Models
+	}
+}
