--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -99,7 +99,7 @@
 			need := p.pressure(v, m, have)
 			switch {
 			case i > 0 && need < pressed && p.pressure(v, models[0], have) >= pressed:
-				usable = p.uselessFor(models[0], free)
+				usable = p.uselessFor(v, models[0], free, need >= relaxed)
 			case need < relaxed:
 				return false
 			}
@@ -119,10 +119,15 @@
 	return false
 }
 
-// uselessFor returns those of the free endpoints that would have to load the model from the weight store.
-func (p *Planner) uselessFor(m route.Model, free map[string][]*endpoint.Endpoint) map[string][]*endpoint.Endpoint {
+// uselessFor returns those of the free endpoints that would have to load the model from the weight store, and with
+// denied set also those of domains where the model could have a group but may not for what others would lose.
+func (p *Planner) uselessFor(v *View, m route.Model, free map[string][]*endpoint.Endpoint, denied bool) map[string][]*endpoint.Endpoint {
 	out := make(map[string][]*endpoint.Endpoint, len(free))
 	for domain, list := range free {
+		if denied && p.fit(v, list, m) != nil {
+			out[domain] = list
+			continue
+		}
 		for _, e := range list {
 			if warmth(e, m) == 0 && p.stagings[e.ID].model != m.Name {
 				out[domain] = append(out[domain], e)
