--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -171,6 +171,16 @@
 	qt.Check(t, orders(given, Join), qt.DeepEquals, map[string]string{"e05": "small", "e06": "small"}, qt.Commentf("alone they are of no use to the larger one"))
 }
 
+func TestGroupWithoutItsHeadIsNoSupply(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 9, "small": 1}}
+	s.group("a", "d1", "big", "small", 3)
+	s.group("b", "d1", "small", "big", 2)
+	s.group("c", "d2", "big", "small", 3)
+	s.list[5].Membership = nil // the head of c
+	v := s.view()
+	qt.Check(t, s.settled().assigned(v), qt.DeepEquals, map[string]int{"big": 3, "small": 2})
+}
+
 func TestCheapestCompletionComesFirst(t *testing.T) {
 	s := &estate{demand: map[string]int{"big": 9, "small": 9}}
 	s.group("a", "d1", "big", "small", 3)
--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -72,12 +72,13 @@
 	return out
 }
 
-// assigned counts the endpoints in groups and plans by model.
+// assigned counts the endpoints in groups and plans by model. A group whose head is not listed gets no requests, so its
+// members serve nobody.
 func (p *Planner) assigned(v *View) map[string]int {
 	have := make(map[string]int)
 	for name, g := range v.Snapshot.Groups {
 		_, ended := p.ended[name]
-		if g.Service == v.Service.Name && !ended && p.retiring[name] == nil && p.plans[name] == nil {
+		if g.Service == v.Service.Name && g.Head != nil && !ended && p.retiring[name] == nil && p.plans[name] == nil {
 			have[g.Model] += p.sizeOf(v, g)
 		}
 	}
