Find the loads that an earlier leader has begun, and wait for them

Cause: a new leader knew of no load under way. It began as many again as may run at once, so that all took twice as long, and gave some 40 orders that were refused because the endpoint was loading already.

Change: for 0.9 s a new leader asks the endpoints whose hosts lack a model whether an order is under way, which their reports tell; what is under way counts as a load until the endpoint says that it has ended. A refused load counts the same.

Tests: TestLoadsOfAnEarlierLeaderAreFoundAndWaitedFor, TestRefusedLoadIsNotOrderedAgainUntilTheEndpointIsDone.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -134,11 +135,11 @@
 	s.add("d2", "big", "small")
 	s.add("d2", "small", "big")
 	p := s.settled()
-	p.stagings[busy.ID] = staging{"big", s.now.Add(time.Minute)}
+	p.stagings[busy.ID] = staging{model: "big", until: s.now.Add(time.Minute)}
 	given, _ := p.Step(s.view())
 	qt.Check(t, orders(given, Join), qt.DeepEquals, map[string]string{"e04": "small", "e05": "small"})
 	p = s.settled()
-	p.stagings["e05"] = staging{"big", s.now.Add(time.Minute)}
+	p.stagings["e05"] = staging{model: "big", until: s.now.Add(time.Minute)}
 	given, _ = p.Step(s.view())
 	qt.Check(t, orders(given, Join)["e05"], qt.Equals, "small", qt.Commentf("what it holds is ready at once"))
 }
@@ -181,6 +182,51 @@
 	qt.Check(t, s.settled().assigned(v), qt.DeepEquals, map[string]int{"big": 3, "small": 2})
 }
 
+func TestLoadsOfAnEarlierLeaderAreFoundAndWaitedFor(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 9, "small": 1}}
+	s.group("a", "d1", "big", "small", 3)
+	for range 5 {
+		s.add("d2", "", "")
+	}
+	p := s.settled()
+	s.now = p.started.Add(surveyFor / 2)
+	_, ask := p.Step(s.view())
+	qt.Check(t, sorted(ask), qt.DeepEquals, []string{"e03", "e04", "e05", "e06", "e07"}, qt.Commentf("the others lack nothing"))
+	answered := func(busy ...string) *View {
+		v := s.view()
+		v.Contacts = make(map[string]Contact)
+		for _, id := range []string{"e03", "e04", "e05", "e06", "e07"} {
+			v.Contacts[id] = Contact{Answered: s.now, Busy: slices.Contains(busy, id)}
+		}
+		return v
+	}
+	p.Step(answered("e03", "e04", "e05"))
+	s.now = p.started.Add(settle)
+	given, _ := p.Step(answered("e03", "e04", "e05"))
+	qt.Check(t, orders(given, Stage), qt.HasLen, 1, qt.Commentf("three of the four at once are under way"))
+	s.now = s.now.Add(surveyAgain)
+	given, _ = p.Step(answered("e03"))
+	qt.Check(t, orders(given, Stage), qt.HasLen, 2, qt.Commentf("two have ended"))
+}
+
+func TestRefusedLoadIsNotOrderedAgainUntilTheEndpointIsDone(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 9, "small": 1}}
+	s.group("a", "d1", "big", "small", 3)
+	e := s.add("d2", "", "")
+	p := s.settled()
+	given, _ := p.Step(s.view())
+	qt.Assert(t, orders(given, Stage), qt.HasLen, 1)
+	p.Result(given[0], Refused, s.now)
+	s.now = s.now.Add(2 * surveyAgain)
+	given, ask := p.Step(s.view())
+	qt.Check(t, orders(given, Stage), qt.HasLen, 0)
+	qt.Check(t, ask, qt.DeepEquals, []string{e.ID})
+	v := s.view()
+	v.Contacts = map[string]Contact{e.ID: {Answered: s.now}}
+	given, _ = p.Step(v)
+	qt.Check(t, orders(given, Stage), qt.HasLen, 1, qt.Commentf("it is done"))
+}
+
 func TestCheapestCompletionComesFirst(t *testing.T) {
 	s := &estate{demand: map[string]int{"big": 9, "small": 9}}
 	s.group("a", "d1", "big", "small", 3)
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -220,8 +220,8 @@
 	k.asking = false
 	was := k.Failed.IsZero()
 	switch answer {
-	case Answered:
-		k.Contact = Contact{Answered: sent}
+	case Answered, AnsweredBusy:
+		k.Contact = Contact{Answered: sent, Busy: answer == AnsweredBusy}
 	case NobodyThere:
 		k.Refused = true
 		k.fail(sent)
@@ -230,7 +230,7 @@
 		k.alone(alone, sent)
 	}
 	if was != k.Failed.IsZero() {
-		_ = level.Info(c.Logger).Log("msg", "endpoint asked", "endpoint", e.ID, "address", e.Address, "answered", answer == Answered,
+		_ = level.Info(c.Logger).Log("msg", "endpoint asked", "endpoint", e.ID, "address", e.Address, "answered", answer.Heard(),
 			"refused", k.Refused, "alone", !k.Alone.IsZero())
 	}
 	c.Wake()
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -35,6 +35,7 @@
 	strangers map[string]time.Time   // first sight of groups of earlier tenures
 	complete  map[string]bool        // groups seen with all members ready
 	stagings  map[string]staging     // by endpoint ID
+	surveyed  map[string]bool        // endpoints that have told whether an earlier leader's load is under way
 	loads     []time.Time            // begun during this tenure
 	converted time.Time              // last time a group was ended for another model
 	cleared   map[string]time.Time   // last order to a free endpoint to leave, by ID
@@ -55,7 +56,7 @@
 	return &Planner{
 		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement),
 		ended: make(map[string]time.Time), lostAt: make(map[string]time.Time), strangers: make(map[string]time.Time), complete: make(map[string]bool),
-		stagings: make(map[string]staging), asked: make(map[string]bool), demand: make(map[string]float64), reserved: make(map[string]reservation), cleared: make(map[string]time.Time),
+		stagings: make(map[string]staging), surveyed: make(map[string]bool), asked: make(map[string]bool), demand: make(map[string]float64), reserved: make(map[string]reservation), cleared: make(map[string]time.Time),
 	}
 }
 
@@ -130,8 +131,12 @@
 			p.note("group ended", o.Group, "reason", "leave "+outcome.String())
 		}
 	case Stage:
-		if outcome == Refused || outcome == Fenced || outcome == Elsewhere {
+		switch outcome {
+		case Refused: // it is loading something else
+			p.stagings[o.Endpoint.ID] = staging{since: now, until: p.stagings[o.Endpoint.ID].until}
+		case Fenced, Elsewhere:
 			delete(p.stagings, o.Endpoint.ID)
+		case Taken, Unknown:
 		}
 	case Open:
 	}
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -14,31 +14,32 @@
 	stageGrace = 4 * time.Second
 	// settle is how long a new tenure starts no loads: the one before may have.
 	settle = time.Second
+	// surveyFor is how long a new tenure asks for loads that are under way; most answer at once, and no load begins
+	// before settle.
+	surveyFor = 900 * time.Millisecond
+	// surveyAgain is after how long an endpoint that loads an unknown model is asked whether it has ended. An answer is
+	// some hundred milliseconds old, and each question is priced.
+	surveyAgain = time.Second
 )
 
 // staging is a model being loaded to an endpoint's host.
 type staging struct {
-	model string
-	until time.Time
+	model string    // empty if it is not known: an earlier leader has ordered it
+	since time.Time // it was ordered, or found to be under way
+	until time.Time // it should have ended by then
 }
 
 // stage loads models to hosts: before any request has come the other model to every host, so that each endpoint
 // can soon serve either; later what a domain lacks for a group of the model in need, then a first model to free
 // endpoints that hold none, and then the other model to those that have forgotten it.
 func (p *Planner) stage(v *View) {
-	running := 0
-	for id, s := range p.stagings {
-		e := v.Snapshot.Endpoints[id]
-		if e == nil || e.HasStaged(s.model) || v.Now.After(s.until) {
-			delete(p.stagings, id)
-			continue
-		}
-		running++
-	}
 	if !v.Busy {
+		p.followStagings(v)
 		p.stageOthers(v)
 		return
 	}
+	p.survey(v)
+	running := p.followStagings(v)
 	for _, c := range p.completions(v) {
 		for _, e := range c.from[:c.missing] {
 			if _, busy := p.stagings[e.ID]; !busy && !p.stageWithin(v, &running, e, c.model) {
@@ -65,6 +66,60 @@
 	return busy
 }
 
+// followStagings forgets the loads that have ended and returns how many are under way.
+func (p *Planner) followStagings(v *View) int {
+	for id, s := range p.stagings {
+		e := v.Snapshot.Endpoints[id]
+		if e == nil || e.HasStaged(s.model) || v.Now.After(s.until) {
+			delete(p.stagings, id)
+			continue
+		}
+		if s.model != "" {
+			continue
+		}
+		c := v.Contacts[id]
+		if c.Answered.After(s.since) && !c.Busy {
+			delete(p.stagings, id)
+			continue
+		}
+		if v.Now.Sub(c.Answered) > surveyAgain {
+			p.ask(id)
+		}
+	}
+	return len(p.stagings)
+}
+
+// survey finds the loads that an earlier leader has begun. It asks the endpoints listed at the beginning of the tenure
+// whose hosts lack a model, once; what they do later is this leader's own doing.
+func (p *Planner) survey(v *View) {
+	if v.Now.Sub(p.started) > surveyFor {
+		return
+	}
+	for _, e := range v.Snapshot.Services[v.Service.Name] {
+		c := v.Contacts[e.ID]
+		if p.surveyed[e.ID] || e.Draining || keepsAnother(e) || p.loading(e) {
+			continue
+		}
+		if !c.Answered.After(p.started) {
+			p.ask(e.ID)
+			continue
+		}
+		p.surveyed[e.ID] = true
+		if c.Busy && (e.Membership == nil || e.Membership.State != endpoint.Joining) {
+			p.stagings[e.ID] = staging{since: v.Now, until: v.Now.Add(p.longestLoad(v) + stageGrace)}
+			p.note("model is being loaded already", "", "endpoint", e.ID)
+		}
+	}
+}
+
+func (p *Planner) longestLoad(v *View) time.Duration {
+	longest := time.Duration(0)
+	for _, m := range v.Service.Engine.Models {
+		longest = max(longest, m.Load)
+	}
+	return longest
+}
+
 // stageWithin loads the model to the endpoint's host and reports true, unless enough loads are running.
 func (p *Planner) stageWithin(v *View, running *int, e *endpoint.Endpoint, m route.Model) bool {
 	if *running >= max(1, v.Service.Engine.LoadsAtOnce) || !p.mayLoad(v) {
@@ -128,7 +183,7 @@
 }
 
 func (p *Planner) stageOne(v *View, e *endpoint.Endpoint, m route.Model) {
-	p.stagings[e.ID] = staging{m.Name, v.Now.Add(m.Load + stageGrace)}
+	p.stagings[e.ID] = staging{m.Name, v.Now, v.Now.Add(m.Load + stageGrace)}
 	p.loads = append(p.loads, v.Now)
 	p.note("model staged", "", "endpoint", e.ID, "model", m.Name)
 	p.order(Order{Kind: Stage, Endpoint: e, Model: m.Name})
--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -23,6 +23,7 @@
 // Contact is what asking an endpoint directly has shown.
 type Contact struct {
 	Answered time.Time // last answer
+	Busy     bool      // it was still carrying out an order then
 	Failed   time.Time // first failure since then; zero if the last try was answered
 	Refused  bool      // nothing listens at its address
 	Alone    time.Time // since when none of the other nodes that were asked has heard it either; zero if one has
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -9,7 +9,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"moorrun.dev/moorrun/internal/endpoint"
-	"moorrun.dev/moorrun/internal/formation"
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/lease"
@@ -101,7 +100,7 @@
 func (n *Server) askFor(ctx context.Context, id, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return n.platform.Engine.Ask(ctx, &endpoint.Endpoint{ID: id, Address: address}) == formation.Answered
+	return n.platform.Engine.Ask(ctx, &endpoint.Endpoint{ID: id, Address: address}).Heard()
 }
 
 // heardElsewhere asks other nodes, in a large fleet some by chance, whether an endpoint answers them.
