Ask the store 150 ms after the start when no other node tells the configuration

Cause: after a loss of power of all nodes each waited 0.55 s for the others before it asked the store, and refused everybody meanwhile (some 110 of 310 requests a window). Others that live are heard within 100 ms, so 150 ms are enough.

Test: TestNewProcessAsksTheStoreSoonUnlessOthersTellIt.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -205,3 +205,15 @@
 	qt.Check(t, at, qt.Equals, now.Add(-time.Millisecond))
 	qt.Check(t, watching, qt.IsFalse)
 }
+
+func TestNewProcessAsksTheStoreSoonUnlessOthersTellIt(t *testing.T) {
+	nobody := func(time.Time) []*gossip.Peer { return nil }
+	f := NewFollower(nil, nil, "b", func() bool { return false }, nobody, log.NewNopLogger())
+	qt.Check(t, f.shouldWatch(), qt.IsFalse)
+	f.started = time.Now().Add(-2 * startPatience)
+	qt.Check(t, f.shouldWatch(), qt.IsTrue)
+	f.live = func(now time.Time) []*gossip.Peer {
+		return []*gossip.Peer{{Identity: gossip.Identity{VM: "a"}, Status: gossip.Status{Watching: true, ProofAt: now}}}
+	}
+	qt.Check(t, f.shouldWatch(), qt.IsFalse, qt.Commentf("another node has what it needs"))
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -28,6 +28,9 @@
 	// for each live node that would do so sooner.
 	patience     = 1100 * time.Millisecond
 	rankPatience = 150 * time.Millisecond
+	// startPatience is how long a new process waits for the beats of others before it asks the store: those that live
+	// send one each 100 ms to the address that it had before.
+	startPatience = 150 * time.Millisecond
 	// pullWait bounds the fetching of what has changed from another node.
 	pullWait = time.Second
 	// lastRank bounds the wait in a large fleet.
@@ -123,7 +126,7 @@
 	}
 	at, _ := f.proof.whole()
 	if at.IsZero() {
-		at = f.started.Add(-patience / 2)
+		return now.Sub(f.started) > startPatience
 	}
 	return now.Sub(at) > patience+time.Duration(min(rank, lastRank))*rankPatience
 }
