Tell refused callers to come back after as long as the shortage has lasted

Callers come back once.

Change: when a run of refusals of one model has lasted for some time, the caller is told to come back after as long again, 0.6 s at the least and 2 s at the most.

Test: TestCallersAreToldToComeBackLaterTheLongerAShortageLasts.

--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -101,7 +101,8 @@
 	case f.ran > 0:
 		f.fail(ctx, "no place for another attempt: "+err.Error())
 	default:
-		f.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: comeBack})
+		after := f.gateway.shortages.refused(f.service.Name+"/"+f.request.Model, time.Now())
+		f.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: after})
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,8 +16,8 @@
 	proofMargin = 200 * time.Millisecond
 	// comeBack is when a caller is told to come back if nothing better is known.
 	comeBack = 250 * time.Millisecond
-	// startingComeBack is when a caller is told to come back to a node that is not ready.
-	startingComeBack = 100 * time.Millisecond
+	// ofConfiguration names the shortage of a node that knows no configuration yet.
+	ofConfiguration = "configuration"
 	// patiencePart is the part of the objective for which a request waits for a place.
 	patiencePart = 0.2
 	// defaultTimeout bounds requests of routes that give no bound.
@@ -30,6 +30,8 @@
 	started time.Time
 	meters  *meters
 
+	shortages shortages
+
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // by service
 }
@@ -81,7 +83,7 @@
 func (g *Gateway) admit(f *flight) *Refusal {
 	table := g.Table()
 	if table == nil {
-		return &Refusal{Reason: NotRun, Detail: "no configuration is known yet", RetryAfter: startingComeBack}
+		return &Refusal{Reason: NotRun, Detail: "no configuration is known yet", RetryAfter: g.shortages.refused(ofConfiguration, f.request.Received)}
 	}
 	f.table = table
 	age := f.request.Received.Sub(g.Proof())
