Give a strained model groups of one that stays comfortable without them, from 0.55 of its places on

Hypothesis: conversions began at 0.7 of the places, when requests already waited; since a change of model no longer loses what the endpoints keep, an earlier one costs little. Change: from 0.55 on, where the other model stays below 0.45.

--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -17,6 +17,8 @@
 	pressed = 0.7
 	// spareBelow is the pressure that the other model may have without those groups.
 	spareBelow = 0.8
+	// strained is the pressure from which it gets them if the other model stays comfortable without.
+	strained = 0.55
 	// reserveFor is how long the members of a domain are kept for the model that they are freed for.
 	reserveFor = 5 * time.Second
 )
@@ -34,7 +36,8 @@
 		return
 	}
 	needed, rich := models[0], models[len(models)-1]
-	if p.pressure(v, needed, p.withReserved(v, have)) < pressed {
+	need := p.pressure(v, needed, p.withReserved(v, have))
+	if need < strained {
 		return
 	}
 	victims := p.victims(v, free, needed, rich)
@@ -42,7 +45,11 @@
 		return
 	}
 	left := map[string]int{rich.Name: have[rich.Name] - len(victims)*rich.Size}
-	if p.pressure(v, rich, left) > spareBelow {
+	spare := spareBelow
+	if need < pressed {
+		spare = comfortable
+	}
+	if p.pressure(v, rich, left) > spare {
 		return
 	}
 	p.converted = v.Now
