Convert groups only where that relieves

Change: the model that gives groups up may reach three quarters of the pressure of the one that gets them (and 0.8 at the most), not 0.8 whatever the other has.

Test: TestNoConversionWhereBothModelsAreStrained.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -103,6 +103,21 @@
 	qt.Check(t, p.reserved["d2"].model, qt.Equals, "big")
 }
 
+func TestNoConversionWhereBothModelsAreStrained(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 8, "small": 12}} // 0.8 and 0.6 of their places
+	s.group("a", "d1", "big", "small", 3)
+	s.group("b", "d2", "small", "big", 2)
+	s.group("c", "d3", "small", "big", 2)
+	s.add("d2", "big", "small")
+	p := s.settled()
+	p.Step(s.view())
+	qt.Check(t, p.Retiring(), qt.HasLen, 0, qt.Commentf("the smaller one would have 1.2 requests for a place"))
+	s.demand["small"] = 3
+	p = s.settled()
+	p.Step(s.view())
+	qt.Check(t, p.Retiring(), qt.HasLen, 1)
+}
+
 func TestConversionsUnderWayCountAsSupply(t *testing.T) {
 	s := &estate{demand: map[string]int{"big": 9, "small": 2}}
 	s.group("a", "d1", "big", "small", 3)
--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -13,12 +13,15 @@
 const (
 	// convertEvery is the least time between two conversions.
 	convertEvery = 600 * time.Millisecond
-	// pressed is the pressure from which a model gets the members of another one's groups.
+	// pressed is the pressure from which a model gets free endpoints before one that is in no need.
 	pressed = 0.7
 	// spareBelow is the pressure that the other model may have without those groups.
 	spareBelow = 0.8
-	// strained is the pressure from which it gets them if the other model stays comfortable without.
+	// strained is the pressure from which a model gets the members of another one's groups, and relief the part of it
+	// that the other one's may reach without them. Where both are strained a group moved to and fro serves neither
+	// for two seconds each time.
 	strained = 0.55
+	relief   = 0.75
 	// reserveFor is how long the members of a domain are kept for the model that they are freed for.
 	reserveFor = 5 * time.Second
 )
@@ -45,11 +48,7 @@
 		return
 	}
 	left := map[string]int{rich.Name: have[rich.Name] - len(victims)*rich.Size}
-	spare := spareBelow
-	if need < pressed {
-		spare = comfortable
-	}
-	if p.pressure(v, rich, left) > spare {
+	if p.pressure(v, rich, left) > min(spareBelow, relief*need) {
 		return
 	}
 	p.converted = v.Now
