Load second models to hosts by scarcity

Change: the model whose requests would fill the largest part of the places that it could have is loaded first.

Test: TestSecondModelsAreLoadedByScarcity.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -242,6 +242,26 @@
 	qt.Check(t, orders(given, Stage), qt.HasLen, 1, qt.Commentf("it is done"))
 }
 
+func TestSecondModelsAreLoadedByScarcity(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 3, "small": 6}} // there could be three groups of each
+	s.group("a", "d1", "big", "", 3)
+	s.group("b", "d1", "small", "", 2)
+	s.group("c", "d2", "small", "", 2)
+	s.group("d", "d2", "big", "", 3)
+	s.group("e", "d3", "big", "small", 3)
+	given, _ := s.settled().Step(s.view())
+	staged := orders(given, Stage)
+	qt.Assert(t, staged, qt.HasLen, 3, qt.Commentf("as many as may begin a second"))
+	for id, model := range staged {
+		qt.Check(t, model, qt.Equals, "small", qt.Commentf(id))
+	}
+	s.demand = map[string]int{"big": 6, "small": 3}
+	given, _ = s.settled().Step(s.view())
+	for id, model := range orders(given, Stage) {
+		qt.Check(t, model, qt.Equals, "big", qt.Commentf(id))
+	}
+}
+
 func TestCheapestCompletionComesFirst(t *testing.T) {
 	s := &estate{demand: map[string]int{"big": 9, "small": 9}}
 	s.group("a", "d1", "big", "small", 3)
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -1,6 +1,8 @@
 package formation
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"moorrun.dev/moorrun/internal/endpoint"
@@ -47,18 +49,24 @@
 			}
 		}
 	}
-	for _, kind := range []func(*View, *endpoint.Endpoint) (route.Model, bool){p.forCold, p.forOneSided} {
-		for _, e := range v.Snapshot.Services[v.Service.Name] {
-			if _, busy := p.stagings[e.ID]; busy || e.Draining || v.down(e.ID) {
-				continue
-			}
-			if m, wanted := kind(v, e); wanted && !p.stageWithin(v, &running, e, m) {
-				return
-			}
+	for _, l := range p.forCold(v) {
+		if !p.stageWithin(v, &running, l.endpoint, l.model) {
+			return
+		}
+	}
+	for _, l := range p.forOneSided(v) {
+		if !p.stageWithin(v, &running, l.endpoint, l.model) {
+			return
 		}
 	}
 }
 
+// load is a model that an endpoint's host could be given.
+type load struct {
+	endpoint *endpoint.Endpoint
+	model    route.Model
+}
+
 // loading reports whether a model is being loaded to the endpoint's host. A join to a model from the host waits for
 // that; one to the model that the endpoint holds does not.
 func (p *Planner) loading(e *endpoint.Endpoint) bool {
@@ -130,30 +138,49 @@
 	return true
 }
 
-// forCold returns the model that a free endpoint without any can have soonest.
-func (p *Planner) forCold(v *View, e *endpoint.Endpoint) (m route.Model, wanted bool) {
-	if len(e.Models)+len(e.Staged) > 0 || !p.free(v, e) {
-		return m, false
+// forCold returns the free endpoints without any model, with the one that each can have soonest.
+func (p *Planner) forCold(v *View) []load {
+	var soonest route.Model
+	for _, m := range v.Service.Engine.Models {
+		if soonest.Name == "" || m.Load < soonest.Load {
+			soonest = m
+		}
 	}
-	for _, other := range v.Service.Engine.Models {
-		if !wanted || other.Load < m.Load {
-			m, wanted = other, true
+	var out []load
+	for _, e := range v.Snapshot.Services[v.Service.Name] {
+		if len(e.Models)+len(e.Staged) == 0 && !p.loading(e) && p.free(v, e) {
+			out = append(out, load{e, soonest})
 		}
 	}
-	return m, wanted
+	return out
 }
 
-// forOneSided returns the model that an endpoint has forgotten when it changed to another.
-func (p *Planner) forOneSided(v *View, e *endpoint.Endpoint) (m route.Model, wanted bool) {
-	if len(e.Models) == 0 || keepsAnother(e) || e.Membership != nil && e.Membership.State == endpoint.Joining {
-		return m, false
+// forOneSided returns the endpoints that keep only the model that they hold, with another one, the scarcest first: the
+// one whose requests would fill the largest part of the places that it could have.
+func (p *Planner) forOneSided(v *View) []load {
+	known := p.capabilityOf(v)
+	scarcity := make(map[string]float64)
+	for _, m := range v.Service.Engine.Models {
+		scarcity[m.Name] = p.shadow(v, known, m, 0)
 	}
-	for _, other := range v.Service.Engine.Models {
-		if !e.Holds(other.Name) {
-			return other, true
+	var out []load
+	for _, e := range v.Snapshot.Services[v.Service.Name] {
+		if p.loading(e) || e.Draining || v.down(e.ID) || len(e.Models) == 0 || keepsAnother(e) || e.Membership != nil && e.Membership.State == endpoint.Joining {
+			continue
+		}
+		var lacks []route.Model
+		for _, m := range v.Service.Engine.Models {
+			if !e.Holds(m.Name) {
+				lacks = append(lacks, m)
+			}
+		}
+		if len(lacks) == 0 {
+			continue
 		}
+		out = append(out, load{e, slices.MaxFunc(lacks, func(a, b route.Model) int { return cmp.Compare(scarcity[a.Name], scarcity[b.Name]) })})
 	}
-	return m, false
+	slices.SortStableFunc(out, func(a, b load) int { return cmp.Compare(scarcity[b.model.Name], scarcity[a.model.Name]) })
+	return out
 }
 
 // stageOthers gives every member of a group the model that it does not run.
