--- a/internal/formation/planner_test.go
+++ b/internal/formation/planner_test.go
@@ -43,6 +43,17 @@
 	}
 }
 
+func TestSparesHoldTheModelWhoseGroupsLoseMostByALoss(t *testing.T) {
+	w := newWorld(4, t.Fatalf)
+	settleFor(w, NewPlanner(1, origin), 8*time.Second)
+	qt.Assert(t, openGroups(w), qt.DeepEquals, map[string]int{"big": 1})
+	for _, x := range w.workers {
+		if x.Membership == nil {
+			qt.Check(t, x.Staged, qt.DeepEquals, []string{"big"})
+		}
+	}
+}
+
 func TestLostMemberIsReplaced(t *testing.T) {
 	w := newWorld(10, t.Fatalf)
 	p := NewPlanner(1, origin)
