Spread choices among groups by what other nodes have begun unseen

Change: the part of a group's cost that is drawn by chance grows with the requests that the other nodes begin in that time, reckoned from their running requests and the mean time that a place is held; below one request a group nothing changes.

--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -43,12 +43,13 @@
 	retiring := p.options.Retiring(now)
 	var out []candidate
 	usual := p.usualGap(w, snapshot)
+	spread := p.spread(w, snapshot, others)
 	for _, g := range snapshot.Groups {
 		if g.Service != w.Service || g.Model != w.Model || w.excludes(g.Name) || retiring[g.Name] || !p.usable(g, w.Size) {
 			continue
 		}
 		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(p.health[g.Name], others, g.Head.ID)}
-		c.cost = float64(c.load) + p.extraCost(p.health[g.Name], g.Head, now)
+		c.cost = float64(c.load) + p.extraCost(p.health[g.Name], g.Head, spread, now)
 		if doubted(g.Name, p.health[g.Name], others, now) {
 			c.cost += suspectCost
 		}
@@ -97,7 +98,7 @@
 		}
 		h := p.health[e.ID]
 		c := candidate{endpoint: e, load: totalLoad(h, others, e.ID)}
-		c.cost = float64(c.load) + p.extraCost(h, e, now)
+		c.cost = float64(c.load) + p.extraCost(h, e, jitter, now)
 		if h != nil {
 			c.cost += failureCost*h.failures + float64(h.latency)/float64(latencyUnit)
 		}
@@ -106,9 +107,9 @@
 	return out
 }
 
-// extraCost is what speaks against an endpoint besides its load.
-func (p *Picker) extraCost(h *health, e *endpoint.Endpoint, now time.Time) float64 {
-	cost := p.draw() * jitter
+// extraCost is what speaks against an endpoint besides its load; spread bounds the part of it that is drawn by chance.
+func (p *Picker) extraCost(h *health, e *endpoint.Endpoint, spread float64, now time.Time) float64 {
+	cost := p.draw() * spread
 	if e.Zone != p.options.Zone {
 		cost += zoneCost
 	}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -35,6 +35,8 @@
 	Retiring func(now time.Time) map[string]bool
 	// Lost reports whether the leader has found a replica group to have lost a member; nil if nobody tells.
 	Lost func(group string, now time.Time) bool
+	// Lag tells how old the loads of the other nodes usually are; nil if there are none.
+	Lag func() time.Duration
 }
 
 // Picker chooses endpoints.
@@ -46,8 +48,9 @@
 	running  map[string]int  // by workspace
 	complete map[string]bool // groups that had all their members ready
 	waiting  []*waiter
-	demand   map[string]int // waiting by model
-	busy     map[string]int // running by model
+	demand   map[string]int           // waiting by model
+	busy     map[string]int           // running by model
+	held     map[string]time.Duration // mean time that a place is held, by model
 	random   uint64
 }
 
@@ -55,7 +58,7 @@
 func New(o Options) *Picker {
 	return &Picker{
 		options: o, health: make(map[string]*health), running: make(map[string]int), complete: make(map[string]bool),
-		demand: make(map[string]int), busy: make(map[string]int),
+		demand: make(map[string]int), busy: make(map[string]int), held: make(map[string]time.Duration),
 	}
 }
 
@@ -124,7 +127,7 @@
 }
 
 func (p *Picker) take(w *Want, c *candidate, now time.Time) *Place {
-	place := &Place{Endpoint: c.endpoint, Group: c.group, picker: p, workspace: w.Workspace, model: w.Model}
+	place := &Place{Endpoint: c.endpoint, Group: c.group, picker: p, workspace: w.Workspace, model: w.Model, since: now}
 	h := p.healthOf(place.key(), now)
 	h.running++
 	p.running[w.Workspace]++
@@ -138,6 +141,7 @@
 	now := time.Now()
 	p.healthOf(place.key(), now).running--
 	p.busy[place.model]--
+	p.held[place.model] = mean(p.held[place.model], now.Sub(place.since))
 	if p.running[place.workspace]--; p.running[place.workspace] <= 0 {
 		delete(p.running, place.workspace)
 	}
--- a/internal/picker/place.go
+++ b/internal/picker/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"moorrun.dev/moorrun/internal/endpoint"
 )
@@ -14,6 +15,7 @@
 	picker    *Picker
 	workspace string
 	model     string
+	since     time.Time
 	once      sync.Once
 }
 
