--- a/internal/formation/order.go
+++ b/internal/formation/order.go
@@ -60,6 +60,9 @@
 	Unknown
 )
 
+// Declined reports whether the endpoint certainly does not obey.
+func (o Outcome) Declined() bool { return o == Refused || o == Fenced || o == Elsewhere }
+
 // String returns a word for logs.
 func (o Outcome) String() string {
 	switch o {
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -121,7 +121,7 @@
 func (p *Planner) Result(o Order, outcome Outcome, now time.Time) {
 	switch o.Kind {
 	case Join:
-		if pl := p.plans[o.Group]; pl != nil && (outcome == Refused || outcome == Fenced || outcome == Elsewhere) {
+		if pl := p.plans[o.Group]; pl != nil && outcome.Declined() {
 			pl.refused = true
 		}
 	case Leave:
@@ -131,12 +131,11 @@
 			p.note("group ended", o.Group, "reason", "leave "+outcome.String())
 		}
 	case Stage:
-		switch outcome {
-		case Refused: // it is loading something else
+		switch {
+		case outcome == Refused: // it is loading something else
 			p.stagings[o.Endpoint.ID] = staging{since: now, until: p.stagings[o.Endpoint.ID].until}
-		case Fenced, Elsewhere:
+		case outcome.Declined():
 			delete(p.stagings, o.Endpoint.ID)
-		case Taken, Unknown:
 		}
 	case Open:
 	}
--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -42,19 +42,22 @@
 	mute    bool // its answer is lost
 }
 
-// world is a fabric domain of endpoints that take orders as the platform's workers do.
+// world is some fabric domains of endpoints that take orders as the platform's workers do.
 type world struct {
-	now     time.Time
-	service *route.Service
-	workers map[string]*worker
-	ready   map[string]map[string]bool // group and epoch → members that have been ready in it
-	wanted  map[string][]string        // group and epoch → its members
-	orders  []pending
-	born    int
-	fail    func(format string, args ...any)
-	history []*endpoint.Snapshot // of earlier moments, for planners that see late
-	opened  int
-	log     func(format string, args ...any)
+	domainSize int // endpoints of a domain; 0: there is only one domain
+	busy       bool
+	demand     map[string]int
+	now        time.Time
+	service    *route.Service
+	workers    map[string]*worker
+	ready      map[string]map[string]bool // group and epoch → members that have been ready in it
+	wanted     map[string][]string        // group and epoch → its members
+	orders     []pending
+	born       int
+	fail       func(format string, args ...any)
+	history    []*endpoint.Snapshot // of earlier moments, for planners that see late
+	opened     int
+	log        func(format string, args ...any)
 }
 
 func newWorld(n int, fail func(string, ...any)) *world {
@@ -70,8 +73,11 @@
 
 func (w *world) add() {
 	w.born++
-	id := fmt.Sprintf("w%02d", w.born)
-	w.workers[id] = &worker{up: true, Endpoint: endpoint.Endpoint{ID: id, Service: "lm", Domain: "d", Address: id}}
+	id, domain := fmt.Sprintf("w%02d", w.born), "d"
+	if w.domainSize > 0 {
+		domain = fmt.Sprint("d", (w.born-1)/w.domainSize)
+	}
+	w.workers[id] = &worker{up: true, Endpoint: endpoint.Endpoint{ID: id, Service: "lm", Domain: domain, Address: id}}
 }
 
 func key(group string, epoch int64) string { return fmt.Sprintf("%s@%d", group, epoch) }
@@ -188,7 +194,7 @@
 func (w *world) view(late int) *View {
 	at := max(0, len(w.history)-1-late)
 	snapshot := w.history[at]
-	v := &View{Now: w.now, AsOf: w.now.Add(-time.Duration(len(w.history)-1-at) * tick), Service: w.service, Snapshot: snapshot, Contacts: make(map[string]Contact), Loads: make(map[string]int), Suspects: make(map[string]bool), Demand: make(map[string]int)}
+	v := &View{Now: w.now, AsOf: w.now.Add(-time.Duration(len(w.history)-1-at) * tick), Service: w.service, Snapshot: snapshot, Contacts: make(map[string]Contact), Loads: make(map[string]int), Suspects: make(map[string]bool), Demand: w.demand, Busy: w.busy}
 	for id, x := range w.workers {
 		if !x.failed.IsZero() {
 			contact := Contact{Failed: x.failed}
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"iter"
 	"time"
 
 	"moorrun.dev/moorrun/internal/gossip/gossippb"
@@ -15,14 +16,23 @@
 
 // hasReporters reports whether any node relies on this one to pass on what it tells.
 func (n *Node) hasReporters(now time.Time) bool {
-	for _, c := range n.peers {
-		if c.reporter(now) {
-			return true
-		}
+	for range n.reporters(now) {
+		return true
 	}
 	return false
 }
 
+// reporters yields the nodes that rely on this one to pass on what they tell.
+func (n *Node) reporters(now time.Time) iter.Seq[*contact] {
+	return func(yield func(*contact) bool) {
+		for _, c := range n.peers {
+			if c.reporter(now) && !yield(c) {
+				return
+			}
+		}
+	}
+}
+
 // sendToRelays tells the other relays what this one and those that report to it have, and those that report how the
 // fleet stands. Nodes that nobody hears are tried now and then: they may have started anew and know nobody.
 func (n *Node) sendToRelays(now time.Time, urgent bool, relays []*Peer) {
@@ -52,10 +62,8 @@
 func (n *Node) partBeat(now time.Time) *gossippb.Beat {
 	part := NewTotals()
 	part.Add(&n.last)
-	for _, c := range n.peers {
-		if c.reporter(now) {
-			part.Add(&c.peer.Status)
-		}
+	for c := range n.reporters(now) {
+		part.Add(&c.peer.Status)
 	}
 	b := toWire(n.self, part.over(n.last), now)
 	b.Relay = true
@@ -68,10 +76,8 @@
 	status := n.last
 	status.Loads = nil
 	members := []*Peer{{Identity: n.self, Status: status, Heard: now}}
-	for _, c := range n.peers {
-		if c.reporter(now) {
-			members = append(members, c.peer)
-		}
+	for c := range n.reporters(now) {
+		members = append(members, c.peer)
 	}
 	return newRoster(members)
 }
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -20,12 +20,3 @@
 	Lost        []string // groups that the leader has found to have lost a member
 	Demands     map[string]Demand
 }
-
-// Lease is what a leader tells of its lease.
-type Lease struct {
-	Version int64 // in the store
-	Term    time.Duration
-}
-
-// Demand is what a node lately got to do for a model.
-type Demand struct{ Waiting, Running int }
