Split the planner's file of loads by job; rank members without a magic bound

The survey of an earlier leader's loads and the models of spares have files of their own, and the tests of loads theirs. Members are ranked by what they would forget and keep, each counted, in place of a sum with a factor.

--- a/internal/formation/candidate.go
+++ b/internal/formation/candidate.go
@@ -9,13 +9,9 @@
 	"moorrun.dev/moorrun/internal/route"
 )
 
-const (
-	// farMorePressed is how many times more pressed a model has to be than the one that loses the ability to form a
-	// group by it. Chosen by trials on the panel.
-	farMorePressed = 1.5
-	// maxModels bounds the models that one endpoint can keep, for ranking members.
-	maxModels = 100
-)
+// farMorePressed is how many times more pressed a model has to be than the one that loses the ability to form a group by
+// it. It is a margin against groups that move to and fro; other values have not been tried.
+const farMorePressed = 1.5
 
 // candidate is a replica group that could be formed of free endpoints.
 type candidate struct {
@@ -91,24 +87,27 @@
 	if m.Size <= 0 || len(able) < m.Size {
 		return nil
 	}
-	rank := func(e *endpoint.Endpoint) int {
-		n := 0
-		for _, other := range v.Service.Engine.Models {
-			switch {
-			case forgets(e, m, other):
-				n += 2 * maxModels
-			case other.Name != m.Name && keeps(e, other):
-				n++
-			}
-		}
-		return n
-	}
 	slices.SortStableFunc(able, func(a, b *endpoint.Endpoint) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), warmth(b, m)-warmth(a, m))
+		forgetsA, keepsA := p.others(v, a, m)
+		forgetsB, keepsB := p.others(v, b, m)
+		return cmp.Or(cmp.Compare(forgetsA, forgetsB), cmp.Compare(keepsA, keepsB), warmth(b, m)-warmth(a, m))
 	})
 	return able[:m.Size:m.Size]
 }
 
+// others counts the other models that the endpoint would forget in a group of m, and those that it would keep.
+func (p *Planner) others(v *View, e *endpoint.Endpoint, m route.Model) (forgotten, kept int) {
+	for _, other := range v.Service.Engine.Models {
+		switch {
+		case forgets(e, m, other):
+			forgotten++
+		case other.Name != m.Name && keeps(e, other):
+			kept++
+		}
+	}
+	return forgotten, kept
+}
+
 // warmth is higher the sooner the endpoint can be ready for the model.
 func warmth(e *endpoint.Endpoint, m route.Model) int {
 	switch {
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -16,12 +16,6 @@
 	stageGrace = 4 * time.Second
 	// settle is how long a new tenure starts no loads: the one before may have.
 	settle = time.Second
-	// surveyFor is how long a new tenure asks for loads that are under way; most answer at once, and no load begins
-	// before settle.
-	surveyFor = 900 * time.Millisecond
-	// surveyAgain is after how long an endpoint that loads an unknown model is asked whether it has ended. An answer is
-	// some hundred milliseconds old, and each question is priced.
-	surveyAgain = time.Second
 )
 
 // staging is a model being loaded to an endpoint's host.
@@ -97,37 +91,6 @@
 	return len(p.stagings)
 }
 
-// survey finds the loads that an earlier leader has begun. It asks the endpoints listed at the beginning of the tenure
-// whose hosts lack a model, once; what they do later is this leader's own doing.
-func (p *Planner) survey(v *View) {
-	if v.Now.Sub(p.started) > surveyFor {
-		return
-	}
-	for _, e := range v.Snapshot.Services[v.Service.Name] {
-		c := v.Contacts[e.ID]
-		if p.surveyed[e.ID] || e.Draining || keepsAnother(e) || p.loading(e) {
-			continue
-		}
-		if !c.Answered.After(p.started) {
-			p.ask(e.ID)
-			continue
-		}
-		p.surveyed[e.ID] = true
-		if c.Busy && (e.Membership == nil || e.Membership.State != endpoint.Joining) {
-			p.stagings[e.ID] = staging{since: v.Now, until: v.Now.Add(p.longestLoad(v) + stageGrace)}
-			p.note("model is being loaded already", "", "endpoint", e.ID)
-		}
-	}
-}
-
-func (p *Planner) longestLoad(v *View) time.Duration {
-	longest := time.Duration(0)
-	for _, m := range v.Service.Engine.Models {
-		longest = max(longest, m.Load)
-	}
-	return longest
-}
-
 // stageWithin loads the model to the endpoint's host and reports true, unless enough loads are running.
 func (p *Planner) stageWithin(v *View, running *int, e *endpoint.Endpoint, m route.Model) bool {
 	if *running >= max(1, v.Service.Engine.LoadsAtOnce) || !p.mayLoad(v) {
@@ -183,63 +146,6 @@
 	return out
 }
 
-// stageOthers gives every member of a group the model that it does not run, and what no group has taken a first one.
-func (p *Planner) stageOthers(v *View) {
-	members := p.membersByDomain(v)
-	for _, e := range v.Snapshot.Services[v.Service.Name] {
-		if p.loading(e) || e.Draining {
-			continue
-		}
-		if len(e.Models)+len(e.Staged) == 0 && p.free(v, e) {
-			if m, found := spareModel(v, members[e.Domain]); found {
-				p.stageOne(v, e, m)
-			}
-			continue
-		}
-		if e.Membership == nil || e.Membership.State == endpoint.Joining || len(e.Models) == 0 || keepsAnother(e) {
-			continue
-		}
-		for _, m := range v.Service.Engine.Models {
-			if !e.Holds(m.Name) && !e.HasStaged(m.Name) {
-				p.stageOne(v, e, m)
-				break
-			}
-		}
-	}
-}
-
-// membersByDomain counts the members of groups and plans by domain and model.
-func (p *Planner) membersByDomain(v *View) map[string]map[string]int {
-	out := make(map[string]map[string]int)
-	count := func(domain, model string, n int) {
-		if out[domain] == nil {
-			out[domain] = make(map[string]int)
-		}
-		out[domain][model] += n
-	}
-	for name, g := range v.Snapshot.Groups {
-		if g.Service == v.Service.Name && p.plans[name] == nil {
-			count(g.Domain, g.Model, len(g.Members))
-		}
-	}
-	for _, pl := range p.plans {
-		count(pl.members[0].Domain, pl.model, len(pl.members))
-	}
-	return out
-}
-
-// spareModel returns the model that a spare of a domain should hold: the one for which the loss of a member idles the
-// most others, by how many members there are to be lost.
-func spareModel(v *View, members map[string]int) (best route.Model, found bool) {
-	most := 0
-	for _, m := range v.Service.Engine.Models {
-		if idled := members[m.Name] * (m.Size - 1); idled > most {
-			best, found, most = m, true, idled
-		}
-	}
-	return best, found
-}
-
 // keepsAnother reports whether the host holds a model that the endpoint does not run.
 func keepsAnother(e *endpoint.Endpoint) bool {
 	for _, m := range e.Staged {
