Take no refused connection for a death while removals may be held back

Cause: a head that never says that it leaves left while the store was away and stopped listening; it served on. After the store's return it was still listed, because removals are held back and the store keeps an entry for three heartbeats, and an endpoint that is listed, does not leave and refuses connections counted as dead, so its members were joined elsewhere.

Change: for five seconds after the list was old for two, and while it is old, a refused connection counts as the end of a listed endpoint only after the time that a leaving one may serve on. Tests: TestRefusalProvesNoDeathWhileRemovalsMayBeHeldBack (fails before), TestListIsSteadyOnlyWhileItHasNotBeenOld.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -54,7 +54,7 @@
 func (s *estate) view() *View {
 	d := endpoint.NewDirectory()
 	d.Apply(s.list, nil, s.now)
-	return &View{Now: s.now, AsOf: s.now, Service: testService(), Snapshot: d.Read(), Demand: s.demand, Busy: true}
+	return &View{Now: s.now, AsOf: s.now, Steady: origin.Add(-time.Hour), Service: testService(), Snapshot: d.Read(), Demand: s.demand, Busy: true}
 }
 
 // orders returns the endpoints that get an order of that kind, with the model.
@@ -227,6 +227,24 @@
 	qt.Check(t, v.dead(head.ID), qt.IsTrue)
 }
 
+func TestRefusalProvesNoDeathWhileRemovalsMayBeHeldBack(t *testing.T) {
+	// Found by a hunt (hanbit-docs trouble-3 --seed 122297152857): TWO. The head left while the store was away, without
+	// a word, and stopped listening; it was listed still, because removals are held back after the store's return.
+	s := &estate{demand: map[string]int{"big": 1, "small": 1}}
+	s.group("a", "d1", "big", "small", 3)
+	s.settled()
+	v := s.view()
+	v.Contacts = map[string]Contact{"e00": {Failed: s.now, Refused: true}}
+	v.Steady = s.now.Add(-heldBackFor + time.Millisecond)
+	qt.Check(t, v.dead("e00"), qt.IsFalse)
+	v.Steady = time.Time{}
+	qt.Check(t, v.dead("e00"), qt.IsFalse, qt.Commentf("the list is not current"))
+	v.Now = v.Now.Add(leavesWithin)
+	qt.Check(t, v.dead("e00"), qt.IsTrue, qt.Commentf("it has had the time to finish"))
+	v.Now, v.Steady = s.now, s.now.Add(-heldBackFor)
+	qt.Check(t, v.dead("e00"), qt.IsTrue)
+}
+
 func TestCrashedHeadIsDeadAtOnce(t *testing.T) {
 	s := &estate{demand: map[string]int{"big": 1, "small": 1}}
 	s.group("a", "d1", "big", "small", 3)
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -17,6 +17,9 @@
 	stepEvery = 60 * time.Millisecond
 	// freshEnough is how old the copy of the endpoints' list may be for decisions.
 	freshEnough = 2500 * time.Millisecond
+	// awayFor is how old the copy may get until the store counts as having been away. It is less than the age from which
+	// package follow holds removals back.
+	awayFor = 2 * time.Second
 	// askEvery is the least time between two questions to one endpoint.
 	askEvery  = 250 * time.Millisecond
 	askWait   = 300 * time.Millisecond
@@ -37,6 +40,7 @@
 	planners map[string]*Planner // by service
 	contacts map[string]*contact
 	busy     bool
+	steady   time.Time // since when the list has been current without a long pause; zero if it is not
 	wake     chan struct{}
 }
 
@@ -118,6 +122,7 @@
 		clear(c.planners)
 	}
 	defer c.tell()
+	c.noteAge(now)
 	if !ok || table == nil || now.Sub(c.Current()) > freshEnough || until.Sub(now) < orderWait {
 		return
 	}
@@ -144,13 +149,23 @@
 	}
 }
 
+// noteAge notes whether the copy of the endpoints' list has been old.
+func (c *Controller) noteAge(now time.Time) {
+	switch {
+	case now.Sub(c.Current()) > awayFor:
+		c.steady = time.Time{}
+	case c.steady.IsZero():
+		c.steady = now
+	}
+}
+
 func (c *Controller) note(event, group string, pairs ...any) {
 	_ = level.Info(c.Logger).Log(append([]any{"msg", event, "group", group, "tenure", c.epoch}, pairs...)...)
 }
 
 func (c *Controller) view(s *route.Service, now time.Time) *View {
 	v := &View{
-		Now: now, AsOf: c.Current(), Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
+		Now: now, AsOf: c.Current(), Steady: c.steady, Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
 		Suspects: make(map[string]bool), Demand: make(map[string]int),
 	}
 	for id, k := range c.contacts {
--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -56,6 +56,21 @@
 	})
 }
 
+func TestListIsSteadyOnlyWhileItHasNotBeenOld(t *testing.T) {
+	current := origin
+	c := newTestController(&fakeEngine{}, func(time.Time) (int64, time.Time, bool) { return 0, time.Time{}, false })
+	c.Current = func() time.Time { return current }
+	c.step(context.Background(), origin)
+	qt.Check(t, c.steady, qt.Equals, origin)
+	c.step(context.Background(), origin.Add(awayFor))
+	qt.Check(t, c.steady, qt.Equals, origin)
+	c.step(context.Background(), origin.Add(awayFor+time.Millisecond))
+	qt.Check(t, c.steady.IsZero(), qt.IsTrue)
+	current = origin.Add(time.Minute)
+	c.step(context.Background(), current)
+	qt.Check(t, c.steady, qt.Equals, current)
+}
+
 // TestLapsedLeaseThatIsStillHeldNamesNoGroupTwice: a lease whose renewal was answered late lapses and is then found
 // to be held still, with its epoch. A leader that counted from the beginning again gave the names and epochs of
 // its first groups to others, and took the members of the first for free.
--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -11,6 +11,7 @@
 type View struct {
 	Now      time.Time
 	AsOf     time.Time // the snapshot is certainly current as of then
+	Steady   time.Time // since when it has been current without a long pause; zero if it is not
 	Service  *route.Service
 	Snapshot *endpoint.Snapshot
 	Contacts map[string]Contact // by endpoint ID, of those that have been asked lately
@@ -37,6 +38,10 @@
 	// deadAfter is how long an endpoint that is not listed any more must be silent to all nodes before it counts
 	// as dead. Only then may the members of a group that it headed join others: it may still serve them.
 	deadAfter = 1200 * time.Millisecond
+	// heldBackFor is how long after the store was away endpoints may be listed that have left: the platform removes an
+	// entry after three heartbeats of 1.2 s without a write, and package follow holds removals back for 2.2 s, of which
+	// a part falls into the same time.
+	heldBackFor = 5 * time.Second
 	// leavesWithin is how long an endpoint that leaves may serve what it has begun after it has stopped listening.
 	leavesWithin = 11 * time.Second
 )
@@ -73,8 +78,10 @@
 	if v.AsOf.Before(c.Failed) {
 		return false // it may have begun to leave meanwhile
 	}
-	if e, listed := v.Snapshot.Endpoints[id]; listed {
+	if e, listed := v.Snapshot.Endpoints[id]; listed && v.confirmed() {
 		return !e.Draining
+	} else if listed {
+		return v.Now.Sub(c.Failed) >= leavesWithin
 	}
 	if gone, known := v.Snapshot.Gone[id]; known && gone.Endpoint.Draining {
 		return true
@@ -82,6 +89,10 @@
 	return v.Now.Sub(c.Failed) >= leavesWithin
 }
 
+// confirmed reports whether what is listed is certainly in the store. After the store was away, removals are held back
+// for some time: an endpoint that has left meanwhile without a word is still listed.
+func (v *View) confirmed() bool { return !v.Steady.IsZero() && v.Now.Sub(v.Steady) >= heldBackFor }
+
 // answers reports whether the endpoint has answered a direct question within that time.
 func (v *View) answers(id string, within time.Duration) bool {
 	c, ok := v.Contacts[id]
--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -194,7 +194,7 @@
 func (w *world) view(late int) *View {
 	at := max(0, len(w.history)-1-late)
 	snapshot := w.history[at]
-	v := &View{Now: w.now, AsOf: w.now.Add(-time.Duration(len(w.history)-1-at) * tick), Service: w.service, Snapshot: snapshot, Contacts: make(map[string]Contact), Loads: make(map[string]int), Suspects: make(map[string]bool), Demand: w.demand, Busy: w.busy}
+	v := &View{Now: w.now, Steady: origin.Add(-time.Hour), AsOf: w.now.Add(-time.Duration(len(w.history)-1-at) * tick), Service: w.service, Snapshot: snapshot, Contacts: make(map[string]Contact), Loads: make(map[string]int), Suspects: make(map[string]bool), Demand: w.demand, Busy: w.busy}
 	for id, x := range w.workers {
 		if !x.failed.IsZero() {
 			contact := Contact{Failed: x.failed}
