Keep what a node tells the others from growing with the fleet

Cause, seen by running the gossip of 295 nodes in one process (TestPartOfANodeDoesNotGrowWithTheFleet): at the start every node took itself for a relay, and relays told all addresses they knew, each other ten times a second, and each change of a roster at once to everyone who subscribed: 490 MB in the first two seconds, which full links of 20 Mbit/s kept from ever settling; then 12 MB a second at rest.

Change: a node tells its relays and at most six others in a round; relays are chosen alike from registrations until the fleet has met, of each data centre in turn, 0.6 times the root of the fleet's size; beats name the relays; news go at once to relays only; a relay lists its reporters anew once a second; nodes without requests report twice a second and are told no loads; a load takes five bytes; a node that is no relay answers a newcomer that takes itself for one (it was never found otherwise) and does not call itself a relay in that answer (its load was counted twice); relays lead before other nodes; one node in eight registers, the others list what is registered at a tenth of the charge and ask the store spread over time in a large fleet.

Conclusion: the fleet of 295 settles within some seconds and a node's part does not grow from 30 to 300.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -28,9 +28,6 @@
 	// for each live node that would do so sooner.
 	patience     = 1100 * time.Millisecond
 	rankPatience = 150 * time.Millisecond
-	// startPatience is how long a new process waits for the beats of others before it asks the store: those that live
-	// send one each 100 ms to the address that it had before.
-	startPatience = 150 * time.Millisecond
 	// pullWait bounds the fetching of what has changed from another node.
 	pullWait = time.Second
 	// lastRank bounds the wait in a large fleet.
@@ -47,6 +44,8 @@
 // Follower keeps the copy.
 type Follower struct {
 	Mirror *mirror.Mirror
+	// StartPatience returns how long a new process waits for the beats of others before it asks the store.
+	StartPatience func() time.Duration
 
 	objects infra.ObjectStore
 	puller  Puller
@@ -67,7 +66,7 @@
 func NewFollower(objects infra.ObjectStore, puller Puller, self string, leads func() bool, live func(now time.Time) []*gossip.Peer, logger log.Logger) *Follower {
 	return &Follower{
 		Mirror: mirror.New(), objects: objects, puller: puller, leads: leads, live: live, self: self, logger: logger,
-		started: time.Now(), proof: newProof(keys.Accepted, keys.Endpoints), beats: make(chan *gossip.Peer, 64),
+		StartPatience: func() time.Duration { return 0 }, started: time.Now(), proof: newProof(keys.Accepted, keys.Endpoints), beats: make(chan *gossip.Peer, 64),
 		pulled: make(map[string]uint64), lost: make(map[string]bool),
 	}
 }
@@ -126,7 +125,7 @@
 	}
 	at, _ := f.proof.whole()
 	if at.IsZero() {
-		return now.Sub(f.started) > startPatience
+		return now.Sub(f.started) > f.StartPatience()
 	}
 	return now.Sub(at) > patience+time.Duration(min(rank, lastRank))*rankPatience
 }
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -166,7 +166,7 @@
 func (c *Controller) view(s *route.Service, now time.Time) *View {
 	v := &View{
 		Now: now, AsOf: c.Current(), Steady: c.steady, Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
-		Suspects: make(map[string]bool), Demand: make(map[string]int),
+		Loads: make(map[string]int), Suspects: make(map[string]bool), Demand: make(map[string]int),
 	}
 	for id, k := range c.contacts {
 		v.Contacts[id] = k.Contact
@@ -175,7 +175,11 @@
 	total.AddTotals(c.Others(now))
 	own := c.Own(now)
 	total.Add(&own)
-	v.Loads = total.Loads
+	for id := range v.Snapshot.Endpoints {
+		if n := total.Loads.At(id); n > 0 {
+			v.Loads[id] = n
+		}
+	}
 	for model, d := range total.Demands {
 		v.Demand[model] = d.Running + d.Waiting
 	}
--- a/internal/gossip/contact.go
+++ b/internal/gossip/contact.go
@@ -14,8 +14,11 @@
 	clock   freshness.Clock
 	echo    uint64
 	peer    *Peer // nil until heard
+	told    *Peer // what its registration says; nil if it was not found by one
 	sent    time.Time
 	added   time.Time
+	named   time.Time // another node last told of it
+	seldom  bool      // this node tells it little, being idle
 	tick    uint64    // the highest taken in of that incarnation
 	tried   time.Time // since when it has been sent to without being heard; zero if it answers
 
@@ -27,7 +30,15 @@
 	rosters    []uint64        // rosters that it goes by
 }
 
-func (c *contact) fresh(now time.Time) bool { return c.peer != nil && c.peer.Fresh(now, LiveFor) }
+func (c *contact) fresh(now time.Time) bool { return c.peer != nil && c.peer.Fresh(now, c.liveFor()) }
+
+// liveFor is how long it counts as live after it was last heard.
+func (c *contact) liveFor() time.Duration {
+	if c.seldom || c.peer.Idle && !c.peer.Relay {
+		return idleLiveFor
+	}
+	return LiveFor
+}
 
 // relay reports whether it is heard and passes on what others tell it.
 func (c *contact) relay(now time.Time) bool { return c.fresh(now) && c.peer.Relay }
@@ -40,6 +51,20 @@
 	return !c.fresh(now) && !c.tried.IsZero() && now.Sub(c.tried) > LiveFor && now.Sub(c.tried) < retryRelay
 }
 
+// presumed returns a node that has registered and was not heard yet, if it may be there.
+func (c *contact) presumed(now time.Time) *Peer {
+	if c.peer != nil || c.told == nil || c.silent(now) || now.Sub(c.added) > forgetAfter {
+		return nil
+	}
+	return c.told
+}
+
+// promising reports whether it probably lives and relays: another node has just told of it, or it was one when it was
+// last heard.
+func (c *contact) promising(now time.Time) bool {
+	return now.Sub(c.named) < slowEvery || c.peer != nil && c.peer.Relay
+}
+
 func (c *contact) lastSign() time.Time {
 	if c.peer != nil && c.peer.Heard.After(c.added) {
 		return c.peer.Heard
--- a/internal/gossip/convert.go
+++ b/internal/gossip/convert.go
@@ -14,13 +14,17 @@
 		GossipAddress: self.GossipAddress, PeerAddress: self.PeerAddress,
 		Leaving: s.Leaving, Serving: s.Serving, Watching: s.Watching, Eligible: s.Eligible, LeaderEpoch: s.LeaderEpoch, Sequence: s.Sequence,
 		LeaseVersion: s.Lease.Version, LeaseTtlMs: uint32(s.Lease.Term / time.Millisecond), //nolint:gosec // terms are short
-		Retiring: s.Retiring, Lost: s.Lost, Relay: s.Relay, Capacity: self.Capacity, UptimeMs: uint32(s.Uptime / time.Millisecond), //nolint:gosec // 49 days fit
+		Retiring: s.Retiring, Lost: s.Lost, Relay: s.Relay, Idle: s.Idle, Capacity: self.Capacity, UptimeMs: uint32(s.Uptime / time.Millisecond), //nolint:gosec // 49 days fit
+	}
+	if self.PeerAddress == self.GossipAddress {
+		b.PeerAddress = "" // said above; rosters are most of what a fleet sends while it starts
 	}
 	if !s.ProofAt.IsZero() {
 		b.ProofAgeMs = max(1, roundUp(now.Sub(s.ProofAt)))
 	}
 	for endpoint, n := range s.Loads {
-		b.Loads = append(b.Loads, &gossippb.Load{Endpoint: endpoint, Requests: uint32(n)}) //nolint:gosec // never negative
+		b.LoadEndpoints = append(b.LoadEndpoints, uint32(endpoint))
+		b.LoadRequests = append(b.LoadRequests, uint32(n)) //nolint:gosec // never negative
 	}
 	for group, at := range s.Suspects {
 		if len(b.Suspects) < maxSuspects {
@@ -46,16 +50,19 @@
 		},
 		Status: Status{
 			Leaving: b.Leaving, Serving: b.Serving, Watching: b.Watching, Eligible: b.Eligible, LeaderEpoch: b.LeaderEpoch, Sequence: b.Sequence,
-			Lease: Lease{b.LeaseVersion, millis(b.LeaseTtlMs)}, Retiring: b.Retiring, Lost: b.Lost, Relay: b.Relay, Uptime: millis(b.UptimeMs), Loads: make(map[string]int, len(b.Loads)),
+			Lease: Lease{b.LeaseVersion, millis(b.LeaseTtlMs)}, Retiring: b.Retiring, Lost: b.Lost, Relay: b.Relay, Idle: b.Idle, Uptime: millis(b.UptimeMs), Loads: make(Loads, len(b.LoadEndpoints)),
 			Suspects: make(map[string]time.Time, len(b.Suspects)), Demands: make(map[string]Demand, len(b.Demands)),
 		},
 		Heard: asOf,
 	}
+	if p.PeerAddress == "" {
+		p.PeerAddress = p.GossipAddress
+	}
 	if b.ProofAgeMs > 0 {
 		p.ProofAt = asOf.Add(-millis(b.ProofAgeMs))
 	}
-	for _, l := range b.Loads {
-		p.Loads[l.Endpoint] = int(l.Requests)
+	for i, endpoint := range b.LoadEndpoints[:min(len(b.LoadEndpoints), len(b.LoadRequests))] {
+		p.Loads[EndpointKey(endpoint)] = int(b.LoadRequests[i])
 	}
 	for _, s := range b.Suspects {
 		p.Suspects[s.Group] = asOf.Add(-millis(s.AgeMs))
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -23,6 +22,12 @@
 	Every = 100 * time.Millisecond
 	// LiveFor is how long a node counts as live after it was last heard.
 	LiveFor = 800 * time.Millisecond
+	// idleEvery and idleStandbyEvery are the intervals of a node without requests to its two relays. What it has to know,
+	// who is in the fleet and how current its configuration is, bears such an age; it sends and takes in a fifth.
+	idleEvery        = 500 * time.Millisecond
+	idleStandbyEvery = time.Second
+	// idleLiveFor is how long an idle node and its relays count as live to each other after they were last heard.
+	idleLiveFor = 2 * time.Second
 	// slowEvery is the interval between two beats to a node that does not answer.
 	slowEvery = 700 * time.Millisecond
 	// standbyEvery is the interval between two beats to the second relay.
@@ -37,15 +42,27 @@
 	viewFor = 20 * time.Millisecond
 	// kickPause is the least time between two urgent rounds of beats. While a fleet starts everything is news to
 	// everyone: with 10 ms 68 nodes sent each other 440 MB in their first six seconds.
-	kickPause   = 50 * time.Millisecond
-	maxDatagram = 60 << 10
-	knownPart   = 2 // other nodes told in one beat: two of them ten times a second, by chance, make a fleet known soon
+	kickPause = 50 * time.Millisecond
+	// rosterEvery is how often a relay of a large fleet lists anew who reports to it, unless one of them leaves: while a
+	// fleet starts the list changes all the time, and each of its versions goes to every node.
+	rosterEvery = time.Second
+	// straysARound is how many nodes beside its relays a node tells in one round at most.
+	straysARound = 6
+	maxDatagram  = 60 << 10
+	knownPart    = 5 // other nodes told in one beat: two of them ten times a second, by chance, make a fleet known soon
 )
 
+// Conn sends and takes in datagrams; a *net.UDPConn is one.
+type Conn interface {
+	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	SetReadDeadline(t time.Time) error
+}
+
 // Node is this process's part in the gossip.
 type Node struct {
 	self   Identity
-	conn   *net.UDPConn
+	conn   Conn
 	status func(now time.Time) Status
 	// OnBeat is called with each beat taken in; it must not block.
 	OnBeat func(p *Peer)
@@ -53,7 +70,10 @@
 	mu         sync.Mutex
 	peers      map[string]*contact // by gossip address
 	rosters    map[uint64]*roster  // by digest
+	relays     []*Peer             // the other nodes that should be relays
 	own        *roster             // while this node is a relay
+	ownAt      time.Time
+	ownStale   bool // a node of it leaves
 	seen       map[string]time.Time
 	relaying   bool
 	subscribed []string // addresses of the relays that this node reports and subscribes to
@@ -68,7 +88,7 @@
 }
 
 // NewNode returns a Node that sends and hears on conn; status tells what to say.
-func NewNode(self Identity, conn *net.UDPConn, status func(now time.Time) Status) *Node {
+func NewNode(self Identity, conn Conn, status func(now time.Time) Status) *Node {
 	return &Node{
 		self: self, conn: conn, status: status, peers: make(map[string]*contact), rosters: make(map[uint64]*roster),
 		seen: make(map[string]time.Time), kick: make(chan struct{}, 1),
@@ -87,6 +107,16 @@
 	}
 }
 
+// Introduce makes a registered node known. Until it is heard it counts only where relays are chosen, so that the nodes
+// of a fleet that starts agree on these before they have all met.
+func (n *Node) Introduce(id Identity) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c := n.add(id.GossipAddress, time.Now()); c != nil {
+		c.told = &Peer{Identity: id}
+	}
+}
+
 func (n *Node) add(address string, now time.Time) *contact {
 	if address == n.self.GossipAddress {
 		return nil
@@ -127,7 +157,8 @@
 			time.Sleep(kickPause)
 		case <-timer.C:
 			n.send(time.Now(), false)
-			timer.Reset(Every + time.Duration(rand.Int64N(int64(Every/10)))) //nolint:gosec // jitter
+			every := n.roundEvery()
+			timer.Reset(every + time.Duration(rand.Int64N(int64(every/10)))) //nolint:gosec // jitter
 		}
 	}
 	n.send(time.Now(), true)
@@ -135,17 +166,34 @@
 	return nil
 }
 
-// known returns some of the nodes that are heard, relays first.
+// roundEvery is the interval between two rounds of beats: longer for an idle node whose relay answers.
+func (n *Node) roundEvery() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.last.Idle && n.upstream(time.Now()) != nil {
+		return idleEvery
+	}
+	return Every
+}
+
+// known returns some of the nodes that are heard, of those that should be relays if there are any: so all nodes soon
+// agree on who relays.
 func (n *Node) known(now time.Time) []*gossippb.KnownNode {
 	var out []*gossippb.KnownNode
-	for _, wantRelay := range []bool{true, false} {
-		for address, c := range n.peers { // in random order
-			if len(out) == knownPart {
-				return out
-			}
-			if c.fresh(now) && c.peer.Relay == wantRelay {
-				out = append(out, &gossippb.KnownNode{Vm: c.peer.VM, GossipAddress: address})
-			}
+	tell := func(p *Peer) { out = append(out, &gossippb.KnownNode{Vm: p.VM, GossipAddress: p.GossipAddress}) }
+	if len(n.relays) > knownPart {
+		for i := range knownPart - 1 {
+			tell(n.relays[i])
+		}
+		tell(n.relays[rand.IntN(len(n.relays))]) //nolint:gosec // any will do
+		return out
+	}
+	for _, c := range n.peers { // in random order
+		if len(out) == knownPart {
+			return out
+		}
+		if c.fresh(now) {
+			tell(c.peer)
 		}
 	}
 	return out
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -42,7 +42,9 @@
 		return nil
 	}
 	for _, k := range b.Known {
-		n.add(k.GossipAddress, now)
+		if named := n.add(k.GossipAddress, now); named != nil {
+			named.named = now
+		}
 	}
 	same := c.peer != nil && c.peer.Incarnation == b.Incarnation
 	if same && b.Tick <= c.tick {
@@ -58,6 +60,8 @@
 	}
 	appeared := !c.fresh(now)
 	news := !appeared && isNews(c, b)
+	n.ownStale = n.ownStale || news && c.reports
+	n.changed = n.changed || !slices.Equal(c.rosters, b.Rosters)
 	c.takeFlags(b)
 	c.peer = fromWire(b, asOf)
 	c.peer.Upstream = !n.relaying && len(n.subscribed) > 0 && n.subscribed[0] == b.GossipAddress
@@ -71,9 +75,9 @@
 	return c.peer
 }
 
-// isNews reports whether a beat tells something of a live node that a relay passes on at once. That a node has appeared
-// is told in the next round: while a fleet starts all of them appear to each other.
+// isNews reports whether a beat tells something of a live node that a relay passes on at once. Other nodes' rosters are
+// told in the next round: while a fleet starts all of them change.
 func isNews(c *contact, b *gossippb.Beat) bool {
 	s := &c.peer.Status
-	return s.Leaving != b.Leaving || s.Serving != b.Serving || s.LeaderEpoch != b.LeaderEpoch || !slices.Equal(c.rosters, b.Rosters)
+	return s.Leaving != b.Leaving || s.Serving != b.Serving || s.LeaderEpoch != b.LeaderEpoch
 }
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -2,16 +2,17 @@
 
 import (
 	"iter"
+	"slices"
 	"time"
 
 	"moorrun.dev/moorrun/internal/gossip/gossippb"
 )
 
-// HasReporters reports whether any node relies on this one to pass on what it tells and to tell what is new.
-func (n *Node) HasReporters() bool {
+// Relaying reports whether this node passes on what others tell. While it has not met the fleet it is one by itself.
+func (n *Node) Relaying() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.hasReporters(time.Now())
+	return n.relaying
 }
 
 // hasReporters reports whether any node relies on this one to pass on what it tells.
@@ -33,29 +34,52 @@
 	}
 }
 
-// sendToRelays tells the other relays what this one and those that report to it have, and those that report how the
-// fleet stands. Nodes that nobody hears are tried now and then: they may have started anew and know nobody.
+// sendToRelays tells the other relays what this one and those that report to it have.
 func (n *Node) sendToRelays(now time.Time, urgent bool, relays []*Peer) {
-	n.own = n.ownRoster(now)
-	wanted := make(map[string]bool, len(relays))
+	n.refreshOwnRoster(now)
+	common := n.marshal(n.partBeat(now))
+	wanted := make(map[*contact]bool, len(relays))
 	for _, p := range relays {
-		wanted[p.GossipAddress] = true
+		c := n.add(p.GossipAddress, now)
+		if c == nil {
+			continue
+		}
+		wanted[c] = true
+		if c.fresh(now) || now.Sub(c.sent) >= Every {
+			n.write(c, now, common, n.rosterFields(c, now, true, n.own))
+		}
 	}
+	for _, c := range n.strays(now, urgent, wanted) {
+		n.write(c, now, common, n.rosterFields(c, now, true, n.own))
+	}
+}
+
+// strays returns some of the other addresses that are due to be told: relays that this node does not count on, and nodes
+// that nobody hears. Those may have started anew and know nobody. Only some at a time, because while a large fleet
+// starts each node knows all addresses and hears none: with all of them 295 nodes sent 490 MB in two seconds.
+func (n *Node) strays(now time.Time, urgent bool, wanted map[*contact]bool) []*contact {
 	heard := make(map[string]bool)
 	for _, p := range n.live(now) {
 		heard[p.GossipAddress] = true
 	}
-	common := n.marshal(n.partBeat(now))
-	for address, c := range n.peers {
+	var named, out []*contact
+	for address, c := range n.peers { // in random order
+		if len(named) == straysARound {
+			return named
+		}
 		pause := now.Sub(c.sent)
-		retry := !heard[address] && (pause >= slowEvery || urgent && len(n.peers) < allRelay)
+		relay := c.relay(now) && pause >= standbyEvery
+		unheard := !c.fresh(now) && !heard[address] && (pause >= slowEvery || urgent && len(n.peers) < allRelay)
 		switch {
-		case c.fresh(now) && (c.peer.Relay || wanted[address]), wanted[address] && pause >= Every, retry:
-			n.write(c, now, common, n.rosterFields(c, now, n.own))
-		case urgent && c.fresh(now) && c.subscribes: // it is answered whenever it reports
-			n.writeWholeFleet(c, now)
+		case wanted[c] || !relay && !unheard:
+		case unheard && c.promising(now):
+			named = append(named, c)
+		case len(out) < straysARound:
+			out = append(out, c)
 		}
 	}
+	out = append(named, out...)
+	return out[:min(len(out), straysARound)]
 }
 
 // partBeat is what the other relays are told.
@@ -66,11 +90,19 @@
 		part.Add(&c.peer.Status)
 	}
 	b := toWire(n.self, part.over(n.last), now)
-	b.Relay = true
+	b.Relay = n.relaying
 	b.Known = n.known(now)
 	return b
 }
 
+// refreshOwnRoster lists this relay and the nodes that report to it anew, if that is due.
+func (n *Node) refreshOwnRoster(now time.Time) {
+	if n.own != nil && !n.ownStale && now.Sub(n.ownAt) < rosterEvery && len(n.peers) >= allRelay {
+		return
+	}
+	n.own, n.ownAt, n.ownStale = n.ownRoster(now), now, false
+}
+
 // ownRoster lists this relay and the nodes that report to it.
 func (n *Node) ownRoster(now time.Time) *roster {
 	status := n.last
@@ -82,14 +114,15 @@
 	return newRoster(members)
 }
 
-// answer answers a node that is not a relay: one that subscribes, with what the whole fleet has; another one now and
-// then, so that it gets to know the relays.
+// answer answers a node that subscribes with what the whole fleet has, and another one now and then, so that it gets to
+// know the relays. Relays tell each other in their rounds; one that tells a node which is none has just started and knows
+// nobody else.
 func (n *Node) answer(b *gossippb.Beat, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	c := n.peers[b.GossipAddress]
 	switch {
-	case c == nil || b.Relay:
+	case c == nil || b.Relay && n.relaying:
 	case b.Subscribes:
 		n.writeWholeFleet(c, now)
 	case now.Sub(c.sent) >= slowEvery/2:
@@ -99,9 +132,7 @@
 
 // writeWholeFleet tells a subscriber what all nodes but itself have.
 func (n *Node) writeWholeFleet(c *contact, now time.Time) {
-	if n.own == nil {
-		n.own = n.ownRoster(now)
-	}
+	n.refreshOwnRoster(now)
 	rosters := []*roster{n.own}
 	for _, other := range n.peers {
 		if !other.relay(now) {
@@ -111,26 +142,30 @@
 			rosters = append(rosters, n.rosters[digest])
 		}
 	}
+	slices.SortFunc(rosters, compareRosters)
 	total := NewTotals()
 	total.Add(&n.last)
 	total.AddTotals(n.othersNow(now))
 	if c.reporter(now) {
 		total = total.without(&c.peer.Status)
 	}
+	if c.peer != nil && c.peer.Idle {
+		total.Loads = nil
+	}
 	b := toWire(n.self, total.over(n.last), now)
 	b.Relay, b.WholeFleet = true, true
-	n.write(c, now, n.marshal(b), n.rosterFields(c, now, rosters...))
+	n.write(c, now, n.marshal(b), n.rosterFields(c, now, c.reporter(now), rosters...))
 }
 
-// rosterFields names the rosters that this node goes by, with the content of those that the receiver lacks.
-func (n *Node) rosterFields(c *contact, now time.Time, rosters ...*roster) *gossippb.Beat {
+// rosterFields names the rosters that this node goes by, if wanted with the content of those that the receiver lacks.
+func (n *Node) rosterFields(c *contact, now time.Time, content bool, rosters ...*roster) *gossippb.Beat {
 	b := &gossippb.Beat{}
 	for _, r := range rosters {
 		if r == nil {
 			continue
 		}
 		b.Rosters = append(b.Rosters, r.digest)
-		if !c.holds[r.digest] {
+		if content && !c.holds[r.digest] {
 			b.NewRosters = append(b.NewRosters, r.toWire(now))
 		}
 	}
--- a/internal/gossip/relays.go
+++ b/internal/gossip/relays.go
@@ -15,23 +15,58 @@
 	leastRelays = 6
 )
 
+// relayPart is how many relays a fleet has for each unit of the root of its size. Relays tell each other everything ten
+// times a second, so their exchange costs more than what they tell the other nodes.
+const relayPart = 0.6
+
 // relayCount returns how many relays a fleet has: with the root of its size neither a relay nor the exchange between
 // relays grows as the fleet does.
 func relayCount(nodes int) int {
 	if nodes <= allRelay {
 		return nodes
 	}
-	return max(leastRelays, int(math.Ceil(math.Sqrt(float64(nodes)))))
+	return max(leastRelays, int(math.Ceil(relayPart*math.Sqrt(float64(nodes)))))
 }
 
-// relaysOf returns which of the nodes should be relays, the largest first. Nodes that see different parts of the
-// fleet may disagree: whoever is taken for a relay acts as one.
+// relaysOf returns which of the nodes should be relays: the leader, and of each data centre in turn the largest. Nodes
+// that see different parts of the fleet may disagree: whoever is reported to acts as a relay.
 func relaysOf(nodes []*Peer) []*Peer {
-	out := slices.DeleteFunc(slices.Clone(nodes), func(p *Peer) bool { return p.Leaving })
-	slices.SortFunc(out, func(a, b *Peer) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(a.VM), xxhash.Sum64String(b.VM)), cmp.Compare(a.VM, b.VM))
-	})
-	return out[:min(len(out), relayCount(len(nodes)))]
+	ranked := make([]rankedPeer, 0, len(nodes))
+	for _, p := range nodes {
+		if !p.Leaving {
+			ranked = append(ranked, rankedPeer{Peer: p, hash: xxhash.Sum64String(p.VM)})
+		}
+	}
+	slices.SortFunc(ranked, rankedPeer.compareSize)
+	inZone := make(map[string]int)
+	for i := range ranked {
+		zone := ranked[i].Zone
+		ranked[i].place = inZone[zone]
+		inZone[zone]++
+	}
+	slices.SortStableFunc(ranked, rankedPeer.comparePlace)
+	var out []*Peer
+	for _, r := range ranked[:min(len(ranked), relayCount(len(nodes)))] {
+		out = append(out, r.Peer)
+	}
+	return out
+}
+
+// rankedPeer is a node with what decides whether it should be a relay.
+type rankedPeer struct {
+	*Peer
+	hash  uint64
+	place int // among the nodes of its data centre, from 0
+}
+
+// compareSize puts larger nodes first, and orders equal ones alike at all nodes.
+func (r rankedPeer) compareSize(other rankedPeer) int {
+	return cmp.Or(cmp.Compare(other.Capacity, r.Capacity), cmp.Compare(r.hash, other.hash), cmp.Compare(r.VM, other.VM))
+}
+
+// comparePlace puts the leader first, then the first of each data centre.
+func (r rankedPeer) comparePlace(other rankedPeer) int {
+	return cmp.Or(cmp.Compare(min(other.LeaderEpoch, 1), min(r.LeaderEpoch, 1)), cmp.Compare(r.place, other.place))
 }
 
 // preferredRelays orders the relays for one node: those of its data centre first, and so that the nodes of a data
--- a/internal/gossip/report.go
+++ b/internal/gossip/report.go
@@ -16,7 +16,8 @@
 	common := n.marshal(b)
 	for i, address := range n.subscribed {
 		c := n.peers[address]
-		if i > 0 && c.fresh(now) && !urgent && now.Sub(c.sent) < standbyEvery {
+		c.seldom = n.last.Idle
+		if c.fresh(now) && !urgent && now.Sub(c.sent) < reportEvery(i, n.last.Idle) {
 			continue
 		}
 		n.write(c, now, common, &gossippb.Beat{Subscribes: true, Reports: i == 0})
@@ -24,11 +25,22 @@
 	if n.upstream(now) != nil {
 		return
 	}
-	for _, c := range n.peers { // nobody answers: anyone may know more
-		if !c.fresh(now) && now.Sub(c.sent) >= slowEvery {
-			n.write(c, now, common, &gossippb.Beat{})
-		}
+	for _, c := range n.strays(now, urgent, nil) { // nobody answers: anyone may know more
+		n.write(c, now, common, &gossippb.Beat{})
+	}
+}
+
+// reportEvery is the least interval between two beats to the first relay of a node, or to a further one.
+func reportEvery(i int, idle bool) time.Duration {
+	switch {
+	case i == 0 && !idle:
+		return 0
+	case i == 0:
+		return idleEvery
+	case !idle:
+		return standbyEvery
 	}
+	return idleStandbyEvery
 }
 
 // relaysPerNode is how many relays a node that is none subscribes to.
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -27,18 +27,35 @@
 // review decides whether this node is a relay, and returns the nodes that should be.
 func (n *Node) review(now time.Time, status Status) []*Peer {
 	nodes := append([]*Peer{{Identity: n.self, Status: status, Heard: now}}, n.live(now)...)
+	nodes = append(nodes, n.presumed(now)...)
 	relays := relaysOf(nodes)
 	isSelf := func(p *Peer) bool { return p.VM == n.self.VM }
-	n.relaying = status.LeaderEpoch > 0 || status.Watching || slices.ContainsFunc(relays, isSelf) || n.hasReporters(now)
+	n.relaying = status.LeaderEpoch > 0 || slices.ContainsFunc(relays, isSelf) || n.hasReporters(now)
 	if status.Leaving {
 		n.relaying = n.hasReporters(now)
 	}
-	for _, p := range nodes[1:] {
+	for _, p := range n.live(now) {
 		if c := n.add(p.GossipAddress, now); c != nil {
 			c.added = now // kept, though perhaps only relays hear it
 		}
 	}
-	return slices.DeleteFunc(relays, isSelf)
+	n.relays = slices.DeleteFunc(relays, isSelf)
+	return n.relays
+}
+
+// presumed returns the nodes that have registered and that nobody has heard yet.
+func (n *Node) presumed(now time.Time) []*Peer {
+	var out []*Peer
+	for _, c := range n.peers {
+		p := c.presumed(now)
+		if p == nil {
+			continue
+		}
+		if _, heard := n.seen[p.VM]; !heard {
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
 // forget drops the addresses and rosters that are of no use any more.
--- /dev/null
+++ b/internal/gossip/size_test.go
@@ -0,0 +1,172 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// usedAZone is how many nodes of a data centre have requests.
+	usedAZone = 8
+	// registrarOneIn is how many nodes there are for each that the others know from the start.
+	registrarOneIn = 8
+	groupsInUse    = 120
+	// listedAfter is how long after its start a node knows the registrars.
+	listedAfter = 100 * time.Millisecond
+)
+
+// largeFleet runs the gossip of many nodes over a network in a synctest bubble.
+type largeFleet struct {
+	network *network
+	nodes   []*Node
+	ports   []*port
+	stop    context.CancelFunc
+	running sync.WaitGroup
+	before  traffic
+}
+
+// traffic is what all nodes of a fleet have sent.
+type traffic struct{ datagrams, bytes, farBytes int }
+
+func newLargeFleet(size int) *largeFleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &largeFleet{network: newNetwork(), stop: cancel}
+	for i := range size {
+		p := f.network.open(i)
+		address := p.address.String()
+		id := Identity{
+			VM: fmt.Sprintf("entry-%d", i), Incarnation: fmt.Sprintf("%08x", i), Zone: fmt.Sprintf("data-centre-%d", p.zone),
+			CallerAddress: address, GossipAddress: address, PeerAddress: address, Capacity: 192,
+		}
+		if i < 3*zones {
+			id.Capacity = 800
+		}
+		f.ports = append(f.ports, p)
+		f.nodes = append(f.nodes, NewNode(id, p, statusOf(i)))
+	}
+	for i, n := range f.nodes {
+		start := time.Duration(i*7919%300) * time.Millisecond
+		f.running.Go(func() {
+			time.Sleep(start)
+			time.AfterFunc(listedAfter, func() { f.list(n) })
+			_ = n.Run(ctx)
+		})
+	}
+	return f
+}
+
+// statusOf returns what node i says of itself: it serves a second after the start, and the first one leads.
+func statusOf(i int) func(now time.Time) Status {
+	started := time.Now()
+	loads := Loads{}
+	for j := range 3 {
+		loads[KeyOf(fmt.Sprint("head-", (i+j*7919)%groupsInUse))] = 1
+	}
+	return func(now time.Time) Status {
+		up := now.Sub(started)
+		s := Status{Serving: up > time.Second, Eligible: true, Uptime: up, ProofAt: now, Idle: i >= usedAZone*zones, Suspects: map[string]time.Time{}}
+		if !s.Idle {
+			s.Loads = loads
+			s.Demands = map[string]Demand{"m": {Running: 3}}
+		}
+		if i == 0 && up > time.Second {
+			s.LeaderEpoch, s.Watching = 5, true
+		}
+		return s
+	}
+}
+
+// list makes the registered nodes known to n.
+func (f *largeFleet) list(n *Node) {
+	for i, other := range f.nodes {
+		if i%registrarOneIn == 3 {
+			n.Introduce(other.Self())
+		}
+	}
+}
+
+// during lets some seconds pass and returns what a node sent a second meanwhile, on average.
+func (f *largeFleet) during(seconds int) traffic {
+	time.Sleep(time.Duration(seconds) * time.Second)
+	var now traffic
+	f.network.mu.Lock()
+	for _, p := range f.ports {
+		now.datagrams += p.sent
+		now.bytes += p.bytes
+		now.farBytes += p.farBytes
+	}
+	f.network.mu.Unlock()
+	share := seconds * len(f.nodes)
+	out := traffic{(now.datagrams - f.before.datagrams) / share, (now.bytes - f.before.bytes) / share, (now.farBytes - f.before.farBytes) / share}
+	f.before = now
+	return out
+}
+
+// cut makes a third of the nodes unreachable, or reachable again.
+func (f *largeFleet) cut(apart bool) {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	for i, p := range f.ports {
+		p.cut = p.cut || apart && i%3 == 1
+		p.cut = p.cut && apart
+	}
+}
+
+// lose makes a node unreachable for good.
+func (f *largeFleet) lose(i int) {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	f.ports[i].cut = true
+}
+
+// leastSeen returns how many others the reachable node sees that sees fewest.
+func (f *largeFleet) leastSeen() int {
+	least := len(f.nodes)
+	for i, n := range f.nodes {
+		if !f.ports[i].cut {
+			least = min(least, len(n.Live(time.Now())))
+		}
+	}
+	return least
+}
+
+func (f *largeFleet) end() {
+	f.stop()
+	f.running.Wait()
+}
+
+// What a node sends may not grow with its fleet, whatever befalls it. The bounds are some twice what was measured; one node
+// may use 20 KB a second.
+func TestPartOfANodeDoesNotGrowWithTheFleet(t *testing.T) {
+	for _, size := range []int{30, 100, 300} {
+		t.Run(fmt.Sprint(size, " nodes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLargeFleet(size)
+				check := func(what string, seconds, bytes, datagrams int) {
+					got := f.during(seconds)
+					t.Logf("%s: a node sends %d datagrams and %d bytes a second, %d of them to other data centres", what, got.datagrams, got.bytes, got.farBytes)
+					qt.Check(t, got.bytes < bytes, qt.IsTrue, qt.Commentf("%s: %d bytes", what, got.bytes))
+					qt.Check(t, got.datagrams < datagrams, qt.IsTrue, qt.Commentf("%s: %d datagrams", what, got.datagrams))
+				}
+				check("start", 6, 40_000, 60)
+				qt.Check(t, f.leastSeen(), qt.Equals, size-1)
+				check("at rest", 2, 20_000, 60)
+				f.cut(true)
+				check("a third cut off", 3, 40_000, 60)
+				f.cut(false)
+				check("back", 6, 40_000, 60)
+				qt.Check(t, f.leastSeen(), qt.Equals, size-1)
+				f.lose(0)
+				check("the leader lost", 5, 20_000, 60)
+				qt.Check(t, f.leastSeen(), qt.Equals, size-2)
+				f.end()
+			})
+		})
+	}
+}
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -11,10 +11,11 @@
 	Lease       Lease // of the leader, while it leads
 	Uptime      time.Duration
 	Relay       bool // it passes on what other nodes tell it
+	Idle        bool // it has had no requests lately: it needs no loads, and tells and is told less often
 	Sequence    uint64
-	Watching    bool           // its copy comes from the store itself
-	ProofAt     time.Time      // its copy of the store is current as of then; zero if unknown
-	Loads       map[string]int // requests it has at an endpoint
+	Watching    bool      // its copy comes from the store itself
+	ProofAt     time.Time // its copy of the store is current as of then; zero if unknown
+	Loads       Loads     // requests it has at endpoints
 	Suspects    map[string]time.Time
 	Retiring    []string // groups that the leader is about to end
 	Lost        []string // groups that the leader has found to have lost a member
--- a/internal/gossip/totals.go
+++ b/internal/gossip/totals.go
@@ -8,7 +8,7 @@
 
 // Totals are the loads and doubts of several nodes together.
 type Totals struct {
-	Loads    map[string]int       // requests by endpoint
+	Loads    Loads
 	Suspects map[string]time.Time // groups that stand still, since when at the latest
 	Retiring []string             // groups that a leader is about to end
 	Lost     []string             // groups that a leader has found to have lost a member
@@ -17,7 +17,7 @@
 
 // NewTotals returns Totals of no node.
 func NewTotals() *Totals {
-	return &Totals{Loads: make(map[string]int), Suspects: make(map[string]time.Time), Demands: make(map[string]Demand)}
+	return &Totals{Loads: make(Loads), Suspects: make(map[string]time.Time), Demands: make(map[string]Demand)}
 }
 
 // Add counts in what a node has told.
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -136,7 +136,7 @@
 
 func totalLoad(h *health, others *gossip.Totals, id string) int {
 	if h == nil {
-		return others.Loads[id]
+		return others.Loads.At(id)
 	}
-	return h.running + others.Loads[id]
+	return h.running + others.Loads.At(id)
 }
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -101,16 +101,16 @@
 	snapshot := p.options.Directory.Read()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s.Loads = make(map[string]int)
+	s.Loads = make(gossip.Loads)
 	s.Suspects = make(map[string]time.Time)
 	for key, h := range p.health {
 		g := snapshot.Groups[key]
 		if h.running > 0 {
 			switch {
 			case g != nil && g.Head != nil:
-				s.Loads[g.Head.ID] = h.running
+				s.Loads[gossip.KeyOf(g.Head.ID)] = h.running
 			case snapshot.Endpoints[key] != nil:
-				s.Loads[key] = h.running
+				s.Loads[gossip.KeyOf(key)] = h.running
 			}
 		}
 		if h.suspected(now) && g != nil && now.Sub(h.suspect) < suspectFor {
--- a/internal/server/changes.go
+++ b/internal/server/changes.go
@@ -57,7 +57,7 @@
 	}
 	// Those who pull from this node are to know at once that there is something new. Others would only be told what
 	// they have from the same source.
-	if _, watching := n.follower.Whole(); watching || n.gossip.HasReporters() {
+	if _, watching := n.follower.Whole(); watching {
 		n.gossip.Kick()
 	}
 }
--- a/internal/server/election.go
+++ b/internal/server/election.go
@@ -11,7 +11,8 @@
 const (
 	// leadAfter is how long a new process listens before it may want to lead.
 	leadAfter = 500 * time.Millisecond
-	// leaderlessFor is how long nobody may have led until every node wants to.
+	// leaderlessFor is how long nobody may have led until every relay wants to, and after as long again every node: in a
+	// large fleet the relays are the largest nodes, hear the others sooner, and are few enough not to crowd the store.
 	leaderlessFor = 2500 * time.Millisecond
 )
 
@@ -27,8 +28,9 @@
 func newElection(started time.Time) *election { return &election{started: started, led: started} }
 
 // wants reports whether this node should hold the lease: nobody else leads, and of those who could it has run for
-// longest. After a while without a leader everyone wants it. able says whether this node could lead.
-func (e *election) wants(now time.Time, able, leads bool, live []*gossip.Peer) bool {
+// longest. After a while without a leader everyone wants it. able says whether this node could lead, relay whether it
+// is one of those that should.
+func (e *election) wants(now time.Time, able, relay, leads bool, live []*gossip.Peer) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	others := slices.ContainsFunc(live, func(p *gossip.Peer) bool { return p.LeaderEpoch > 0 })
@@ -42,6 +44,8 @@
 		return true
 	case others:
 		return false
+	case !relay:
+		return now.Sub(e.led) > 2*leaderlessFor
 	case now.Sub(e.led) > leaderlessFor:
 		return true
 	}
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -3,6 +3,7 @@
 package server
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -18,7 +19,9 @@
 // Platform translates between the product and one platform. It decides nothing.
 type Platform struct {
 	Objects infra.ObjectStore
-	Engine  formation.Engine
+	// Recent lists the objects below a prefix for a tenth of the charge; the list may be some seconds old.
+	Recent func(ctx context.Context, prefix string) (infra.Listing, error)
+	Engine formation.Engine
 	// Table decodes the accepted configuration.
 	Table func(revision int64, value []byte) (*route.Table, error)
 	// Endpoint decodes an endpoint's entry.
--- /dev/null
+++ b/internal/server/registration.go
@@ -0,0 +1,125 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
+
+	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/infra"
+	"moorrun.dev/moorrun/internal/keys"
+)
+
+const (
+	// registrarOneIn is how many nodes there are for each that registers without being asked to. Nodes that know a few
+	// others hear of all of them, so a fleet of 295 makes some 70 calls that are charged in full, not 590.
+	registrarOneIn = 8
+	// enoughRegistered is how many others have to be registered for a node not to register.
+	enoughRegistered = 6
+	// registerPatience is how many times a node looks for others before it registers though it is no registrar. Lists
+	// may be some seconds old, and at the first start of a fleet nobody is registered.
+	registerPatience = 3
+	// startPatience is how long a new process waits for the beats of others before it asks the store: those that live
+	// send one each 100 ms to the address that it had before.
+	startPatience = 150 * time.Millisecond
+	// startSpread is how much longer that is at most for each registered node beyond smallFleet. When a large fleet
+	// starts, those that ask first tell the others: of 295 nodes, with 37 registered, some 50 ask instead of all.
+	startSpread      = 60 * time.Millisecond
+	smallFleet       = 12
+	registerRetry    = 250 * time.Millisecond
+	registerRetryMax = time.Second
+)
+
+// registration is what a node writes to the store so that others find it.
+type registration struct {
+	PeerAddress string `json:"peer_address"`
+	DataCentre  string `json:"data_centre"`
+	Capacity    uint32 `json:"capacity"` // in thousandths of a core
+}
+
+// register learns of the others, and makes this node known unless enough others are, once.
+func (n *Server) register(ctx context.Context) error {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = registerRetry
+	retry.MaxInterval = registerRetryMax
+	for tries := 1; ctx.Err() == nil && !n.registered(ctx, tries); tries++ {
+		select {
+		case <-ctx.Done():
+		case <-time.After(retry.NextBackOff()):
+		}
+	}
+	return nil
+}
+
+// registered reports whether this node has nothing more to do to find the others and be found.
+func (n *Server) registered(ctx context.Context, tries int) bool {
+	if n.isRegistrar() || tries > registerPatience {
+		return n.registerOnce(ctx)
+	}
+	l, err := n.platform.Recent(ctx, keys.Gateways)
+	return err == nil && n.introduce(l.Objects) >= enoughRegistered
+}
+
+// startPatience is how long this new process waits for others to tell it the configuration before it asks the store.
+func (n *Server) startPatience() time.Duration {
+	crowd := max(0, n.introduced.Load()-smallFleet)
+	return startPatience + time.Duration(n.startDraw*float64(crowd)*float64(startSpread))
+}
+
+// isRegistrar reports whether this node registers without looking for others first.
+func (n *Server) isRegistrar() bool {
+	return xxhash.Sum64String(n.settings.VM)%registrarOneIn == 0
+}
+
+// registerOnce writes this node's address first and reads the others' after it: of two nodes that start at once
+// the later writer reads the earlier one's.
+func (n *Server) registerOnce(ctx context.Context) bool {
+	if !n.writeRegistration(ctx) {
+		return false
+	}
+	l, err := n.platform.Objects.List(ctx, keys.Gateways)
+	if err != nil {
+		return false
+	}
+	n.introduce(l.Objects)
+	return true
+}
+
+// introduce makes the registered nodes known to the gossip and returns how many others there are.
+func (n *Server) introduce(objects []infra.Object) int {
+	others := 0
+	for _, o := range objects {
+		var r registration
+		if json.Unmarshal(o.Value, &r) != nil || r.PeerAddress == n.settings.PeerAddress {
+			continue
+		}
+		others++
+		n.gossip.Introduce(gossip.Identity{
+			VM: o.Key[len(keys.Gateways):], Zone: r.DataCentre, Capacity: r.Capacity, GossipAddress: r.PeerAddress, PeerAddress: r.PeerAddress,
+		})
+	}
+	n.introduced.Store(int64(others))
+	return others
+}
+
+// writeRegistration makes sure that the store holds this node's address.
+func (n *Server) writeRegistration(ctx context.Context) bool {
+	key := keys.Gateways + n.settings.VM
+	own := registration{PeerAddress: n.settings.PeerAddress, DataCentre: n.settings.DataCentre, Capacity: n.gossip.Self().Capacity}
+	if outcome, _, _ := n.platform.Objects.Put(ctx, key, own, 0); outcome == infra.Applied {
+		return true
+	}
+	held, err := n.platform.Objects.Get(ctx, key)
+	if err != nil {
+		return false
+	}
+	var r registration
+	if json.Unmarshal(held.Value, &r) == nil && r == own {
+		return true
+	}
+	outcome, _, _ := n.platform.Objects.Put(ctx, key, own, held.Version)
+	return outcome == infra.Applied
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -65,6 +66,9 @@
 	reporter   *metrics.Reporter
 	scope      tally.Scope
 	requests   atomic.Int64
+	traffic    traffic
+	introduced atomic.Int64 // other nodes that are registered
+	startDraw  float64      // 0 to 1, by chance
 	leaving    atomic.Bool
 	election   *election
 
@@ -79,6 +83,7 @@
 	n.reporter = metrics.NewReporter()
 	n.scope = newScope(n.reporter, s.DataCentre)
 	n.election = newElection(n.started)
+	n.startDraw = rand.Float64() //nolint:gosec // spreads questions
 	n.platform = newPlatform(s, n.calls)
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -91,6 +96,7 @@
 	n.gossip.Add(s.Peers...)
 	leads := func() bool { return n.controller.Leads(time.Now()) > 0 }
 	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
+	n.follower.StartPatience = n.startPatience
 	n.gossip.OnBeat = n.heard
 	n.rpc = gossip.NewServer(self.Incarnation, n.follower.Mirror, n.askFor)
 	n.picker = picker.New(picker.Options{Zone: s.DataCentre, Directory: n.directory, Others: n.gossip.Others, Retiring: n.retiring, Lost: n.lost, Lag: n.gossip.Lag})
@@ -127,6 +133,9 @@
 	handler := n.platform.Callers(n.gateway, n.limits, n.leaving.Load)
 	callers := newHTTP(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.requests.Add(1)
+		if n.traffic.add(time.Now()) {
+			n.gossip.Kick() // it needs the others' loads now
+		}
 		handler.ServeHTTP(w, r)
 	}))
 	registry := newHTTP(n.platform.Registry(n.addresses, n.settings.AddressLifetime()))
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -27,7 +27,8 @@
 	s := n.ownStatus(now)
 	s.Leaving = n.leaving.Load()
 	s.Serving = n.serving(now)
-	s.Eligible = !s.Leaving && n.follower.StoreAnswers()
+	s.Eligible = !s.Leaving && n.follower.StoreAnswers() && n.gossip.Relaying()
+	s.Idle = n.traffic.idle(now)
 	s.LeaderEpoch = n.controller.Leads(now)
 	s.Uptime = now.Sub(n.started)
 	s.Sequence = n.follower.Mirror.Sequence()
@@ -67,7 +68,7 @@
 func (n *Server) wantsLead() bool {
 	now := time.Now()
 	able := !n.leaving.Load() && n.table.Load() != nil && n.follower.StoreAnswers()
-	return n.election.wants(now, able, n.controller.Leads(now) > 0, n.gossip.Live(now))
+	return n.election.wants(now, able, n.gossip.Relaying(), n.controller.Leads(now) > 0, n.gossip.Live(now))
 }
 
 // heard takes in another node's beat.
--- /dev/null
+++ b/internal/server/traffic.go
@@ -0,0 +1,40 @@
+package server
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// busyWindow is the time in which a node has to take busyFrom requests to count as one that callers use. Callers are
+	// sent to few nodes; the others meet a request now and then, which does not make them need the fleet's loads.
+	busyWindow = 2 * time.Second
+	busyFrom   = 3
+)
+
+// traffic tells whether callers use this node.
+type traffic struct {
+	mu     sync.Mutex
+	recent [busyFrom]time.Time // of the last requests, in a ring
+	next   int
+}
+
+// add notes a request and reports whether the node was idle until then and is not any more.
+func (t *traffic) add(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	was := t.idleNow(now)
+	t.recent[t.next] = now
+	t.next = (t.next + 1) % busyFrom
+	return was && !t.idleNow(now)
+}
+
+// idle reports whether it has had fewer requests lately than a node that callers use.
+func (t *traffic) idle(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.idleNow(now)
+}
+
+// idleNow is idle with the lock held: the oldest of the ring says whether all of it is recent.
+func (t *traffic) idleNow(now time.Time) bool { return now.Sub(t.recent[t.next]) > busyWindow }
