Send the callers of a large fleet to few nodes of their data centre

Cause: 295 nodes had 3.5 requests a second each and chose among 120 replica groups by loads that others had told. Change: callers are sent to the largest eight nodes of their data centre, or as many as have five times the processor time that the running requests take. Nodes of a data centre that has no more are all used, as before.

--- a/internal/server/addresses.go
+++ b/internal/server/addresses.go
@@ -1,13 +1,29 @@
 package server
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"moorrun.dev/moorrun/internal/gossip"
 )
 
-// enoughNear is how many nodes of a caller's own data centre are enough.
-const enoughNear = 2
+const (
+	// enoughNear is how many nodes of a caller's own data centre are enough.
+	enoughNear = 2
+	// leastUsed is how many nodes of a data centre callers are sent to at least, if it has them. Fewer nodes that each
+	// have more requests use connections again, know more of the loads first-hand and have less to tell each other; with
+	// eight, the loss of a third of a fleet leaves a data centre without any once in 6,500 times.
+	leastUsed = 8
+	// coresOfRequest is the part of a core that one running request takes, measured as 29 thousandths of a core on each
+	// of nine nodes with 147 requests a second that take a second each.
+	coresOfRequest = 0.0018
+	// usedPart is how much of their processors requests should take from nodes at most, so that a burst of several times
+	// as many still finds room.
+	usedPart = 0.2
+)
 
 // addresses returns where callers of a data centre should connect: to its own nodes, and to others' as well if
 // those are few.
@@ -17,19 +33,57 @@
 	if n.ready() {
 		nodes = append(nodes, &gossip.Peer{Identity: n.gossip.Self(), Status: gossip.Status{Serving: true}})
 	}
-	var near, far []string
+	return addressesFor(dataCentre, nodes, n.running(now))
+}
+
+// running returns how many requests all nodes have at replica groups.
+func (n *Server) running(now time.Time) int {
+	total := n.gossip.Others(now)
+	own := n.ownStatus(now)
+	sum := 0
+	for model := range total.Demands {
+		sum += total.Demands[model].Running
+	}
+	for model := range own.Demands {
+		sum += own.Demands[model].Running
+	}
+	return sum
+}
+
+// addressesFor is addresses for a fleet of these nodes with that many requests running.
+func addressesFor(dataCentre string, nodes []*gossip.Peer, running int) []string {
+	var near, far []*gossip.Peer
+	zones := make(map[string]bool)
 	for _, p := range nodes {
 		if p.Leaving || !p.Serving {
 			continue
 		}
+		zones[p.Zone] = true
 		if p.Zone == dataCentre {
-			near = append(near, p.CallerAddress)
+			near = append(near, p)
 			continue
 		}
-		far = append(far, p.CallerAddress)
+		far = append(far, p)
 	}
+	cores := coresOfRequest / usedPart * float64(running) / float64(max(1, len(zones)))
 	if len(near) >= enoughNear {
-		return near
+		return used(near, cores)
+	}
+	return append(used(near, cores), used(far, cores)...)
+}
+
+// used returns the addresses of the largest nodes that together have so many cores, and of some at least.
+func used(nodes []*gossip.Peer, cores float64) []string {
+	slices.SortFunc(nodes, func(a, b *gossip.Peer) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(a.VM), xxhash.Sum64String(b.VM)))
+	})
+	var out []string
+	for _, p := range nodes {
+		if len(out) >= leastUsed && cores <= 0 {
+			break
+		}
+		out = append(out, p.CallerAddress)
+		cores -= float64(p.Capacity) / capacityUnit
 	}
-	return append(near, far...)
+	return out
 }
