Let the spares of a domain cover the loss of either model

A domain of 19 has 16 in groups and three spares; all three held the model of eight, so each loss of a member of the other model waited 12 s for a load. Change: one more spare gets the model whose losses idle most for each spare that has it already.

--- a/internal/formation/spare.go
+++ b/internal/formation/spare.go
@@ -8,13 +8,15 @@
 // stageOthers gives every member of a group the model that it does not run, and what no group has taken a first one.
 func (p *Planner) stageOthers(v *View) {
 	members := p.membersByDomain(v)
+	spares := p.sparesByDomain(v)
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
 		if p.loading(e) || e.Draining {
 			continue
 		}
 		if len(e.Models)+len(e.Staged) == 0 && p.free(v, e) {
-			if m, found := spareModel(v, members[e.Domain]); found {
+			if m, found := spareModel(v, members[e.Domain], spares[e.Domain]); found {
 				p.stageOne(v, e, m)
+				count(spares, e.Domain, m.Name, 1)
 			}
 			continue
 		}
@@ -33,29 +35,48 @@
 // membersByDomain counts the members of groups and plans by domain and model.
 func (p *Planner) membersByDomain(v *View) map[string]map[string]int {
 	out := make(map[string]map[string]int)
-	count := func(domain, model string, n int) {
-		if out[domain] == nil {
-			out[domain] = make(map[string]int)
-		}
-		out[domain][model] += n
-	}
 	for name, g := range v.Snapshot.Groups {
 		if g.Service == v.Service.Name && p.plans[name] == nil {
-			count(g.Domain, g.Model, len(g.Members))
+			count(out, g.Domain, g.Model, len(g.Members))
 		}
 	}
 	for _, pl := range p.plans {
-		count(pl.members[0].Domain, pl.model, len(pl.members))
+		count(out, pl.members[0].Domain, pl.model, len(pl.members))
+	}
+	return out
+}
+
+// sparesByDomain counts the endpoints in no group by domain and the model that they have, or are being given.
+func (p *Planner) sparesByDomain(v *View) map[string]map[string]int {
+	out := make(map[string]map[string]int)
+	for _, e := range v.Snapshot.Services[v.Service.Name] {
+		if !p.free(v, e) {
+			continue
+		}
+		for _, m := range v.Service.Engine.Models {
+			if e.Holds(m.Name) || e.HasStaged(m.Name) || p.stagings[e.ID].model == m.Name {
+				count(out, e.Domain, m.Name, 1)
+			}
+		}
 	}
 	return out
 }
 
-// spareModel returns the model that a spare of a domain should hold: the one for which the loss of a member idles the
-// most others, by how many members there are to be lost.
-func spareModel(v *View, members map[string]int) (best route.Model, found bool) {
-	most := 0
+// count adds to a number by domain and model.
+func count(numbers map[string]map[string]int, domain, model string, n int) {
+	if numbers[domain] == nil {
+		numbers[domain] = make(map[string]int)
+	}
+	numbers[domain][model] += n
+}
+
+// spareModel returns the model that one more spare of a domain should hold: the one for which the loss of a member idles
+// the most others, by how many members there are to be lost and how many spares have the model already. With one model
+// for all spares of a domain every loss of another model's member waited for a load, 12 s and more.
+func spareModel(v *View, members, spares map[string]int) (best route.Model, found bool) {
+	most := 0.0
 	for _, m := range v.Service.Engine.Models {
-		if idled := members[m.Name] * (m.Size - 1); idled > most {
+		if idled := float64(members[m.Name]*(m.Size-1)) / float64(1+spares[m.Name]); idled > most {
 			best, found, most = m, true, idled
 		}
 	}
--- a/internal/formation/stage_test.go
+++ b/internal/formation/stage_test.go
@@ -117,3 +117,19 @@
 	given, _ = p.Step(s.view())
 	qt.Check(t, orders(given, Join)["e05"], qt.Equals, "small", qt.Commentf("what it holds is ready at once"))
 }
+
+func TestSparesOfADomainCoverTheLossOfEitherModel(t *testing.T) {
+	v := (&estate{}).view()
+	members := map[string]int{"big": 3, "small": 4} // a loss idles two others, or one
+	spares := make(map[string]int)
+	var given []string
+	for range 3 {
+		m, found := spareModel(v, members, spares)
+		qt.Assert(t, found, qt.IsTrue)
+		spares[m.Name]++
+		given = append(given, m.Name)
+	}
+	qt.Check(t, given, qt.DeepEquals, []string{"big", "small", "big"})
+	_, found := spareModel(v, nil, nil)
+	qt.Check(t, found, qt.IsFalse, qt.Commentf("a domain without groups"))
+}
