--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -66,6 +66,8 @@
 	status func(now time.Time) Status
 	// OnBeat is called with each beat taken in; it must not block.
 	OnBeat func(p *Peer)
+	// OnSent is called with each beat sent and its size in bytes; it must not block.
+	OnSent func(kind BeatKind, size int)
 
 	mu         sync.Mutex
 	peers      map[string]*contact // by gossip address
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -46,11 +46,11 @@
 		}
 		wanted[c] = true
 		if c.fresh(now) || now.Sub(c.sent) >= Every {
-			n.write(c, now, common, n.rosterFields(c, now, true, n.own))
+			n.write(c, now, ToRelay, common, n.rosterFields(c, now, true, n.own))
 		}
 	}
 	for _, c := range n.strays(now, urgent, wanted) {
-		n.write(c, now, common, n.rosterFields(c, now, true, n.own))
+		n.write(c, now, ToStray, common, n.rosterFields(c, now, true, n.own))
 	}
 }
 
@@ -126,7 +126,7 @@
 	case b.Subscribes:
 		n.writeWholeFleet(c, now)
 	case now.Sub(c.sent) >= slowEvery/2:
-		n.write(c, now, n.marshal(n.partBeat(now)), &gossippb.Beat{})
+		n.write(c, now, ToStray, n.marshal(n.partBeat(now)), &gossippb.Beat{})
 	}
 }
 
@@ -154,7 +154,7 @@
 	}
 	b := toWire(n.self, total.over(n.last), now)
 	b.Relay, b.WholeFleet = true, true
-	n.write(c, now, n.marshal(b), n.rosterFields(c, now, c.reporter(now), rosters...))
+	n.write(c, now, ToSubscriber, n.marshal(b), n.rosterFields(c, now, c.reporter(now), rosters...))
 }
 
 // rosterFields names the rosters that this node goes by, if wanted with the content of those that the receiver lacks.
--- a/internal/gossip/report.go
+++ b/internal/gossip/report.go
@@ -20,13 +20,13 @@
 		if c.fresh(now) && !urgent && now.Sub(c.sent) < reportEvery(i, n.last.Idle) {
 			continue
 		}
-		n.write(c, now, common, &gossippb.Beat{Subscribes: true, Reports: i == 0})
+		n.write(c, now, Report, common, &gossippb.Beat{Subscribes: true, Reports: i == 0})
 	}
 	if n.upstream(now) != nil {
 		return
 	}
 	for _, c := range n.strays(now, urgent, nil) { // nobody answers: anyone may know more
-		n.write(c, now, common, &gossippb.Beat{})
+		n.write(c, now, ToStray, common, &gossippb.Beat{})
 	}
 }
 
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -92,11 +92,15 @@
 
 // write sends the common part of a beat and, appended as a second message that sets the fields which differ from
 // receiver to receiver, the rest.
-func (n *Node) write(c *contact, now time.Time, common []byte, own *gossippb.Beat) {
+func (n *Node) write(c *contact, now time.Time, kind BeatKind, common []byte, own *gossippb.Beat) {
 	own.Tick, own.Echo = c.sending(now)
 	rest, err := proto.Marshal(own)
 	if err != nil || common == nil {
 		return
 	}
-	_, _ = n.conn.WriteToUDPAddrPort(slices.Concat(common, rest), c.address)
+	content := slices.Concat(common, rest)
+	_, _ = n.conn.WriteToUDPAddrPort(content, c.address)
+	if n.OnSent != nil {
+		n.OnSent(kind, len(content))
+	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -98,6 +98,7 @@
 	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
 	n.follower.StartPatience = n.startPatience
 	n.gossip.OnBeat = n.heard
+	n.gossip.OnSent = countBeats(n.scope)
 	n.rpc = gossip.NewServer(self.Incarnation, n.follower.Mirror, n.askFor)
 	n.picker = picker.New(picker.Options{Zone: s.DataCentre, Directory: n.directory, Others: n.gossip.Others, Retiring: n.retiring, Lost: n.lost, Lag: n.gossip.Lag})
 	ttl := s.LeaseTTL()
