Revert "Let conversions follow the fleet's size"

Each conversion keeps some twelve endpoints from serving for two to three seconds, and six at a time took a seventh of the fleet out of use while both models had more requests than places. What was measured as a lack of conversions is a lack of endpoints that serve: a model of eight has fewer places for each endpoint.

--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -11,11 +11,8 @@
 )
 
 const (
-	// convertEvery is the least time between two rounds of conversions, and convertPart the part of the replica groups that
-	// one round may end for another model, though one conversion is always allowed. Without a part of the groups a fleet
-	// of 120 that loses 11 endpoints each three seconds could not follow its losses.
+	// convertEvery is the least time between two conversions.
 	convertEvery = 600 * time.Millisecond
-	convertPart  = 0.05
 	// pressed is the pressure from which a model gets free endpoints before one that is in no need.
 	pressed = 0.7
 	// spareBelow is the pressure that the other model may have without those groups.
@@ -35,45 +32,30 @@
 	until time.Time
 }
 
-// convert ends groups of the model that is least in need, where their members let the most needed one form others.
+// convert ends groups of the model that is least in need, where their members let one of the most needed form.
 func (p *Planner) convert(v *View, free map[string][]*endpoint.Endpoint, have map[string]int) {
-	if !v.Busy || v.Now.Sub(p.converted) < convertEvery || v.Now.Sub(p.started) < settle {
-		return
-	}
-	have = maps.Clone(have)
-	for limit := int(convertPart * float64(len(v.Snapshot.Groups))); p.convertOne(v, free, have); limit-- {
-		p.converted = v.Now
-		if limit <= 1 {
-			return
-		}
-	}
-}
-
-// convertOne makes one conversion, takes its groups off what the models have, and reports whether there was one to make.
-func (p *Planner) convertOne(v *View, free map[string][]*endpoint.Endpoint, have map[string]int) bool {
 	models := p.byNeed(v, have)
-	if len(models) < 2 {
-		return false
+	if len(models) < 2 || !v.Busy || v.Now.Sub(p.converted) < convertEvery || v.Now.Sub(p.started) < settle {
+		return
 	}
 	needed, rich := models[0], models[len(models)-1]
 	need := p.pressure(v, needed, p.withReserved(v, have))
 	if need < strained {
-		return false
+		return
 	}
 	victims := p.victims(v, free, needed, rich)
 	if len(victims) == 0 {
-		return false
+		return
 	}
 	left := map[string]int{rich.Name: have[rich.Name] - len(victims)*rich.Size}
 	if p.pressure(v, rich, left) > min(spareBelow, relief*need) {
-		return false
+		return
 	}
-	have[rich.Name] = left[rich.Name]
+	p.converted = v.Now
 	p.reserved[victims[0].Domain] = reservation{needed.Name, v.Now.Add(reserveFor)}
 	for _, g := range victims {
 		p.retire(v, g.Name, g.Epoch, g.Head, "model "+needed.Name+" needs its members", finishFor)
 	}
-	return true
 }
 
 // withReserved counts in the groups for which members are being freed.
