--- a/internal/formation/spare.go
+++ b/internal/formation/spare.go
@@ -1,7 +1,6 @@
 package formation
 
 import (
-	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/route"
 )
 
@@ -10,21 +9,18 @@
 	members := p.membersByDomain(v)
 	spares := p.sparesByDomain(v)
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
-		if p.loading(e) || e.Draining {
-			continue
-		}
-		if len(e.Models)+len(e.Staged) == 0 && p.free(v, e) {
+		if p.cold(v, e) {
 			if m, found := spareModel(v, members[e.Domain], spares[e.Domain]); found {
 				p.stageOne(v, e, m)
 				count(spares, e.Domain, m.Name, 1)
 			}
 			continue
 		}
-		if e.Membership == nil || e.Membership.State == endpoint.Joining || len(e.Models) == 0 || keepsAnother(e) {
+		if e.Membership == nil || !p.oneSided(e) {
 			continue
 		}
 		for _, m := range v.Service.Engine.Models {
-			if !e.Holds(m.Name) && !e.HasStaged(m.Name) {
+			if !e.Holds(m.Name) {
 				p.stageOne(v, e, m)
 				break
 			}
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -111,13 +111,26 @@
 	}
 	var out []load
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
-		if len(e.Models)+len(e.Staged) == 0 && !p.loading(e) && p.free(v, e) {
+		if p.cold(v, e) {
 			out = append(out, load{e, soonest})
 		}
 	}
 	return out
 }
 
+// cold reports whether the endpoint is free, has no model and is being given none.
+func (p *Planner) cold(v *View, e *endpoint.Endpoint) bool {
+	return len(e.Models)+len(e.Staged) == 0 && !p.loading(e) && p.free(v, e)
+}
+
+// oneSided reports whether the endpoint holds one model, keeps no other, and could be given one beside it.
+func (p *Planner) oneSided(e *endpoint.Endpoint) bool {
+	if p.loading(e) || e.Draining || e.Membership != nil && e.Membership.State == endpoint.Joining {
+		return false
+	}
+	return len(e.Models) > 0 && !keepsAnother(e)
+}
+
 // forOneSided returns the endpoints that keep only the model that they hold, with another one, the scarcest first: the
 // one whose requests would fill the largest part of the places that it could have.
 func (p *Planner) forOneSided(v *View) []load {
@@ -128,7 +141,7 @@
 	}
 	var out []load
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
-		if p.loading(e) || e.Draining || v.down(e.ID) || len(e.Models) == 0 || keepsAnother(e) || e.Membership != nil && e.Membership.State == endpoint.Joining {
+		if !p.oneSided(e) || v.down(e.ID) {
 			continue
 		}
 		var lacks []route.Model
--- a/internal/gossip/lag.go
+++ b/internal/gossip/lag.go
@@ -11,7 +11,7 @@
 func (n *Node) Lag() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.peers) < allRelay {
+	if len(n.peers) < SmallFleet {
 		return Every
 	}
 	return time.Duration(relayedLag * float64(Every))
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -78,7 +78,7 @@
 	relays     []*Peer             // the other nodes that should be relays
 	own        *roster             // while this node is a relay
 	ownAt      time.Time
-	ownStale   bool // a node of it leaves
+	ownStale   bool // a node of it has said something that is passed on at once
 	seen       map[string]time.Time
 	relaying   bool
 	subscribed []string // addresses of the relays that this node reports and subscribes to
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -35,11 +35,11 @@
 }
 
 // sendToRelays tells the other relays what this one and those that report to it have.
-func (n *Node) sendToRelays(now time.Time, urgent bool, relays []*Peer) {
+func (n *Node) sendToRelays(now time.Time, urgent bool) {
 	n.refreshOwnRoster(now)
 	common := n.marshal(n.partBeat(now))
-	wanted := make(map[*contact]bool, len(relays))
-	for _, p := range relays {
+	wanted := make(map[*contact]bool, len(n.relays))
+	for _, p := range n.relays {
 		c := n.add(p.GossipAddress, now)
 		if c == nil {
 			continue
@@ -55,8 +55,9 @@
 }
 
 // strays returns some of the other addresses that are due to be told: nodes that nobody hears and, of a relay, other relays
-// that it does not count on. Those that are wanted are told otherwise. Those may have started anew and know nobody. Only some at a time, because while a large fleet
-// starts each node knows all addresses and hears none: with all of them 295 nodes sent 490 MB in two seconds.
+// that it does not count on, but none of the wanted ones, which are told otherwise. A node that nobody hears may have
+// started anew and know nobody. Only some are told at a time, because while a large fleet starts each node knows all
+// addresses and hears none: with all of them 295 nodes sent 490 MB in two seconds.
 func (n *Node) strays(now time.Time, urgent bool, wanted map[*contact]bool) []*contact {
 	heard := make(map[string]bool)
 	for _, p := range n.live(now) {
@@ -69,7 +70,7 @@
 		}
 		pause := now.Sub(c.sent)
 		relay := n.relaying && c.relay(now) && pause >= standbyEvery
-		unheard := !c.fresh(now) && !heard[address] && (pause >= slowEvery || urgent && len(n.peers) < allRelay)
+		unheard := !c.fresh(now) && !heard[address] && (pause >= slowEvery || urgent && len(n.peers) < SmallFleet)
 		switch {
 		case wanted[c] || !relay && !unheard:
 		case unheard && c.promising(now):
@@ -97,7 +98,7 @@
 
 // refreshOwnRoster lists this relay and the nodes that report to it anew, if that is due.
 func (n *Node) refreshOwnRoster(now time.Time) {
-	if n.own != nil && !n.ownStale && now.Sub(n.ownAt) < rosterEvery && len(n.peers) >= allRelay {
+	if n.own != nil && !n.ownStale && now.Sub(n.ownAt) < rosterEvery && len(n.peers) >= SmallFleet {
 		return
 	}
 	n.own, n.ownAt, n.ownStale = n.ownRoster(now), now, false
--- a/internal/gossip/relays.go
+++ b/internal/gossip/relays.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// allRelay is up to how many nodes each of them hears all others itself.
-	allRelay = 12
+	// SmallFleet is up to how many nodes each of them hears all others itself.
+	SmallFleet = 12
 	// leastRelays is how many relays a larger fleet has at least.
 	leastRelays = 6
 )
@@ -22,7 +22,7 @@
 // relayCount returns how many relays a fleet has: with the root of its size neither a relay nor the exchange between
 // relays grows as the fleet does.
 func relayCount(nodes int) int {
-	if nodes <= allRelay {
+	if nodes <= SmallFleet {
 		return nodes
 	}
 	return max(leastRelays, int(math.Ceil(relayPart*math.Sqrt(float64(nodes)))))
@@ -34,10 +34,10 @@
 	ranked := make([]rankedPeer, 0, len(nodes))
 	for _, p := range nodes {
 		if !p.Leaving {
-			ranked = append(ranked, rankedPeer{Peer: p, hash: xxhash.Sum64String(p.VM)})
+			ranked = append(ranked, rankedPeer{Peer: p})
 		}
 	}
-	slices.SortFunc(ranked, rankedPeer.compareSize)
+	slices.SortFunc(ranked, func(a, b rankedPeer) int { return CompareSize(a.Peer, b.Peer) })
 	inZone := make(map[string]int)
 	for i := range ranked {
 		zone := ranked[i].Zone
@@ -55,13 +55,15 @@
 // rankedPeer is a node with what decides whether it should be a relay.
 type rankedPeer struct {
 	*Peer
-	hash  uint64
 	place int // among the nodes of its data centre, from 0
 }
 
-// compareSize puts larger nodes first, and orders equal ones alike at all nodes.
-func (r rankedPeer) compareSize(other rankedPeer) int {
-	return cmp.Or(cmp.Compare(other.Capacity, r.Capacity), cmp.Compare(r.hash, other.hash), cmp.Compare(r.VM, other.VM))
+// CompareSize puts the node with the larger VM first, and orders equal ones alike at all nodes.
+func CompareSize(a, b *Peer) int {
+	if a.Capacity != b.Capacity {
+		return cmp.Compare(b.Capacity, a.Capacity)
+	}
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a.VM), xxhash.Sum64String(b.VM)), cmp.Compare(a.VM, b.VM))
 }
 
 // comparePlace puts the leader first, then the first of each data centre.
--- a/internal/gossip/relays_test.go
+++ b/internal/gossip/relays_test.go
@@ -41,6 +41,16 @@
 	return f
 }
 
+// newSettledFleet is newFleet once its nodes see each other and as many of them relay as should.
+func newSettledFleet(t *testing.T, size int) *fleet {
+	f := newFleet(t, size)
+	f.awaitWhole(f.nodes)
+	for len(f.relays()) != relayCount(size) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return f
+}
+
 func (f *fleet) start(n *Node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -83,11 +93,7 @@
 
 func TestLargeFleetIsHeardThroughRelays(t *testing.T) {
 	const size = 30
-	f := newFleet(t, size)
-	f.awaitWhole(f.nodes)
-	for len(f.relays()) != relayCount(size) {
-		time.Sleep(5 * time.Millisecond)
-	}
+	f := newSettledFleet(t, size)
 	f.awaitWhole(f.nodes)
 	for _, n := range f.nodes {
 		qt.Check(t, n.Known(time.Now()), qt.Equals, size-1)
@@ -151,11 +157,7 @@
 
 func TestNodeThatKnowsOneWhichIsNoRelayFindsTheFleet(t *testing.T) {
 	const size = 30
-	f := newFleet(t, size)
-	f.awaitWhole(f.nodes)
-	for len(f.relays()) != relayCount(size) {
-		time.Sleep(5 * time.Millisecond)
-	}
+	f := newSettledFleet(t, size)
 	relays := f.relays()
 	known := 0
 	for slices.Contains(relays, known) {
--- a/internal/gossip/report.go
+++ b/internal/gossip/report.go
@@ -8,9 +8,9 @@
 )
 
 // report tells this node's status to its relays: to the first each time, to the second now and then.
-func (n *Node) report(now time.Time, urgent bool, relays []*Peer) {
+func (n *Node) report(now time.Time, urgent bool) {
 	n.own = nil
-	n.subscribe(now, relays)
+	n.subscribe(now)
 	b := toWire(n.self, n.last, now)
 	b.Known = n.known(now)
 	common := n.marshal(b)
@@ -49,15 +49,15 @@
 const relaysPerNode = 2
 
 // subscribe keeps the relays that answer and finds others for those that do not.
-func (n *Node) subscribe(now time.Time, relays []*Peer) {
+func (n *Node) subscribe(now time.Time) {
 	n.subscribed = slices.DeleteFunc(n.subscribed, func(address string) bool {
 		c := n.peers[address]
-		isRelay := slices.ContainsFunc(relays, func(p *Peer) bool { return p.GossipAddress == address })
+		isRelay := slices.ContainsFunc(n.relays, func(p *Peer) bool { return p.GossipAddress == address })
 		return c == nil || !isRelay || c.silent(now)
 	})
 	// One that answers comes before one that is only tried.
 	slices.SortStableFunc(n.subscribed, func(a, b string) int { return n.untried(a, now) - n.untried(b, now) })
-	for _, p := range preferredRelays(n.self, relays) {
+	for _, p := range preferredRelays(n.self, n.relays) {
 		if len(n.subscribed) >= relaysPerNode {
 			return
 		}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -15,17 +15,17 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.last = status
-	relays := n.review(now, status)
+	n.review(now, status)
 	n.forget(now)
 	if n.relaying {
-		n.sendToRelays(now, urgent, relays)
+		n.sendToRelays(now, urgent)
 		return
 	}
-	n.report(now, urgent, relays)
+	n.report(now, urgent)
 }
 
-// review decides whether this node is a relay, and returns the nodes that should be.
-func (n *Node) review(now time.Time, status Status) []*Peer {
+// review decides which nodes should be relays, and whether this node is one.
+func (n *Node) review(now time.Time, status Status) {
 	nodes := append([]*Peer{{Identity: n.self, Status: status, Heard: now}}, n.live(now)...)
 	nodes = append(nodes, n.presumed(now)...)
 	relays := relaysOf(nodes)
@@ -40,7 +40,6 @@
 		}
 	}
 	n.relays = slices.DeleteFunc(relays, isSelf)
-	return n.relays
 }
 
 // presumed returns the nodes that have registered and that nobody has heard yet.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -85,33 +85,18 @@
 
 // Since returns the objects stored after that sequence, deleted ones included, and the newest sequence.
 func (m *Mirror) Since(sequence uint64) ([]infra.Object, uint64) {
-	m.mu.Lock()
-	newest := m.sequence
-	m.mu.Unlock()
-	if newest == sequence {
-		return nil, newest
-	}
+	found, newest := m.after(sequence)
 	var out []infra.Object
-	m.each(func(e entry) {
-		if e.sequence > sequence && e.sequence <= newest {
-			out = append(out, e.object)
-		}
-	})
+	for _, e := range found {
+		out = append(out, e.object)
+	}
 	return out, newest
 }
 
 // Page returns the first of the objects stored after that sequence, in order, up to some bytes of values but one object at
 // least, and the sequence that they reach.
 func (m *Mirror) Page(sequence uint64, bytes int) ([]infra.Object, uint64) {
-	m.mu.Lock()
-	newest := m.sequence
-	m.mu.Unlock()
-	var found []entry
-	m.each(func(e entry) {
-		if e.sequence > sequence && e.sequence <= newest {
-			found = append(found, e)
-		}
-	})
+	found, newest := m.after(sequence)
 	slices.SortFunc(found, func(a, b entry) int { return cmp.Compare(a.sequence, b.sequence) })
 	var out []infra.Object
 	for i, e := range found {
@@ -123,6 +108,21 @@
 	return out, newest
 }
 
+// after returns the entries stored after that sequence, in no order, and the newest sequence.
+func (m *Mirror) after(sequence uint64) ([]entry, uint64) {
+	newest := m.Sequence()
+	if newest == sequence {
+		return nil, newest
+	}
+	var found []entry
+	m.each(func(e entry) {
+		if e.sequence > sequence && e.sequence <= newest {
+			found = append(found, e)
+		}
+	})
+	return found, newest
+}
+
 func (m *Mirror) each(visit func(entry)) {
 	for i := range m.shards {
 		s := &m.shards[i]
--- a/internal/server/addresses.go
+++ b/internal/server/addresses.go
@@ -1,12 +1,9 @@
 package server
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"moorrun.dev/moorrun/internal/gossip"
 )
 
@@ -74,9 +71,7 @@
 
 // used returns the addresses of the largest nodes that together have so many cores, and of some at least.
 func used(nodes []*gossip.Peer, cores float64) []string {
-	slices.SortFunc(nodes, func(a, b *gossip.Peer) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(a.VM), xxhash.Sum64String(b.VM)))
-	})
+	slices.SortFunc(nodes, gossip.CompareSize)
 	var out []string
 	for _, p := range nodes {
 		if len(out) >= leastUsed && cores <= 0 {
--- a/internal/server/registration.go
+++ b/internal/server/registration.go
@@ -25,10 +25,11 @@
 	// startPatience is how long a new process waits for the beats of others before it asks the store: those that live
 	// send one each 100 ms to the address that it had before.
 	startPatience = 150 * time.Millisecond
-	// startSpread is how much longer that is at most for each registered node beyond smallFleet. When a large fleet
-	// starts, those that ask first tell the others: of 295 nodes, with 37 registered, some 50 ask instead of all.
-	startSpread      = 60 * time.Millisecond
-	smallFleet       = 12
+	// startSpread is how much longer that is at most for each registered node beyond gossip.SmallFleet. When a large fleet
+	// starts, those that ask first tell the others: of 295 nodes, with 37 registered, some 50 should ask instead of all
+	// (reckoned from half a second until a few know, not measured by itself).
+	startSpread = 60 * time.Millisecond
+	// registerRetry and registerRetryMax bound the growing pause between two tries to register.
 	registerRetry    = 250 * time.Millisecond
 	registerRetryMax = time.Second
 )
@@ -65,7 +66,7 @@
 
 // startPatience is how long this new process waits for others to tell it the configuration before it asks the store.
 func (n *Server) startPatience() time.Duration {
-	crowd := max(0, n.introduced.Load()-smallFleet)
+	crowd := max(0, n.introduced.Load()-gossip.SmallFleet)
 	return startPatience + time.Duration(n.startDraw*float64(crowd)*float64(startSpread))
 }
 
