Tell the whole story of each request that a caller may complain of

Cause: one request in 20 is logged, and of the others only single lines of failures, so of a caller whose answer hung 19 in 20 had no story. first_ms and pause_ms were those of the last sending: a stream that broke midway looked like a slow first event. Change: a request's lines are kept until it ends and written whole if it failed, was refused, sent again or late, up to a rate; times are the caller's over all sendings; counter of late answers. Tests: stories of remarkable requests are whole and bounded; a late answer is explained from its id (real processes).

--- a/internal/eventlog/decisions.go
+++ b/internal/eventlog/decisions.go
@@ -13,14 +13,18 @@
 // Limits bound what is logged of requests.
 type Limits struct {
 	SampleOneIn int     // of the requests' ids; the same ids at every node
-	Failures    float64 // lines a second of failures that are not sampled
+	Failures    float64 // lines a second of remarkable requests that are not sampled
 }
 
-// DefaultLimits log all of one request in 20, and failures up to 20 lines a second.
+// DefaultLimits log all of one request in 20, and of the remarkable ones up to 20 lines a second.
 var DefaultLimits = Limits{SampleOneIn: 20, Failures: 20}
 
-// Decisions logs the decisions on requests. The lines of a sampled request are whole; of the others only
-// failures are logged, up to a rate, and what was left out is counted.
+// storyBurst is how many seconds of the rate of lines may be used at once: when a replica group is lost, all requests
+// that it had end remarkably within a second.
+const storyBurst = 5
+
+// Decisions logs the decisions on requests. A sampled request's lines are written as they come. Those of another one are
+// kept until it ends, and written then if it ended remarkably, up to a rate; what was left out is counted.
 type Decisions struct {
 	logger  log.Logger
 	limits  Limits
@@ -33,30 +37,29 @@
 
 // NewDecisions returns a Decisions that writes to logger.
 func NewDecisions(logger log.Logger, limits Limits) *Decisions {
-	return &Decisions{logger: logger, limits: limits, limiter: rate.NewLimiter(rate.Limit(limits.Failures), int(limits.Failures)+1)}
+	burst := int(storyBurst*limits.Failures) + 1
+	return &Decisions{logger: logger, limits: limits, limiter: rate.NewLimiter(rate.Limit(limits.Failures), burst)}
 }
 
-// Decision logs one decision on the request; pairs are names and values.
-func (d *Decisions) Decision(id, event string, failure bool, pairs ...any) {
+// Request begins the story of a request.
+func (d *Decisions) Request(id string) *Story {
 	sampled := d.limits.SampleOneIn <= 1 || xxhash.Sum64String(id)%uint64(d.limits.SampleOneIn) == 0
-	if !sampled && (!failure || !d.limiter.Allow()) {
-		if failure {
-			d.leave()
-		}
-		return
-	}
-	line := append([]any{"msg", event, "request", id}, pairs...)
-	if failure {
-		_ = level.Warn(d.logger).Log(line...)
+	return &Story{log: d, id: id, sampled: sampled, began: time.Now()}
+}
+
+// write logs one line.
+func (d *Decisions) write(l line) {
+	if l.failure {
+		_ = level.Warn(d.logger).Log(l.pairs...)
 		return
 	}
-	_ = level.Info(d.logger).Log(line...)
+	_ = level.Info(d.logger).Log(l.pairs...)
 }
 
-// leave counts a failure that is not logged, and tells the count once a second.
-func (d *Decisions) leave() {
+// leave counts the lines of a remarkable request that are not logged, and tells the count once a second.
+func (d *Decisions) leave(lines int) {
 	d.mu.Lock()
-	d.leftOut++
+	d.leftOut += int64(lines)
 	n := d.leftOut
 	due := time.Since(d.told) > time.Second
 	if due {
@@ -65,6 +68,6 @@
 	}
 	d.mu.Unlock()
 	if due {
-		_ = level.Warn(d.logger).Log("msg", "failures not logged", "count", n)
+		_ = level.Warn(d.logger).Log("msg", "request lines not logged", "count", n)
 	}
 }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -51,7 +51,7 @@
 		for i := range 500 {
 			for range 3 {
 				before := out.Len()
-				d.Decision(fmt.Sprint(i), "sent", false)
+				d.Request(fmt.Sprint(i)).Decision("sent", false)
 				if out.Len() > before {
 					count[fmt.Sprint(i)]++
 				}
@@ -71,9 +71,38 @@
 	var out bytes.Buffer
 	d := eventlog.NewDecisions(log.NewLogfmtLogger(&out), eventlog.Limits{SampleOneIn: 1 << 30, Failures: 5})
 	for i := range 1000 {
-		d.Decision(fmt.Sprint(i), "refused", true)
+		s := d.Request(fmt.Sprint(i))
+		s.Decision("refused", true)
+		s.End(true)
 	}
 	qt.Check(t, strings.Count(out.String(), "msg=refused") < 50, qt.IsTrue)
 	qt.Check(t, strings.Count(out.String(), "msg=refused") > 0, qt.IsTrue)
-	qt.Check(t, strings.Contains(out.String(), "failures not logged"), qt.IsTrue)
+	qt.Check(t, strings.Contains(out.String(), "request lines not logged"), qt.IsTrue)
+}
+
+func TestRemarkableRequestIsToldWhole(t *testing.T) {
+	var out bytes.Buffer
+	d := eventlog.NewDecisions(log.NewLogfmtLogger(&out), eventlog.Limits{SampleOneIn: 1 << 30, Failures: 5})
+	for _, remarkable := range []bool{false, true} {
+		s := d.Request(fmt.Sprint("r-", remarkable))
+		s.Decision("sent", false, "send", 1)
+		s.Decision("failed", false)
+		s.Decision("sent", false, "send", 2)
+		s.Decision("answered", false)
+		s.End(remarkable)
+	}
+	qt.Check(t, strings.Count(out.String(), "request=r-true"), qt.Equals, 4)
+	qt.Check(t, strings.Contains(out.String(), "request=r-false"), qt.IsFalse)
+	qt.Check(t, strings.Index(out.String(), "send=1") < strings.Index(out.String(), "send=2"), qt.IsTrue)
+}
+
+func TestStoryWithoutAnEndIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	d := eventlog.NewDecisions(log.NewLogfmtLogger(&out), eventlog.Limits{SampleOneIn: 1 << 30, Failures: 1000})
+	s := d.Request("r")
+	for range 10_000 {
+		s.Decision("sent", false)
+	}
+	s.End(true)
+	qt.Check(t, strings.Count(out.String(), "msg=sent") <= 16, qt.IsTrue)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -65,6 +65,8 @@
 		place.First(now.Sub(sent), now)
 	}
 	err = f.exchange.Whole(reply, body)
+	f.delivery.event(now)
+	f.misserved = err != nil || head.Status >= serverError
 	f.gateway.meters.done(head.Status, now.Sub(f.request.Received))
 	f.log("answered", err != nil, "endpoint", place.Endpoint.ID, "status", head.Status, "sends", f.sends,
 		"ms", now.Sub(f.request.Received).Milliseconds(), "err", err)
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -31,16 +31,31 @@
 	failed []string // groups and endpoints that have failed it
 	begun  bool     // the caller has the head of an answer
 	lastID string   // of the last event passed on
+
+	story     Story
+	delivery  delivery
+	misserved bool // failed, refused or broken off
 }
 
+// log adds a line to the request's story.
 func (f *flight) log(event string, failure bool, pairs ...any) {
-	f.gateway.Log.Decision(f.request.ID, event, failure, pairs...)
+	f.story.Decision(event, failure, pairs...)
+}
+
+// end ends the request's story. It is told whole of each request that the caller may complain of.
+func (f *flight) end() {
+	late := f.route != nil && f.delivery.late(f.request.Received, f.route)
+	if late {
+		f.gateway.meters.late.Inc(1)
+	}
+	f.story.End(late || f.misserved || f.sends > 1)
 }
 
 // refuse answers for the system itself, or breaks off what has begun.
 func (f *flight) refuse(r Refusal) {
 	f.log("refused", true, "reason", r.Reason.String(), "detail", r.Detail, "retry_after_ms", r.RetryAfter.Milliseconds(),
-		"sends", f.sends, "begun", f.begun, "age_ms", time.Since(f.request.Received).Milliseconds())
+		"sends", f.sends, "begun", f.begun)
+	f.misserved = true
 	if f.begun {
 		f.gateway.meters.broken.Inc(1)
 		f.exchange.Abort()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,8 @@
 
 // Serve answers one request.
 func (g *Gateway) Serve(ctx context.Context, r *Request, x Exchange) {
-	f := &flight{gateway: g, request: r, exchange: x}
+	f := &flight{gateway: g, request: r, exchange: x, story: g.Story(r.ID)}
+	defer f.end()
 	if refusal := g.admit(f); refusal != nil {
 		f.refuse(*refusal)
 		return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -94,9 +94,14 @@
 }
 func (r *reply) Close() {}
 
-type noLog struct{}
+// story is what was told of one request.
+type story struct {
+	events     []string
+	remarkable bool
+}
 
-func (noLog) Decision(string, string, bool, ...any) {}
+func (s *story) Decision(event string, _ bool, _ ...any) { s.events = append(s.events, event) }
+func (s *story) End(remarkable bool)                     { s.remarkable = remarkable }
 
 // site is a gateway before two groups and two endpoints that serve alone.
 type site struct {
@@ -104,6 +109,12 @@
 	gateway *gateway.Gateway
 	proof   time.Time
 	table   *route.Table
+	story   *story // of the last request
+}
+
+func (s *site) begin(string) gateway.Story {
+	s.story = &story{}
+	return s.story
 }
 
 func newSite() *site {
@@ -131,7 +142,7 @@
 	s.gateway = gateway.New(gateway.Options{
 		Table: func() *route.Table { return s.table }, Proof: func() time.Time { return s.proof }, ProofLimit: 5 * time.Second,
 		Picker: picker.New(picker.Options{Directory: d, Others: nobody, Retiring: func(time.Time) map[string]bool { return nil }, Lost: func(string, time.Time) bool { return s.lost }}),
-		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() int { return 1 }, Log: noLog{}, Scope: tally.NoopScope,
+		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() int { return 1 }, Story: s.begin, Scope: tally.NoopScope,
 	})
 	return s
 }
@@ -299,3 +310,20 @@
 	qt.Check(t, x.refusal, qt.IsNil)
 	qt.Check(t, x.events, qt.DeepEquals, []string{"1"})
 }
+
+func TestRequestsThatACallerMayComplainOfAreToldWhole(t *testing.T) {
+	s := newSite()
+	s.serve("/stream/a", script{head: events, events: []string{"1", "2"}})
+	qt.Check(t, s.story.remarkable, qt.IsFalse)
+	for name, scripts := range map[string][]script{
+		"refused":     {{head: shed}},
+		"sent again":  {{sendErr: notRun}, {head: events, events: []string{"1"}}},
+		"stood still": {{head: events, events: []string{"1"}, stall: true}, {head: events, events: []string{"2"}}},
+		"cut":         {{head: events, events: []string{"1"}, broken: mayRun}},
+	} {
+		s.serve("/stream/a", scripts...)
+		qt.Check(t, s.story.remarkable, qt.IsTrue, qt.Commentf(name))
+	}
+	s.serve("/again/a", script{mute: true}, script{head: fine})
+	qt.Check(t, s.story.remarkable, qt.IsTrue, qt.Commentf("a call that was sent twice"))
+}
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -13,8 +13,9 @@
 	broken           tally.Counter // answers broken off
 	sends, resends   tally.Counter
 	stalls           tally.Counter
-	first, whole     tally.Timer // until the first event, and the whole answer
-	queued           tally.Timer // wait for a place
+	late             tally.Counter // answered, but not within the objectives
+	first, whole     tally.Timer   // until the first event, and the whole answer
+	queued           tally.Timer   // wait for a place
 }
 
 func newMeters(scope tally.Scope) *meters {
@@ -22,6 +23,7 @@
 		answered: scope.Counter("requests_answered"), failed: scope.Counter("requests_failed_by_endpoint"),
 		refused: make(map[Reason]tally.Counter), broken: scope.Counter("answers_broken_off"),
 		sends: scope.Counter("sends"), resends: scope.Counter("resends"), stalls: scope.Counter("stalls"),
+		late:  scope.Counter("requests_late"),
 		first: scope.Timer("first_event"), whole: scope.Timer("answer"), queued: scope.Timer("queue_wait"),
 	}
 	for r := NoRoute; r <= TimedOut; r++ {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -21,12 +21,14 @@
 	Picker        *picker.Picker
 	Limits        retry.Limits
 	Nodes         func() int
-	Log           Log
+	Story         func(id string) Story // begins the story of a request
 	Scope         tally.Scope
 }
 
-// Log takes one line for each decision on a request.
-type Log interface {
-	// Decision notes a decision on the request; pairs are names and values.
-	Decision(id, event string, failure bool, pairs ...any)
+// Story takes one line for each decision on a request.
+type Story interface {
+	// Decision notes a decision; pairs are names and values.
+	Decision(event string, failure bool, pairs ...any)
+	// End ends the story; remarkable means that it has to be told whole, whether the request is one of the sample or not.
+	End(remarkable bool)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -64,7 +64,7 @@
 	f.ran++
 	f.gateway.meters.done(head.Status, time.Since(f.request.Received))
 	f.log("answered", false, "endpoint", place.Endpoint.ID, "group", place.Group, "sends", f.sends, "last", f.lastID,
-		"first_ms", s.first.Sub(f.request.Received).Milliseconds(), "pause_ms", s.pause.Milliseconds(), "ms", time.Since(f.request.Received).Milliseconds())
+		"first_ms", f.delivery.first.Sub(f.request.Received).Milliseconds(), "pause_ms", f.delivery.pause.Milliseconds(), "ms", time.Since(f.request.Received).Milliseconds())
 	return false
 }
 
@@ -87,6 +87,7 @@
 	}
 	err = f.exchange.Whole(reply, body)
 	f.gateway.meters.done(head.Status, time.Since(f.request.Received))
+	f.misserved = true
 	f.log("answered", true, "endpoint", place.Endpoint.ID, "status", head.Status, "sends", f.sends, "err", err)
 	return false
 }
@@ -100,7 +101,7 @@
 func (f *flight) streamFailed(ctx context.Context, place *picker.Place, err error) bool {
 	v := verdict.Of(err)
 	f.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", v.String(), "err", err,
-		"last", f.lastID, "age_ms", time.Since(f.request.Received).Milliseconds())
+		"last", f.lastID)
 	switch {
 	case errors.Is(err, errCaller):
 		f.exchange.Abort()
@@ -132,9 +133,8 @@
 	place  *picker.Place
 	reply  Reply
 	sent   time.Time
-	last   time.Time     // sign of life on this stream
-	first  time.Time     // first event
-	pause  time.Duration // longest between two events
+	last   time.Time // sign of life on this stream
+	begun  bool      // an event has come
 }
 
 func (s *streaming) head(ctx context.Context) (Head, error) {
@@ -151,7 +151,7 @@
 
 // until returns when to look again if nothing has come.
 func (s *streaming) until() time.Time {
-	doubt, until := s.place.Patience(s.last, !s.first.IsZero())
+	doubt, until := s.place.Patience(s.last, s.begun)
 	now := time.Now()
 	switch {
 	case now.Before(doubt):
@@ -171,7 +171,7 @@
 	if err := ctx.Err(); err != nil || !now.Before(s.flight.deadline) {
 		return verdict.New(verdict.MayHaveRun, context.DeadlineExceeded)
 	}
-	doubt, until := s.place.Patience(s.last, !s.first.IsZero())
+	doubt, until := s.place.Patience(s.last, s.begun)
 	if now.Before(doubt) {
 		return nil // another stream of the group has gone on
 	}
@@ -217,13 +217,15 @@
 }
 
 func (s *streaming) note(now time.Time) {
-	if s.first.IsZero() {
-		s.first = now
-		s.flight.gateway.meters.first.Record(now.Sub(s.flight.request.Received))
-		s.place.First(now.Sub(s.sent), now)
-	} else {
-		s.pause = max(s.pause, now.Sub(s.last))
+	if s.begun {
 		s.place.Progress(now.Sub(s.last), now)
+	} else {
+		s.place.First(now.Sub(s.sent), now)
+	}
+	if s.flight.delivery.first.IsZero() {
+		s.flight.gateway.meters.first.Record(now.Sub(s.flight.request.Received))
 	}
+	s.flight.delivery.event(now)
+	s.begun = true
 	s.last = now
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -108,12 +108,13 @@
 		Current: func() time.Time { return n.follower.Current(keys.Endpoints) }, Others: n.gossip.Others, Own: n.ownStatus,
 		Busy: func() bool { return n.requests.Load() > 0 }, Heard: n.heardElsewhere, Logger: logger,
 	})
+	decisions := eventlog.NewDecisions(logger, eventlog.Limits{SampleOneIn: s.SampleOneIn, Failures: s.FailureLinesSecond})
 	n.gateway = gateway.New(gateway.Options{
 		Table: n.table.Load, Proof: func() time.Time { return n.follower.Current(keys.Accepted) }, ProofLimit: s.CredentialProof(),
 		ProofOptional: !s.CredentialProofRequired,
 		Picker:        n.picker, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
 		Nodes: func() int { return 1 + n.gossip.Known(time.Now()) },
-		Log:   eventlog.NewDecisions(logger, eventlog.Limits{SampleOneIn: s.SampleOneIn, Failures: s.FailureLinesSecond}),
+		Story: func(id string) gateway.Story { return decisions.Request(id) },
 		Scope: n.scope,
 	})
 	return n, nil
--- a/test/gateway/explain_test.go
+++ b/test/gateway/explain_test.go
@@ -29,7 +29,7 @@
 	return story
 }
 
-// The three failures of docs/OPERATIONS.md, each explained from the request's id alone.
+// The failures of docs/OPERATIONS.md, each explained from the request's id alone.
 
 func TestExplainRefusedThoughPlacesWereFree(t *testing.T) {
 	f := newFleet(t)
@@ -69,3 +69,21 @@
 	qt.Check(t, strings.Contains(story, "verdict=may-have-run"), qt.IsTrue, qt.Commentf(story))
 	qt.Check(t, strings.Contains(story, "reason=timed-out"), qt.IsTrue, qt.Commentf(story))
 }
+
+func TestExplainLateAnswer(t *testing.T) {
+	f := newFleet(t)
+	head := f.estate.OpenHeads()[0]
+	head.Stall(true)
+	for range 12 {
+		r := f.stream(f.nodes[0], "key-1")
+		qt.Assert(t, r.whole(), qt.IsTrue, qt.Commentf("%+v", r))
+		story := f.explain(r.id)
+		if !strings.Contains(story, "send=2") {
+			continue // it went to another group at once
+		}
+		qt.Check(t, strings.Contains(story, "the replica group stands still"), qt.IsTrue, qt.Commentf(story))
+		qt.Check(t, strings.Contains(story, "answered") && strings.Contains(story, "first_ms="), qt.IsTrue, qt.Commentf(story))
+		return
+	}
+	t.Fatal("no stream met the group that stands still")
+}
