Let nodes take turns to ask a store that does not answer

Change: after a failure a node asks again when it is its turn, so that the fleet asks some ten times a second together; whoever is answered tells the others. The leader and a node that hears no other do not wait.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -32,6 +32,10 @@
 	pullWait = time.Second
 	// lastRank bounds the wait in a large fleet.
 	lastRank = 10
+	// turnOfNode is how often the nodes of a fleet together ask a store that does not answer: on average one of them each
+	// such while, and it tells the others. While the store was away for 11 s, 71 nodes that each asked twice a second for
+	// each prefix made 2,700 calls, of the 3,900 of 55 s.
+	turnOfNode = 100 * time.Millisecond
 	// staleMargin is how much fresher a node must be that does not watch, for this one to pull from it.
 	staleMargin = 500 * time.Millisecond
 )
@@ -60,6 +64,7 @@
 	mu     sync.Mutex
 	pulled map[string]uint64 // by incarnation
 	lost   map[string]bool   // prefixes that the store does not give
+	answer time.Time         // last of the store
 }
 
 // NewFollower returns a Follower for the node self; leads says whether it is the leader.
@@ -80,6 +85,7 @@
 	} {
 		s.objects, s.mirror, s.wanted = f.objects, f.Mirror, f.shouldWatch
 		s.proved, s.failed = f.proved, f.failed
+		s.turn, s.answered = f.turn, f.answered
 		s.age = func(now time.Time) time.Duration { return now.Sub(f.Current(s.prefix)) }
 		g.Go(func() error { return s.run(ctx) })
 	}
@@ -92,6 +98,7 @@
 	f.mu.Lock()
 	was := f.lost[prefix]
 	f.lost[prefix] = false
+	f.answer = time.Now()
 	f.mu.Unlock()
 	if was {
 		_ = level.Info(f.logger).Log("msg", "dependency regained", "dependency", "store", "prefix", prefix)
@@ -108,6 +115,23 @@
 	}
 }
 
+// turn returns after how long this node asks a store again that does not answer, if it has drawn that number. The leader
+// and a node that hears no other ask at once.
+func (f *Follower) turn(draw float64) time.Duration {
+	if f.leads() {
+		return 0
+	}
+	others := len(f.live(time.Now()))
+	return time.Duration(2 * draw * float64(others) * float64(turnOfNode))
+}
+
+// answered returns when the store has last answered this node.
+func (f *Follower) answered() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answer
+}
+
 // shouldWatch reports whether this node watches the store itself now.
 func (f *Follower) shouldWatch() bool {
 	now := time.Now()
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -28,6 +29,9 @@
 	proved  func(prefix string, at time.Time)
 	failed  func(prefix string, err error)
 	wanted  func() bool
+	// turn returns after how long a node that has drawn that number, 0 to 1, asks a store again that does not answer.
+	turn     func(draw float64) time.Duration
+	answered func() time.Time // the store has last answered this node
 	// lapses, if set, says that entries may run out while the store is away, and that those of endpoints that live
 	// come back soon after. age tells how old the copy is.
 	lapses bool
@@ -57,7 +61,7 @@
 			if ctx.Err() == nil {
 				s.failed(s.prefix, err)
 			}
-			loop.Sleep(ctx, retry.NextBackOff())
+			s.rest(ctx, retry.NextBackOff())
 			continue
 		}
 		retry.Reset()
@@ -73,6 +77,17 @@
 	return nil
 }
 
+// rest waits after a failure: for least, and then until it is this node's turn to ask, until another of its sources has
+// been answered, or until others tell what is wanted.
+func (s *source) rest(ctx context.Context, least time.Duration) {
+	failed := time.Now()
+	draw := rand.Float64() //nolint:gosec // spreads questions
+	loop.Sleep(ctx, least)
+	for ctx.Err() == nil && s.wanted() && time.Since(failed) < s.turn(draw) && !s.answered().After(failed) {
+		loop.Sleep(ctx, firstRetry)
+	}
+}
+
 // next lists or watches once and returns the store version reached and whether anything came.
 func (s *source) next(ctx context.Context, version int64) (int64, bool, error) {
 	away := s.lapses && s.age(time.Now()) > awayFor
--- /dev/null
+++ b/internal/follow/turn_test.go
@@ -0,0 +1,92 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/infra"
+)
+
+// downStore counts the questions that it does not answer while it is down.
+type downStore struct {
+	infra.ObjectStore
+	asked atomic.Int64
+	up    atomic.Bool
+}
+
+func (d *downStore) List(context.Context, string) (infra.Listing, error) {
+	d.asked.Add(1)
+	if !d.up.Load() {
+		return infra.Listing{}, errors.New("down")
+	}
+	return infra.Listing{Version: 1}, nil
+}
+
+func (d *downStore) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) (infra.Listing, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return infra.Listing{Version: 1}, ctx.Err()
+}
+
+// crowd returns that many other nodes, which know nothing.
+func crowd(n int) func(time.Time) []*gossip.Peer {
+	list := make([]*gossip.Peer, n)
+	for i := range list {
+		list[i] = &gossip.Peer{}
+	}
+	return func(time.Time) []*gossip.Peer { return list }
+}
+
+// questions returns how often the nodes of a fleet ask a store that is down.
+func questions(t *testing.T, nodes int, runs time.Duration) int64 {
+	t.Helper()
+	store := &downStore{}
+	ctx, cancel := context.WithTimeout(context.Background(), runs)
+	defer cancel()
+	var g errgroup.Group
+	for range nodes {
+		f := NewFollower(store, nil, "n", func() bool { return false }, crowd(nodes-1), log.NewNopLogger())
+		g.Go(func() error { return f.Run(ctx) })
+	}
+	qt.Assert(t, g.Wait(), qt.IsNil)
+	return store.asked.Load()
+}
+
+func TestQuestionsToAStoreThatIsDownDoNotGrowWithTheFleet(t *testing.T) {
+	few, many := questions(t, 10, 4*time.Second), questions(t, 80, 4*time.Second)
+	// Each node asks once at the start for each of the two prefixes, and then takes turns: 20 questions a second.
+	qt.Check(t, few <= 2*10+2*80, qt.IsTrue, qt.Commentf("%d", few))
+	qt.Check(t, many <= 2*80+2*80, qt.IsTrue, qt.Commentf("%d", many))
+}
+
+func TestNodeThatTheStoreAnswersAsksForTheRestAtOnce(t *testing.T) {
+	store := &downStore{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := NewFollower(store, nil, "n", func() bool { return false }, crowd(1000), log.NewNopLogger())
+	go func() { _ = f.Run(ctx) }()
+	for store.asked.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	store.up.Store(true)
+	f.proved("another/", time.Now().Add(time.Second)) // as if a question had just been answered
+	f.mu.Lock()
+	f.answer = time.Now().Add(time.Second)
+	f.mu.Unlock()
+	for {
+		if at, _ := f.Whole(); !at.IsZero() {
+			return // long before its turn, which comes after 100 s on average
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
