Decide a model's need by the time in which its prompts are read

Cause: need counted requests by places. A model of long prompts and short answers has few requests running: the shifted site's model of 16 has 19 to 26 for 210 places, so its groups were given to the other model until two were left, which read prompts 65 % of their time; a third of its answers were late while 20 to 46 endpoints served nobody. Change: package engine predicts a group's time to the first event from the published figures; nodes tell the rate, tokens and squared tokens of the prompts they get, and their tightest objective; the planner's pressure is the larger part of places and of groups that just read in time. Where figures are missing it is as before.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/engine"
 )
 
 // estate lists endpoints of several domains while requests come.
@@ -255,3 +256,31 @@
 	v.Contacts = map[string]Contact{"e00": {Failed: s.now.Add(time.Millisecond), Refused: true}}
 	qt.Check(t, v.dead("e00"), qt.IsFalse, qt.Commentf("the listing is older than the refusal"))
 }
+
+// longPrompts is a mix that reads for that much of the time of one group of the test's engine.
+func longPrompts(groups float64) engine.Mix {
+	const tokens = 2000
+	perSecond := groups * 50_000 / tokens
+	return engine.Mix{PerSecond: perSecond, Tokens: perSecond * tokens, Squares: perSecond * tokens * tokens, Objective: 300 * time.Millisecond}
+}
+
+func TestModelThatReadsLongPromptsKeepsItsGroupsThoughFewOfItsRequestsRun(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 14, "small": 4}} // 0.7 of the places of two groups, 0.1 of those of four
+	for _, name := range []string{"a", "b"} {
+		s.group(name, name, "big", "small", 3)
+	}
+	for _, name := range []string{"c", "d", "e", "f"} {
+		s.group(name, "d1", "small", "big", 2)
+	}
+	retired := func(mixes map[string]engine.Mix) int {
+		p := s.settled()
+		v := s.view()
+		v.Service.Engine.Figures = engine.Figures{Step: 6 * time.Millisecond, ReadPerSecond: 50_000, Stride: 7}
+		v.Mixes = mixes
+		p.Step(v)
+		return len(p.Retiring())
+	}
+	qt.Check(t, retired(nil), qt.Equals, 2, qt.Commentf("by places alone two groups of four are plenty"))
+	mixes := map[string]engine.Mix{"small": longPrompts(1.5)}
+	qt.Check(t, retired(mixes), qt.Equals, 0, qt.Commentf("the four read for 0.38 of their time, and two would for 0.75"))
+}
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/route"
 )
@@ -167,6 +168,7 @@
 	v := &View{
 		Now: now, AsOf: c.Current(), Steady: c.steady, Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
 		Loads: make(map[string]int), Suspects: make(map[string]bool), Demand: make(map[string]int),
+		Mixes: make(map[string]engine.Mix),
 	}
 	for id, k := range c.contacts {
 		v.Contacts[id] = k.Contact
@@ -182,6 +184,7 @@
 	}
 	for model, d := range total.Demands {
 		v.Demand[model] = d.Running + d.Waiting
+		v.Mixes[model] = d.Mix
 	}
 	for group := range total.Suspects {
 		v.Suspects[group] = true
--- a/internal/formation/need.go
+++ b/internal/formation/need.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/route"
 )
 
@@ -17,21 +18,37 @@
 	leastDemand = 2
 )
 
-// measure keeps a running mean of each model's requests, running and waiting.
+// measure keeps a running mean of each model's requests, running and waiting, and works out how many replica groups
+// could read their prompts in time.
 func (p *Planner) measure(v *View) {
 	for _, m := range v.Service.Engine.Models {
 		now := float64(v.Demand[m.Name])
 		p.demand[m.Name] += demandSmoothing * (now - p.demand[m.Name])
+		p.readers[m.Name] = readers(v.Service.Engine, m, v.Mixes[m.Name])
 	}
 }
 
-// pressure is the part of a model's places in use, waiting requests included; above 1 requests wait.
+// readers returns how many groups of the model would just read prompts of that mix within their objective, or 0 if that
+// cannot be predicted. A model of long prompts and short answers has few requests running and yet needs many groups:
+// counted by places alone, two groups of sixteen endpoints were thought to do where a third of the answers were late.
+func readers(e *route.Engine, m route.Model, mix engine.Mix) float64 {
+	group := engine.Model{Figures: e.Figures, Pace: m.Pace, Writers: comfortable * float64(e.Slots)}
+	bears, predicted := group.Bears(mix)
+	if !predicted || bears <= 0 {
+		return 0
+	}
+	return mix.PerSecond / bears
+}
+
+// pressure is the part of its groups that a model needs at the least: to give all requests a place, waiting ones
+// included, or to read their prompts within the objective. Above 1 requests wait or are late.
 func (p *Planner) pressure(v *View, m route.Model, have map[string]int) float64 {
-	places := float64(v.Service.Engine.Slots) * float64(have[m.Name]) / float64(max(1, m.Size))
-	if places == 0 {
+	groups := float64(have[m.Name]) / float64(max(1, m.Size))
+	if groups == 0 {
 		return math.Inf(1)
 	}
-	return max(leastDemand, p.demand[m.Name]) / places
+	places := max(leastDemand, p.demand[m.Name]) / float64(v.Service.Engine.Slots)
+	return max(places, p.readers[m.Name]) / groups
 }
 
 // byNeed orders the models: while requests come by pressure, before that by how far they are behind their share.
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -41,6 +41,7 @@
 	cleared   map[string]time.Time   // last order to a free endpoint to leave, by ID
 	reserved  map[string]reservation // by domain
 	demand    map[string]float64     // requests by model, a running mean
+	readers   map[string]float64     // replica groups that can read a model's prompts in time, at the least
 
 	listed   int       // endpoints of the service at the last step
 	listedAt time.Time // when that number last changed
@@ -56,7 +57,7 @@
 	return &Planner{
 		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement),
 		ended: make(map[string]time.Time), lostAt: make(map[string]time.Time), strangers: make(map[string]time.Time), complete: make(map[string]bool),
-		stagings: make(map[string]staging), surveyed: make(map[string]bool), asked: make(map[string]bool), demand: make(map[string]float64), reserved: make(map[string]reservation), cleared: make(map[string]time.Time),
+		stagings: make(map[string]staging), surveyed: make(map[string]bool), asked: make(map[string]bool), demand: make(map[string]float64), readers: make(map[string]float64), reserved: make(map[string]reservation), cleared: make(map[string]time.Time),
 	}
 }
 
--- a/internal/formation/summary.go
+++ b/internal/formation/summary.go
@@ -25,7 +25,8 @@
 			open++
 			load += v.Loads[g.Head.ID]
 		}
-		p.note("supply", "", "model", m.Name, "open", open, "requests", load, "endpoints", have[m.Name])
+		p.note("supply", "", "model", m.Name, "open", open, "requests", load, "endpoints", have[m.Name], "readers", p.readers[m.Name],
+			"pressure", p.pressure(v, m, have))
 	}
 	free, cold := 0, 0
 	for _, list := range p.freeByDomain(v) {
--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/route"
 )
 
@@ -14,11 +15,12 @@
 	Steady   time.Time // since when it has been current without a long pause; zero if it is not
 	Service  *route.Service
 	Snapshot *endpoint.Snapshot
-	Contacts map[string]Contact // by endpoint ID, of those that have been asked lately
-	Loads    map[string]int     // requests of all nodes, by ID of the head
-	Demand   map[string]int     // requests of all nodes, running and waiting, by model
-	Suspects map[string]bool    // groups that stand still at some node
-	Busy     bool               // callers have begun to send requests
+	Contacts map[string]Contact    // by endpoint ID, of those that have been asked lately
+	Loads    map[string]int        // requests of all nodes, by ID of the head
+	Demand   map[string]int        // requests of all nodes, running and waiting, by model
+	Mixes    map[string]engine.Mix // of the requests of all nodes, by model
+	Suspects map[string]bool       // groups that stand still at some node
+	Busy     bool                  // callers have begun to send requests
 }
 
 // Contact is what asking an endpoint directly has shown.
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -77,6 +77,7 @@
 			return nil, errNoModel
 		}
 		w.Model, w.Slots, w.Size = model.Name, e.Slots, model.Size
+		w.PromptTokens, w.Objective = f.request.PromptTokens, f.route.Objective
 	}
 	if f.begun {
 		w.Patience = f.route.GapObjective / 2
--- a/internal/gossip/convert.go
+++ b/internal/gossip/convert.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/gossip/gossippb"
 )
 
@@ -32,7 +33,7 @@
 		}
 	}
 	for model, d := range s.Demands {
-		b.Demands = append(b.Demands, &gossippb.Demand{Model: model, Waiting: uint32(d.Waiting), Running: uint32(d.Running)}) //nolint:gosec // never negative
+		b.Demands = append(b.Demands, demandToWire(model, d))
 	}
 	return b
 }
@@ -68,9 +69,24 @@
 		p.Suspects[s.Group] = asOf.Add(-millis(s.AgeMs))
 	}
 	for _, d := range b.Demands {
-		p.Demands[d.Model] = Demand{int(d.Waiting), int(d.Running)}
+		p.Demands[d.Model] = demandFromWire(d)
 	}
 	return p
 }
 
+func demandToWire(model string, d Demand) *gossippb.Demand {
+	return &gossippb.Demand{
+		Model: model, Waiting: uint32(d.Waiting), Running: uint32(d.Running), //nolint:gosec // never negative
+		RequestsPerSecond: float32(d.Mix.PerSecond), TokensPerSecond: float32(d.Mix.Tokens), SquaresPerSecond: float32(d.Mix.Squares),
+		ObjectiveMs: roundUp(d.Mix.Objective),
+	}
+}
+
+func demandFromWire(d *gossippb.Demand) Demand {
+	return Demand{Waiting: int(d.Waiting), Running: int(d.Running), Mix: engine.Mix{
+		PerSecond: float64(d.RequestsPerSecond), Tokens: float64(d.TokensPerSecond), Squares: float64(d.SquaresPerSecond),
+		Objective: millis(d.ObjectiveMs),
+	}}
+}
+
 func millis(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/gossip/node_test.go
+++ b/internal/gossip/node_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/gossip/gossippb"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/mirror"
@@ -86,7 +87,7 @@
 	s := Status{
 		Leaving: true, Serving: true, Watching: true, Eligible: true, LeaderEpoch: 7, Lease: Lease{12, 1500 * time.Millisecond}, Uptime: 5 * time.Second, Sequence: 9,
 		ProofAt: now.Add(-40 * time.Millisecond), Loads: Loads{KeyOf("a"): 3}, Retiring: []string{"g"}, Lost: []string{"h"},
-		Suspects: map[string]time.Time{"g": now.Add(-time.Second)}, Demands: map[string]Demand{"m": {Waiting: 1, Running: 2}},
+		Suspects: map[string]time.Time{"g": now.Add(-time.Second)}, Demands: map[string]Demand{"m": {Waiting: 1, Running: 2, Mix: engine.Mix{PerSecond: 0.5, Tokens: 2048, Squares: 1 << 22, Objective: 300 * time.Millisecond}}},
 	}
 	p := fromWire(toWire(Identity{VM: "v", Zone: "z"}, s, now), now)
 	qt.Check(t, p.Status, qt.DeepEquals, s)
--- a/internal/gossip/relays_test.go
+++ b/internal/gossip/relays_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/engine"
 )
 
 // fleet is some nodes that run in this process.
@@ -142,8 +144,11 @@
 }
 
 func TestTotalsWithoutOneNode(t *testing.T) {
-	a := Status{Loads: Loads{KeyOf("e"): 2, KeyOf("f"): 1}, Demands: map[string]Demand{"m": {Waiting: 1, Running: 3}}, Retiring: []string{"g"}}
-	b := Status{Loads: Loads{KeyOf("e"): 5}, Demands: map[string]Demand{"m": {Running: 5}}, Retiring: []string{"g"}}
+	mix := func(perSecond float64) engine.Mix {
+		return engine.Mix{PerSecond: perSecond, Tokens: 100 * perSecond, Squares: 20_000 * perSecond, Objective: 200 * time.Millisecond}
+	}
+	a := Status{Loads: Loads{KeyOf("e"): 2, KeyOf("f"): 1}, Demands: map[string]Demand{"m": {Waiting: 1, Running: 3, Mix: mix(2)}}, Retiring: []string{"g"}}
+	b := Status{Loads: Loads{KeyOf("e"): 5}, Demands: map[string]Demand{"m": {Running: 5, Mix: mix(4)}}, Retiring: []string{"g"}}
 	total := NewTotals()
 	total.Add(&a)
 	total.Add(&b)
@@ -151,7 +156,7 @@
 	qt.Check(t, total.Retiring, qt.DeepEquals, []string{"g"})
 	rest := total.without(&a)
 	qt.Check(t, rest.Loads, qt.DeepEquals, Loads{KeyOf("e"): 5})
-	qt.Check(t, rest.Demands, qt.DeepEquals, map[string]Demand{"m": {Running: 5}})
+	qt.Check(t, rest.Demands, qt.DeepEquals, map[string]Demand{"m": {Running: 5, Mix: mix(4)}})
 	qt.Check(t, total.Loads.At("e"), qt.Equals, 7)
 }
 
--- a/internal/gossip/totals.go
+++ b/internal/gossip/totals.go
@@ -31,8 +31,7 @@
 		}
 	}
 	for model, d := range s.Demands {
-		sum := t.Demands[model]
-		t.Demands[model] = Demand{Waiting: sum.Waiting + d.Waiting, Running: sum.Running + d.Running}
+		t.Demands[model] = t.Demands[model].plus(d)
 	}
 	t.Retiring = union(t.Retiring, s.Retiring)
 	t.Lost = union(t.Lost, s.Lost)
@@ -65,8 +64,7 @@
 		}
 	}
 	for model, d := range s.Demands {
-		sum := out.Demands[model]
-		out.Demands[model] = Demand{Waiting: max(0, sum.Waiting-d.Waiting), Running: max(0, sum.Running-d.Running)}
+		out.Demands[model] = t.Demands[model].less(d)
 	}
 	return &out
 }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -50,6 +50,7 @@
 	waiting  []*waiter
 	demand   map[string]int           // waiting by model
 	busy     map[string]int           // running by model
+	arrivals map[string]*arrivals     // by model
 	held     map[string]time.Duration // mean time that a place is held, by model
 	random   uint64
 }
@@ -59,12 +60,14 @@
 	return &Picker{
 		options: o, health: make(map[string]*health), running: make(map[string]int), complete: make(map[string]bool),
 		demand: make(map[string]int), busy: make(map[string]int), held: make(map[string]time.Duration),
+		arrivals: make(map[string]*arrivals),
 	}
 }
 
 // Acquire returns a place, waiting for one up to the want's patience.
 func (p *Picker) Acquire(ctx context.Context, w *Want) (*Place, error) {
 	p.mu.Lock()
+	p.arrive(w, time.Now())
 	if !p.someoneWaitsFor(w) {
 		place, err := p.try(w, time.Now(), false)
 		if place != nil || err != nil && w.Patience <= 0 {
@@ -100,6 +103,17 @@
 	return place, err
 }
 
+// arrive counts in a request for a model.
+func (p *Picker) arrive(w *Want, now time.Time) {
+	if w.Model == "" {
+		return
+	}
+	if p.arrivals[w.Model] == nil {
+		p.arrivals[w.Model] = &arrivals{at: now}
+	}
+	p.arrivals[w.Model].add(w, now)
+}
+
 // try returns a place if there is one; with full set, also one in the queue of a full replica group.
 func (p *Picker) try(w *Want, now time.Time, full bool) (*Place, error) {
 	candidates := p.candidates(w, now)
--- a/internal/picker/want.go
+++ b/internal/picker/want.go
@@ -13,14 +13,18 @@
 
 // Want says what a request needs.
 type Want struct {
-	Service   string
-	Model     string // empty for endpoints that serve alone
-	Slots     int    // requests that a replica group runs at once
-	Size      int    // members of a replica group
-	Priority  int    // 0 is the most urgent
-	Workspace string
-	Exclude   []string // groups and endpoints that have failed the request
-	Patience  time.Duration
+	Service string
+	Model   string // empty for endpoints that serve alone
+	Slots   int    // requests that a replica group runs at once
+	Size    int    // members of a replica group
+	// PromptTokens is the length of the prompt, and Objective the time within which the first event should come; zero if
+	// they are not known.
+	PromptTokens int
+	Objective    time.Duration
+	Priority     int // 0 is the most urgent
+	Workspace    string
+	Exclude      []string // groups and endpoints that have failed the request
+	Patience     time.Duration
 }
 
 func (w *Want) excludes(key string) bool {
--- a/internal/route/engine.go
+++ b/internal/route/engine.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"moorrun.dev/moorrun/internal/engine"
+)
 
 // Engine describes the model engines of a service, whose endpoints serve in replica groups.
 type Engine struct {
@@ -9,6 +13,7 @@
 	LoadsPerSecond float64 // loads of weights that may begin a second, over all endpoints
 	LoadsAtOnce    int     // loads beyond these slow each other
 	Open           time.Duration
+	Figures        engine.Figures // how fast they read and write
 }
 
 // Model returns the model of that name.
