Choose the better of two groups drawn by chance

Loads of other nodes are a quarter of a second old, a group that opens has none, and a random part of up to nine requests did not make up for the others' fourteen: until its load was told it got all of 423 requests a second, whose prompts it reads in 8 ms each. Change: each choice is made between two groups of the own data centre and two of others (whose way costs three requests as before), drawn by chance. The random part by unseen requests, its lag and its two factors go. Tests: a group that has just opened gets under three times its part of 1,000 choices (fails before: all); what stands still is left out of the draw; other data centres only where they are far less loaded.

--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -21,12 +21,19 @@
 	jitter = 0.5
 )
 
+// How much a group is to be avoided: one with a member that is about to leave, and more one that stands still.
+const (
+	avoidLeaving = iota + 1
+	avoidSilent
+)
+
 // candidate is an endpoint that could take a request.
 type candidate struct {
 	endpoint *endpoint.Endpoint
 	group    string
 	load     int // requests of all nodes
 	cost     float64
+	avoid    int // 0, or more the less it is to be chosen as long as there are others
 }
 
 // candidates returns everything that may take the request, with its cost.
@@ -43,18 +50,17 @@
 	retiring := p.options.Retiring(now)
 	var out []candidate
 	usual := p.usualGap(w, snapshot)
-	spread := p.spread(w, snapshot, others)
 	for _, g := range snapshot.Groups {
 		if g.Service != w.Service || g.Model != w.Model || w.excludes(g.Name) || retiring[g.Name] || !p.usable(g, w.Size) {
 			continue
 		}
 		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(p.health[g.Name], others, g.Head.ID)}
-		c.cost = float64(c.load) + p.extraCost(p.health[g.Name], g.Head, spread, now)
-		if doubted(g.Name, p.health[g.Name], others, now) {
-			c.cost += suspectCost
-		}
-		if g.Draining() {
-			c.cost += drainCost
+		c.cost = float64(c.load) + p.extraCost(p.health[g.Name], g.Head, now)
+		switch {
+		case doubted(g.Name, p.health[g.Name], others, now) || p.suspects(g.Name, now):
+			c.avoid = avoidSilent
+		case g.Draining():
+			c.avoid = avoidLeaving
 		}
 		if h := p.health[g.Name]; h != nil && usual > 0 && float64(h.gap) > slowFrom*float64(usual) {
 			c.cost += slowCost * (float64(h.gap)/float64(usual) - 1)
@@ -98,7 +104,7 @@
 		}
 		h := p.health[e.ID]
 		c := candidate{endpoint: e, load: totalLoad(h, others, e.ID)}
-		c.cost = float64(c.load) + p.extraCost(h, e, jitter, now)
+		c.cost = float64(c.load) + p.extraCost(h, e, now)
 		if h != nil {
 			c.cost += failureCost*h.failures + float64(h.latency)/float64(latencyUnit)
 		}
@@ -107,9 +113,15 @@
 	return out
 }
 
-// extraCost is what speaks against an endpoint besides its load; spread bounds the part of it that is drawn by chance.
-func (p *Picker) extraCost(h *health, e *endpoint.Endpoint, spread float64, now time.Time) float64 {
-	cost := p.draw() * spread
+// suspects reports whether the group stands still as far as this node has seen.
+func (p *Picker) suspects(group string, now time.Time) bool {
+	h := p.health[group]
+	return h != nil && h.suspected(now)
+}
+
+// extraCost is what speaks against an endpoint besides its load.
+func (p *Picker) extraCost(h *health, e *endpoint.Endpoint, now time.Time) float64 {
+	cost := p.draw() * jitter
 	if e.Zone != p.options.Zone {
 		cost += zoneCost
 	}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -3,7 +3,9 @@
 package picker
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +18,6 @@
 	zoneCost = 3.0
 	// suspectCost keeps requests from what stands still, as long as anything else is there.
 	suspectCost = 1000.0
-	// drainCost keeps requests from a group of which a member is about to leave.
-	drainCost = 300.0
 	// overflow is how many requests may wait at a full replica group, by its own queue: more would hardly be answered
 	// within their objective, and a refused one comes back in time more often.
 	overflow = 2
@@ -35,8 +35,6 @@
 	Retiring func(now time.Time) map[string]bool
 	// Lost reports whether the leader has found a replica group to have lost a member; nil if nobody tells.
 	Lost func(group string, now time.Time) bool
-	// Lag tells how old the loads of the other nodes usually are; nil if there are none.
-	Lag func() time.Duration
 }
 
 // Picker chooses endpoints.
@@ -48,10 +46,9 @@
 	running  map[string]int  // by workspace
 	complete map[string]bool // groups that had all their members ready
 	waiting  []*waiter
-	demand   map[string]int           // waiting by model
-	busy     map[string]int           // running by model
-	arrivals map[string]*arrivals     // by model
-	held     map[string]time.Duration // mean time that a place is held, by model
+	demand   map[string]int       // waiting by model
+	busy     map[string]int       // running by model
+	arrivals map[string]*arrivals // by model
 	random   uint64
 }
 
@@ -59,7 +56,7 @@
 func New(o Options) *Picker {
 	return &Picker{
 		options: o, health: make(map[string]*health), running: make(map[string]int), complete: make(map[string]bool),
-		demand: make(map[string]int), busy: make(map[string]int), held: make(map[string]time.Duration),
+		demand: make(map[string]int), busy: make(map[string]int),
 		arrivals: make(map[string]*arrivals),
 	}
 }
@@ -124,24 +121,21 @@
 	if full {
 		limit += overflow
 	}
-	var best *candidate
-	for i := range candidates {
-		c := &candidates[i]
-		if w.Slots > 0 && c.load >= limit {
-			continue
-		}
-		if best == nil || c.cost < best.cost {
-			best = c
-		}
+	if w.Slots > 0 {
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.load >= limit })
 	}
-	if best == nil {
+	if len(candidates) == 0 {
 		return nil, nil //nolint:nilnil // neither a place nor a failure: wait
 	}
-	return p.take(w, best, now), nil
+	if w.Model != "" {
+		candidates = p.sample(candidates)
+	}
+	best := slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	return p.take(w, &best, now), nil
 }
 
 func (p *Picker) take(w *Want, c *candidate, now time.Time) *Place {
-	place := &Place{Endpoint: c.endpoint, Group: c.group, picker: p, workspace: w.Workspace, model: w.Model, since: now}
+	place := &Place{Endpoint: c.endpoint, Group: c.group, picker: p, workspace: w.Workspace, model: w.Model}
 	h := p.healthOf(place.key(), now)
 	h.running++
 	p.running[w.Workspace]++
@@ -155,7 +149,6 @@
 	now := time.Now()
 	p.healthOf(place.key(), now).running--
 	p.busy[place.model]--
-	p.held[place.model] = mean(p.held[place.model], now.Sub(place.since))
 	if p.running[place.workspace]--; p.running[place.workspace] <= 0 {
 		delete(p.running, place.workspace)
 	}
--- a/internal/picker/place.go
+++ b/internal/picker/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"moorrun.dev/moorrun/internal/endpoint"
 )
@@ -15,7 +14,6 @@
 	picker    *Picker
 	workspace string
 	model     string
-	since     time.Time
 	once      sync.Once
 }
 
--- /dev/null
+++ b/internal/picker/sample_test.go
@@ -0,0 +1,90 @@
+package picker
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/gossip"
+)
+
+// openGroups returns a directory of that many groups of one endpoint each, named by number, in data centres in turn.
+func openGroups(n int, zones ...string) *endpoint.Directory {
+	var list []*endpoint.Endpoint
+	for i := range n {
+		id := fmt.Sprint(i)
+		list = append(list, &endpoint.Endpoint{
+			ID: id, Service: "lm", Zone: zones[i%len(zones)], Models: []string{"m"}, Membership: &endpoint.Membership{Group: id, Epoch: 1, State: endpoint.Open},
+		})
+	}
+	d := endpoint.NewDirectory()
+	d.Apply(list, nil, time.Now())
+	return d
+}
+
+// choices lets many nodes of data centre "a" choose once each, on the same loads, and counts what they choose.
+func choices(t *testing.T, nodes int, d *endpoint.Directory, others *gossip.Totals) map[string]int {
+	t.Helper()
+	out := make(map[string]int)
+	for node := range nodes {
+		p := New(Options{
+			Zone: "a", Directory: d, Others: func(time.Time) *gossip.Totals { return others },
+			Retiring: func(time.Time) map[string]bool { return nil },
+		})
+		p.random = uint64(node) * 0x9e3779b97f4a7c15
+		place, err := p.Acquire(context.Background(), &Want{Service: "lm", Model: "m", Slots: 20, Size: 1})
+		qt.Assert(t, err, qt.IsNil)
+		out[place.Group]++
+	}
+	return out
+}
+
+// busyBut returns loads of that many requests at all groups but the first, which has none.
+func busyBut(groups, requests int) *gossip.Totals {
+	others := gossip.NewTotals()
+	for i := 1; i < groups; i++ {
+		others.Loads[gossip.KeyOf(fmt.Sprint(i))] = requests
+	}
+	return others
+}
+
+func TestGroupThatHasJustOpenedIsNotOverrun(t *testing.T) {
+	const groups, nodes = 20, 1000
+	got := choices(t, nodes, openGroups(groups, "a"), busyBut(groups, 14))["0"]
+	qt.Check(t, got > nodes/groups && got < 3*nodes/groups, qt.IsTrue, qt.Commentf("%d of %d choices", got, nodes))
+}
+
+func TestLessLoadedOfTheGroupsThatWereDrawnIsChosen(t *testing.T) {
+	others := gossip.NewTotals()
+	others.Loads = gossip.Loads{gossip.KeyOf("0"): 3, gossip.KeyOf("1"): 9}
+	qt.Check(t, choices(t, 50, openGroups(2, "a"), others), qt.DeepEquals, map[string]int{"0": 50})
+}
+
+func TestOtherDataCentresAreChosenWhereTheyAreFarLessLoaded(t *testing.T) {
+	const groups = 12
+	d := openGroups(groups, "a", "b")
+	for group := range choices(t, 200, d, gossip.NewTotals()) {
+		qt.Check(t, d.Read().Groups[group].Head.Zone, qt.Equals, "a")
+	}
+	others := gossip.NewTotals()
+	for i := 0; i < groups; i += 2 {
+		others.Loads[gossip.KeyOf(fmt.Sprint(i))] = 10
+	}
+	for group := range choices(t, 200, d, others) {
+		qt.Check(t, d.Read().Groups[group].Head.Zone, qt.Equals, "b")
+	}
+}
+
+func TestGroupsThatStandStillAreLeftOutOfTheDraw(t *testing.T) {
+	const groups = 10
+	others := gossip.NewTotals()
+	others.Suspects = make(map[string]time.Time)
+	for i := 1; i < groups; i++ {
+		others.Suspects[fmt.Sprint(i)] = time.Now()
+	}
+	qt.Check(t, choices(t, 50, openGroups(groups, "a"), others), qt.DeepEquals, map[string]int{"0": 50})
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -100,7 +100,7 @@
 	n.gossip.OnBeat = n.heard
 	n.gossip.OnSent = countBeats(n.scope)
 	n.rpc = gossip.NewServer(self.Incarnation, n.follower.Mirror, n.askFor)
-	n.picker = picker.New(picker.Options{Zone: s.DataCentre, Directory: n.directory, Others: n.gossip.Others, Retiring: n.retiring, Lost: n.lost, Lag: n.gossip.Lag})
+	n.picker = picker.New(picker.Options{Zone: s.DataCentre, Directory: n.directory, Others: n.gossip.Others, Retiring: n.retiring, Lost: n.lost})
 	ttl := s.LeaseTTL()
 	n.keeper = holder.NewKeeper(n.platform.Objects, leaseName, s.VM, ttl, ttl/leaseMarginPart, n.wantsLead, logger)
 	n.controller = formation.NewController(formation.Options{
