--- a/internal/engine/mix.go
+++ b/internal/engine/mix.go
@@ -26,6 +26,14 @@
 	m.Objective = tightest(m.Objective, other.Objective)
 }
 
+// Part returns one of that many equal parts of the mix.
+func (m *Mix) Part(of int) Mix {
+	if of <= 0 || m.PerSecond <= 0 {
+		return Mix{}
+	}
+	return m.scaled(m.PerSecond / float64(of))
+}
+
 // Less returns the mix without the requests of a node that were counted in. The objective stays.
 func (m *Mix) Less(other Mix) Mix {
 	return Mix{
--- a/internal/engine/model.go
+++ b/internal/engine/model.go
@@ -100,6 +100,19 @@
 	return low * most, true
 }
 
+// Marginal returns how much later the first event of a mean prompt comes at a group that gets that mix for each request
+// that it runs more than now, of which there are that many: more requests at a time are more prompts to read.
+func (m *Model) Marginal(mix Mix, running float64) time.Duration {
+	if !m.Figures.Known() || mix.PerSecond <= 0 || running <= 0 {
+		return 0
+	}
+	more := mix.scaled(mix.PerSecond * (1 + 1/running))
+	if m.Reading(more) >= 1 {
+		return math.MaxInt64
+	}
+	return time.Duration((m.firstEvent(mix.mean(), more) - m.firstEvent(mix.mean(), mix)) * float64(time.Second))
+}
+
 // scaled returns the mix at another rate.
 func (m *Mix) scaled(perSecond float64) Mix {
 	factor := perSecond / m.PerSecond
--- a/internal/engine/model_test.go
+++ b/internal/engine/model_test.go
@@ -101,3 +101,13 @@
 		}
 	})
 }
+
+func TestRequestMoreMakesAnswersLater(t *testing.T) {
+	m := engine.Model{Figures: figures}
+	few, many := m.Marginal(alike(10, 1000), 10), m.Marginal(alike(30, 1000), 10)
+	qt.Check(t, 0 < few && few < many, qt.IsTrue, qt.Commentf("%v, %v", few, many))
+	qt.Check(t, m.Marginal(engine.Mix{}, 0), qt.Equals, time.Duration(0))
+	qt.Check(t, m.Marginal(alike(48, 1000), 10), qt.Equals, time.Duration(math.MaxInt64), qt.Commentf("with one more it cannot read as fast"))
+	part := alike(40, 1000)
+	qt.Check(t, part.Part(4), qt.Equals, alike(10, 1000))
+}
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
@@ -78,6 +79,7 @@
 		}
 		w.Model, w.Slots, w.Size = model.Name, e.Slots, model.Size
 		w.PromptTokens, w.Objective = f.request.PromptTokens, f.route.Objective
+		w.Engine = engine.Model{Figures: e.Figures, Pace: model.Pace}
 	}
 	if f.begun {
 		w.Patience = f.route.GapObjective / 2
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,7 +33,8 @@
 	f.sends++
 	f.gateway.meters.sends.Inc(1)
 	sent := time.Now()
-	f.log("sent", false, "endpoint", place.Endpoint.ID, "group", place.Group, "send", f.sends, "resume_after", f.resumeAfter())
+	f.log("sent", false, "endpoint", place.Endpoint.ID, "group", place.Group, "send", f.sends, "resume_after", f.resumeAfter(),
+		"prompt_tokens", f.request.PromptTokens, "requests", place.Requests)
 	reply, err := f.exchange.Send(ctx, f.attempt(place, true))
 	if err != nil {
 		return f.streamFailed(ctx, place, err)
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(p.health[g.Name], others, g.Head.ID)}
-		c.cost = float64(c.load) + p.extraCost(p.health[g.Name], g.Head, now)
+		c.cost = float64(c.load) + p.draw()*jitter
 		switch {
 		case doubted(g.Name, p.health[g.Name], others, now) || p.suspects(g.Name, now):
 			c.avoid = avoidSilent
@@ -67,6 +67,12 @@
 		}
 		out = append(out, c)
 	}
+	way := p.wayCost(w, others, len(out), now)
+	for i := range out {
+		if out[i].endpoint.Zone != p.options.Zone {
+			out[i].cost += way
+		}
+	}
 	return out
 }
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// zoneCost is what a request more elsewhere would have to save for a request to leave its zone.
-	zoneCost = 3.0
 	// suspectCost keeps requests from what stands still, as long as anything else is there.
 	suspectCost = 1000.0
 	// overflow is how many requests may wait at a full replica group, by its own queue: more would hardly be answered
@@ -135,7 +133,7 @@
 }
 
 func (p *Picker) take(w *Want, c *candidate, now time.Time) *Place {
-	place := &Place{Endpoint: c.endpoint, Group: c.group, picker: p, workspace: w.Workspace, model: w.Model}
+	place := &Place{Endpoint: c.endpoint, Group: c.group, Requests: c.load, picker: p, workspace: w.Workspace, model: w.Model}
 	h := p.healthOf(place.key(), now)
 	h.running++
 	p.running[w.Workspace]++
--- a/internal/picker/place.go
+++ b/internal/picker/place.go
@@ -10,6 +10,7 @@
 type Place struct {
 	Endpoint *endpoint.Endpoint
 	Group    string // empty for an endpoint that serves alone
+	Requests int    // that it had when it was chosen, as far as was known
 
 	picker    *Picker
 	workspace string
--- a/internal/picker/want.go
+++ b/internal/picker/want.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"moorrun.dev/moorrun/internal/engine"
 )
 
 // ErrNoPlace is returned when no endpoint may take the request in time. The request has not been sent.
@@ -21,7 +23,8 @@
 	// they are not known.
 	PromptTokens int
 	Objective    time.Duration
-	Priority     int // 0 is the most urgent
+	Engine       engine.Model // how a group of the model works; zero if it is not known
+	Priority     int          // 0 is the most urgent
 	Workspace    string
 	Exclude      []string // groups and endpoints that have failed the request
 	Patience     time.Duration
