Drop all kept connections to an address when one of them brings nothing

Cause: open connections may go silent without a reset, all at once. Each kept one then cost a call its whole wait, one after the other, because idle ones were tried before a new one. Change: a kept connection that has brought nothing for 300 ms takes the others to its address with it.

--- a/internal/httpcall/answer.go
+++ b/internal/httpcall/answer.go
@@ -8,6 +8,11 @@
 	"github.com/valyala/fasthttp"
 )
 
+// silentAfter is how long nothing has come on a kept connection for the others to its address to be dropped. Connections
+// may go silent for good without a reset, all at once; without this each of them would cost a request its whole wait.
+// A slow endpoint costs some new connections by it.
+const silentAfter = 300 * time.Millisecond
+
 // Answer is one HTTP answer and the connection it arrives on; it must be closed.
 type Answer struct {
 	Response fasthttp.Response
@@ -17,6 +22,8 @@
 	ctx    context.Context //nolint:containedctx // of the call, to tell a cancelled wait from one that took too long
 	stop   func() bool
 	whole  bool
+	heard  bool // something of the answer has come
+	sent   time.Time
 }
 
 // Read reads the streamed body and reports io.EOF only after all of it has arrived.
@@ -43,6 +50,7 @@
 	if err == io.EOF {
 		return nil // Read tells whether that is the end
 	}
+	a.heard = a.heard || err == nil
 	return err
 }
 
@@ -60,6 +68,9 @@
 		a.client.put(c)
 		return nil
 	}
+	if c.kept && !a.heard && time.Since(a.sent) >= silentAfter {
+		a.client.drop(c.address)
+	}
 	return c.Close()
 }
 
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, Error.Wrap(err))
 	}
-	a := &Answer{client: c, conn: k}
+	a := &Answer{client: c, conn: k, sent: time.Now()}
 	_ = k.SetDeadline(deadline)
 	a.watch(ctx)
 	if err := a.send(request); err != nil {
@@ -120,7 +120,9 @@
 func (a *Answer) receive(o Options) error {
 	a.Response.StreamBody = o.Stream
 	if o.Stream {
-		return a.Response.Read(a.conn.reader)
+		err := a.Response.Read(a.conn.reader)
+		a.heard = a.heard || err == nil
+		return err
 	}
 	limit := o.MaxBody
 	if limit == 0 {
@@ -129,7 +131,7 @@
 	if err := a.Response.ReadLimitBody(a.conn.reader, limit); err != nil {
 		return err
 	}
-	a.whole = true
+	a.whole, a.heard = true, true
 	return nil
 }
 
@@ -180,7 +182,7 @@
 
 func (c *Client) put(k *conn) {
 	_ = k.SetDeadline(time.Time{})
-	k.idle = time.Now()
+	k.idle, k.kept = time.Now(), true
 	s := c.shard(k.address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -191,6 +193,17 @@
 	s.idle[k.address] = append(s.idle[k.address], k)
 }
 
+// drop closes the idle connections to an address.
+func (c *Client) drop(address string) {
+	s := c.shard(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.idle[address] {
+		_ = k.Close()
+	}
+	delete(s.idle, address)
+}
+
 // Sweep closes connections that have been idle too long; call it now and then.
 func (c *Client) Sweep() {
 	now := time.Now()
--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -14,6 +14,7 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	idle    time.Time
+	kept    bool // it has brought an answer before
 }
 
 func newConn(c net.Conn, address string) *conn {
--- /dev/null
+++ b/internal/httpcall/silent_test.go
@@ -0,0 +1,57 @@
+package httpcall_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+
+	"moorrun.dev/moorrun/internal/httpcall"
+	"moorrun.dev/moorrun/internal/standin/silence"
+)
+
+func TestOneSilentConnectionDropsTheOthersToItsAddress(t *testing.T) {
+	const kept = 5
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	quiet := silence.New(lis)
+	var together sync.WaitGroup
+	together.Add(kept)
+	first := true
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if first { // so that each needs a connection of its own
+			together.Done()
+			together.Wait()
+		}
+	}))
+	server.Listener = quiet
+	server.Start()
+	t.Cleanup(func() { quiet.Silence(); server.Close() })
+	address := lis.Addr().String()
+	client := httpcall.NewClient()
+	call := func(timeout time.Duration) error {
+		var r fasthttp.Request
+		r.Header.SetHost(address)
+		r.Header.SetRequestURI("/")
+		a, err := client.Do(context.Background(), address, &r, httpcall.Options{Timeout: timeout})
+		if err != nil {
+			return err
+		}
+		return a.Close()
+	}
+	var calls sync.WaitGroup
+	for range kept {
+		calls.Go(func() { qt.Check(t, call(10*time.Second), qt.IsNil) })
+	}
+	calls.Wait()
+	first = false
+	qt.Assert(t, quiet.Silence(), qt.Equals, kept)
+	qt.Check(t, call(400*time.Millisecond), qt.IsNotNil)
+	qt.Check(t, call(10*time.Second), qt.IsNil, qt.Commentf("a new connection works"))
+}
