--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -13,10 +13,6 @@
 	slowFrom = 1.8
 	// slowCost is what being a time slower than usual costs, in requests.
 	slowCost = 8.0
-	// failureCost is what failing always costs an endpoint that serves alone, in requests.
-	failureCost = 20.0
-	// latencyUnit turns the mean latency of an endpoint that serves alone into requests.
-	latencyUnit = 40 * time.Millisecond
 	// jitter spreads requests over equals.
 	jitter = 0.5
 )
@@ -69,13 +65,16 @@
 	}
 	way := p.wayCost(w, others, len(out), now)
 	for i := range out {
-		if out[i].endpoint.Zone != p.options.Zone {
+		if p.elsewhere(out[i].endpoint) {
 			out[i].cost += way
 		}
 	}
 	return out
 }
 
+// elsewhere reports whether the endpoint is in another data centre.
+func (p *Picker) elsewhere(e *endpoint.Endpoint) bool { return e.Zone != p.options.Zone }
+
 // usable reports whether the head takes requests and every member has been ready at one time in this group.
 func (p *Picker) usable(g *endpoint.Group, size int) bool {
 	if g.Head == nil || g.Head.Draining || g.Head.Membership.State != endpoint.Open {
@@ -102,41 +101,12 @@
 	return gaps[len(gaps)/2]
 }
 
-func (p *Picker) alone(w *Want, snapshot *endpoint.Snapshot, others *gossip.Totals, now time.Time) []candidate {
-	var out []candidate
-	for _, e := range snapshot.Services[w.Service] {
-		if e.Draining || w.excludes(e.ID) {
-			continue
-		}
-		h := p.health[e.ID]
-		c := candidate{endpoint: e, load: totalLoad(h, others, e.ID)}
-		c.cost = float64(c.load) + p.extraCost(h, e, now)
-		if h != nil {
-			c.cost += failureCost*h.failures + float64(h.latency)/float64(latencyUnit)
-		}
-		out = append(out, c)
-	}
-	return out
-}
-
 // suspects reports whether the group stands still as far as this node has seen.
 func (p *Picker) suspects(group string, now time.Time) bool {
 	h := p.health[group]
 	return h != nil && h.suspected(now)
 }
 
-// extraCost is what speaks against an endpoint besides its load.
-func (p *Picker) extraCost(h *health, e *endpoint.Endpoint, now time.Time) float64 {
-	cost := p.draw() * jitter
-	if e.Zone != p.options.Zone {
-		cost += zoneCost
-	}
-	if h != nil && h.suspected(now) {
-		cost += suspectCost
-	}
-	return cost
-}
-
 // draw returns a number from 0 to 1 by a step of a small linear generator; it only breaks ties.
 func (p *Picker) draw() float64 {
 	p.random = p.random*6364136223846793005 + 1442695040888963407
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// suspectCost keeps requests from what stands still, as long as anything else is there.
-	suspectCost = 1000.0
 	// overflow is how many requests may wait at a full replica group, by its own queue: more would hardly be answered
 	// within their objective, and a refused one comes back in time more often.
 	overflow = 2
@@ -54,8 +52,7 @@
 func New(o Options) *Picker {
 	return &Picker{
 		options: o, health: make(map[string]*health), running: make(map[string]int), complete: make(map[string]bool),
-		demand: make(map[string]int), busy: make(map[string]int),
-		arrivals: make(map[string]*arrivals),
+		demand: make(map[string]int), busy: make(map[string]int), arrivals: make(map[string]*arrivals),
 	}
 }
 
--- a/internal/picker/sample.go
+++ b/internal/picker/sample.go
@@ -16,10 +16,10 @@
 	for _, c := range candidates {
 		switch {
 		case c.avoid > least:
-		case c.endpoint.Zone == p.options.Zone:
-			near = append(near, c)
-		default:
+		case p.elsewhere(c.endpoint):
 			far = append(far, c)
+		default:
+			near = append(near, c)
 		}
 	}
 	if len(near) == 0 || len(far) == 0 {
