Let a node that the store did not answer ask it again after it is back

Found by reading: a node that a question of its own has failed does not lead until the store answers it; told by others that they are current it stopped asking, and since nodes take turns few of them ask. Where none of those is a relay nobody leads for five seconds and more. Change: a node that failed asks until it is answered: when it is its turn, or, if nobody had been answered for a while and others are now, within a second. Tests: a node that is told of the store's return asks once for each prefix and may lead (fails without: it never asks); one that the store refuses alone asks seldom.

--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -17,6 +17,8 @@
 	firstRetry = 100 * time.Millisecond
 	// lastRetry caps the wait between tries: every bound on a node out of touch is a few seconds.
 	lastRetry = 700 * time.Millisecond
+	// backWithin is how soon nodes ask a store that has answered others again after it answered nobody.
+	backWithin = time.Second
 )
 
 // source copies the objects below one prefix from the store into the mirror, while it is wanted.
@@ -37,6 +39,8 @@
 	lapses bool
 	age    func(now time.Time) time.Duration
 	absent absentees
+
+	failing bool // the last question was not answered; it is asked again though others tell what is wanted
 }
 
 // run watches until ctx ends.
@@ -46,7 +50,7 @@
 	retry.MaxInterval = lastRetry
 	version := int64(0)
 	for ctx.Err() == nil {
-		if !s.wanted() {
+		if !s.wanted() && !s.failing {
 			version = 0
 			loop.Sleep(ctx, firstRetry)
 			continue
@@ -61,9 +65,11 @@
 			if ctx.Err() == nil {
 				s.failed(s.prefix, err)
 			}
+			s.failing = true
 			s.rest(ctx, retry.NextBackOff())
 			continue
 		}
+		s.failing = false
 		retry.Reset()
 		version = next
 		s.proved(s.prefix, sent)
@@ -77,13 +83,26 @@
 	return nil
 }
 
-// rest waits after a failure: for least, and then until it is this node's turn to ask, until another of its sources has
-// been answered, or until others tell what is wanted.
+// rest waits after a failure: for least, and then until it is this node's turn to ask, or until another of its sources has
+// been answered. If nobody had been answered for a while and others are answered now, the turn comes within a second: a
+// node that does not know whether the store answers it does not lead.
 func (s *source) rest(ctx context.Context, least time.Duration) {
 	failed := time.Now()
 	draw := rand.Float64() //nolint:gosec // spreads questions
+	forAll := s.age(failed) > patience
+	var back time.Time // others have been answered since
 	loop.Sleep(ctx, least)
-	for ctx.Err() == nil && s.wanted() && time.Since(failed) < s.turn(draw) && !s.answered().After(failed) {
+	for ctx.Err() == nil && !s.answered().After(failed) {
+		now := time.Now()
+		if back.IsZero() && s.age(now) < now.Sub(failed) {
+			back = now
+		}
+		if now.Sub(failed) >= s.turn(draw) {
+			return
+		}
+		if forAll && !back.IsZero() && now.Sub(back) >= time.Duration(draw*float64(backWithin)) {
+			return
+		}
 		loop.Sleep(ctx, firstRetry)
 	}
 }
--- a/internal/follow/turn_test.go
+++ b/internal/follow/turn_test.go
@@ -90,3 +90,51 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// told returns a beat of another node whose copy, which is empty, is current as of then.
+func told(at time.Time) *gossip.Peer {
+	return &gossip.Peer{Identity: gossip.Identity{VM: "other", Incarnation: "1"}, Status: gossip.Status{Watching: true, ProofAt: at}}
+}
+
+// emptyCopies says that other nodes hold nothing.
+type emptyCopies struct{}
+
+func (emptyCopies) Pull(context.Context, string, string, uint64) (uint64, []infra.Object, error) {
+	return 0, nil, nil
+}
+
+func TestNodeThatIsToldAgainAsksTheStoreItselfOnce(t *testing.T) {
+	store := &downStore{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := NewFollower(store, emptyCopies{}, "n", func() bool { return false }, crowd(1000), log.NewNopLogger())
+	go func() { _ = f.Run(ctx) }()
+	for f.StoreAnswers() {
+		time.Sleep(time.Millisecond)
+	}
+	for store.asked.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	store.up.Store(true)
+	asked := store.asked.Load()
+	for !f.StoreAnswers() { // long before its turn, which comes after 100 s on average
+		f.Heard(told(time.Now()))
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Check(t, store.asked.Load()-asked <= 2, qt.IsTrue, qt.Commentf("once for each prefix"))
+}
+
+func TestNodeThatTheStoreRefusesAloneAsksItSeldom(t *testing.T) {
+	store := &downStore{}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	f := NewFollower(store, emptyCopies{}, "n", func() bool { return false }, crowd(1000), log.NewNopLogger())
+	go func() {
+		for ctx.Err() == nil {
+			f.Heard(told(time.Now()))
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	qt.Assert(t, f.Run(ctx), qt.IsNil)
+	qt.Check(t, store.asked.Load() <= 2*3, qt.IsTrue, qt.Commentf("%d", store.asked.Load()))
+}
