--- a/internal/engine/figures.go
+++ b/internal/engine/figures.go
@@ -29,9 +29,12 @@
 func (f *Figures) Known() bool { return f.Step > 0 && f.ReadPerSecond > 0 }
 
 // Read returns how long a prompt takes to be read, in seconds.
-func (f *Figures) Read(tokens float64) float64 {
-	pairs := tokens * tokens / 2
-	return tokens/f.ReadPerSecond + pairs/million*f.PairsPerM.Seconds()
+func (f *Figures) Read(tokens float64) float64 { return f.readAll(tokens, tokens*tokens) }
+
+// readAll returns how long prompts take to be read that have that many tokens together, and that sum of their squares, in
+// seconds. Half of the squares are the pairs of a token and one before it.
+func (f *Figures) readAll(tokens, squares float64) float64 {
+	return tokens/f.ReadPerSecond + squares/2/million*f.PairsPerM.Seconds()
 }
 
 // Write returns how long the steps of one pass take that writes that many requests with that many tokens of context each,
--- a/internal/engine/mix.go
+++ b/internal/engine/mix.go
@@ -11,8 +11,13 @@
 	Objective time.Duration
 }
 
-// mean returns the tokens of a prompt.
-func (m *Mix) mean() float64 { return m.Tokens / m.PerSecond }
+// mean returns the tokens of a prompt, or 0 if there are none.
+func (m *Mix) mean() float64 {
+	if m.PerSecond <= 0 {
+		return 0
+	}
+	return m.Tokens / m.PerSecond
+}
 
 // large returns the tokens of the prompt that a token of the load is in on average. It is the mean prompt if all are
 // alike, and twice that if they vary as much as their mean.
@@ -34,6 +39,12 @@
 	return m.scaled(m.PerSecond / float64(of))
 }
 
+// scaled returns the mix at another rate.
+func (m *Mix) scaled(perSecond float64) Mix {
+	factor := perSecond / m.PerSecond
+	return Mix{PerSecond: perSecond, Tokens: m.Tokens * factor, Squares: m.Squares * factor, Objective: m.Objective}
+}
+
 // Less returns the mix without the requests of a node that were counted in. The objective stays.
 func (m *Mix) Less(other Mix) Mix {
 	return Mix{
--- a/internal/engine/model.go
+++ b/internal/engine/model.go
@@ -47,10 +47,11 @@
 	if busy >= 1 {
 		return math.Inf(1)
 	}
-	write := m.pace() * m.Figures.Write(m.Writers, m.context(mix))
+	write := m.pace() * m.Figures.Write(m.Writers, mix.mean())
 	pass := write / (1 - busy)
 	// The pass under way: half of the mean one, and more because one meets a long pass more often than a short one.
-	rest := pass/2 + mix.PerSecond*m.meanSquareRead(mix)/2
+	perToken := m.pace() / m.Figures.ReadPerSecond
+	rest := pass/2 + mix.Squares*perToken*perToken/2
 	own := write + m.pace()*m.Figures.Read(tokens) + busy*pass
 	return rest + own
 }
@@ -60,24 +61,7 @@
 	if mix.Tokens <= 0 {
 		return 0
 	}
-	pairs := mix.Squares / 2 / million * m.Figures.PairsPerM.Seconds()
-	return m.pace() * (mix.Tokens/m.Figures.ReadPerSecond + pairs)
-}
-
-// meanSquareRead returns the mean of the squared reading time of a prompt, in square seconds.
-func (m *Model) meanSquareRead(mix Mix) float64 {
-	if mix.PerSecond <= 0 {
-		return 0
-	}
-	perToken := m.pace() / m.Figures.ReadPerSecond
-	return mix.Squares / mix.PerSecond * perToken * perToken
-}
-
-func (m *Model) context(mix Mix) float64 {
-	if mix.PerSecond <= 0 {
-		return 0
-	}
-	return mix.mean()
+	return m.pace() * m.Figures.readAll(mix.Tokens, mix.Squares)
 }
 
 // Bears returns how many requests a second of that mix one group can take within the objective: the rate at which the
@@ -113,9 +97,3 @@
 	}
 	return time.Duration((m.firstEvent(mix.mean(), more) - m.firstEvent(mix.mean(), mix)) * float64(time.Second))
 }
-
-// scaled returns the mix at another rate.
-func (m *Mix) scaled(perSecond float64) Mix {
-	factor := perSecond / m.PerSecond
-	return Mix{PerSecond: perSecond, Tokens: m.Tokens * factor, Squares: m.Squares * factor, Objective: m.Objective}
-}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -39,8 +39,6 @@
 	lapses bool
 	age    func(now time.Time) time.Duration
 	absent absentees
-
-	failing bool // the last question was not answered; it is asked again though others tell what is wanted
 }
 
 // run watches until ctx ends.
@@ -49,8 +47,9 @@
 	retry.InitialInterval = firstRetry
 	retry.MaxInterval = lastRetry
 	version := int64(0)
+	failing := false // the last question was not answered; it is asked again though others tell what is wanted
 	for ctx.Err() == nil {
-		if !s.wanted() && !s.failing {
+		if !s.wanted() && !failing {
 			version = 0
 			loop.Sleep(ctx, firstRetry)
 			continue
@@ -65,11 +64,11 @@
 			if ctx.Err() == nil {
 				s.failed(s.prefix, err)
 			}
-			s.failing = true
+			failing = true
 			s.rest(ctx, retry.NextBackOff())
 			continue
 		}
-		s.failing = false
+		failing = false
 		retry.Reset()
 		version = next
 		s.proved(s.prefix, sent)
--- a/internal/formation/need.go
+++ b/internal/formation/need.go
@@ -34,7 +34,7 @@
 func readers(e *route.Engine, m route.Model, mix engine.Mix) float64 {
 	group := engine.Model{Figures: e.Figures, Pace: m.Pace, Writers: comfortable * float64(e.Slots)}
 	bears, predicted := group.Bears(mix)
-	if !predicted || bears <= 0 {
+	if !predicted {
 		return 0
 	}
 	return mix.PerSecond / bears
--- a/internal/formation/spare.go
+++ b/internal/formation/spare.go
@@ -1,21 +1,14 @@
 package formation
 
 import (
+	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/route"
 )
 
 // stageOthers gives every member of a group the model that it does not run, and what no group has taken a first one.
 func (p *Planner) stageOthers(v *View) {
-	members := p.membersByDomain(v)
-	spares := p.sparesByDomain(v)
+	p.stageCold(v)
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
-		if p.cold(v, e) {
-			if m, found := spareModel(v, members[e.Domain], spares[e.Domain]); found {
-				p.stageOne(v, e, m)
-				count(spares, e.Domain, m.Name, 1)
-			}
-			continue
-		}
 		if e.Membership == nil || !p.oneSided(e) {
 			continue
 		}
@@ -28,6 +21,26 @@
 	}
 }
 
+// stageCold gives a first model to the endpoints that no group has taken and that have none.
+func (p *Planner) stageCold(v *View) {
+	var cold []*endpoint.Endpoint
+	for _, e := range v.Snapshot.Services[v.Service.Name] {
+		if p.cold(v, e) {
+			cold = append(cold, e)
+		}
+	}
+	if len(cold) == 0 {
+		return // the counts below look at every endpoint and plan
+	}
+	members, spares := p.membersByDomain(v), p.sparesByDomain(v)
+	for _, e := range cold {
+		if m, found := spareModel(v, members[e.Domain], spares[e.Domain]); found {
+			p.stageOne(v, e, m)
+			count(spares, e.Domain, m.Name, 1)
+		}
+	}
+}
+
 // membersByDomain counts the members of groups and plans by domain and model.
 func (p *Planner) membersByDomain(v *View) map[string]map[string]int {
 	out := make(map[string]map[string]int)
--- a/internal/gossip/demand.go
+++ b/internal/gossip/demand.go
@@ -8,8 +8,17 @@
 	Mix              engine.Mix // of those that have come lately
 }
 
-// plus returns the demand of both.
-func (d Demand) plus(other Demand) Demand {
+// Sum returns the demand for all models together.
+func Sum(demands map[string]Demand) Demand {
+	var sum Demand
+	for _, d := range demands {
+		sum = sum.Plus(d)
+	}
+	return sum
+}
+
+// Plus returns the demand of both.
+func (d Demand) Plus(other Demand) Demand {
 	d.Waiting += other.Waiting
 	d.Running += other.Running
 	d.Mix.Add(other.Mix)
--- a/internal/gossip/totals.go
+++ b/internal/gossip/totals.go
@@ -31,7 +31,7 @@
 		}
 	}
 	for model, d := range s.Demands {
-		t.Demands[model] = t.Demands[model].plus(d)
+		t.Demands[model] = t.Demands[model].Plus(d)
 	}
 	t.Retiring = union(t.Retiring, s.Retiring)
 	t.Lost = union(t.Lost, s.Lost)
--- a/internal/picker/arrivals.go
+++ b/internal/picker/arrivals.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/engine"
+	"moorrun.dev/moorrun/internal/gossip"
 )
 
 const (
@@ -42,6 +43,15 @@
 	return a.mix
 }
 
+// demandOf returns what this node lately got to do for a model.
+func (p *Picker) demandOf(model string, now time.Time) gossip.Demand {
+	d := gossip.Demand{Waiting: p.demand[model], Running: p.busy[model]}
+	if a := p.arrivals[model]; a != nil {
+		d.Mix = a.rates(now)
+	}
+	return d
+}
+
 // advance lets the rates fall with time.
 func (a *arrivals) advance(now time.Time) {
 	left := math.Exp(-now.Sub(a.at).Seconds() / arrivalsFor.Seconds())
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -50,15 +50,16 @@
 		if g.Service != w.Service || g.Model != w.Model || w.excludes(g.Name) || retiring[g.Name] || !p.usable(g, w.Size) {
 			continue
 		}
-		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(p.health[g.Name], others, g.Head.ID)}
+		h := p.health[g.Name]
+		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(h, others, g.Head.ID)}
 		c.cost = float64(c.load) + p.draw()*jitter
 		switch {
-		case doubted(g.Name, p.health[g.Name], others, now) || p.suspects(g.Name, now):
+		case doubted(g.Name, h, others, now) || h != nil && h.suspected(now):
 			c.avoid = avoidSilent
 		case g.Draining():
 			c.avoid = avoidLeaving
 		}
-		if h := p.health[g.Name]; h != nil && usual > 0 && float64(h.gap) > slowFrom*float64(usual) {
+		if h != nil && usual > 0 && float64(h.gap) > slowFrom*float64(usual) {
 			c.cost += slowCost * (float64(h.gap)/float64(usual) - 1)
 		}
 		out = append(out, c)
@@ -101,12 +102,6 @@
 	return gaps[len(gaps)/2]
 }
 
-// suspects reports whether the group stands still as far as this node has seen.
-func (p *Picker) suspects(group string, now time.Time) bool {
-	h := p.health[group]
-	return h != nil && h.suspected(now)
-}
-
 // draw returns a number from 0 to 1 by a step of a small linear generator; it only breaks ties.
 func (p *Picker) draw() float64 {
 	p.random = p.random*6364136223846793005 + 1442695040888963407
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -118,7 +118,7 @@
 		}
 	}
 	s.Demands = make(map[string]gossip.Demand)
-	for model, a := range p.arrivals {
-		s.Demands[model] = gossip.Demand{Waiting: p.demand[model], Running: p.busy[model], Mix: a.rates(now)}
+	for model := range p.arrivals {
+		s.Demands[model] = p.demandOf(model, now)
 	}
 }
--- a/internal/picker/way.go
+++ b/internal/picker/way.go
@@ -20,11 +20,8 @@
 // wayCost is what a group in another data centre costs, in requests. One request more at a group of long prompts makes its
 // answers several milliseconds later, so that the way is worth less than one; at a group of short ones it is worth three.
 func (p *Picker) wayCost(w *Want, others *gossip.Totals, groups int, now time.Time) float64 {
-	demand := others.Demands[w.Model]
-	if a := p.arrivals[w.Model]; a != nil {
-		demand.Mix.Add(a.rates(now))
-	}
-	running := float64(demand.Running+p.busy[w.Model]) / float64(max(1, groups))
+	demand := others.Demands[w.Model].Plus(p.demandOf(w.Model, now))
+	running := float64(demand.Running) / float64(max(1, groups))
 	later := w.Engine.Marginal(demand.Mix.Part(groups), running)
 	if later <= 0 {
 		return zoneCost
--- a/internal/server/addresses.go
+++ b/internal/server/addresses.go
@@ -38,16 +38,7 @@
 
 // running returns how many requests all nodes have at replica groups.
 func (n *Server) running(now time.Time) int {
-	total := n.gossip.Others(now)
-	own := n.ownStatus(now)
-	sum := 0
-	for model := range total.Demands {
-		sum += total.Demands[model].Running
-	}
-	for model := range own.Demands {
-		sum += own.Demands[model].Running
-	}
-	return sum
+	return gossip.Sum(n.gossip.Others(now).Demands).Running + gossip.Sum(n.ownStatus(now).Demands).Running
 }
 
 // addressesFor is addresses for a fleet of these nodes with that many requests running.
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/metrics"
@@ -60,13 +61,9 @@
 		s.Gauge("groups_open").Update(float64(open))
 		s.Gauge("endpoints").Update(float64(len(snapshot.Endpoints)))
 		status := n.ownStatus(now)
-		running, waiting := 0, 0
-		for _, d := range status.Demands {
-			running += d.Running
-			waiting += d.Waiting
-		}
-		s.Gauge("requests_running").Update(float64(running))
-		s.Gauge("requests_waiting").Update(float64(waiting))
+		demand := gossip.Sum(status.Demands)
+		s.Gauge("requests_running").Update(float64(demand.Running))
+		s.Gauge("requests_waiting").Update(float64(demand.Waiting))
 		s.Gauge("groups_suspected").Update(float64(len(status.Suspects)))
 		s.Gauge("goroutines").Update(float64(runtime.NumGoroutine()))
 	})
