--- a/test/gateway/explain_test.go
+++ b/test/gateway/explain_test.go
@@ -5,13 +5,9 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	"moorrun.dev/moorrun/internal/standin/estate"
 )
 
 // explain runs moorrun trace over the logs of all nodes.
@@ -76,19 +72,13 @@
 
 func TestExplainLateAnswer(t *testing.T) {
 	f := newFleet(t)
-	var wg sync.WaitGroup
-	results := make(chan *result, 12)
-	for i := range 12 {
-		wg.Go(func() { results <- f.stream(f.nodes[i%3], "key-1") })
-	}
-	time.Sleep(4 * estate.EventGap)
-	for _, head := range f.estate.OpenHeads()[:2] { // at least one of them has some of the streams
-		head.Stall(true)
-	}
-	wg.Wait()
-	close(results)
+	results := f.interrupted(func() {
+		for _, head := range f.estate.OpenHeads()[:2] { // at least one of them has some of the streams
+			head.Stall(true)
+		}
+	})
 	var late *result
-	for r := range results {
+	for _, r := range results {
 		if r.whole() && len(f.estate.Runs(r.id)) > 1 {
 			late = r
 		}
--- a/test/gateway/fleet_test.go
+++ b/test/gateway/fleet_test.go
@@ -291,3 +291,17 @@
 	body, err := io.ReadAll(answer.Body)
 	return &result{id: id, status: answer.StatusCode, header: answer.Header, body: string(body), err: err}
 }
+
+// interrupted lets twelve streams run, does something in the middle of them, and returns what became of them.
+func (f *fleet) interrupted(do func()) []*result {
+	const streams = 12
+	results := make([]*result, streams)
+	var wg sync.WaitGroup
+	for i := range results {
+		wg.Go(func() { results[i] = f.stream(f.nodes[i%3], "key-1") })
+	}
+	time.Sleep(4 * estate.EventGap)
+	do()
+	wg.Wait()
+	return results
+}
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -41,16 +41,7 @@
 
 func TestStreamsOutliveTheDeathOfAHead(t *testing.T) {
 	f := newFleet(t)
-	var wg sync.WaitGroup
-	results := make(chan *result, 12)
-	for i := range 12 {
-		wg.Go(func() { results <- f.stream(f.nodes[i%3], "key-1") })
-	}
-	time.Sleep(4 * estate.EventGap)
-	f.estate.OpenHeads()[0].Kill(300 * time.Millisecond)
-	wg.Wait()
-	close(results)
-	for r := range results {
+	for _, r := range f.interrupted(func() { f.estate.OpenHeads()[0].Kill(300 * time.Millisecond) }) {
 		qt.Check(t, r.whole(), qt.IsTrue, qt.Commentf("%s: status %d, %d events, %v", r.id, r.status, len(r.events), r.err))
 		qt.Check(t, len(f.estate.Runs(r.id)) <= 2, qt.IsTrue)
 	}
