Tell nodes of others than relays, so that none stays alone with them

The state then: 18 of 30 nodes heard the six relays and five more. Twelve nodes are a small fleet, in which each node is a relay; so they reported to nobody, were in no roster, and since a beat named relays only they never got to know another node. The real relays took them for relays too.

Change: a beat names two relays and any other node that is heard. The new test fails without it.

--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -181,16 +181,19 @@
 	return Every
 }
 
-// known returns some of the nodes that are heard, of those that should be relays if there are any: so all nodes soon
-// agree on who relays.
+// known returns some of the nodes that are heard. Of a large fleet these are relays, so that all nodes soon agree on who
+// relays, and any other node: one that hears no more than a small fleet has takes itself for a relay, as do all nodes of a
+// small fleet. It reports to nobody then, and if it were told of relays only it would never get to know the rest.
 func (n *Node) known(now time.Time) []*gossippb.KnownNode {
 	var out []*gossippb.KnownNode
 	tell := func(p *Peer) { out = append(out, &gossippb.KnownNode{Vm: p.VM, GossipAddress: p.GossipAddress}) }
-	if len(n.relays) > knownPart {
-		for i := range knownPart - 1 {
-			tell(n.relays[i])
+	if len(n.relays) >= knownPart {
+		for _, p := range n.relays[:knownPart-1] {
+			tell(p)
+		}
+		if live := n.live(now); len(live) > 0 {
+			tell(live[rand.IntN(len(live))]) //nolint:gosec // any will do
 		}
-		tell(n.relays[rand.IntN(len(n.relays))]) //nolint:gosec // any will do
 		return out
 	}
 	for _, c := range n.peers { // in random order
--- a/internal/gossip/relays_test.go
+++ b/internal/gossip/relays_test.go
@@ -120,6 +120,27 @@
 	f.awaitWhole(left)
 }
 
+func TestNodesAreToldOfOthersThanRelays(t *testing.T) {
+	n := newTestNode(t, 0, func(time.Time) Status { return Status{} })
+	now := time.Now()
+	for i := range SmallFleet {
+		address := fmt.Sprintf("127.0.0.1:%d", i+1)
+		p := &Peer{Identity: Identity{VM: fmt.Sprint(i), GossipAddress: address}, Heard: now}
+		n.add(address, now).peer = p
+		if i < leastRelays {
+			n.relays = append(n.relays, p)
+		}
+	}
+	n.changed = true
+	told := make(map[string]bool)
+	for range 1000 {
+		for _, k := range n.known(now) {
+			told[k.Vm] = true
+		}
+	}
+	qt.Check(t, told, qt.HasLen, SmallFleet)
+}
+
 func TestRelaysGrowWithTheRootOfTheFleet(t *testing.T) {
 	qt.Check(t, relayCount(9), qt.Equals, 9)
 	qt.Check(t, relayCount(61), qt.Equals, leastRelays)
