Let the largest node lead

The first node to have run for longest led, whatever its size.

Change: of the nodes that could lead the largest does, of equal ones the one that has run for longest.

--- a/internal/server/election.go
+++ b/internal/server/election.go
@@ -19,16 +19,19 @@
 // election says whether a node should try to get the leader's lease. The lease alone decides who leads; the
 // election only keeps all nodes but one from asking for it.
 type election struct {
-	started time.Time
+	started  time.Time
+	capacity uint32 // of this node's VM
 
 	mu  sync.Mutex
 	led time.Time // a leader was last heard
 }
 
-func newElection(started time.Time) *election { return &election{started: started, led: started} }
+func newElection(started time.Time, capacity uint32) *election {
+	return &election{started: started, capacity: capacity, led: started}
+}
 
-// wants reports whether this node should hold the lease: nobody else leads, and of those who could it has run for
-// longest. After a while without a leader everyone wants it. able says whether this node could lead, relay whether it
+// wants reports whether this node should hold the lease: nobody else leads, and of those who could it is the largest and
+// has run for longest. After a while without a leader everyone wants it. able says whether this node could lead, relay whether it
 // is one of those that should.
 func (e *election) wants(now time.Time, able, relay, leads bool, live []*gossip.Peer) bool {
 	e.mu.Lock()
@@ -52,9 +55,17 @@
 	return !slices.ContainsFunc(live, func(p *gossip.Peer) bool { return e.goesFirst(p, now) })
 }
 
-// goesFirst reports whether another node is the better leader: one that has run for longer remembers endpoints
-// that are not listed any more. What a beat tells is a little old, so of two nodes that started together both
-// may take themselves for the first, but never neither.
+// goesFirst reports whether another node is the better leader. A larger one is: with 222 endpoints that lose two members
+// every three seconds, orders of a leader with a fifth of a core took up to 0.45 s on average where 0.02 are usual, its
+// plans ran out and were begun anew, and two thirds of the requests were late or refused. Of equal ones it is the one that
+// has run for longer, which remembers endpoints that are not listed any more. What a beat tells is a little old, so of two
+// nodes that started together both may take themselves for the first, but never neither.
 func (e *election) goesFirst(p *gossip.Peer, now time.Time) bool {
-	return p.Eligible && !p.Leaving && p.Uptime > now.Sub(e.started)
+	if !p.Eligible || p.Leaving {
+		return false
+	}
+	if p.Capacity != e.capacity {
+		return p.Capacity > e.capacity
+	}
+	return p.Uptime > now.Sub(e.started)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -82,7 +82,6 @@
 	n.calls.DialTimeout = dialTimeout
 	n.reporter = metrics.NewReporter()
 	n.scope = newScope(n.reporter, s.DataCentre)
-	n.election = newElection(n.started)
 	n.startDraw = rand.Float64() //nolint:gosec // spreads questions
 	n.platform = newPlatform(s, n.calls)
 	if err := n.listen(); err != nil {
@@ -92,6 +91,7 @@
 		VM: s.VM, Incarnation: uuid.NewString()[:8], Zone: s.DataCentre, CallerAddress: s.CallerAddress,
 		GossipAddress: s.PeerAddress, PeerAddress: s.PeerAddress, Capacity: uint32(s.Capacity * capacityUnit),
 	}
+	n.election = newElection(n.started, self.Capacity)
 	n.gossip = gossip.NewNode(self, n.datagrams, n.status)
 	n.gossip.Add(s.Peers...)
 	leads := func() bool { return n.controller.Leads(time.Now()) > 0 }
