Let the time of a plan begin when its members have taken their orders

Cause: in the collapse of the commit on the largest node's lead, 98 plans ran out, 77 of them after the order to open had been given: r1-88 was planned at 26.91, its last member had taken its order at 27.60, its head was ordered to open at 27.86, and the plan ended at 28.09, 0.13 s before the head's answer. Sixteen members then left and were ordered into another group by a leader that was slow for too many orders already.

Change: the time that a plan has counts anew from the last order to join that was taken, and a head that has taken the order to open has 1.5 s. An order without an answer, which may be carried out seconds later, ends the plan as before.

--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -11,6 +11,9 @@
 	joinGrace = 1200 * time.Millisecond
 	// openAgain is after how long the order to open is given again.
 	openAgain = 700 * time.Millisecond
+	// openWithin is how long a head that has taken the order to open may take until it is listed as open: 300 ms by the
+	// published figures, and as much as joinGrace for the listing to come.
+	openWithin = 300*time.Millisecond + joinGrace
 )
 
 // plan is a group that this tenure has ordered its members into.
@@ -19,7 +22,9 @@
 	epoch    int64
 	model    string
 	members  []*endpoint.Endpoint // the head first
-	until    time.Time            // it should be ready by then
+	within   time.Duration        // it should be ready so long after the last member has taken the order to join
+	until    time.Time            // it is given up then
+	joined   map[string]bool      // members that have taken that order
 	openedAt time.Time            // the order to open was last given; zero if never
 	refused  bool                 // a member will not join
 	ready    bool                 // all members were seen ready
@@ -34,6 +39,23 @@
 	return false
 }
 
+// joinTaken notes that a member has taken the order to join. The time to be ready begins when the last one has: where the
+// leader or a member is slow, a plan that was given up as it was about to open kept its members from serving for three more
+// seconds, and made the leader slower still.
+func (p *plan) joinTaken(id string, now time.Time) {
+	p.joined[id] = true
+	if len(p.joined) == len(p.members) {
+		p.allow(now.Add(p.within))
+	}
+}
+
+// allow puts off the time at which the plan is given up.
+func (p *plan) allow(until time.Time) {
+	if until.After(p.until) {
+		p.until = until
+	}
+}
+
 func (p *plan) ids() []string {
 	out := make([]string, len(p.members))
 	for i, m := range p.members {
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -122,8 +122,13 @@
 func (p *Planner) Result(o Order, outcome Outcome, now time.Time) {
 	switch o.Kind {
 	case Join:
-		if pl := p.plans[o.Group]; pl != nil && outcome.Declined() {
+		pl := p.plans[o.Group]
+		switch {
+		case pl == nil:
+		case outcome.Declined():
 			pl.refused = true
+		case outcome == Taken:
+			pl.joinTaken(o.Endpoint.ID, now)
 		}
 	case Leave:
 		if _, ok := p.retiring[o.Group]; ok && (outcome == Taken || outcome == Refused) {
@@ -139,6 +144,9 @@
 			delete(p.stagings, o.Endpoint.ID)
 		}
 	case Open:
+		if pl := p.plans[o.Group]; pl != nil && outcome == Taken {
+			pl.allow(now.Add(openWithin))
+		}
 	}
 }
 
@@ -168,7 +176,7 @@
 func (p *Planner) plan(v *View, model string, members []*endpoint.Endpoint, within time.Duration) {
 	p.counter++
 	pl := &plan{
-		epoch: p.tenure*tenureStep + p.counter, model: model, members: members, until: v.Now.Add(within),
+		epoch: p.tenure*tenureStep + p.counter, model: model, members: members, within: within, until: v.Now.Add(within), joined: make(map[string]bool),
 	}
 	pl.name = fmt.Sprintf("r%d-%d", p.tenure, p.counter)
 	p.plans[pl.name] = pl
