Tell doubts and losses at once, and ask the others about a member while it is silent

Until then requests are sent to the group by whom no doubt has reached, and its other members serve nobody.

Change: a node tells at once that a group has begun to stand still, relays pass on new doubts, losses and retiring groups at once, and the others are asked beside the leader's question from 80 ms on, which live endpoints answer in some ten.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,9 +23,12 @@
 	// package follow holds removals back.
 	awayFor = 2 * time.Second
 	// askEvery is the least time between two questions to one endpoint.
-	askEvery  = 250 * time.Millisecond
-	askWait   = 300 * time.Millisecond
-	orderWait = 700 * time.Millisecond
+	askEvery = 250 * time.Millisecond
+	askWait  = 300 * time.Millisecond
+	// askOthersAfter is how late an endpoint's answer has to be for the other nodes to be asked beside it: live ones answer
+	// within some ten milliseconds. A lost member is known 200 ms sooner than if the others were asked after askWait.
+	askOthersAfter = 80 * time.Millisecond
+	orderWait      = 700 * time.Millisecond
 	// forgetContact is how long what asking has shown is kept.
 	forgetContact = 30 * time.Second
 )
@@ -109,8 +113,17 @@
 		retiring = append(retiring, p.Retiring()...)
 		lost = append(lost, p.Lost()...)
 	}
+	gained := anyNew(c.Retiring(), retiring) || anyNew(c.Lost(), lost)
 	c.retiring.Store(&retiring)
 	c.lost.Store(&lost)
+	if gained && c.Told != nil {
+		c.Told()
+	}
+}
+
+// anyNew reports whether any of the names was not among those before.
+func anyNew(before, names []string) bool {
+	return slices.ContainsFunc(names, func(name string) bool { return !slices.Contains(before, name) })
 }
 
 func (c *Controller) step(ctx context.Context, now time.Time) {
@@ -233,10 +246,7 @@
 
 func (c *Controller) askNow(ctx context.Context, e *endpoint.Endpoint, k *contact) {
 	sent := time.Now()
-	askCtx, cancel := context.WithTimeout(ctx, askWait)
-	answer := c.Engine.Ask(askCtx, e)
-	cancel()
-	alone := answer == Silent && !c.Heard(ctx, e)
+	answer, alone := c.askAll(ctx, e)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k.asking = false
@@ -258,6 +268,21 @@
 	c.Wake()
 }
 
+// askAll asks an endpoint, and the other nodes whether they hear it as soon as it is late. It reports whether nobody does.
+func (c *Controller) askAll(ctx context.Context, e *endpoint.Endpoint) (answer Answer, alone bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	heard := make(chan bool, 1)
+	others := time.AfterFunc(askOthersAfter, func() { heard <- c.Heard(ctx, e) })
+	defer others.Stop()
+	askCtx, done := context.WithTimeout(ctx, askWait)
+	defer done()
+	if answer = c.Engine.Ask(askCtx, e); answer != Silent {
+		return answer, false
+	}
+	return answer, !<-heard
+}
+
 // alone notes whether nobody else heard the endpoint either. Who is asked changes each time in a large fleet, so
 // one that hears it starts the wait anew.
 func (k *contact) alone(alone bool, at time.Time) {
--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -118,3 +119,51 @@
 		t.Fatal("a step waits for itself")
 	}
 }
+
+// silentEngine is one whose endpoints answer nothing until the question is given up.
+type silentEngine struct{ fakeEngine }
+
+func (s *silentEngine) Ask(ctx context.Context, _ *endpoint.Endpoint) Answer {
+	<-ctx.Done()
+	return Silent
+}
+
+func TestOthersAreAskedWhileAnEndpointIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController(&silentEngine{}, nil)
+		began, asked := time.Now(), time.Time{}
+		c.Heard = func(context.Context, *endpoint.Endpoint) bool {
+			asked = time.Now()
+			time.Sleep(askWait)
+			return false
+		}
+		answer, alone := c.askAll(context.Background(), &endpoint.Endpoint{ID: "a"})
+		qt.Check(t, answer == Silent && alone, qt.IsTrue)
+		qt.Check(t, asked.Sub(began), qt.Equals, askOthersAfter)
+		qt.Check(t, time.Since(began), qt.Equals, askOthersAfter+askWait)
+	})
+}
+
+func TestNobodyElseIsAskedAboutAnEndpointThatAnswers(t *testing.T) {
+	c := newTestController(&fakeEngine{}, nil)
+	c.Heard = func(context.Context, *endpoint.Endpoint) bool {
+		t.Error("asked")
+		return true
+	}
+	answer, alone := c.askAll(context.Background(), &endpoint.Endpoint{ID: "a"})
+	qt.Check(t, answer == Answered && !alone, qt.IsTrue)
+}
+
+func TestNewLossesAreToldAtOnce(t *testing.T) {
+	told := 0
+	c := newTestController(&fakeEngine{}, nil)
+	c.Told = func() { told++ }
+	p := NewPlanner(1, origin)
+	c.planners["lm"] = p
+	c.tell()
+	qt.Check(t, told, qt.Equals, 0)
+	p.lostAt["g"] = origin
+	c.tell()
+	c.tell()
+	qt.Check(t, told, qt.Equals, 1)
+}
--- a/internal/formation/options.go
+++ b/internal/formation/options.go
@@ -22,6 +22,8 @@
 	Own       func(now time.Time) gossip.Status  // this node's own loads and doubts
 	Busy      func() bool                        // a caller has sent a request to this node
 	// Heard asks the other nodes whether they hear the endpoint.
-	Heard  func(ctx context.Context, e *endpoint.Endpoint) bool
+	Heard func(ctx context.Context, e *endpoint.Endpoint) bool
+	// Told is called when Retiring or Lost have gained a group; it must not block. Nil if nobody needs to know at once.
+	Told   func()
 	Logger log.Logger
 }
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -79,5 +79,13 @@
 // told in the next round: while a fleet starts all of them change.
 func isNews(c *contact, b *gossippb.Beat) bool {
 	s := &c.peer.Status
-	return s.Leaving != b.Leaving || s.Serving != b.Serving || s.LeaderEpoch != b.LeaderEpoch
+	return s.Leaving != b.Leaving || s.Serving != b.Serving || s.LeaderEpoch != b.LeaderEpoch || warns(s, b)
+}
+
+// warns reports whether a beat names a replica group that is to get no more requests and that the one before did not name.
+// Each node that is told a tenth of a second later sends a few more requests to a group that has lost a member.
+func warns(s *Status, b *gossippb.Beat) bool {
+	isNew := func(group string) bool { return !slices.Contains(s.Lost, group) && !slices.Contains(s.Retiring, group) }
+	return slices.ContainsFunc(b.Lost, isNew) || slices.ContainsFunc(b.Retiring, isNew) ||
+		slices.ContainsFunc(b.Suspects, func(w *gossippb.Suspect) bool { return s.Suspects[w.Group].IsZero() })
 }
--- a/internal/gossip/receive_test.go
+++ b/internal/gossip/receive_test.go
@@ -31,4 +31,11 @@
 	qt.Check(t, heard(), qt.IsFalse, qt.Commentf("nothing is new"))
 	beat.Leaving = true
 	qt.Check(t, heard(), qt.IsTrue)
+	beat.Suspects = []*gossippb.Suspect{{Group: "g"}}
+	qt.Check(t, heard(), qt.IsTrue, qt.Commentf("a group stands still"))
+	qt.Check(t, heard(), qt.IsFalse, qt.Commentf("that is known by now"))
+	beat.Lost = []string{"g"}
+	qt.Check(t, heard(), qt.IsTrue)
+	beat.Suspects, beat.Lost = nil, nil
+	qt.Check(t, heard(), qt.IsFalse, qt.Commentf("that it serves again can wait"))
 }
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -90,10 +90,14 @@
 	p.picker.mu.Lock()
 	defer p.picker.mu.Unlock()
 	h := p.picker.healthOf(p.key(), now)
-	if h.suspect.IsZero() {
+	fresh := h.suspect.IsZero()
+	if fresh {
 		h.suspect = now
 	}
 	h.avoidMore(now)
+	if fresh && p.Group != "" && p.picker.options.Doubted != nil {
+		p.picker.options.Doubted()
+	}
 }
 
 // Report fills in what the other nodes are told.
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -29,6 +29,9 @@
 	Others func(now time.Time) *gossip.Totals
 	// Retiring returns the replica groups that the leader is about to end.
 	Retiring func(now time.Time) map[string]bool
+	// Doubted is called when a replica group has begun to stand still at this node; it must not block. Nil if nobody needs
+	// to be told.
+	Doubted func()
 	// Lost reports whether the leader has found a replica group to have lost a member; nil if nobody tells.
 	Lost func(group string, now time.Time) bool
 }
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -19,6 +19,7 @@
 	directory *endpoint.Directory
 	peers     []*gossip.Peer
 	retiring  map[string]bool
+	doubts    int // times that a group has begun to stand still
 	picker    *picker.Picker
 }
 
@@ -34,6 +35,7 @@
 			return total
 		},
 		Retiring: func(time.Time) map[string]bool { return f.retiring },
+		Doubted:  func() { f.doubts++ },
 	})
 	return f
 }
@@ -226,3 +228,16 @@
 	qt.Check(t, f.acquire(t, w).Endpoint.ID, qt.Equals, "good", qt.Commentf("it fails too often"))
 	qt.Check(t, f.acquire(t, &picker.Want{Service: "plain", Exclude: []string{"good"}}).Endpoint.ID, qt.Equals, "bad")
 }
+
+func TestGroupThatBeginsToStandStillIsToldOnce(t *testing.T) {
+	f := newFleet()
+	f.group("g", "near", endpoint.Open, endpoint.Ready)
+	place := f.acquire(t, want())
+	now := time.Now()
+	place.StoodStill(now)
+	place.StoodStill(now.Add(time.Millisecond))
+	qt.Check(t, f.doubts, qt.Equals, 1)
+	place.Progress(time.Millisecond, now.Add(2*time.Millisecond))
+	place.StoodStill(now.Add(time.Second))
+	qt.Check(t, f.doubts, qt.Equals, 2, qt.Commentf("it had gone on meanwhile"))
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -100,13 +100,15 @@
 	n.gossip.OnBeat = n.heard
 	n.gossip.OnSent = countBeats(n.scope)
 	n.rpc = gossip.NewServer(self.Incarnation, n.follower.Mirror, n.askFor)
-	n.picker = picker.New(picker.Options{Zone: s.DataCentre, Directory: n.directory, Others: n.gossip.Others, Retiring: n.retiring, Lost: n.lost})
+	n.picker = picker.New(picker.Options{
+		Zone: s.DataCentre, Directory: n.directory, Others: n.gossip.Others, Retiring: n.retiring, Lost: n.lost, Doubted: n.gossip.Kick,
+	})
 	ttl := s.LeaseTTL()
 	n.keeper = holder.NewKeeper(n.platform.Objects, leaseName, s.VM, ttl, ttl/leaseMarginPart, n.wantsLead, logger)
 	n.controller = formation.NewController(formation.Options{
 		Engine: n.platform.Engine, Directory: n.directory, Table: n.table.Load, Lease: n.keeper.Held,
 		Current: func() time.Time { return n.follower.Current(keys.Endpoints) }, Others: n.gossip.Others, Own: n.ownStatus,
-		Busy: func() bool { return n.requests.Load() > 0 }, Heard: n.heardElsewhere, Logger: logger,
+		Busy: func() bool { return n.requests.Load() > 0 }, Heard: n.heardElsewhere, Told: n.gossip.Kick, Logger: logger,
 	})
 	decisions := eventlog.NewDecisions(logger, eventlog.Limits{SampleOneIn: s.SampleOneIn, Failures: s.FailureLinesSecond})
 	n.gateway = gateway.New(gateway.Options{
