--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -66,7 +66,7 @@
 		callers.Go(func() {
 			prompt := fmt.Sprint("mine-", i)
 			reply := f.letter(i%3, prompt, 5, nil)
-			f.Check(reply.Text, qt.Equals, lab.ExpectedText(prompt, 5), qt.Commentf("status %d", reply.Status))
+			f.Check(reply.Text, qt.Equals, lab.ExpectedText(prompt, 5), qt.Commentf("status %d, verdict %q", reply.Status, reply.Verdict))
 		})
 	}
 	callers.Wait()
