Let silent connections of the stand-in keep deadlines

The server of the standard library ends a read in the background by a deadline in the past and waits for it; the stand-in held that read until the connection was closed, which the server does only after it. It needs a connection that goes silent while its handler is ending.

Change: a silent connection returns its reader's deadline. The new test fails without it.

--- a/internal/standin/silence/listener.go
+++ b/internal/standin/silence/listener.go
@@ -3,7 +3,9 @@
 package silence
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 )
 
@@ -53,26 +55,38 @@
 	once     sync.Once
 }
 
-// Read implements net.Conn. What has arrived on a silent connection is not handed out.
+// Read implements net.Conn. What has arrived on a silent connection is not handed out; a deadline of the reader's own ends
+// the wait, as it does where nothing comes.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	for {
+		n, err := c.Conn.Read(p)
+		switch {
+		case !c.isSilent():
+			return n, err
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return 0, err
+		case err != nil: // the other side has closed it, which does not show
+			<-c.closed
+			return 0, net.ErrClosed
+		}
+	}
+}
+
+func (c *conn) isSilent() bool {
 	select {
 	case <-c.silent:
-		<-c.closed
-		return 0, net.ErrClosed
+		return true
 	default:
-		return n, err
+		return false
 	}
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	select {
-	case <-c.silent:
+	if c.isSilent() {
 		return len(p), nil
-	default:
-		return c.Conn.Write(p)
 	}
+	return c.Conn.Write(p)
 }
 
 // Close implements net.Conn.
