--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -284,3 +284,21 @@
 	mixes := map[string]engine.Mix{"small": longPrompts(1.5)}
 	qt.Check(t, retired(mixes), qt.Equals, 0, qt.Commentf("the four read for 0.38 of their time, and two would for 0.75"))
 }
+
+func TestFewMembersMakeTheRestOfALostGroupServeAgain(t *testing.T) {
+	s := &estate{demand: map[string]int{"big": 32, "small": 19}} // 0.8 and 0.48 of their places
+	for _, name := range []string{"a", "b", "c", "d"} {
+		s.group(name, "d2", "big", "small", 3)
+	}
+	for i := range 4 {
+		s.group(fmt.Sprint("e", i), "d1", "small", "big", 2)
+	}
+	p := s.settled()
+	p.Step(s.view())
+	qt.Check(t, p.Retiring(), qt.HasLen, 0, qt.Commentf("two of four groups would leave 0.95 of the places in use"))
+	s.add("d1", "big", "small")
+	s.add("d1", "big", "small")
+	p = s.settled()
+	p.Step(s.view())
+	qt.Check(t, p.Retiring(), qt.HasLen, 1, qt.Commentf("one group makes two idle endpoints a fifth one: 0.64 and 0.63"))
+}
--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -19,7 +19,8 @@
 	spareBelow = 0.8
 	// strained is the pressure from which a model gets the members of another one's groups, and relief the part of it
 	// that the other one's may reach without them. Where both are strained a group moved to and fro serves neither
-	// for two seconds each time.
+	// for two seconds each time. The other one may reach more as long as it stays the less pressed of both: where fifteen
+	// members of a group of sixteen have lost the last, four endpoints of the other model make them serve again.
 	strained = 0.55
 	relief   = 0.75
 	// reserveFor is how long the members of a domain are kept for the model that they are freed for.
@@ -39,7 +40,8 @@
 		return
 	}
 	needed, rich := models[0], models[len(models)-1]
-	need := p.pressure(v, needed, p.withReserved(v, have))
+	coming := p.withReserved(v, have)
+	need := p.pressure(v, needed, coming)
 	if need < strained {
 		return
 	}
@@ -47,8 +49,11 @@
 	if len(victims) == 0 {
 		return
 	}
-	left := map[string]int{rich.Name: have[rich.Name] - len(victims)*rich.Size}
-	if p.pressure(v, rich, left) > min(spareBelow, relief*need) {
+	given := len(victims) * rich.Size
+	left := p.pressure(v, rich, map[string]int{rich.Name: have[rich.Name] - given})
+	gained := max(1, given/needed.Size) * needed.Size
+	eased := p.pressure(v, needed, map[string]int{needed.Name: coming[needed.Name] + gained})
+	if left > min(spareBelow, max(relief*need, eased)) {
 		return
 	}
 	p.converted = v.Now
