--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -100,7 +100,7 @@
 	now := time.Now()
 	v := verdict.Of(err)
 	place.Failed(v == verdict.NotRun, now)
-	f.log("failed", false, "endpoint", place.Endpoint.ID, "verdict", v.String(), "err", err)
+	f.log("failed", false, "endpoint", place.Endpoint.ID, "verdict", v.String(), "fingerprint", f.fingerprint, "err", err)
 	if errors.Is(err, errHedged) {
 		f.ran++
 		return true
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -7,6 +7,7 @@
 
 	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/picker"
+	"moorrun.dev/moorrun/internal/quarantine"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
 	"moorrun.dev/moorrun/internal/verdict"
@@ -27,6 +28,8 @@
 	budget    *retry.Budget
 	deadline  time.Time
 
+	fingerprint quarantine.Fingerprint
+
 	sends  int      // to any endpoint
 	ran    int      // sendings that may have run
 	failed []string // groups and endpoints that have failed it
@@ -38,6 +41,13 @@
 	misserved bool // failed, refused or broken off
 }
 
+// identify works out the request's fingerprint.
+func (f *flight) identify() {
+	r := f.request
+	c := quarantine.Content{Workspace: f.workspace.Name, Host: r.Host, Method: r.Method, Target: r.Path + "?" + r.Query, Body: r.Body}
+	f.fingerprint = c.Fingerprint()
+}
+
 // log adds a line to the request's story.
 func (f *flight) log(event string, failure bool, pairs ...any) {
 	f.story.Decision(event, failure, pairs...)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 		f.refuse(*refusal)
 		return
 	}
+	f.identify()
 	timeout := f.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,7 +6,10 @@
 type Request struct {
 	ID         string
 	Host       string
+	Method     string
 	Path       string
+	Query      string // without the question mark
+	Body       []byte
 	Credential string
 	Model      string
 	// PromptTokens is the length of the prompt; zero if it is not known.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -101,7 +101,7 @@
 
 func (f *flight) streamFailed(ctx context.Context, place *picker.Place, err error) bool {
 	v := verdict.Of(err)
-	f.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", v.String(), "err", err,
+	f.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", v.String(), "fingerprint", f.fingerprint, "err", err,
 		"last", f.lastID)
 	switch {
 	case errors.Is(err, errCaller):
