--- a/internal/standin/estate/estate.go
+++ b/internal/standin/estate/estate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 )
 
 // Estate is a whole stand-in platform.
@@ -14,6 +15,8 @@
 	runs     []Run
 	ready    map[string]map[string]bool // group → members that have been ready in it
 	breaches []string
+	ends     int // of workers, under deadly requests
+	closed   bool
 }
 
 // New starts an estate without workers.
@@ -31,6 +34,9 @@
 
 // Close stops everything.
 func (e *Estate) Close() {
+	e.mu.Lock()
+	e.closed = true
+	e.mu.Unlock()
 	for _, w := range e.Workers() {
 		w.Stall(false)
 		w.server.CloseClientConnections()
@@ -63,6 +69,36 @@
 	e.runs = append(e.runs, r)
 }
 
+const (
+	// entryOutlives is how long the entry of a worker stands after it has ended without a word.
+	entryOutlives = 1500 * time.Millisecond
+	// backAfter is how long after that another one takes its place.
+	backAfter = 300 * time.Millisecond
+)
+
+// ended ends a worker under a deadly request; another one comes in its place.
+func (e *Estate) ended(w *Worker) {
+	e.mu.Lock()
+	e.ends++
+	e.mu.Unlock()
+	w.Kill(entryOutlives)
+	time.AfterFunc(entryOutlives+backAfter, func() {
+		e.mu.Lock()
+		closed := e.closed
+		e.mu.Unlock()
+		if !closed {
+			e.Add(w.Service)
+		}
+	})
+}
+
+// Ends returns how many workers have ended under deadly requests.
+func (e *Estate) Ends() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ends
+}
+
 func (e *Estate) readied(group, id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/estate/worker.go
+++ b/internal/standin/estate/worker.go
@@ -20,6 +20,9 @@
 	Events = 12
 )
 
+// Deadly is the body of a request that ends each worker which begins to run it.
+const Deadly = "deadly"
+
 // Run is one request that a worker has begun to work on.
 type Run struct {
 	Attempt string
@@ -156,7 +159,7 @@
 
 // serve answers a request.
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body) // a server sees a caller leave only once the body is read
+	body, _ := io.ReadAll(r.Body) // a server sees a caller leave only once the body is read
 	attempt := r.Header.Get("X-Moorrun-Attempt-Id")
 	rw.Header().Set("X-Moorrun-Attempt-Id", attempt)
 	w.mu.Lock()
@@ -179,6 +182,11 @@
 	}
 	after := r.Header.Get("Last-Event-Id")
 	w.estate.ran(Run{attempt, w.ID, r.Header.Get("X-Moorrun-Tenant"), after})
+	if string(body) == Deadly {
+		w.estate.ended(w)
+		<-r.Context().Done()
+		return
+	}
 	if lost {
 		<-r.Context().Done() // it has run, and its answer never comes
 		return
@@ -249,6 +257,13 @@
 	change()
 }
 
+// Alive reports whether the worker has not ended.
+func (w *Worker) Alive() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.dead
+}
+
 // OpenHead reports whether the worker is the head of an open group.
 func (w *Worker) OpenHead() bool {
 	w.mu.Lock()
--- a/test/gateway/fleet_test.go
+++ b/test/gateway/fleet_test.go
@@ -241,11 +241,15 @@
 }
 
 func (f *fleet) request(ctx context.Context, n *node, method, path, credential string) (*http.Response, string, error) {
+	return f.requestWith(ctx, n, method, path, credential, "body")
+}
+
+func (f *fleet) requestWith(ctx context.Context, n *node, method, path, credential, body string) (*http.Response, string, error) {
 	f.mu.Lock()
 	f.next++
 	id := fmt.Sprintf("attempt-%d", f.next)
 	f.mu.Unlock()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.settings.CallerAddress+path, strings.NewReader("body"))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.settings.CallerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return nil, id, err
 	}
