Hold back requests under which endpoints have ended

Cause: what was known of a request ended with its attempt and with the node that served it. Each node now notes which requests an endpoint was running when it ended for no other reason that can be seen; nodes tell each other in their beats, as a set, each change once a contact; a request under which three endpoints have ended, and that none has answered, is refused as not run with the time that is left, and the leader keeps the list in the store.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -34,6 +34,7 @@
 	Domain   string // of the fabric
 	Slots    int
 	Draining bool
+	Born     int64 // Unix milliseconds of its start; zero if it does not say. It may start again under its id
 	// Models it holds ready. An endpoint that has left its group lists none, but is ready for the model of that group
 	// again without a load, so that model stays here.
 	Models     []string
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -63,6 +63,7 @@
 		}
 	} else {
 		place.First(now.Sub(sent), now)
+		f.cleared(now)
 	}
 	err = f.exchange.Whole(reply, body)
 	f.delivery.event(now)
@@ -99,6 +100,7 @@
 func (f *flight) callFailed(ctx context.Context, place *picker.Place, err error) bool {
 	now := time.Now()
 	v := verdict.Of(err)
+	f.suspect(ctx, place, err)
 	place.Failed(v == verdict.NotRun, now)
 	f.log("failed", false, "endpoint", place.Endpoint.ID, "verdict", v.String(), "fingerprint", f.fingerprint, "err", err)
 	if errors.Is(err, errHedged) {
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -41,13 +41,6 @@
 	misserved bool // failed, refused or broken off
 }
 
-// identify works out the request's fingerprint.
-func (f *flight) identify() {
-	r := f.request
-	c := quarantine.Content{Workspace: f.workspace.Name, Host: r.Host, Method: r.Method, Target: r.Path + "?" + r.Query, Body: r.Body}
-	f.fingerprint = c.Fingerprint()
-}
-
 // log adds a line to the request's story.
 func (f *flight) log(event string, failure bool, pairs ...any) {
 	f.story.Decision(event, failure, pairs...)
@@ -76,8 +69,24 @@
 	f.exchange.Refuse(r)
 }
 
-// acquire finds a place for the next sending.
+// acquire finds a place for the next sending, unless the request is held back. While it waits that may change.
 func (f *flight) acquire(ctx context.Context) (*picker.Place, error) {
+	if err := f.heldBack(); err != nil {
+		return nil, err
+	}
+	place, err := f.pick(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.heldBack(); err != nil {
+		place.Release()
+		return nil, err
+	}
+	return place, nil
+}
+
+// pick chooses a place and waits for it.
+func (f *flight) pick(ctx context.Context) (*picker.Place, error) {
 	w := &picker.Want{
 		Service: f.service.Name, Workspace: f.workspace.Name, Priority: f.priority(), Exclude: f.failed,
 		Patience: time.Duration(patiencePart * float64(f.route.Objective)),
@@ -125,9 +134,13 @@
 
 // noPlace refuses a request that found no place. Nothing that may have run is refused as not run.
 func (f *flight) noPlace(ctx context.Context, err error) {
+	var held *heldError
 	switch {
 	case f.ran > 0:
 		f.fail(ctx, "no place for another attempt: "+err.Error())
+	case errors.As(err, &held):
+		f.gateway.meters.held.Inc(1)
+		f.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: held.left})
 	default:
 		after := f.gateway.shortages.refused(f.service.Name+"/"+f.request.Model, time.Now())
 		f.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: after})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -9,12 +9,14 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/gateway"
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/picker"
+	"moorrun.dev/moorrun/internal/quarantine"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
 	"moorrun.dev/moorrun/internal/verdict"
@@ -110,6 +112,17 @@
 	proof   time.Time
 	table   *route.Table
 	story   *story // of the last request
+
+	quarantine *quarantine.Table
+	finding    quarantine.Finding // of every endpoint that is asked
+}
+
+// inquiry asks endpoints, of which all but those that have failed a request live.
+func (s *site) inquiry(d *endpoint.Directory) *quarantine.Inquiry {
+	return &quarantine.Inquiry{
+		Table: s.quarantine, Directory: d, Noted: func() {}, Logger: log.NewNopLogger(),
+		Ask: func(context.Context, *endpoint.Endpoint) quarantine.Finding { return s.finding },
+	}
 }
 
 func (s *site) begin(string) gateway.Story {
@@ -118,7 +131,7 @@
 }
 
 func newSite() *site {
-	s := &site{proof: time.Now()}
+	s := &site{proof: time.Now(), quarantine: quarantine.NewTable(), finding: quarantine.Alive}
 	second := time.Second
 	s.table = route.NewTable(1, 1, []*route.Route{
 		{Name: "once", Host: "h", Prefix: "/once/", Kind: route.Once, Timeout: second, Objective: 100 * time.Millisecond, MaxAttempts: 1, Targets: to("plain")},
@@ -141,7 +154,8 @@
 	nobody := func(time.Time) *gossip.Totals { return gossip.NewTotals() }
 	s.gateway = gateway.New(gateway.Options{
 		Table: func() *route.Table { return s.table }, Proof: func() time.Time { return s.proof }, ProofLimit: 5 * time.Second,
-		Picker: picker.New(picker.Options{Directory: d, Others: nobody, Retiring: func(time.Time) map[string]bool { return nil }, Lost: func(string, time.Time) bool { return s.lost }}),
+		Picker:     picker.New(picker.Options{Directory: d, Others: nobody, Retiring: func(time.Time) map[string]bool { return nil }, Lost: func(string, time.Time) bool { return s.lost }}),
+		Quarantine: s.quarantine, Inquiry: s.inquiry(d),
 		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() int { return 1 }, Story: s.begin, Scope: tally.NoopScope,
 	})
 	return s
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -13,6 +13,7 @@
 	broken           tally.Counter // answers broken off
 	sends, resends   tally.Counter
 	stalls           tally.Counter
+	held             tally.Counter // refused because endpoints have ended under them
 	late             tally.Counter // answered, but not within the objectives
 	first, whole     tally.Timer   // until the first event, and the whole answer
 	queued           tally.Timer   // wait for a place
@@ -23,6 +24,7 @@
 		answered: scope.Counter("requests_answered"), failed: scope.Counter("requests_failed_by_endpoint"),
 		refused: make(map[Reason]tally.Counter), broken: scope.Counter("answers_broken_off"),
 		sends: scope.Counter("sends"), resends: scope.Counter("resends"), stalls: scope.Counter("stalls"),
+		held:  scope.Counter("requests_held_back"),
 		late:  scope.Counter("requests_late"),
 		first: scope.Timer("first_event"), whole: scope.Timer("answer"), queued: scope.Timer("queue_wait"),
 	}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"moorrun.dev/moorrun/internal/picker"
+	"moorrun.dev/moorrun/internal/quarantine"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
 )
@@ -19,10 +20,13 @@
 	// that configuration does not hold is still not refused for good then: a later one may hold it.
 	ProofOptional bool
 	Picker        *picker.Picker
-	Limits        retry.Limits
-	Nodes         func() int
-	Story         func(id string) Story // begins the story of a request
-	Scope         tally.Scope
+	// Quarantine holds back requests that end endpoints, and Inquiry finds out whether an endpoint has ended.
+	Quarantine *quarantine.Table
+	Inquiry    *quarantine.Inquiry
+	Limits     retry.Limits
+	Nodes      func() int
+	Story      func(id string) Story // begins the story of a request
+	Scope      tally.Scope
 }
 
 // Story takes one line for each decision on a request.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -63,6 +63,7 @@
 		return f.streamFailed(ctx, place, err)
 	}
 	f.ran++
+	f.cleared(time.Now())
 	f.gateway.meters.done(head.Status, time.Since(f.request.Received))
 	f.log("answered", false, "endpoint", place.Endpoint.ID, "group", place.Group, "sends", f.sends, "last", f.lastID,
 		"first_ms", f.delivery.first.Sub(f.request.Received).Milliseconds(), "pause_ms", f.delivery.pause.Milliseconds(), "ms", time.Since(f.request.Received).Milliseconds())
@@ -101,6 +102,7 @@
 
 func (f *flight) streamFailed(ctx context.Context, place *picker.Place, err error) bool {
 	v := verdict.Of(err)
+	f.suspect(ctx, place, err)
 	f.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", v.String(), "fingerprint", f.fingerprint, "err", err,
 		"last", f.lastID)
 	switch {
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/gossip/gossippb"
+	"moorrun.dev/moorrun/internal/quarantine"
 )
 
 const (
@@ -69,6 +70,8 @@
 	status func(now time.Time) Status
 	// OnBeat is called with each beat taken in; it must not block.
 	OnBeat func(p *Peer)
+	// Quarantine is what the nodes tell each other of requests that end endpoints; nil if they do not.
+	Quarantine *quarantine.Table
 	// OnSent is called with each beat sent and its size in bytes; it must not block.
 	OnSent func(kind BeatKind, size int)
 
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -58,6 +58,7 @@
 	if c.peer != nil && !same && asOf.Before(c.peer.Heard) {
 		return nil // a late beat of an earlier life
 	}
+	held := n.takeSuspected(c, b, same, asOf)
 	appeared := !c.fresh(now)
 	news := !appeared && isNews(c, b)
 	n.ownStale = n.ownStale || news && c.reports
@@ -69,7 +70,7 @@
 		n.rosters[w.Digest] = rosterFromWire(w, asOf)
 	}
 	n.changed = n.changed || appeared || news || len(b.NewRosters) > 0
-	if news && n.relaying {
+	if (news || held) && n.relaying {
 		n.Kick()
 	}
 	return c.peer
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -36,4 +36,8 @@
 	Endpoints = "endpoints/"
 	// Gateways is the prefix of the registered nodes before a platform's endpoints.
 	Gateways = Root + "gateways/"
+	// Quarantine is the prefix of what is kept of requests that are held back.
+	Quarantine = Root + "quarantine/"
+	// Held is the object that lists the requests that are held back.
+	Held = Quarantine + "held"
 )
--- /dev/null
+++ b/internal/quarantine/entry.go
@@ -0,0 +1,70 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// endingsToHold is how many endpoints have to end under a request for it to be held back. Endpoints end for other reasons,
+	// too: in a wave of losses two in a row hit the same request, three do not.
+	endingsToHold = 3
+	// firstHold is how long a request is held back after its third ending; each further one doubles it, up to mostHold. One
+	// that is held back by mistake is served again after a minute; one that was rightly so ends an endpoint more at the most
+	// each time.
+	firstHold = time.Minute
+	mostHold  = 32 * time.Minute
+	// keepFor is how long the endings under a request are kept that is not held back, and keepHeld how long after its hold
+	// has run out.
+	keepFor  = 2 * time.Minute
+	keepHeld = 10 * time.Minute
+	// renewFrom is the part of a hold below which another attempt begins it anew: a request that keeps coming stays held, and
+	// nodes are told of that four times in a hold at most.
+	renewFrom = 0.75
+	// holdSlack is the difference of two nodes' holds that need not be told.
+	holdSlack = 5 * time.Second
+)
+
+// entry is what a Table keeps of one request.
+type entry struct {
+	endings  []Ending
+	answered bool
+	until    time.Time // held back until then
+	touched  time.Time // of the last change
+	sequence uint64    // of the Table at the last change
+	source   string    // the node that has told all of this; empty if none
+}
+
+// holdFor is how long a request is held back under which that many endpoints have ended.
+func holdFor(endings int) time.Duration {
+	return min(firstHold<<min(max(0, endings-endingsToHold), maxEndings), mostHold)
+}
+
+// add takes in an ending and reports whether it is new.
+func (e *entry) add(ending Ending) bool {
+	if len(e.endings) >= maxEndings || slices.Contains(e.endings, ending) {
+		return false
+	}
+	e.endings = append(e.endings, ending)
+	return true
+}
+
+// suspected reports whether enough endpoints have ended under the request and none has answered it.
+func (e *entry) suspected() bool { return !e.answered && len(e.endings) >= endingsToHold }
+
+// prolong holds the request back from now on for as long as its endings say, and at least as long as before.
+func (e *entry) prolong(now time.Time) {
+	if until := now.Add(holdFor(len(e.endings))); e.suspected() && until.After(e.until) {
+		e.until = until
+	}
+}
+
+// expired reports whether the entry is of no use any more.
+func (e *entry) expired(now time.Time) bool {
+	return now.Sub(e.touched) > keepFor && now.Sub(e.until) > keepHeld
+}
+
+// record returns what other nodes are told.
+func (e *entry) record(f Fingerprint, now time.Time) Record {
+	return Record{Fingerprint: f, Endings: e.endings, Answered: e.answered, Hold: max(0, e.until.Sub(now))}
+}
--- /dev/null
+++ b/internal/quarantine/inquiry.go
@@ -0,0 +1,227 @@
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+)
+
+const (
+	// askWait bounds one question to an endpoint. Those that live in the same region answer within some ms.
+	askWait = 400 * time.Millisecond
+	// neighbours is how many endpoints beside one that has ended are asked at the most. One that answers shows that the
+	// fabric domain lives, and mostly it is the first.
+	neighbours = 3
+	// findingFor is how long it is remembered that an endpoint has ended: the connections of its requests do not all break at
+	// the same instant.
+	findingFor = time.Second
+	// leftFor is how long after a request was given up its endpoint may end under it: it ends when it begins to run it, and
+	// waits for its place in a batch before.
+	leftFor = 2 * time.Second
+	// maxLeft bounds the requests given up that are kept of one endpoint.
+	maxLeft = 64
+	// maxNamed bounds the fingerprints in one line of the log.
+	maxNamed = 20
+)
+
+// Finding is what asking an endpoint has shown.
+type Finding uint8
+
+const (
+	// Alive means that it answered.
+	Alive Finding = iota + 1
+	// Ended means that nothing listens there any more, or another endpoint does.
+	Ended
+	// Unknown means that nothing came: it may be cut off, suspended or without power.
+	Unknown
+)
+
+// Inquiry finds out why connections to endpoints have broken. An endpoint's end counts against the requests that it was
+// running only if there is no other reason to be seen: it was not about to leave, and its fabric domain lives. A silent
+// endpoint has not ended as far as can be known.
+type Inquiry struct {
+	Table     *Table
+	Directory *endpoint.Directory
+	// Ask asks an endpoint whether it lives.
+	Ask func(ctx context.Context, e *endpoint.Endpoint) Finding
+	// Noted is called when an ending was noted, which the other nodes are to know at once; it must not block.
+	Noted  func()
+	Logger log.Logger
+
+	mu   sync.Mutex
+	open map[Ending]*inquest
+	left map[string][]leftRequest // by the endpoint's id
+}
+
+// inquest is the question of one endpoint's end.
+type inquest struct {
+	requests []Fingerprint
+	found    reason    // empty while it is open
+	at       time.Time // of the finding
+}
+
+// fresh reports whether what was found still holds for a connection that breaks now.
+func (o *inquest) fresh(now time.Time) bool { return o.found == "" || now.Sub(o.at) < findingFor }
+
+// leftRequest is a request that was given up before its endpoint had answered.
+type leftRequest struct {
+	fingerprint Fingerprint
+	at          time.Time
+}
+
+// Failed takes in that the connection to an endpoint broke while it had the request.
+func (q *Inquiry) Failed(e *endpoint.Endpoint, f Fingerprint) {
+	now := time.Now()
+	ending := EndingOf(e)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	o := q.open[ending]
+	switch {
+	case o == nil || !o.fresh(now):
+		q.begin(e, ending, f)
+	case o.found == "":
+		o.requests = append(o.requests, f)
+	case o.found == endedAlone:
+		q.Table.Ended(ending, []Fingerprint{f}, now)
+	}
+}
+
+// Left takes in that the request was given up while the endpoint had it.
+func (q *Inquiry) Left(e *endpoint.Endpoint, f Fingerprint) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.left == nil {
+		q.left = make(map[string][]leftRequest)
+	}
+	list := q.stillLeft(e.ID, now)
+	if len(list) >= maxLeft {
+		list = list[1:]
+	}
+	q.left[e.ID] = append(list, leftRequest{f, now})
+}
+
+// Refused takes in that the endpoint did not take a connection. That is asked into only if it had requests that were given
+// up: of the others the end shows by itself.
+func (q *Inquiry) Refused(e *endpoint.Endpoint) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if ending := EndingOf(e); len(q.stillLeft(e.ID, time.Now())) > 0 && q.open[ending] == nil {
+		q.begin(e, ending)
+	}
+}
+
+// Sweep forgets what has grown old.
+func (q *Inquiry) Sweep(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for id := range q.left {
+		if len(q.stillLeft(id, now)) == 0 {
+			delete(q.left, id)
+		}
+	}
+	for ending, o := range q.open {
+		if !o.fresh(now) {
+			delete(q.open, ending)
+		}
+	}
+}
+
+// stillLeft returns the requests lately given up at an endpoint; the lock is held.
+func (q *Inquiry) stillLeft(id string, now time.Time) []leftRequest {
+	return slices.DeleteFunc(slices.Clone(q.left[id]), func(l leftRequest) bool { return now.Sub(l.at) > leftFor })
+}
+
+// begin opens an inquest; the lock is held.
+func (q *Inquiry) begin(e *endpoint.Endpoint, ending Ending, requests ...Fingerprint) {
+	if q.open == nil {
+		q.open = make(map[Ending]*inquest)
+	}
+	q.open[ending] = &inquest{requests: requests}
+	go q.conclude(e, ending)
+}
+
+// conclude finds out whether the endpoint has ended by itself and notes it against its requests.
+func (q *Inquiry) conclude(e *endpoint.Endpoint, ending Ending) {
+	found := q.reason(e)
+	now := time.Now()
+	q.mu.Lock()
+	o := q.open[ending]
+	requests := o.requests
+	o.found, o.at, o.requests = found, now, nil
+	if found == stillAlive {
+		delete(q.open, ending) // it may end any moment
+		q.mu.Unlock()
+		return
+	}
+	for _, l := range q.stillLeft(e.ID, now) {
+		requests = append(requests, l.fingerprint)
+	}
+	q.mu.Unlock()
+	q.tell(e, found, requests)
+	if found == endedAlone {
+		q.Table.Ended(ending, requests, now)
+		q.Noted()
+	}
+}
+
+// tell logs what has been found of an endpoint.
+func (q *Inquiry) tell(e *endpoint.Endpoint, found reason, requests []Fingerprint) {
+	_ = level.Info(q.Logger).Log("msg", "endpoint ended", "endpoint", e.ID, "domain", e.Domain, "finding", string(found),
+		"requests", len(requests), "fingerprints", requests[:min(len(requests), maxNamed)])
+}
+
+// reason is why connections to an endpoint have broken.
+type reason string
+
+const (
+	stillAlive reason = "it lives, or nothing is known"
+	wasLeaving reason = "it was leaving"
+	withDomain reason = "its domain was lost"
+	endedAlone reason = "alone, under its requests"
+)
+
+// reason asks the endpoint and those beside it.
+func (q *Inquiry) reason(e *endpoint.Endpoint) reason {
+	if q.ask(e) != Ended {
+		return stillAlive
+	}
+	snapshot := q.Directory.Read()
+	if listed := snapshot.Endpoints[e.ID]; listed == nil || listed.Draining {
+		return wasLeaving
+	}
+	beside := besides(snapshot, e)
+	if len(beside) > 0 && !slices.ContainsFunc(beside, func(n *endpoint.Endpoint) bool { return q.ask(n) == Alive }) {
+		return withDomain
+	}
+	return endedAlone
+}
+
+func (q *Inquiry) ask(e *endpoint.Endpoint) Finding {
+	ctx, cancel := context.WithTimeout(context.Background(), askWait)
+	defer cancel()
+	return q.Ask(ctx, e)
+}
+
+// besides draws some endpoints that are lost together with e if its fabric domain is, or if it is in none, its data centre.
+func besides(s *endpoint.Snapshot, e *endpoint.Endpoint) []*endpoint.Endpoint {
+	var out []*endpoint.Endpoint
+	for _, other := range s.Endpoints {
+		together := other.Domain == e.Domain
+		if e.Domain == "" {
+			together = other.Zone == e.Zone
+		}
+		if together && other.ID != e.ID && !other.Draining {
+			out = append(out, other)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(len(out), neighbours)]
+}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -46,6 +46,7 @@
 		s.Gauge("configuration_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Accepted)).Seconds())
 		s.Gauge("endpoints_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Endpoints)).Seconds())
 		s.Gauge("peers_live").Update(float64(len(n.gossip.Live(now))))
+		s.Gauge("quarantine_held").Update(float64(len(n.quarantine.Holds(now))))
 		s.Gauge("leader_epoch").Update(float64(n.controller.Leads(now)))
 		if t := n.table.Load(); t != nil {
 			s.Gauge("configuration_version").Update(float64(t.Version))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,6 +27,7 @@
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/metrics"
 	"moorrun.dev/moorrun/internal/picker"
+	"moorrun.dev/moorrun/internal/quarantine"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
 	"moorrun.dev/moorrun/internal/settings"
@@ -62,6 +63,9 @@
 	controller *formation.Controller
 	picker     *picker.Picker
 	gateway    *gateway.Gateway
+	quarantine *quarantine.Table
+	inquiry    *quarantine.Inquiry
+	holds      *quarantine.Keeper
 	rpc        *gossip.Server
 	reporter   *metrics.Reporter
 	scope      tally.Scope
@@ -94,6 +98,7 @@
 	n.election = newElection(n.started, self.Capacity)
 	n.gossip = gossip.NewNode(self, n.datagrams, n.status)
 	n.gossip.Add(s.Peers...)
+	n.isolate()
 	leads := func() bool { return n.controller.Leads(time.Now()) > 0 }
 	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
 	n.follower.StartPatience = n.startPatience
@@ -114,7 +119,7 @@
 	n.gateway = gateway.New(gateway.Options{
 		Table: n.table.Load, Proof: func() time.Time { return n.follower.Current(keys.Accepted) }, ProofLimit: s.CredentialProof(),
 		ProofOptional: !s.CredentialProofRequired,
-		Picker:        n.picker, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
+		Picker:        n.picker, Quarantine: n.quarantine, Inquiry: n.inquiry, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
 		Nodes: func() int { return 1 + n.gossip.Known(time.Now()) },
 		Story: func(id string) gateway.Story { return decisions.Request(id) },
 		Scope: n.scope,
@@ -154,7 +159,7 @@
 	}
 	g.Go(func() error { _ = n.rpc.Serve(work, n.listeners.peer); return nil })
 	for _, run := range []func(context.Context) error{
-		n.gossip.Run, n.follower.Run, n.keeper.Run, n.controller.Run, n.takeChanges, n.register, n.sweep, n.gauge, n.watchProof,
+		n.gossip.Run, n.follower.Run, n.keeper.Run, n.controller.Run, n.takeChanges, n.register, n.sweep, n.gauge, n.watchProof, n.holds.Run,
 	} {
 		g.Go(func() error { return run(work) })
 	}
@@ -185,6 +190,8 @@
 	loop.Every(ctx, sweepEvery, func(now time.Time) {
 		n.calls.Sweep()
 		n.picker.Sweep(now)
+		n.quarantine.Sweep(now)
+		n.inquiry.Sweep(now)
 	})
 	return nil
 }
