--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -38,3 +38,6 @@
 	_, _ = h.Write(c.Body)
 	return Fingerprint(h.Sum64())
 }
+
+// MarshalText returns what String does, for logs that list several.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
