--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -120,7 +120,7 @@
 // inquiry asks endpoints, of which all but those that have failed a request live.
 func (s *site) inquiry(d *endpoint.Directory) *quarantine.Inquiry {
 	return &quarantine.Inquiry{
-		Table: s.quarantine, Directory: d, Noted: func() {}, Logger: log.NewNopLogger(),
+		Table: s.quarantine, Directory: d, Noted: func(bool) {}, Logger: log.NewNopLogger(),
 		Ask: func(context.Context, *endpoint.Endpoint) quarantine.Finding { return s.finding },
 	}
 }
--- a/internal/gossip/contact.go
+++ b/internal/gossip/contact.go
@@ -22,8 +22,7 @@
 	tick    uint64    // the highest taken in of that incarnation
 	tried   time.Time // since when it has been sent to without being heard; zero if it answers
 
-	suspectedTaken uint64 // how far its table of suspected requests has been taken in
-	suspectedTold  uint64 // how far it has taken in this node's
+	suspected exchangeState
 
 	// What its last beat said.
 	subscribes bool
--- a/internal/gossip/suspected.go
+++ b/internal/gossip/suspected.go
@@ -7,49 +7,91 @@
 	"moorrun.dev/moorrun/internal/quarantine"
 )
 
-// suspectedABeat is how many suspected requests are told in one beat at the most, some 3 KB.
-const suspectedABeat = 100
+const (
+	// suspectedABeat is how many suspected requests are told in one beat at the most, some 3 KB.
+	suspectedABeat = 100
+	// differsFor is how long another node's table may differ from this one's before it is told everything. Relays tell each
+	// other only what was found by them and by those that report to them, within some tenths of a second; the rest is needed
+	// if two of them do not hear each other.
+	differsFor = time.Second
+	// repairPause is the least time between two tellings of everything to the same node.
+	repairPause = 5 * time.Second
+)
+
+// exchangeState is how far this node and another one know each other's tables of suspected requests.
+type exchangeState struct {
+	taken    uint64    // sequence of the other's table up to which it has been taken in
+	told     uint64    // sequence of this node's up to which the other has
+	differs  time.Time // since when the tables have differed; zero if they do not
+	repaired time.Time // everything was last told
+}
 
 // addSuspected adds to a beat what its receiver has not yet taken in of the suspected requests. It is told again in each
 // beat until the receiver says that it has.
-func (n *Node) addSuspected(c *contact, b *gossippb.Beat) {
+func (n *Node) addSuspected(c *contact, b *gossippb.Beat, now time.Time) {
 	if n.Quarantine == nil {
 		return
 	}
-	vm := ""
-	if c.peer != nil {
-		vm = c.peer.VM
+	s := &c.suspected
+	if !s.differs.IsZero() && now.Sub(s.differs) > differsFor && now.Sub(s.repaired) > repairPause {
+		s.repaired, s.told = now, 0
 	}
-	records, reached := n.Quarantine.Since(c.suspectedTold, vm, suspectedABeat)
+	whole := now.Sub(s.repaired) < differsFor
+	records, reached := n.Quarantine.Since(s.told, func(from quarantine.Source) bool { return c.needs(from, whole) }, suspectedABeat)
 	for _, r := range records {
 		b.Suspected = append(b.Suspected, suspectedToWire(r))
 	}
-	b.SuspectedTo, b.SuspectedSeen = reached, c.suspectedTaken
+	b.SuspectedTo, b.SuspectedSeen, b.SuspectedDigest = reached, s.taken, n.Quarantine.Digest()
+}
+
+// needs reports whether the other node has to be told of a change that this one has heard of from there. What this one has
+// found goes to all. Relays hear from each other, and a node from the relay that it reports to.
+func (c *contact) needs(from quarantine.Source, whole bool) bool {
+	switch {
+	case from.VM == "" || whole:
+		return true
+	case c.peer == nil:
+		return false
+	case from.VM == c.peer.VM:
+		return false
+	case c.peer.Relay:
+		return !from.Relay
+	default:
+		return c.reports
+	}
 }
 
 // takeSuspected takes in what a beat tells of suspected requests, and reports whether one is held back now that was not.
 // same says that the sender is the process that sent the beat before.
-func (n *Node) takeSuspected(c *contact, b *gossippb.Beat, same bool, asOf time.Time) bool {
+func (n *Node) takeSuspected(c *contact, b *gossippb.Beat, same bool, asOf, now time.Time) bool {
 	if n.Quarantine == nil {
 		return false
 	}
+	s := &c.suspected
 	if !same {
-		c.suspectedTaken = 0
+		*s = exchangeState{}
 	}
-	c.suspectedTold = b.SuspectedSeen
-	c.suspectedTaken = max(c.suspectedTaken, b.SuspectedTo)
-	if len(b.Suspected) == 0 {
-		return false
+	s.told = b.SuspectedSeen
+	s.taken = max(s.taken, b.SuspectedTo)
+	held := false
+	if len(b.Suspected) > 0 {
+		records := make([]quarantine.Record, 0, len(b.Suspected))
+		for _, w := range b.Suspected {
+			records = append(records, suspectedFromWire(w))
+		}
+		held = n.Quarantine.Merge(records, quarantine.Source{VM: b.Vm, Relay: b.Relay}, asOf)
 	}
-	records := make([]quarantine.Record, 0, len(b.Suspected))
-	for _, s := range b.Suspected {
-		records = append(records, suspectedFromWire(s))
+	switch same := b.SuspectedDigest == n.Quarantine.Digest(); {
+	case same:
+		s.differs = time.Time{}
+	case s.differs.IsZero():
+		s.differs = now
 	}
-	return n.Quarantine.Merge(records, b.Vm, asOf)
+	return held
 }
 
 func suspectedToWire(r quarantine.Record) *gossippb.Suspected {
-	s := &gossippb.Suspected{Fingerprint: uint64(r.Fingerprint), Answered: r.Answered, HoldMs: uint32(r.Hold / time.Millisecond)} //nolint:gosec // half an hour at the most
+	s := &gossippb.Suspected{Fingerprint: uint64(r.Fingerprint), Answered: r.Answered, HoldMs: wholeMillis(r.Hold), AgeMs: wholeMillis(r.Age)}
 	for _, e := range r.Endings {
 		s.Endings = append(s.Endings, uint32(e))
 	}
@@ -57,9 +99,12 @@
 }
 
 func suspectedFromWire(s *gossippb.Suspected) quarantine.Record {
-	r := quarantine.Record{Fingerprint: quarantine.Fingerprint(s.Fingerprint), Answered: s.Answered, Hold: millis(s.HoldMs)}
+	r := quarantine.Record{Fingerprint: quarantine.Fingerprint(s.Fingerprint), Answered: s.Answered, Hold: millis(s.HoldMs), Age: millis(s.AgeMs)}
 	for _, e := range s.Endings {
 		r.Endings = append(r.Endings, quarantine.Ending(e))
 	}
 	return r
 }
+
+// wholeMillis leaves out what is less than a millisecond, so that a hold that is told to and fro never grows.
+func wholeMillis(d time.Duration) uint32 { return uint32(d / time.Millisecond) } //nolint:gosec // a day at the most
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -30,9 +30,16 @@
 	endings  []Ending
 	answered bool
 	until    time.Time // held back until then
-	touched  time.Time // of the last change
+	touched  time.Time // when the last ending or answer was noted, by whichever node
 	sequence uint64    // of the Table at the last change
-	source   string    // the node that has told all of this; empty if none
+	source   Source    // of the last change
+	found    uint64    // sequence at the last change that no relay has told of, so that all others need to be told
+}
+
+// Source is the node that has told of a change.
+type Source struct {
+	VM    string // empty if the change was found here
+	Relay bool   // it tells all other relays, too
 }
 
 // holdFor is how long a request is held back under which that many endpoints have ended.
@@ -66,5 +73,7 @@
 
 // record returns what other nodes are told.
 func (e *entry) record(f Fingerprint, now time.Time) Record {
-	return Record{Fingerprint: f, Endings: e.endings, Answered: e.answered, Hold: max(0, e.until.Sub(now))}
+	return Record{
+		Fingerprint: f, Endings: slices.Clone(e.endings), Answered: e.answered, Hold: max(0, e.until.Sub(now)), Age: max(0, now.Sub(e.touched)),
+	}
 }
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -2,13 +2,17 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Since returns the first of what has changed after that sequence, up to most records, and the sequence that they reach.
-// What the node named except has told itself is left out.
-func (t *Table) Since(sequence uint64, except string, most int) ([]Record, uint64) {
+// Left out are entries that were changed last by a source that tell does not accept, unless there was a change before it
+// that everyone needs to be told of.
+func (t *Table) Since(sequence uint64, tell func(Source) bool, most int) ([]Record, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if sequence >= t.sequence {
@@ -20,7 +24,8 @@
 	}
 	var changed []found
 	for f, e := range t.entries {
-		if e.sequence > sequence && (except == "" || e.source != except) {
+		overlaid := e.found > sequence && e.found < e.sequence
+		if e.sequence > sequence && (overlaid || tell(e.source)) {
 			changed = append(changed, found{f, e})
 		}
 	}
@@ -33,31 +38,30 @@
 	now := time.Now()
 	out := make([]Record, 0, len(changed))
 	for _, c := range changed {
-		r := c.entry.record(c.fingerprint, now)
-		r.Endings = slices.Clone(r.Endings)
-		out = append(out, r)
+		out = append(out, c.entry.record(c.fingerprint, now))
 	}
 	return out, reached
 }
 
 // Merge takes in what a node has told, as of an instant not after that, and reports whether a request is held back now that
 // was not before.
-func (t *Table) Merge(records []Record, from string, asOf time.Time) bool {
+func (t *Table) Merge(records []Record, from Source, asOf time.Time) bool {
 	now := time.Now()
 	var held []Record
 	t.mu.Lock()
 	for _, r := range records {
 		e, known := t.entries[r.Fingerprint]
 		if !known {
-			e = &entry{}
+			e = &entry{touched: asOf.Add(-r.Age)}
 		}
 		was := e.suspected()
-		if !t.merge(e, r, asOf, now) {
+		found, news := t.merge(e, r, asOf, now)
+		if !news || !known && e.expired(now) {
 			continue
 		}
-		source := ""
-		if len(e.endings) == len(r.Endings) && e.answered == r.Answered {
-			source = from
+		source := from
+		if found {
+			source = Source{}
 		}
 		t.store(r.Fingerprint, e, source, now)
 		if !was && e.suspected() {
@@ -73,21 +77,52 @@
 	return len(held) > 0
 }
 
-// merge adds a record to an entry and reports whether that is news; the lock is held.
-func (t *Table) merge(e *entry, r Record, asOf, now time.Time) bool {
-	news := false
+// merge adds a record to an entry and reports whether that is news, and whether this node itself has found something by it
+// that the other one did not know; the lock is held.
+func (t *Table) merge(e *entry, r Record, asOf, now time.Time) (found, news bool) {
 	for _, ending := range r.Endings {
 		news = e.add(ending) || news
 	}
-	if !e.answered && (r.Answered || t.recent.has(r.Fingerprint)) {
+	if r.Answered && !e.answered {
 		e.answered, news = true, true
 	}
+	if !e.answered && t.recent.has(r.Fingerprint) {
+		e.answered, found, news = true, true, true
+	}
 	if news {
 		e.prolong(now)
+		if at := asOf.Add(-r.Age); at.After(e.touched) {
+			e.touched = at
+		}
 	}
 	if until := asOf.Add(r.Hold); r.Hold > 0 && until.After(e.until) {
 		news = news || until.Sub(e.until) > holdSlack
 		e.until = until
 	}
-	return news
+	return found, news
+}
+
+// Digest returns a number that is the same in two tables that suspect the same requests for the same endings.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.digested == t.sequence {
+		return t.digest
+	}
+	t.digest, t.digested = 0, t.sequence
+	for f, e := range t.entries {
+		if e.suspected() {
+			t.digest ^= e.digest(f)
+		}
+	}
+	return t.digest
+}
+
+// digest stands for the request and its endings, in whatever order they were noted.
+func (e *entry) digest(f Fingerprint) uint64 {
+	content := binary.BigEndian.AppendUint64(nil, uint64(f))
+	for _, ending := range slices.Sorted(slices.Values(e.endings)) {
+		content = binary.BigEndian.AppendUint32(content, uint32(ending))
+	}
+	return xxhash.Sum64(content)
 }
--- a/internal/quarantine/inquiry.go
+++ b/internal/quarantine/inquiry.go
@@ -51,8 +51,9 @@
 	Directory *endpoint.Directory
 	// Ask asks an endpoint whether it lives.
 	Ask func(ctx context.Context, e *endpoint.Endpoint) Finding
-	// Noted is called when an ending was noted, which the other nodes are to know at once; it must not block.
-	Noted  func()
+	// Noted is called when an ending was noted; held says that a request is held back for it, which the other nodes are to
+	// know at once. It must not block.
+	Noted  func(held bool)
 	Logger log.Logger
 
 	mu   sync.Mutex
@@ -167,8 +168,7 @@
 	q.mu.Unlock()
 	q.tell(e, found, requests)
 	if found == endedAlone {
-		q.Table.Ended(ending, requests, now)
-		q.Noted()
+		q.Noted(q.Table.Ended(ending, requests, now))
 	}
 }
 
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -76,7 +76,7 @@
 		_ = level.Error(k.Logger).Log("msg", "the list of held requests cannot be read and is replaced", "key", o.Key, "err", err)
 		return
 	}
-	k.Table.Merge(records, "", time.Now())
+	k.Table.Merge(records, Source{}, time.Now())
 }
 
 // lead reads the list at the beginning of a tenure and writes it when it has changed.
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -28,4 +28,5 @@
 	Endings     []Ending      // of endpoints that were running it
 	Answered    bool          // an endpoint has answered it whole, so it is not one that ends each endpoint
 	Hold        time.Duration // that is left of its being held back; zero if it is not
+	Age         time.Duration // since the last ending or answer was noted
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -21,16 +21,21 @@
 	entries  map[Fingerprint]*entry
 	sequence uint64 // grows with each change
 	recent   recent
+	digest   uint64 // of what is suspected,
+	digested uint64 // as of that sequence
 }
 
 // NewTable returns an empty Table.
 func NewTable() *Table { return &Table{entries: make(map[Fingerprint]*entry)} }
 
-// Ended notes that an endpoint has ended while it was running those requests, for no reason that is known.
-func (t *Table) Ended(ending Ending, running []Fingerprint, now time.Time) {
+// Ended notes that an endpoint has ended while it was running those requests, for no reason that is known, and reports
+// whether one of them begins to be held back.
+func (t *Table) Ended(ending Ending, running []Fingerprint, now time.Time) bool {
+	held := false
 	for _, f := range running {
-		t.change(f, now, func(e *entry) bool { return e.add(ending) })
+		held = t.change(f, now, func(e *entry) bool { return e.add(ending) }) || held
 	}
+	return held
 }
 
 // Answered notes that an endpoint has answered the request whole.
@@ -44,8 +49,9 @@
 	}
 }
 
-// change applies update to the entry of a request, which reports whether anything is new.
-func (t *Table) change(f Fingerprint, now time.Time, update func(e *entry) bool) {
+// change applies update, which reports whether anything is new, to the entry of a request. It reports whether the request
+// begins to be held back.
+func (t *Table) change(f Fingerprint, now time.Time, update func(e *entry) bool) bool {
 	t.mu.Lock()
 	e, known := t.entries[f]
 	if !known {
@@ -58,26 +64,31 @@
 	}
 	if !news {
 		t.mu.Unlock()
-		return
+		return false
 	}
 	e.prolong(now)
-	t.store(f, e, "", now)
+	e.touched = now
+	t.store(f, e, Source{}, now)
 	held := !was && e.suspected()
 	record := e.record(f, now)
 	t.mu.Unlock()
 	if held && t.OnHeld != nil {
 		t.OnHeld(record)
 	}
+	return held
 }
 
 // store notes a change of an entry; the lock is held.
-func (t *Table) store(f Fingerprint, e *entry, source string, now time.Time) {
+func (t *Table) store(f Fingerprint, e *entry, source Source, now time.Time) {
 	if _, known := t.entries[f]; !known {
 		t.makeRoom(now)
 		t.entries[f] = e
 	}
 	t.sequence++
-	e.sequence, e.touched, e.source = t.sequence, now, source
+	e.sequence, e.source = t.sequence, source
+	if !source.Relay {
+		e.found = t.sequence
+	}
 }
 
 // makeRoom drops what has expired and, of a full table, the entry with the fewest endings that was changed longest ago.
@@ -126,7 +137,7 @@
 	left := e.until.Sub(now)
 	if hold := holdFor(len(e.endings)); left < time.Duration(renewFrom*float64(hold)) {
 		e.until = now.Add(hold)
-		t.store(f, e, "", now)
+		t.store(f, e, Source{}, now)
 		left = hold
 	}
 	return left, true
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -19,7 +19,12 @@
 	endings := n.scope.Counter("endpoint_endings")
 	n.inquiry = &quarantine.Inquiry{
 		Table: n.quarantine, Directory: n.directory, Ask: n.findOut, Logger: n.logger,
-		Noted: func() { endings.Inc(1); n.gossip.Kick() },
+		Noted: func(held bool) {
+			endings.Inc(1)
+			if held {
+				n.gossip.Kick()
+			}
+		},
 	}
 	n.holds = &quarantine.Keeper{
 		Table: n.quarantine, Objects: n.platform.Objects, Recent: n.platform.Recent, Logger: n.logger,
--- a/internal/standin/estate/store.go
+++ b/internal/standin/estate/store.go
@@ -223,3 +223,11 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
 }
+
+// Has reports whether the store holds an object of that kind and name.
+func (s *Store) Has(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, held := s.objects[kind][name]
+	return held
+}
--- a/test/gateway/deadly_test.go
+++ b/test/gateway/deadly_test.go
@@ -65,3 +65,28 @@
 		})
 	}
 }
+
+// The list of held requests lies in the store: no node remembers anything once all have been killed.
+func TestHeldRequestStaysHeldThoughAllNodesAreKilled(t *testing.T) {
+	f := newFleet(t)
+	for i := 0; f.estate.Ends() < endsToKnow; i++ {
+		f.await("two endpoints of each kind serve", f.able)
+		f.deadly(f.nodes[i%len(f.nodes)], "/again/x")
+	}
+	f.await("the list is kept", func() bool { return f.estate.Store.Has("moorrun-quarantine", "held") })
+	before := f.estate.Ends()
+	for _, n := range f.nodes {
+		n.kill()
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	f.await("two endpoints of each kind serve", f.able)
+	for _, n := range f.nodes {
+		f.await("the node serves", n.isReady)
+		f.await("the node holds it back", func() bool { return n.logged("request is held back") > 0 })
+		qt.Check(t, f.deadly(n, "/again/x"), qt.Equals, http.StatusServiceUnavailable)
+	}
+	f.await("others are served", func() bool { return f.stream(f.nodes[0], "key-1").whole() })
+	qt.Check(t, f.estate.Ends(), qt.Equals, before)
+}
