Let a node that hears no other go by the store's list of held requests

A node cut off from the others but not from the store learned nothing of what they hold back, and they nothing of its findings: each side would have sent the request on for three endings more. It reads the list once a second while it is alone (four calls for a cut of five seconds) and writes it as a leader does.

--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -18,21 +18,34 @@
 // once lose what they have held back for less.
 const keepEvery = 500 * time.Millisecond
 
+const (
+	// aloneFrom is how long a node hears no other until it goes by the store. Nodes that start hear each other sooner.
+	aloneFrom = 1500 * time.Millisecond
+	// aloneEvery is how often it then reads the list: the others may hold back what it has not seen, and write it within
+	// keepEvery. A cut of five seconds costs a node four calls.
+	aloneEvery = time.Second
+)
+
 // Keeper keeps the list of held requests in the platform's store, so that it outlives a loss of all nodes. The leader
 // writes it when it has changed; each process reads it once when it starts, and a leader once more at the beginning of its
-// tenure. Between living nodes it goes by their beats, whether the store answers or not.
+// tenure. Between living nodes it goes by their beats, whether the store answers or not; a node that hears no other reads
+// and writes the list as a leader does.
 type Keeper struct {
 	Table   *Table
 	Objects infra.ObjectStore
 	// Recent lists the objects below a prefix for less; what it returns may be some seconds old.
 	Recent func(ctx context.Context, prefix string) (infra.Listing, error)
 	// Leads returns the epoch of this node's tenure, zero while it does not lead.
-	Leads  func(now time.Time) int64
+	Leads func(now time.Time) int64
+	// Alone reports whether this node hears no other one.
+	Alone  func(now time.Time) bool
 	Logger log.Logger
 
 	restored bool
-	tenure   int64 // for which the list was read
-	version  int64 // of the store's object; zero if there is none
+	alone    time.Time // since when; zero if it is not
+	looked   time.Time // the list was last read while alone
+	tenure   int64     // for which the list was read
+	version  int64     // of the store's object; zero if there is none
 	written  map[Fingerprint]keptHold
 }
 
@@ -51,10 +64,26 @@
 		if epoch := k.Leads(now); epoch > 0 {
 			k.lead(ctx, epoch)
 		}
+		if k.isAlone(now) && now.Sub(k.looked) >= aloneEvery {
+			k.looked = now
+			k.lead(ctx, 0)
+		}
 	})
 	return nil
 }
 
+// isAlone reports whether this node has heard no other for some time and does not lead.
+func (k *Keeper) isAlone(now time.Time) bool {
+	if k.Leads(now) > 0 || !k.Alone(now) {
+		k.alone = time.Time{}
+		return false
+	}
+	if k.alone.IsZero() {
+		k.alone = now
+	}
+	return now.Sub(k.alone) >= aloneFrom
+}
+
 // restore takes in the list that an earlier life of the fleet may have left, and reports whether the store has answered.
 func (k *Keeper) restore(ctx context.Context) bool {
 	l, err := k.Recent(ctx, keys.Quarantine)
@@ -79,9 +108,9 @@
 	k.Table.Merge(records, Source{}, time.Now())
 }
 
-// lead reads the list at the beginning of a tenure and writes it when it has changed.
+// lead reads the list at the beginning of a tenure, or each time if there is none, and writes it when it has changed.
 func (k *Keeper) lead(ctx context.Context, epoch int64) {
-	if k.tenure != epoch && !k.read(ctx) {
+	if (epoch == 0 || k.tenure != epoch) && !k.read(ctx) {
 		return
 	}
 	k.tenure = epoch
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -23,6 +23,7 @@
 
 	mu     sync.Mutex
 	object infra.Object
+	alone  bool // the node that asks hears no other
 	down   bool
 	lose   bool // the next write is applied and not answered
 	reads  int
@@ -84,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	k := &quarantine.Keeper{
-		Table: table, Objects: s, Recent: s.recent, Leads: func(time.Time) int64 { return epoch }, Logger: log.NewNopLogger(),
+		Table: table, Objects: s, Recent: s.recent, Leads: func(time.Time) int64 { return epoch }, Alone: func(time.Time) bool { return s.alone }, Logger: log.NewNopLogger(),
 	}
 	go func() { _ = k.Run(ctx) }()
 	for _, do := range during {
@@ -149,3 +150,19 @@
 		qt.Check(t, s.writes, qt.Equals, 2)
 	})
 }
+
+// A node that is cut off from all others reaches endpoints still, and is sent the request.
+func TestNodeThatHearsNoOtherGoesByTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		others, alone := quarantine.NewTable(), quarantine.NewTable()
+		s.life(others, 1, time.Second, func() { ended(others, 1, 3, deadly) })
+		s.alone = true
+		s.life(alone, 0, 5*time.Second, func() { ended(alone, 5, 7, other) })
+		qt.Check(t, isHeld(alone, deadly), qt.IsTrue)
+		qt.Check(t, s.reads < 10, qt.IsTrue, qt.Commentf("%d reads", s.reads))
+		records, err := quarantine.Records(s.object.Value)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, records, qt.HasLen, 2, qt.Commentf("the others learn what it has found"))
+	})
+}
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -29,6 +29,7 @@
 	n.holds = &quarantine.Keeper{
 		Table: n.quarantine, Objects: n.platform.Objects, Recent: n.platform.Recent, Logger: n.logger,
 		Leads: func(now time.Time) int64 { return n.controller.Leads(now) },
+		Alone: func(now time.Time) bool { return len(n.gossip.Live(now)) == 0 },
 	}
 }
 
