Tell the lives of an endpoint apart that starts again under its id, and leave out entries of other writers

Its earlier life was taken to have gone on: the leader kept a refused connection against the id for good, remembered models that it no longer holds, and a request sent to the new life could not be told from one to the old. A life has an id of its own now (listed id and start); a later one shows the earlier one to be over.

--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -27,7 +27,8 @@
 // Read returns the present state.
 func (d *Directory) Read() *Snapshot { return d.current.Load() }
 
-// Apply takes in changed and removed endpoints, noticed at now.
+// Apply takes in changed endpoints, and removed ones by the ids by which they were listed, noticed at now. An endpoint that
+// has started again takes the place of its earlier life.
 func (d *Directory) Apply(changed []*Endpoint, removed []string, now time.Time) {
 	if len(changed) == 0 && len(removed) == 0 {
 		return
@@ -45,18 +46,25 @@
 			next.Gone[id] = g
 		}
 	}
+	lives := make(map[string]*Endpoint, len(old.Endpoints)) // by listed id
 	for id, e := range old.Endpoints {
 		next.Endpoints[id] = e
+		lives[Listed(id)] = e
 	}
 	for _, e := range changed {
+		if before := lives[Listed(e.ID)]; before != nil && before.ID != e.ID {
+			next.Gone[before.ID] = Gone{Endpoint: before, At: now, Over: true}
+			delete(next.Endpoints, before.ID)
+		}
+		lives[Listed(e.ID)] = e
 		e.recall(old)
 		next.Endpoints[e.ID] = e
 		delete(next.Gone, e.ID)
 	}
-	for _, id := range removed {
-		if e, ok := next.Endpoints[id]; ok {
-			next.Gone[id] = Gone{e, now}
-			delete(next.Endpoints, id)
+	for _, listed := range removed {
+		if e := lives[listed]; e != nil {
+			next.Gone[e.ID] = Gone{Endpoint: e, At: now}
+			delete(next.Endpoints, e.ID)
 		}
 	}
 	for _, e := range next.Endpoints {
--- a/internal/endpoint/directory_test.go
+++ b/internal/endpoint/directory_test.go
@@ -78,3 +78,22 @@
 	d.Apply([]*endpoint.Endpoint{member("a", "g", 1, 0, endpoint.Open), leaving}, nil, origin)
 	qt.Check(t, d.Read().Groups["g"].Draining(), qt.IsTrue)
 }
+
+func TestEndpointThatStartsAgainUnderItsIDTakesThePlaceOfItsEarlierLife(t *testing.T) {
+	d := endpoint.NewDirectory()
+	first := &endpoint.Endpoint{ID: endpoint.Life("i-1", 100), Service: "s", Models: []string{"m"}, Membership: &endpoint.Membership{Group: "g", Epoch: 1, State: endpoint.Open}}
+	d.Apply([]*endpoint.Endpoint{first, {ID: endpoint.Life("i-2", 100), Service: "s"}}, nil, time.Now())
+	second := &endpoint.Endpoint{ID: endpoint.Life("i-1", 200), Service: "s"}
+	d.Apply([]*endpoint.Endpoint{second}, nil, time.Now())
+	s := d.Read()
+	qt.Check(t, s.Endpoints, qt.HasLen, 2)
+	qt.Check(t, s.Endpoints[second.ID].Models, qt.HasLen, 0, qt.Commentf("it knows nothing of before"))
+	qt.Check(t, s.Groups, qt.HasLen, 0)
+	qt.Check(t, s.Gone[first.ID].Over, qt.IsTrue)
+	d.Apply(nil, []string{"i-1", "i-2", "i-3"}, time.Now())
+	s = d.Read()
+	qt.Check(t, s.Endpoints, qt.HasLen, 0)
+	qt.Check(t, s.Gone[second.ID].Over, qt.IsFalse)
+	qt.Check(t, endpoint.Listed(second.ID), qt.Equals, "i-1")
+	qt.Check(t, endpoint.Life("i-1", 0), qt.Equals, "i-1")
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -1,6 +1,11 @@
 // Package endpoint knows the endpoints that the platform lists, and the replica groups they say they are in.
 package endpoint
 
+import (
+	"strconv"
+	"strings"
+)
+
 // State is what an endpoint says of its part in a replica group.
 type State string
 
@@ -27,14 +32,13 @@
 
 // Endpoint is one life of one endpoint as it was last listed.
 type Endpoint struct {
-	ID       string // differs at every start
+	ID       string // of this life, see Life
 	Service  string
 	Address  string
 	Zone     string
 	Domain   string // of the fabric
 	Slots    int
 	Draining bool
-	Born     int64 // Unix milliseconds of its start; zero if it does not say. It may start again under its id
 	// Models it holds ready. An endpoint that has left its group lists none, but is ready for the model of that group
 	// again without a load, so that model stays here.
 	Models     []string
@@ -43,6 +47,25 @@
 	Revision   int64 // of the platform's entry
 }
 
+// lifeMark stands between the id under which an endpoint is listed and its start in the id of one of its lives.
+const lifeMark = "@"
+
+// Life returns the id of one life of an endpoint, which may start again under the id that it is listed by and then knows
+// nothing of before. born tells the start, in Unix milliseconds by the endpoint's own clock; if it is zero, the endpoint
+// does not say, and the listed id stands for its only life.
+func Life(listed string, born int64) string {
+	if born == 0 {
+		return listed
+	}
+	return listed + lifeMark + strconv.FormatInt(born, 10)
+}
+
+// Listed returns the id by which the endpoint of that life is listed and asked for.
+func Listed(life string) string {
+	listed, _, _ := strings.Cut(life, lifeMark)
+	return listed
+}
+
 // Holds reports whether the endpoint runs that model.
 func (e *Endpoint) Holds(model string) bool { return contains(e.Models, model) }
 
--- a/internal/endpoint/snapshot.go
+++ b/internal/endpoint/snapshot.go
@@ -15,4 +15,5 @@
 type Gone struct {
 	Endpoint *Endpoint
 	At       time.Time
+	Over     bool // it has started again since, so this life has certainly ended
 }
--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -50,6 +50,9 @@
 
 // down reports whether the endpoint does not answer, whether dead or cut off.
 func (v *View) down(id string) bool {
+	if v.Snapshot.Gone[id].Over {
+		return true
+	}
 	c, ok := v.Contacts[id]
 	if !ok || c.Failed.IsZero() {
 		return false
@@ -63,6 +66,9 @@
 
 // dead reports whether the life of the endpoint is certainly over.
 func (v *View) dead(id string) bool {
+	if v.Snapshot.Gone[id].Over {
+		return true
+	}
 	c, ok := v.Contacts[id]
 	if !ok || c.Failed.IsZero() {
 		return false
--- a/internal/quarantine/inquiry_test.go
+++ b/internal/quarantine/inquiry_test.go
@@ -29,7 +29,7 @@
 	d := &domain{findings: make(map[string]quarantine.Finding)}
 	directory := endpoint.NewDirectory()
 	for i := range size {
-		d.list = append(d.list, &endpoint.Endpoint{ID: fmt.Sprint("i-", i), Service: "s", Zone: "z", Domain: name, Born: 7})
+		d.list = append(d.list, &endpoint.Endpoint{ID: fmt.Sprint("i-", i), Service: "s", Zone: "z", Domain: name})
 	}
 	directory.Apply(d.list, nil, time.Now())
 	d.Inquiry = quarantine.Inquiry{Table: quarantine.NewTable(), Directory: directory, Ask: d.ask, Noted: func(bool) {}, Logger: log.NewNopLogger()}
@@ -120,9 +120,9 @@
 		d := newDomain("d", 5)
 		for life := range 3 {
 			again := *d.list[0]
-			again.Born = int64(100 + life)
+			again.ID = endpoint.Life(again.ID, int64(100+life))
 			d.Directory.Apply([]*endpoint.Endpoint{&again}, nil, time.Now())
-			d.lose(quarantine.Ended, 0)
+			d.findings[again.ID] = quarantine.Ended
 			d.Failed(&again, deadly)
 			synctest.Wait()
 			time.Sleep(3 * time.Second)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,9 +12,9 @@
 // request are taken for one happens once in some 10^9.
 type Ending uint32
 
-// EndingOf returns the ending of that life of the endpoint, which may start again under the same id.
+// EndingOf returns the ending of that life of the endpoint.
 func EndingOf(e *endpoint.Endpoint) Ending {
-	return Ending(xxhash.Sum64String(e.ID + "/" + strconv.FormatInt(e.Born, 10))) //nolint:gosec // four bytes are wanted
+	return Ending(xxhash.Sum64String(e.ID)) //nolint:gosec // four bytes are wanted
 }
 
 // maxEndings bounds the endings kept of one request. It is held back long before; more of them say for how long, and which
--- a/internal/server/changes.go
+++ b/internal/server/changes.go
@@ -42,7 +42,8 @@
 		case isEndpoint:
 			e, err := n.platform.Endpoint(id, follow.Revision(o), o.Value)
 			if err != nil {
-				_ = level.Warn(n.logger).Log("msg", "endpoint entry cannot be read", "endpoint", id, "err", err)
+				_ = level.Warn(n.logger).Log("msg", "endpoint entry cannot be read and is left out", "endpoint", id, "err", err)
+				removed = append(removed, id)
 				continue
 			}
 			changed = append(changed, e)
--- a/internal/standin/estate/estate.go
+++ b/internal/standin/estate/estate.go
@@ -25,13 +25,26 @@
 // Add starts a worker of a service.
 func (e *Estate) Add(service string) *Worker {
 	e.mu.Lock()
-	w := &Worker{ID: fmt.Sprintf("i-%02d", len(e.workers)+1), Service: service, estate: e}
+	w := &Worker{ID: fmt.Sprintf("i-%02d", len(e.workers)+1), Service: service, estate: e, born: time.Now().UnixMilli()}
 	e.workers = append(e.workers, w)
 	e.mu.Unlock()
 	w.start()
 	return w
 }
 
+// again starts a worker that has ended once more, under the same ID; it knows nothing of before.
+func (e *Estate) again(ended *Worker) {
+	w := &Worker{ID: ended.ID, Service: ended.Service, estate: e, born: time.Now().UnixMilli()}
+	e.mu.Lock()
+	if e.closed {
+		e.mu.Unlock()
+		return
+	}
+	e.workers = append(e.workers, w)
+	e.mu.Unlock()
+	w.start()
+}
+
 // Close stops everything.
 func (e *Estate) Close() {
 	e.mu.Lock()
@@ -72,24 +85,17 @@
 const (
 	// entryOutlives is how long the entry of a worker stands after it has ended without a word.
 	entryOutlives = 1500 * time.Millisecond
-	// backAfter is how long after that another one takes its place.
+	// backAfter is how long after that it starts again.
 	backAfter = 300 * time.Millisecond
 )
 
-// ended ends a worker under a deadly request; another one comes in its place.
+// ended ends a worker under a deadly request; some time later it starts again.
 func (e *Estate) ended(w *Worker) {
 	e.mu.Lock()
 	e.ends++
 	e.mu.Unlock()
 	w.Kill(entryOutlives)
-	time.AfterFunc(entryOutlives+backAfter, func() {
-		e.mu.Lock()
-		closed := e.closed
-		e.mu.Unlock()
-		if !closed {
-			e.Add(w.Service)
-		}
-	})
+	time.AfterFunc(entryOutlives+backAfter, func() { e.again(w) })
 }
 
 // Ends returns how many workers have ended under deadly requests.
--- a/internal/standin/estate/worker.go
+++ b/internal/standin/estate/worker.go
@@ -46,6 +46,7 @@
 
 	estate *Estate
 	server *httptest.Server
+	born   int64 // Unix milliseconds
 
 	mu       sync.Mutex
 	group    *group
@@ -70,7 +71,9 @@
 
 func (w *Worker) start() {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/report", func(rw http.ResponseWriter, _ *http.Request) { answer(rw, http.StatusOK, map[string]any{}) })
+	mux.HandleFunc("GET /v1/report", func(rw http.ResponseWriter, _ *http.Request) {
+		answer(rw, http.StatusOK, map[string]any{"born": w.born})
+	})
 	mux.HandleFunc("POST /v1/order", w.order)
 	mux.HandleFunc("/", w.serve)
 	w.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -87,7 +90,7 @@
 func (w *Worker) record() {
 	w.mu.Lock()
 	entry := map[string]any{
-		"service": w.Service, "address": w.server.Listener.Addr().String(), "zone": "z1", "slots": 4, "state": "ready", "domain": "d1", "staged": w.staged,
+		"service": w.Service, "address": w.server.Listener.Addr().String(), "zone": "z1", "slots": 4, "state": "ready", "domain": "d1", "staged": w.staged, "born": w.born,
 	}
 	if w.draining {
 		entry["state"] = "draining"
