--- a/internal/admin/burn.go
+++ b/internal/admin/burn.go
@@ -2,18 +2,18 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"moorrun.dev/moorrun/internal/burn"
+	"moorrun.dev/moorrun/internal/clock"
 )
 
 // burn answers with this node's counts; the command line asks every node and merges them.
 func (s *Server) burn(r *request) error {
-	self := s.Members.Self(time.Now())
+	self := s.Members.Self(clock.Now())
 	out := burn.NodeCounts{
-		VM: self.VM, Incarnation: self.Incarnation, UptimeS: int64(time.Since(s.started).Seconds()),
+		VM: self.VM, Incarnation: self.Incarnation, UptimeS: int64(clock.Since(s.started).Seconds()),
 		Services: s.Burn.Snapshot(), Losses: s.Losses(),
 	}
 	if !r.scope.Pool {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -18,6 +18,7 @@
 	"moorrun.dev/moorrun/internal/adminapi"
 	"moorrun.dev/moorrun/internal/admission"
 	"moorrun.dev/moorrun/internal/burn"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/domains"
 	"moorrun.dev/moorrun/internal/drains"
@@ -67,7 +68,7 @@
 
 // New returns a Server.
 func New(o Options) *Server {
-	s := &Server{Options: o, started: time.Now()}
+	s := &Server{Options: o, started: clock.Now()}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, Name: "moorrun", MaxRequestBodySize: maxBody, CloseOnShutdown: true, NoDefaultServerHeader: true,
 	}
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"moorrun.dev/moorrun/internal/adminapi"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/drains"
 	"moorrun.dev/moorrun/internal/keys"
@@ -16,7 +17,7 @@
 )
 
 func (s *Server) status(r *request) error {
-	now := time.Now()
+	now := clock.Now()
 	self := s.Members.Self(now)
 	out := adminapi.Status{VM: self.VM, Revision: self.Revision, Checks: s.Checker.Checks(), Breaches: s.Checker.Breaches()}
 	for _, m := range s.Members.All(now) {
@@ -89,7 +90,7 @@
 
 // inForce lists every registered or heard node with the revision in force at it.
 func (s *Server) inForce(r *request) error {
-	now := time.Now()
+	now := clock.Now()
 	nodes := make(map[string]adminapi.NodeRevision)
 	for _, o := range s.Mirror.List(keys.Nodes) {
 		var m membership.Member
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -6,6 +6,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"moorrun.dev/moorrun/internal/clock"
 )
 
 const (
@@ -42,7 +44,7 @@
 // the context's.
 func (a *Admission) Acquire(ctx context.Context, r Request) (*Place, error) {
 	p := a.pool(r.Model)
-	place, w, refusal := p.enter(r, time.Now())
+	place, w, refusal := p.enter(r, clock.Now())
 	if refusal != nil {
 		return nil, refusal
 	}
@@ -110,7 +112,7 @@
 
 // ask sends one report and returns how long to wait before the next if no request asks for one, and if one does.
 func (a *Admission) ask(p *pool) (wait, gap time.Duration) {
-	now := time.Now()
+	now := clock.Now()
 	r, waiting, busy := p.report(now)
 	ctx, cancel := context.WithTimeout(a.ctx, askTimeout)
 	defer cancel()
@@ -121,7 +123,7 @@
 	if err != nil {
 		return failedPause, waitingGap
 	}
-	p.apply(grant, now.Add(lifetime), time.Now())
+	p.apply(grant, now.Add(lifetime), clock.Now())
 	interval := max(busyEvery, grant.Interval)
 	gap = interval * waitingGap / busyEvery
 	switch {
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/allocator"
+	"moorrun.dev/moorrun/internal/clock"
 )
 
 const (
@@ -97,7 +98,7 @@
 	defer p.mu.Unlock()
 	w.choosy = false
 	if w.element != nil {
-		p.dispatch(p.queues[workspace], time.Now())
+		p.dispatch(p.queues[workspace], clock.Now())
 	}
 }
 
@@ -176,11 +177,11 @@
 	}
 	place := <-w.ready
 	place.slot.running--
-	p.dispatch(place.queue, time.Now())
+	p.dispatch(place.queue, clock.Now())
 }
 
 func (p *pool) release(place *Place, ok bool) {
-	now := time.Now()
+	now := clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	place.slot.running--
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 )
 
@@ -36,7 +37,7 @@
 
 // NewRecorder returns an empty Recorder; objective gives what a service is held to.
 func NewRecorder(objective func(workspace, service string) (config.Objective, bool)) *Recorder {
-	return &Recorder{started: time.Now(), objective: objective, services: make(map[serviceKey]*service)}
+	return &Recorder{started: clock.Now(), objective: objective, services: make(map[serviceKey]*service)}
 }
 
 func (r *Recorder) service(key serviceKey) *service {
@@ -62,7 +63,7 @@
 	s := r.service(serviceKey{workspace, name})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := time.Since(r.started)
+	at := clock.Since(r.started)
 	for _, ring := range s.rings {
 		ring.add(at, bad(o, objective))
 	}
@@ -105,7 +106,7 @@
 	defer s.mu.Unlock()
 	objective, _ := r.objective(key.workspace, key.service)
 	c := ServiceCounts{Workspace: key.workspace, Service: key.service, Objective: objective}
-	at := time.Since(r.started)
+	at := clock.Since(r.started)
 	for i, ring := range s.rings {
 		sum := ring.sum(at)
 		c.Windows = append(c.Windows, WindowCounts{Windows[i].Name, sum.Total, sum.Bad})
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 )
 
@@ -46,7 +47,7 @@
 	if !ok {
 		return nil, notRun(fasthttp.StatusUnauthorized, "the credential is not known")
 	}
-	now := time.Now()
+	now := clock.Now()
 	patience, f := patienceOf(ctx)
 	if f != nil {
 		return nil, f
@@ -63,7 +64,7 @@
 	if current == nil {
 		return notRunYet("no configuration is in force at this address", time.Second)
 	}
-	if time.Since(s.Contact.Last()) > contactLimit {
+	if clock.Since(s.Contact.Last()) > contactLimit {
 		return notRunYet("this address hears neither the platform nor another node; use another one", time.Second)
 	}
 	return nil
@@ -95,7 +96,7 @@
 }
 
 // left is how long the call may still take.
-func (c *call) left() time.Duration { return time.Until(c.deadline) }
+func (c *call) left() time.Duration { return clock.Until(c.deadline) }
 
 // requestID returns the caller's id if it is a plain one, or a new one.
 func requestID(ctx *fasthttp.RequestCtx) string {
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -11,6 +11,7 @@
 
 	"moorrun.dev/moorrun/internal/admission"
 	"moorrun.dev/moorrun/internal/burn"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/invariant"
@@ -63,7 +64,7 @@
 	} else {
 		s.meters.failures.Inc(1)
 	}
-	s.Burn.Record(c.workspace, service, burn.Outcome{Failed: true, Latency: time.Since(c.started)})
+	s.Burn.Record(c.workspace, service, burn.Outcome{Failed: true, Latency: clock.Since(c.started)})
 }
 
 // attempts tries the completion on one group after the other, as far as the budget and deadline go.
@@ -72,7 +73,7 @@
 	avoid := ""
 	for {
 		a, f := s.place(c, admission.Request{
-			Model: model.Name, Workspace: c.workspace, Avoid: avoid, Priority: c.priority, Prefer: s.Router.Preferred(model.Name, r.Prompt, time.Now()), PreferWait: routing.PreferWait(len(r.Prompt)),
+			Model: model.Name, Workspace: c.workspace, Avoid: avoid, Priority: c.priority, Prefer: s.Router.Preferred(model.Name, r.Prompt, clock.Now()), PreferWait: routing.PreferWait(len(r.Prompt)),
 		})
 		if f != nil {
 			return f
@@ -96,14 +97,14 @@
 
 // place waits for a place on a usable group.
 func (s *Server) place(c *call, r admission.Request) (*attempt, *failure) {
-	since := time.Now()
+	since := clock.Now()
 	for {
 		r.Patience = c.left()
 		place, err := s.Admission.Acquire(context.Background(), r)
 		if err != nil {
 			return nil, refused(err)
 		}
-		target, ok := s.Router.Target(place.Group, place.Birth, time.Now())
+		target, ok := s.Router.Target(place.Group, place.Birth, clock.Now())
 		if ok {
 			s.meters.waited(since)
 			return &attempt{call: c, place: place, target: target}, nil
@@ -134,7 +135,7 @@
 	request.Header.Set(birthHeader, strconv.FormatInt(a.target.Birth, 10))
 	request.Header.Set(deadlineHeader, strconv.FormatInt(max(1, c.left().Milliseconds()), 10))
 	request.SetBodyRaw(c.ctx.PostBody())
-	a.sentAt = time.Now()
+	a.sentAt = clock.Now()
 	until := s.Router.WholeUntil(a.target)
 	if !s.Checker.Hold(invariant.WholeGroup, a.sentAt.Before(until), func() []any {
 		return []any{"group", a.target.Group, "request_id", c.id, "whole_until", until}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/once"
 	"moorrun.dev/moorrun/internal/verdict"
@@ -19,7 +19,7 @@
 		return
 	}
 	key, err := once.ParseKey(string(text))
-	self := s.Members.Self(time.Now())
+	self := s.Members.Self(clock.Now())
 	atHome := key.VM == self.VM && key.Incarnation == self.Incarnation
 	if err == nil && (!atHome || s.Once.Knows(key)) {
 		f.verdict = verdict.MayHaveRun
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/once"
 )
 
@@ -23,7 +24,7 @@
 	if !c.ctx.IsPost() {
 		return notRun(fasthttp.StatusMethodNotAllowed, "use POST")
 	}
-	self := s.Members.Self(time.Now())
+	self := s.Members.Self(clock.Now())
 	prefix := once.Prefix(self.VM, self.Incarnation, s.Once.SinceStart())
 	body, _ := json.Marshal(keyPrefix{prefix, keyLifetime.Milliseconds()})
 	c.ctx.SetContentType("application/json")
--- a/internal/entry/meters.go
+++ b/internal/entry/meters.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"moorrun.dev/moorrun/internal/clock"
 )
 
 // meters are the callers' side metrics.
@@ -27,4 +29,4 @@
 	}
 }
 
-func (m meters) waited(since time.Time) { m.wait.Record(time.Since(since)) }
+func (m meters) waited(since time.Time) { m.wait.Record(clock.Since(since)) }
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/verdict"
@@ -81,7 +82,7 @@
 		return notRun(fasthttp.StatusForbidden, errToken.Error())
 	}
 	c.id = claims.Stream
-	target, ok := s.Router.Target(claims.Group, claims.Birth, time.Now())
+	target, ok := s.Router.Target(claims.Group, claims.Birth, clock.Now())
 	if !ok || target.Leader != claims.Address {
 		return &failure{fasthttp.StatusGone, verdict.MayHaveRun, "the stream's replica group is no longer in use", 0}
 	}
@@ -98,6 +99,6 @@
 		_ = answer.Close()
 		return &failure{fasthttp.StatusGone, verdict.MayHaveRun, "the engine no longer has the stream", 0}
 	}
-	a := &attempt{call: c, target: target, sentAt: time.Now()}
+	a := &attempt{call: c, target: target, sentAt: clock.Now()}
 	return s.pass(a, answer, true)
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"moorrun.dev/moorrun/internal/burn"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/invariant"
@@ -66,7 +67,7 @@
 	if err != nil {
 		return notRun(fasthttp.StatusBadRequest, err.Error())
 	}
-	self := s.Members.Self(time.Now())
+	self := s.Members.Self(clock.Now())
 	if key.VM != self.VM {
 		return s.forward(p, key)
 	}
@@ -159,9 +160,9 @@
 			return f
 		}
 		err := s.sendPlain(p, endpoint)
-		s.balance.done(endpoint.Name, err == nil, time.Now())
+		s.balance.done(endpoint.Name, err == nil, clock.Now())
 		if err == nil {
-			s.Burn.Record(p.workspace, p.name, burn.Outcome{Failed: p.ctx.Response.StatusCode() >= fasthttp.StatusInternalServerError, Latency: time.Since(p.started)})
+			s.Burn.Record(p.workspace, p.name, burn.Outcome{Failed: p.ctx.Response.StatusCode() >= fasthttp.StatusInternalServerError, Latency: clock.Since(p.started)})
 			return nil
 		}
 		avoid = endpoint.Name
@@ -188,7 +189,7 @@
 				candidates = append(candidates, e)
 			}
 		}
-		if e, ok := s.balance.take(candidates, avoid, time.Now()); ok {
+		if e, ok := s.balance.take(candidates, avoid, clock.Now()); ok {
 			return e, nil
 		}
 		if p.left() <= busyPause || len(candidates) == 0 {
--- a/internal/entry/stream_body.go
+++ b/internal/entry/stream_body.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"moorrun.dev/moorrun/internal/burn"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/verdict"
 )
@@ -84,12 +85,12 @@
 // await waits for the next bytes as long as the deadline and the engine's silence allow and the replica
 // group is whole: a group that has lost a member will not go on.
 func (b *streamBody) await() error {
-	since := time.Now()
+	since := clock.Now()
 	if b.marker == nil { // a body with a length has no byte behind its last to wait for
 		return b.answer.SetReadTimeout(min(silenceLimit, b.attempt.call.deadline.Sub(since)))
 	}
 	for {
-		now := time.Now()
+		now := clock.Now()
 		if err := b.arm(now); err != nil {
 			return err
 		}
@@ -97,7 +98,7 @@
 		if err == nil || !httpcall.IsTimeout(err) {
 			return err
 		}
-		now = time.Now()
+		now = clock.Now()
 		whole := now.Before(b.server.Router.WholeUntil(b.attempt.target))
 		if !whole || now.Sub(since) > silenceLimit || now.After(b.attempt.call.deadline) {
 			return err
@@ -118,7 +119,7 @@
 // note keeps count of the events and the last bytes.
 func (b *streamBody) note(p []byte) {
 	if b.first.IsZero() {
-		b.first = time.Now()
+		b.first = clock.Now()
 	}
 	if b.marker == nil {
 		return
@@ -175,12 +176,12 @@
 	if !b.whole && b.marker != nil {
 		b.cancel()
 	}
-	outcome := burn.Outcome{Failed: !b.whole, Latency: time.Since(a.call.started)}
+	outcome := burn.Outcome{Failed: !b.whole, Latency: clock.Since(a.call.started)}
 	if !b.first.IsZero() {
 		outcome.FirstToken = b.first.Sub(a.call.started)
 		s.meters.firstToken.Record(outcome.FirstToken)
 		if b.whole {
-			s.Router.Succeeded(a.target.Group, a.target.Birth, b.first.Sub(a.sentAt), time.Since(a.sentAt))
+			s.Router.Succeeded(a.target.Group, a.target.Birth, b.first.Sub(a.sentAt), clock.Since(a.sentAt))
 		}
 	}
 	s.meters.tokens.Inc(b.events)
--- a/internal/entry/which.go
+++ b/internal/entry/which.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/membership"
 )
 
@@ -27,7 +28,7 @@
 // which names the live members that are not draining, those of this data centre first and each part in
 // a new random order, so that callers spread over them.
 func (s *Server) which(ctx *fasthttp.RequestCtx) {
-	now := time.Now()
+	now := clock.Now()
 	self := s.Members.Self(now)
 	live := slices.DeleteFunc(s.Members.Live(now), func(m membership.Member) bool { return m.Draining })
 	if c := s.Current(); c != nil {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 	"golang.org/x/sync/errgroup"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
@@ -71,7 +72,7 @@
 func NewFollower(objects infra.ObjectStore, puller Puller, self string, leads func() bool, live func(now time.Time) []*gossip.Peer, logger log.Logger) *Follower {
 	return &Follower{
 		Mirror: mirror.New(), objects: objects, puller: puller, leads: leads, live: live, self: self, logger: logger,
-		StartPatience: func() time.Duration { return 0 }, started: time.Now(), proof: newProof(keys.Accepted, keys.Endpoints), beats: make(chan *gossip.Peer, 64),
+		StartPatience: func() time.Duration { return 0 }, started: clock.Now(), proof: newProof(keys.Accepted, keys.Endpoints), beats: make(chan *gossip.Peer, 64),
 		pulled: make(map[string]uint64), lost: make(map[string]bool),
 	}
 }
@@ -98,7 +99,7 @@
 	f.mu.Lock()
 	was := f.lost[prefix]
 	f.lost[prefix] = false
-	f.answer = time.Now()
+	f.answer = clock.Now()
 	f.mu.Unlock()
 	if was {
 		_ = level.Info(f.logger).Log("msg", "dependency regained", "dependency", "store", "prefix", prefix)
@@ -121,7 +122,7 @@
 	if at, _ := f.proof.whole(); f.leads() || at.IsZero() {
 		return 0
 	}
-	others := len(f.live(time.Now()))
+	others := len(f.live(clock.Now()))
 	return time.Duration(2 * draw * float64(others) * float64(turnOfNode))
 }
 
@@ -134,7 +135,7 @@
 
 // shouldWatch reports whether this node watches the store itself now.
 func (f *Follower) shouldWatch() bool {
-	now := time.Now()
+	now := clock.Now()
 	if f.leads() {
 		return true
 	}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/mirror"
@@ -54,7 +55,7 @@
 			loop.Sleep(ctx, firstRetry)
 			continue
 		}
-		sent := time.Now()
+		sent := clock.Now()
 		next, changed, err := s.next(ctx, version)
 		if errors.Is(err, infra.ErrHistoryGone) {
 			version = 0
@@ -72,7 +73,7 @@
 		retry.Reset()
 		version = next
 		s.proved(s.prefix, sent)
-		for _, o := range s.absent.due(time.Now()) {
+		for _, o := range s.absent.due(clock.Now()) {
 			s.mirror.Put(o)
 		}
 		if changed {
@@ -86,13 +87,13 @@
 // been answered. If nobody had been answered for a while and others are answered now, the turn comes within a second: a
 // node that does not know whether the store answers it does not lead.
 func (s *source) rest(ctx context.Context, least time.Duration) {
-	failed := time.Now()
+	failed := clock.Now()
 	draw := rand.Float64() //nolint:gosec // spreads questions
 	forAll := s.age(failed) > patience
 	var back time.Time // others have been answered since
 	loop.Sleep(ctx, least)
 	for ctx.Err() == nil && !s.answered().After(failed) {
-		now := time.Now()
+		now := clock.Now()
 		if back.IsZero() && s.age(now) < now.Sub(failed) {
 			back = now
 		}
@@ -108,7 +109,7 @@
 
 // next lists or watches once and returns the store version reached and whether anything came.
 func (s *source) next(ctx context.Context, version int64) (int64, bool, error) {
-	away := s.lapses && s.age(time.Now()) > awayFor
+	away := s.lapses && s.age(clock.Now()) > awayFor
 	if version > 0 {
 		l, err := s.objects.Watch(ctx, s.prefix, version, s.wait)
 		if err != nil {
@@ -141,13 +142,13 @@
 // returned notes that the store has answered, after it was away or not.
 func (s *source) returned(away bool) {
 	if away {
-		s.absent.wait(time.Now())
+		s.absent.wait(clock.Now())
 	}
 }
 
 // put takes an object into the copy. For some time after the store was away, removals are held back.
 func (s *source) put(o infra.Object) {
-	if s.absent.holds(o, time.Now()) {
+	if s.absent.holds(o, clock.Now()) {
 		return
 	}
 	s.mirror.Put(o)
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/gossip"
@@ -74,7 +75,7 @@
 	ticker := time.NewTicker(stepEvery)
 	defer ticker.Stop()
 	for {
-		c.step(ctx, time.Now())
+		c.step(ctx, clock.Now())
 		select {
 		case <-ctx.Done():
 			return nil
@@ -209,18 +210,18 @@
 
 // carryOut gives one order, unless the lease has ended meanwhile.
 func (c *Controller) carryOut(ctx context.Context, p *Planner, o Order) {
-	if c.Leads(time.Now()) == 0 {
+	if c.Leads(clock.Now()) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderWait)
 	defer cancel()
-	sent := time.Now()
+	sent := clock.Now()
 	outcome := c.Engine.Order(ctx, o)
 	_ = level.Info(c.Logger).Log("msg", "order", "kind", o.Kind.String(), "group", o.Group, "epoch", o.Epoch, "model", o.Model,
-		"endpoint", o.Endpoint.ID, "outcome", outcome.String(), "ms", time.Since(sent).Milliseconds())
+		"endpoint", o.Endpoint.ID, "outcome", outcome.String(), "ms", clock.Since(sent).Milliseconds())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p.Result(o, outcome, time.Now())
+	p.Result(o, outcome, clock.Now())
 	if outcome != Unknown {
 		c.Wake()
 	}
@@ -245,7 +246,7 @@
 }
 
 func (c *Controller) askNow(ctx context.Context, e *endpoint.Endpoint, k *contact) {
-	sent := time.Now()
+	sent := clock.Now()
 	answer, alone := c.askAll(ctx, e)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/verdict"
 )
@@ -37,7 +38,7 @@
 func (f *flight) callOnce(ctx context.Context, place *picker.Place) bool {
 	f.sends++
 	f.gateway.meters.sends.Inc(1)
-	sent := time.Now()
+	sent := clock.Now()
 	f.log("sent", false, "endpoint", place.Endpoint.ID, "send", f.sends)
 	reply, err := f.exchange.Send(ctx, f.attempt(place, false))
 	if err != nil {
@@ -48,7 +49,7 @@
 	if err != nil {
 		return f.callFailed(ctx, place, err)
 	}
-	now := time.Now()
+	now := clock.Now()
 	if head.NotRun {
 		place.Failed(false, now)
 		f.shed(place, head)
@@ -82,7 +83,7 @@
 	}
 	head, err := reply.Head(until)
 	if errors.Is(err, ErrNotYet) && until.Before(f.deadline) && ctx.Err() == nil {
-		if f.sends < maxSends && f.budget.Take(time.Now()) {
+		if f.sends < maxSends && f.budget.Take(clock.Now()) {
 			return head, nil, errHedged
 		}
 		head, err = reply.Head(f.deadline)
@@ -98,7 +99,7 @@
 var errHedged = errors.New("no answer in time to ask another endpoint")
 
 func (f *flight) callFailed(ctx context.Context, place *picker.Place, err error) bool {
-	now := time.Now()
+	now := clock.Now()
 	v := verdict.Of(err)
 	f.suspect(ctx, place, err)
 	place.Failed(v == verdict.NotRun, now)
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/quarantine"
@@ -103,9 +104,9 @@
 	if f.begun {
 		w.Patience = f.route.GapObjective / 2
 	}
-	began := time.Now()
+	began := clock.Now()
 	place, err := f.gateway.Picker.Acquire(ctx, w)
-	f.gateway.meters.queued.Record(time.Since(began))
+	f.gateway.meters.queued.Record(clock.Since(began))
 	return place, err
 }
 
@@ -120,7 +121,7 @@
 
 func (f *flight) attempt(place *picker.Place, stream bool) Attempt {
 	return Attempt{
-		Endpoint: place.Endpoint, Remaining: time.Until(f.deadline), Workspace: f.workspace, Priority: f.priority(),
+		Endpoint: place.Endpoint, Remaining: clock.Until(f.deadline), Workspace: f.workspace, Priority: f.priority(),
 		ResumeAfter: f.resumeAfter(), Once: !f.route.MayRepeat(), Stream: stream,
 	}
 }
@@ -142,7 +143,7 @@
 		f.gateway.meters.held.Inc(1)
 		f.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: held.left})
 	default:
-		after := f.gateway.shortages.refused(f.service.Name+"/"+f.request.Model, time.Now())
+		after := f.gateway.shortages.refused(f.service.Name+"/"+f.request.Model, clock.Now())
 		f.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: after})
 	}
 }
@@ -150,7 +151,7 @@
 // fail ends a request that may have run.
 func (f *flight) fail(ctx context.Context, detail string) {
 	reason := Failed
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(f.deadline) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !clock.Now().Before(f.deadline) {
 		reason = TimedOut // the context may learn of it a moment later
 	}
 	f.refuse(Refusal{Reason: reason, Detail: detail})
@@ -158,13 +159,13 @@
 
 // mayResend reports whether the request may be sent once more after a failure with that verdict.
 func (f *flight) mayResend(v verdict.Verdict) bool {
-	if f.sends >= maxSends || !time.Now().Before(f.deadline) {
+	if f.sends >= maxSends || !clock.Now().Before(f.deadline) {
 		return false // the context may learn of the deadline a moment later
 	}
 	if v != verdict.NotRun && (!f.route.MayRepeat() || f.ran >= max(1, f.route.MaxAttempts)) {
 		return false
 	}
-	if !f.budget.Take(time.Now()) {
+	if !f.budget.Take(clock.Now()) {
 		return false
 	}
 	f.gateway.meters.resends.Inc(1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
 )
@@ -38,7 +39,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	return &Gateway{Options: o, started: time.Now(), meters: newMeters(o.Scope), budgets: make(map[string]*retry.Budget)}
+	return &Gateway{Options: o, started: clock.Now(), meters: newMeters(o.Scope), budgets: make(map[string]*retry.Budget)}
 }
 
 // budget returns the budget of a service's repeats.
@@ -70,7 +71,7 @@
 		timeout = min(timeout, r.Patience)
 	}
 	f.deadline = r.Received.Add(timeout)
-	ctx, cancel := context.WithDeadline(ctx, f.deadline)
+	ctx, cancel := clock.WithDeadline(ctx, f.deadline)
 	defer cancel()
 	f.budget = g.budget(f.service.Name)
 	f.budget.Request(r.Received)
@@ -88,7 +89,7 @@
 		return &Refusal{Reason: NotRun, Detail: "no configuration is known yet", RetryAfter: g.shortages.refused(ofConfiguration, f.request.Received)}
 	}
 	f.table = table
-	age := f.request.Received.Sub(g.Proof())
+	age := clock.Since(g.Proof())
 	proved := age < g.ProofLimit-proofMargin
 	f.route = table.Match(f.request.Host, f.request.Path)
 	if f.route == nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/verdict"
 )
@@ -32,7 +33,7 @@
 func (f *flight) streamOnce(ctx context.Context, place *picker.Place) bool {
 	f.sends++
 	f.gateway.meters.sends.Inc(1)
-	sent := time.Now()
+	sent := clock.Now()
 	f.log("sent", false, "endpoint", place.Endpoint.ID, "group", place.Group, "send", f.sends, "resume_after", f.resumeAfter(),
 		"prompt_tokens", f.request.PromptTokens, "requests", place.Requests)
 	reply, err := f.exchange.Send(ctx, f.attempt(place, true))
@@ -46,7 +47,7 @@
 	case err != nil:
 		return f.streamFailed(ctx, place, err)
 	case head.NotRun:
-		place.Failed(false, time.Now())
+		place.Failed(false, clock.Now())
 		f.shed(place, head)
 		return f.notRun(ctx, place)
 	case !head.OK() || !head.Events:
@@ -63,16 +64,16 @@
 		return f.streamFailed(ctx, place, err)
 	}
 	f.ran++
-	f.cleared(time.Now())
-	f.gateway.meters.done(head.Status, time.Since(f.request.Received))
+	f.cleared(clock.Now())
+	f.gateway.meters.done(head.Status, clock.Since(f.request.Received))
 	f.log("answered", false, "endpoint", place.Endpoint.ID, "group", place.Group, "sends", f.sends, "last", f.lastID,
-		"first_ms", f.delivery.first.Sub(f.request.Received).Milliseconds(), "pause_ms", f.delivery.pause.Milliseconds(), "ms", time.Since(f.request.Received).Milliseconds())
+		"first_ms", f.delivery.first.Sub(f.request.Received).Milliseconds(), "pause_ms", f.delivery.pause.Milliseconds(), "ms", clock.Since(f.request.Received).Milliseconds())
 	return false
 }
 
 // plainAnswer passes on a failure of the endpoint, unless a stream has begun or the request may go elsewhere.
 func (f *flight) plainAnswer(ctx context.Context, place *picker.Place, reply Reply, head Head) bool {
-	place.Failed(false, time.Now())
+	place.Failed(false, clock.Now())
 	f.ran++
 	if head.Status >= serverError && ctx.Err() == nil && f.mayResend(verdict.Ran) {
 		f.log("resend", false, "endpoint", place.Endpoint.ID, "status", head.Status)
@@ -88,7 +89,7 @@
 		return false
 	}
 	err = f.exchange.Whole(reply, body)
-	f.gateway.meters.done(head.Status, time.Since(f.request.Received))
+	f.gateway.meters.done(head.Status, clock.Since(f.request.Received))
 	f.misserved = true
 	f.log("answered", true, "endpoint", place.Endpoint.ID, "status", head.Status, "sends", f.sends, "err", err)
 	return false
@@ -113,12 +114,12 @@
 		f.ran++
 		return true
 	case v == verdict.NotRun:
-		place.Failed(true, time.Now())
+		place.Failed(true, clock.Now())
 		return f.notRun(ctx, place)
 	}
 	f.ran++
 	if ctx.Err() == nil {
-		place.Failed(false, time.Now())
+		place.Failed(false, clock.Now())
 		if f.mayResend(v) {
 			return true
 		}
@@ -155,7 +156,7 @@
 // until returns when to look again if nothing has come.
 func (s *streaming) until() time.Time {
 	doubt, until := s.place.Patience(s.last, s.begun)
-	now := time.Now()
+	now := clock.Now()
 	switch {
 	case now.Before(doubt):
 		until = doubt
@@ -170,7 +171,7 @@
 
 // still decides what to do when nothing has come in time.
 func (s *streaming) still(ctx context.Context) error {
-	now := time.Now()
+	now := clock.Now()
 	if err := ctx.Err(); err != nil || !now.Before(s.flight.deadline) {
 		return verdict.New(verdict.MayHaveRun, context.DeadlineExceeded)
 	}
@@ -209,7 +210,7 @@
 		if err != nil {
 			return err
 		}
-		s.note(time.Now())
+		s.note(clock.Now())
 		if err := s.flight.exchange.Event(e); err != nil {
 			return errCaller
 		}
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/quarantine"
 	"moorrun.dev/moorrun/internal/verdict"
@@ -26,7 +27,7 @@
 
 // heldBack returns a heldError if the request must not be sent.
 func (f *flight) heldBack() error {
-	if left, held := f.gateway.Quarantine.Held(f.fingerprint, time.Now()); held {
+	if left, held := f.gateway.Quarantine.Held(f.fingerprint, clock.Now()); held {
 		return &heldError{left}
 	}
 	return nil
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/gossip/gossippb"
 	"moorrun.dev/moorrun/internal/quarantine"
 )
@@ -111,7 +112,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, a := range addresses {
-		n.add(a, time.Now())
+		n.add(a, clock.Now())
 	}
 }
 
@@ -120,7 +121,7 @@
 func (n *Node) Introduce(id Identity) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if c := n.add(id.GossipAddress, time.Now()); c != nil {
+	if c := n.add(id.GossipAddress, clock.Now()); c != nil {
 		c.told = &Peer{Identity: id}
 	}
 }
@@ -161,15 +162,15 @@
 		select {
 		case <-ctx.Done():
 		case <-n.kick:
-			n.send(time.Now(), true)
+			n.send(clock.Now(), true)
 			time.Sleep(kickPause)
 		case <-timer.C:
-			n.send(time.Now(), false)
+			n.send(clock.Now(), false)
 			every := n.roundEvery()
 			timer.Reset(every + time.Duration(rand.Int64N(int64(every/10)))) //nolint:gosec // jitter
 		}
 	}
-	n.send(time.Now(), true)
+	n.send(clock.Now(), true)
 	<-done
 	return nil
 }
@@ -178,7 +179,7 @@
 func (n *Node) roundEvery() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.last.Idle && n.upstream(time.Now()) != nil {
+	if n.last.Idle && n.upstream(clock.Now()) != nil {
 		return idleEvery
 	}
 	return Every
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/gossip/gossippb"
 )
 
@@ -24,7 +25,7 @@
 		if proto.Unmarshal(buffer[:size], &b) != nil || b.Vm == n.self.VM {
 			continue
 		}
-		now := time.Now()
+		now := clock.Now()
 		p := n.take(&b, now)
 		n.answer(&b, now)
 		if p != nil && n.OnBeat != nil {
--- a/internal/holder/controller.go
+++ b/internal/holder/controller.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/domains"
 	"moorrun.dev/moorrun/internal/drains"
@@ -91,7 +92,7 @@
 		c.epoch, c.since = epoch, now
 		c.domains = make(map[string]*domainState)
 	}
-	ctx, cancel := context.WithDeadline(ctx, until)
+	ctx, cancel := clock.WithDeadline(ctx, until)
 	defer cancel()
 	c.limitLoads(current)
 	placement := replica.Place(current, c.assignments(current), c.Demand())
@@ -161,7 +162,7 @@
 }
 
 func (c *Controller) view(current *config.Config, d config.DomainOf, placement replica.Placement) replica.View {
-	now := time.Now()
+	now := clock.Now()
 	drained := c.Drains.Read()
 	all := c.assignments(current)
 	v := replica.View{
@@ -200,7 +201,7 @@
 	if !c.Checker.Hold(invariant.OneGroupAVM, err == nil, func() []any { return []any{"err", err} }) {
 		return false
 	}
-	epoch, _, held := c.Keeper.Held(time.Now())
+	epoch, _, held := c.Keeper.Held(clock.Now())
 	if !held || epoch != c.epoch {
 		return false
 	}
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/infra/rest"
 	"moorrun.dev/moorrun/internal/keys"
@@ -60,7 +61,7 @@
 func (k *Keeper) Told(version int64, record lease.Record) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.lease.Told(version, record, time.Now())
+	k.lease.Told(version, record, clock.Now())
 }
 
 // Run contends for the lease while this node should hold it, until ctx ends; then it is released.
@@ -71,7 +72,7 @@
 		if _, _, ok := k.Held(now); want || ok {
 			k.step(ctx, want)
 		}
-		if _, _, holds := k.Held(time.Now()); holds != held {
+		if _, _, holds := k.Held(clock.Now()); holds != held {
 			held = holds
 			_ = level.Info(k.logger).Log("msg", "lease", "key", k.key, "held", held)
 		}
@@ -82,7 +83,7 @@
 
 // release gives the lease up, so that the next holder need not wait it out.
 func (k *Keeper) release() {
-	if _, _, ok := k.Held(time.Now()); !ok {
+	if _, _, ok := k.Held(clock.Now()); !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -95,9 +96,9 @@
 	defer cancel()
 	operation := uuid.NewString()
 	k.mu.Lock()
-	action, record, ifVersion := k.lease.Next(time.Now(), want, operation)
+	action, record, ifVersion := k.lease.Next(clock.Now(), want, operation)
 	if action == lease.Write {
-		k.lease.Sending(record, time.Now())
+		k.lease.Sending(record, clock.Now())
 	}
 	k.mu.Unlock()
 	switch action {
@@ -124,7 +125,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.lease.Observed(o.Version, record, time.Now())
+	k.lease.Observed(o.Version, record, clock.Now())
 }
 
 func (k *Keeper) write(ctx context.Context, record lease.Record, ifVersion int64) {
@@ -133,7 +134,7 @@
 	defer k.mu.Unlock()
 	switch outcome {
 	case infra.Applied:
-		k.lease.Applied(version, record, time.Now())
+		k.lease.Applied(version, record, clock.Now())
 	case infra.NotApplied:
 		k.lease.Refused(record.Operation)
 	case infra.Unknown: // the next step reads it back
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/replica"
@@ -31,10 +32,10 @@
 		}
 		last, ok := s.ordered[vm.Name]
 		if ok && last.order.Group == wanted.Group && last.order.GroupBirth == wanted.GroupBirth &&
-			last.order.Model == wanted.Model && last.order.Version == wanted.Version && time.Since(last.at) < orderAgain {
+			last.order.Model == wanted.Model && last.order.Version == wanted.Version && clock.Since(last.at) < orderAgain {
 			continue
 		}
-		s.ordered[vm.Name] = sentOrder{time.Now(), wanted}
+		s.ordered[vm.Name] = sentOrder{clock.Now(), wanted}
 		c.send(ctx, vm, wanted)
 	}
 }
@@ -42,23 +43,23 @@
 // mayOrder holds orders to engines that do not check generations back, until those of the holder before
 // must have arrived or ended.
 func (c *Controller) mayOrder(vm config.VM) bool {
-	return vm.ChecksOrders || time.Since(c.since) > orderTimeout
+	return vm.ChecksOrders || clock.Since(c.since) > orderTimeout
 }
 
 func (c *Controller) send(ctx context.Context, vm config.VM, wanted infra.Order) {
 	epoch := c.epoch
-	_, until, held := c.Keeper.Held(time.Now())
+	_, until, held := c.Keeper.Held(clock.Now())
 	if !held {
 		return
 	}
-	end := time.Now().Add(orderTimeout)
+	end := clock.Now().Add(orderTimeout)
 	if until.Before(end) {
 		end = until
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), end)
+	ctx, cancel := clock.WithDeadline(context.WithoutCancel(ctx), end)
 	c.inflight.Go(func() error {
 		defer cancel()
-		if now, _, held := c.Keeper.Held(time.Now()); !held || now != epoch {
+		if now, _, held := c.Keeper.Held(clock.Now()); !held || now != epoch {
 			return nil
 		}
 		if err := c.Engine.Order(ctx, vm.Address, wanted); err != nil {
--- a/internal/holder/vm_watch.go
+++ b/internal/holder/vm_watch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/loop"
 )
@@ -38,7 +39,7 @@
 func (w *VMWatch) State(vm string) (state infra.VMState, known bool) {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
-	if time.Since(w.read) > vmListMaxAge {
+	if clock.Since(w.read) > vmListMaxAge {
 		return "", false
 	}
 	return w.vms[vm], w.seen[vm]
@@ -67,7 +68,7 @@
 }
 
 func (w *VMWatch) readList(ctx context.Context) {
-	sent := time.Now()
+	sent := clock.Now()
 	vms, err := w.list.VMs(ctx)
 	if err != nil {
 		return
--- a/internal/loop/every.go
+++ b/internal/loop/every.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"time"
+
+	"moorrun.dev/moorrun/internal/clock"
 )
 
 // Every calls step at once and then at each interval until ctx ends. A step that takes longer than the interval
@@ -12,7 +14,7 @@
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
-		step(time.Now())
+		step(clock.Now())
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-kit/log/level"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
@@ -27,7 +28,7 @@
 // register writes this node's object, so that others find it, and writes it again if it is removed. An earlier
 // one of the same VM is replaced.
 func (n *Node) register(ctx context.Context) error {
-	self := n.fleet.Members.Self(time.Now())
+	self := n.fleet.Members.Self(clock.Now())
 	key := keys.Node(self.DataCentre, self.VM)
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = 200 * time.Millisecond
@@ -66,7 +67,7 @@
 func (n *Node) unregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), unregisterWait)
 	defer cancel()
-	self := n.fleet.Members.Self(time.Now())
+	self := n.fleet.Members.Self(clock.Now())
 	key := keys.Node(self.DataCentre, self.VM)
 	o, ok := n.fleet.Mirror.Get(key)
 	if ok {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"moorrun.dev/moorrun/internal/admin"
 	"moorrun.dev/moorrun/internal/admission"
 	"moorrun.dev/moorrun/internal/burn"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/domains"
 	"moorrun.dev/moorrun/internal/drains"
@@ -151,7 +152,7 @@
 	s := n.settings
 	self := membership.Member{
 		VM: s.VM, DataCentre: s.DataCentre, CallerAddress: s.CallerAddress, AdminAddress: s.AdminAddress,
-		PeerAddress: s.PeerAddress, Incarnation: uuid.NewString()[:8], Heard: time.Now(),
+		PeerAddress: s.PeerAddress, Incarnation: uuid.NewString()[:8], Heard: clock.Now(),
 	}
 	n.fleet = &peer.Fleet{
 		Mirror: mirror.New(), Looks: evidence.NewTable(), Reports: evidence.NewReports(),
@@ -184,7 +185,7 @@
 	n.fleet.Members.Update(func(m *membership.Member) { m.Revision = c.Revision })
 }
 
-func (n *Node) draining() bool { return n.fleet.Members.Self(time.Now()).Draining }
+func (n *Node) draining() bool { return n.fleet.Members.Self(clock.Now()).Draining }
 
 func (n *Node) ready() (bool, string) {
 	switch {
--- a/internal/node/tenancies.go
+++ b/internal/node/tenancies.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/holder"
 	"moorrun.dev/moorrun/internal/loop"
@@ -61,7 +62,7 @@
 	n := t.node
 	want := func() bool {
 		c := n.keeper.Current()
-		return c != nil && n.work.Err() == nil && !n.draining() && t.wants(dataCentre, c, time.Now())
+		return c != nil && n.work.Err() == nil && !n.draining() && t.wants(dataCentre, c, clock.Now())
 	}
 	ttl := n.settings.LeaseTTL()
 	k := holder.NewKeeper(n.objects, dataCentre, n.settings.VM, ttl, ttl/marginPart, want, n.logger)
@@ -92,7 +93,7 @@
 func (t *tenancies) anyHeld() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for _, k := range t.held {
 		if k == nil {
 			continue
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/domains"
 	"moorrun.dev/moorrun/internal/evidence"
@@ -136,7 +137,7 @@
 	polls.SetLimit(maxPolls)
 	for _, vm := range d.VMs {
 		polls.Go(func() error {
-			sent := time.Now()
+			sent := clock.Now()
 			state, err := o.engine.State(ctx, vm.Address)
 			if err == nil && state.VM == vm.Name {
 				views.put(vm.Name, replica.VMView{Answered: true, LastAnswer: sent, State: state})
@@ -151,7 +152,7 @@
 }
 
 func (o *Observer) publish(domain string, vms map[string]replica.VMView) {
-	now := time.Now()
+	now := clock.Now()
 	look := evidence.Look{Domain: domain, Observer: peer.ObserverName(o.fleet.Members.Self(now)), Near: true}
 	if a, _, ok := o.book.Get(domain); ok {
 		look.Generation = a.Generation
--- a/internal/peer/link_client.go
+++ b/internal/peer/link_client.go
@@ -8,6 +8,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/freshness"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
@@ -77,7 +78,7 @@
 	if !ok {
 		return asOf, false
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, e := range down.Evidence {
 		look := lookFromWire(e, asOf)
 		look.Near = l.near && l.nearObserver(look.Observer)
@@ -102,7 +103,7 @@
 
 func (l *LinkClient) nearObserver(observer string) bool {
 	m, ok := l.fleet.Members.Get(ObserverVM(observer))
-	return ok && m.DataCentre == l.fleet.Members.Self(time.Now()).DataCentre
+	return ok && m.DataCentre == l.fleet.Members.Self(clock.Now()).DataCentre
 }
 
 // header starts a message; see linkServer.header for why the echo is read before the clock.
@@ -110,7 +111,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	echo := l.echo
-	now := time.Now()
+	now := clock.Now()
 	return &peerpb.Up{Tick: l.clock.Next(now), Echo: echo}, now
 }
 
--- a/internal/peer/link_server.go
+++ b/internal/peer/link_server.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/evidence"
 	"moorrun.dev/moorrun/internal/freshness"
 	"moorrun.dev/moorrun/internal/membership"
@@ -64,12 +65,12 @@
 func (l *linkServer) run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	due := time.Now()
+	due := clock.Now()
 	for {
 		changed := l.fleet.Mirror.Changed()
 		if l.fleet.Mirror.Sequence() != l.objects {
-			due = earliest(due, time.Now().Add(upGap))
-			timer.Reset(time.Until(due))
+			due = earliest(due, clock.Now().Add(upGap))
+			timer.Reset(clock.Until(due))
 			changed = nil
 		}
 		select {
@@ -80,8 +81,8 @@
 			if err := l.send(); err != nil {
 				return err
 			}
-			due = time.Now().Truncate(l.fleet.Heartbeat).Add(l.fleet.Heartbeat)
-			timer.Reset(time.Until(due))
+			due = clock.Now().Truncate(l.fleet.Heartbeat).Add(l.fleet.Heartbeat)
+			timer.Reset(clock.Until(due))
 		}
 	}
 }
@@ -96,7 +97,7 @@
 func (l *linkServer) near() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.peer.DataCentre == l.fleet.Members.Self(time.Now()).DataCentre
+	return l.peer.DataCentre == l.fleet.Members.Self(clock.Now()).DataCentre
 }
 
 // heard takes in the header of a message and returns the instant its content counts from.
@@ -123,7 +124,7 @@
 	if !l.near() {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, e := range up.Evidence {
 		look := lookFromWire(e, asOf)
 		look.Near = true
@@ -140,7 +141,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	echo := l.echo
-	now := time.Now()
+	now := clock.Now()
 	return &peerpb.Down{Tick: l.clock.Next(now), Echo: echo}, now
 }
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/gossip"
 )
@@ -62,9 +63,9 @@
 // Acquire returns a place, waiting for one up to the want's patience.
 func (p *Picker) Acquire(ctx context.Context, w *Want) (*Place, error) {
 	p.mu.Lock()
-	p.arrive(w, time.Now())
+	p.arrive(w, clock.Now())
 	if !p.someoneWaitsFor(w) {
-		place, err := p.try(w, time.Now(), false)
+		place, err := p.try(w, clock.Now(), false)
 		if place != nil || err != nil && w.Patience <= 0 {
 			p.mu.Unlock()
 			return place, err
@@ -91,7 +92,7 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	place, err := p.try(w, time.Now(), true)
+	place, err := p.try(w, clock.Now(), true)
 	if place == nil && err == nil {
 		err = ErrNoPlace
 	}
@@ -144,7 +145,7 @@
 func (p *Picker) release(place *Place) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	p.healthOf(place.key(), now).running--
 	p.busy[place.model]--
 	if p.running[place.workspace]--; p.running[place.workspace] <= 0 {
@@ -167,7 +168,7 @@
 func (p *Picker) Review() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.grant(time.Now())
+	p.grant(clock.Now())
 }
 
 // Sweep forgets the health of what is not used.
--- a/internal/picker/queue.go
+++ b/internal/picker/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"moorrun.dev/moorrun/internal/clock"
 )
 
 // waiter is a request that waits for a place.
@@ -13,7 +15,7 @@
 }
 
 func (p *Picker) enqueue(w *Want) *waiter {
-	q := &waiter{want: w, arrived: time.Now(), granted: make(chan *Place, 1)}
+	q := &waiter{want: w, arrived: clock.Now(), granted: make(chan *Place, 1)}
 	p.waiting = append(p.waiting, q)
 	p.demand[w.Model]++
 	return q
--- a/internal/places/asker.go
+++ b/internal/places/asker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/allocator"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer"
@@ -35,7 +36,7 @@
 
 // Ask implements admission.Asker.
 func (a *Asker) Ask(ctx context.Context, model string, r allocator.Report) (allocator.Grant, time.Duration, bool, error) {
-	now := time.Now()
+	now := clock.Now()
 	c := a.current()
 	if c == nil {
 		return allocator.Grant{}, 0, false, errNoConfig
--- a/internal/places/server.go
+++ b/internal/places/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/allocator"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/invariant"
 	"moorrun.dev/moorrun/internal/loop"
@@ -58,7 +59,7 @@
 
 // NewServer returns a Server without pools.
 func NewServer(members *membership.Table, router *routing.Router, current func() *config.Config, checker *invariant.Checker) *Server {
-	return &Server{members: members, router: router, current: current, checker: checker, since: time.Now(), pools: make(map[string]*modelPool)}
+	return &Server{members: members, router: router, current: current, checker: checker, since: clock.Now(), pools: make(map[string]*modelPool)}
 }
 
 // ranked returns the nodes of this node's region in the order in which they allocate the model's places.
@@ -76,7 +77,7 @@
 
 // Demand implements peer.Allocator.
 func (s *Server) Demand(_ context.Context, request *peerpb.DemandRequest) *peerpb.DemandReply {
-	now := time.Now()
+	now := clock.Now()
 	c := s.current()
 	if c == nil || !s.falls(request.Model, c, now) {
 		return &peerpb.DemandReply{NotAllocator: true}
--- a/internal/places/splitter.go
+++ b/internal/places/splitter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/allocator"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/membership"
 )
@@ -24,7 +25,7 @@
 
 // Ask implements admission.Asker.
 func (s *Splitter) Ask(_ context.Context, model string, r allocator.Report) (allocator.Grant, time.Duration, bool, error) {
-	now := time.Now()
+	now := clock.Now()
 	c := s.current()
 	if c == nil {
 		return allocator.Grant{}, 0, false, errNoConfig
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"moorrun.dev/moorrun/internal/clock"
 )
 
 // Since returns the first of what has changed after that sequence, up to most records, and the sequence that they reach.
@@ -35,7 +37,7 @@
 		changed = changed[:most]
 		reached = changed[most-1].entry.sequence
 	}
-	now := time.Now()
+	now := clock.Now()
 	out := make([]Record, 0, len(changed))
 	for _, c := range changed {
 		out = append(out, c.entry.record(c.fingerprint, now))
@@ -46,7 +48,7 @@
 // Merge takes in what a node has told, as of an instant not after that, and reports whether a request is held back now that
 // was not before.
 func (t *Table) Merge(records []Record, from Source, asOf time.Time) bool {
-	now := time.Now()
+	now := clock.Now()
 	var held []Record
 	t.mu.Lock()
 	for _, r := range records {
--- a/internal/quarantine/inquiry.go
+++ b/internal/quarantine/inquiry.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
 )
 
@@ -79,7 +80,7 @@
 
 // Failed takes in that the connection to an endpoint broke while it had the request.
 func (q *Inquiry) Failed(e *endpoint.Endpoint, f Fingerprint) {
-	now := time.Now()
+	now := clock.Now()
 	ending := EndingOf(e)
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -96,7 +97,7 @@
 
 // Left takes in that the request was given up while the endpoint had it.
 func (q *Inquiry) Left(e *endpoint.Endpoint, f Fingerprint) {
-	now := time.Now()
+	now := clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.left == nil {
@@ -114,7 +115,7 @@
 func (q *Inquiry) Refused(e *endpoint.Endpoint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if ending := EndingOf(e); len(q.stillLeft(e.ID, time.Now())) > 0 && q.open[ending] == nil {
+	if ending := EndingOf(e); len(q.stillLeft(e.ID, clock.Now())) > 0 && q.open[ending] == nil {
 		q.begin(e, ending)
 	}
 }
@@ -152,7 +153,7 @@
 // conclude finds out whether the endpoint has ended by itself and notes it against its requests.
 func (q *Inquiry) conclude(e *endpoint.Endpoint, ending Ending) {
 	found := q.reason(e)
-	now := time.Now()
+	now := clock.Now()
 	q.mu.Lock()
 	o := q.open[ending]
 	requests := o.requests
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
@@ -105,7 +106,7 @@
 		_ = level.Error(k.Logger).Log("msg", "the list of held requests cannot be read and is replaced", "key", o.Key, "err", err)
 		return
 	}
-	k.Table.Merge(records, Source{}, time.Now())
+	k.Table.Merge(records, Source{}, clock.Now())
 }
 
 // lead reads the list at the beginning of a tenure, or each time if there is none, and writes it when it has changed.
@@ -114,7 +115,7 @@
 		return
 	}
 	k.tenure = epoch
-	now := time.Now()
+	now := clock.Now()
 	holds := k.Table.Holds(now)
 	if !k.changed(holds, now) {
 		return
@@ -155,7 +156,7 @@
 	if err != nil {
 		return nil // said where it was taken in
 	}
-	now := time.Now()
+	now := clock.Now()
 	out := make(map[Fingerprint]keptHold, len(records))
 	for _, r := range records {
 		out[r.Fingerprint] = keptHold{len(r.Endings), now.Add(r.Hold)}
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
@@ -69,7 +70,7 @@
 func (l *Links) Addresses() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	var out []string
 	for address, k := range l.links {
 		if k.up(now) {
--- a/internal/relay/watcher.go
+++ b/internal/relay/watcher.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"moorrun.dev/moorrun/internal/accept"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
@@ -48,7 +49,7 @@
 			loop.Sleep(ctx, reviewEvery)
 			continue
 		}
-		sent := time.Now()
+		sent := clock.Now()
 		next, err := w.next(ctx, version, sent.Sub(listed) > listEvery)
 		if err != nil {
 			if ctx.Err() == nil {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/allocator"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/domains"
 	"moorrun.dev/moorrun/internal/drains"
@@ -113,7 +114,7 @@
 }
 
 // Failed notes that the group failed a request.
-func (r *Router) Failed(group string, birth int64) { r.of(group, birth).fail(time.Now()) }
+func (r *Router) Failed(group string, birth int64) { r.of(group, birth).fail(clock.Now()) }
 
 // Succeeded notes how long the group took to its first token and in all.
 func (r *Router) Succeeded(group string, birth int64, firstToken, service time.Duration) {
--- a/internal/server/addresses.go
+++ b/internal/server/addresses.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/gossip"
 )
 
@@ -27,7 +28,7 @@
 // addresses returns where callers of a data centre should connect: to its own nodes, and to others' as well if
 // those are few.
 func (n *Server) addresses(dataCentre string) []string {
-	now := time.Now()
+	now := clock.Now()
 	nodes := n.gossip.Live(now)
 	if n.ready() {
 		status := gossip.Status{Serving: true, LeaderEpoch: n.controller.Leads(now)}
--- a/internal/server/changes.go
+++ b/internal/server/changes.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/follow"
 	"moorrun.dev/moorrun/internal/infra"
@@ -20,7 +21,7 @@
 		changed := n.follower.Mirror.Changed()
 		var objects []infra.Object
 		if objects, sequence = n.follower.Mirror.Since(sequence); len(objects) > 0 {
-			n.apply(objects, time.Now())
+			n.apply(objects, clock.Now())
 			continue
 		}
 		select {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/eventlog"
 	"moorrun.dev/moorrun/internal/follow"
@@ -82,7 +83,7 @@
 
 // New takes the process's addresses and puts its parts together; nothing runs yet.
 func New(s *settings.Gateway, newPlatform NewPlatform, logger log.Logger) (*Server, error) {
-	n := &Server{settings: s, logger: logger, started: time.Now(), calls: httpcall.NewClient(), directory: endpoint.NewDirectory(), caller: gossip.NewCaller()}
+	n := &Server{settings: s, logger: logger, started: clock.Now(), calls: httpcall.NewClient(), directory: endpoint.NewDirectory(), caller: gossip.NewCaller()}
 	n.calls.DialTimeout = dialTimeout
 	n.reporter = metrics.NewReporter()
 	n.scope = newScope(n.reporter, s.DataCentre)
@@ -99,7 +100,7 @@
 	n.gossip = gossip.NewNode(self, n.datagrams, n.status)
 	n.gossip.Add(s.Peers...)
 	n.isolate()
-	leads := func() bool { return n.controller.Leads(time.Now()) > 0 }
+	leads := func() bool { return n.controller.Leads(clock.Now()) > 0 }
 	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
 	n.follower.StartPatience = n.startPatience
 	n.gossip.OnBeat = n.heard
@@ -120,7 +121,7 @@
 		Table: n.table.Load, Proof: func() time.Time { return n.follower.Current(keys.Accepted) }, ProofLimit: s.CredentialProof(),
 		ProofOptional: !s.CredentialProofRequired,
 		Picker:        n.picker, Quarantine: n.quarantine, Inquiry: n.inquiry, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
-		Nodes: func() int { return 1 + n.gossip.Known(time.Now()) },
+		Nodes: func() int { return 1 + n.gossip.Known(clock.Now()) },
 		Story: func(id string) gateway.Story { return decisions.Request(id) },
 		Scope: n.scope,
 	})
@@ -142,7 +143,7 @@
 	handler := n.platform.Callers(n.gateway, n.limits, n.leaving.Load)
 	callers := newHTTP(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.requests.Add(1)
-		if n.traffic.add(time.Now()) {
+		if n.traffic.add(clock.Now()) {
 			n.gossip.Kick() // it needs the others' loads now
 		}
 		handler.ServeHTTP(w, r)
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/keys"
@@ -62,11 +63,11 @@
 }
 
 // ready reports whether this node takes new callers.
-func (n *Server) ready() bool { return !n.leaving.Load() && n.serving(time.Now()) }
+func (n *Server) ready() bool { return !n.leaving.Load() && n.serving(clock.Now()) }
 
 // wantsLead reports whether this node should hold the leader's lease.
 func (n *Server) wantsLead() bool {
-	now := time.Now()
+	now := clock.Now()
 	able := !n.leaving.Load() && n.table.Load() != nil && n.follower.StoreAnswers()
 	return n.election.wants(now, able, n.gossip.Relaying(), n.controller.Leads(now) > 0, n.gossip.Live(now))
 }
@@ -109,7 +110,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeWait)
 	defer cancel()
 	var g errgroup.Group
-	asked := slices.Clone(n.gossip.Live(time.Now()))
+	asked := slices.Clone(n.gossip.Live(clock.Now()))
 	rand.Shuffle(len(asked), func(i, j int) { asked[i], asked[j] = asked[j], asked[i] })
 	asked = asked[:min(len(asked), probeNodes)]
 	answers := make(chan bool, len(asked))
