--- a/internal/httpcall/answer.go
+++ b/internal/httpcall/answer.go
@@ -35,9 +35,12 @@
 	return n, err
 }
 
-// SetReadTimeout bounds the wait for the next bytes of a streamed body.
+// SetReadTimeout bounds the wait for the next bytes of a streamed body. Once the call's context has ended, waits end at once.
 func (a *Answer) SetReadTimeout(d time.Duration) error {
-	return a.conn.SetReadDeadline(time.Now().Add(d))
+	if err := a.conn.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return err
+	}
+	return a.endIfCancelled()
 }
 
 // Cancelled reports whether the call's context has ended.
@@ -78,13 +81,23 @@
 func (a *Answer) watch(ctx context.Context) {
 	c := a.conn
 	a.ctx = ctx
-	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(longAgo) })
 }
 
-// clearDeadline ends the bound on the sending, unless ctx has ended meanwhile.
-func (a *Answer) clearDeadline(ctx context.Context) {
-	_ = a.conn.SetDeadline(time.Time{})
-	if ctx.Err() != nil {
-		_ = a.conn.SetDeadline(time.Unix(1, 0))
+// longAgo is a deadline that ends reads and writes at once.
+var longAgo = time.Unix(1, 0)
+
+// endIfCancelled ends reads and writes at once if the call's context has ended. It follows each change of the deadline,
+// which may have come after that end and undone what watch has set.
+func (a *Answer) endIfCancelled() error {
+	if !a.Cancelled() {
+		return nil
 	}
+	return a.conn.SetDeadline(longAgo)
+}
+
+// clearDeadline ends the bound on the sending, unless the call was cancelled meanwhile.
+func (a *Answer) clearDeadline() {
+	_ = a.conn.SetDeadline(time.Time{})
+	_ = a.endIfCancelled()
 }
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -70,7 +70,7 @@
 		return nil, err
 	}
 	if o.Stream {
-		a.clearDeadline(ctx)
+		a.clearDeadline()
 	}
 	return a, nil
 }
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a.clearDeadline(ctx)
+	a.clearDeadline()
 	return a, nil
 }
 
