Send nothing more to data centres that are out of use

The list of evacuated data centres is watched where the platform has one, travels with the copy of the store, and is kept from the choice of endpoints. Tests: TestNothingIsSentToADataCentreThatIsOutOfUse. Groups of such a data centre still count as supply where groups are formed.

--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -40,6 +40,7 @@
 		Endpoints: make(map[string]*Endpoint, len(old.Endpoints)+len(changed)),
 		Services:  make(map[string][]*Endpoint, len(old.Services)),
 		Gone:      make(map[string]Gone, len(old.Gone)+len(removed)),
+		Evacuated: old.Evacuated,
 	}
 	for id, g := range old.Gone {
 		if now.Sub(g.At) < goneFor {
@@ -73,3 +74,12 @@
 	next.Groups = groupsOf(next.Endpoints)
 	d.current.Store(next)
 }
+
+// Evacuate says which data centres are taken out of use from now on.
+func (d *Directory) Evacuate(dataCentres map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := *d.current.Load()
+	next.Evacuated = dataCentres
+	d.current.Store(&next)
+}
--- a/internal/endpoint/snapshot.go
+++ b/internal/endpoint/snapshot.go
@@ -9,6 +9,8 @@
 	Groups    map[string]*Group
 	// Gone are endpoints that are no longer listed, with the instant at which this was noticed.
 	Gone map[string]Gone
+	// Evacuated are the data centres to whose endpoints nothing more is sent.
+	Evacuated map[string]bool
 }
 
 // Gone is an endpoint that is no longer listed. It may be dead, leaving, or cut off from the platform.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -60,6 +60,7 @@
 	logger  log.Logger
 	started time.Time
 	proof   *proof
+	also    []string // prefixes beside the configuration and the endpoints
 	beats   chan *gossip.Peer
 
 	mu     sync.Mutex
@@ -77,13 +78,23 @@
 	}
 }
 
+// Also lets the copy hold the objects below further prefixes; call it before Run.
+func (f *Follower) Also(prefixes ...string) {
+	f.also = append(f.also, prefixes...)
+	f.proof = newProof(append([]string{keys.Accepted, keys.Endpoints}, f.also...)...)
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	var g errgroup.Group
-	for _, s := range []*source{
+	sources := []*source{
 		{prefix: keys.Accepted, wait: watchWait},
 		{prefix: keys.Endpoints, wait: watchWait, gather: endpointsGather, lapses: true},
-	} {
+	}
+	for _, prefix := range f.also {
+		sources = append(sources, &source{prefix: prefix, wait: watchWait})
+	}
+	for _, s := range sources {
 		s.objects, s.mirror, s.wanted = f.objects, f.Mirror, f.shouldWatch
 		s.proved, s.failed = f.proved, f.failed
 		s.turn, s.answered = f.turn, f.answered
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -34,6 +34,8 @@
 	Accepted = "accepted/"
 	// Endpoints is the prefix of the platform's entries of endpoints, by ID.
 	Endpoints = "endpoints/"
+	// Evacuations is the prefix of the data centres that operators have taken out of use, each by its name.
+	Evacuations = "evacuations/"
 	// Gateways is the prefix of the registered nodes before a platform's endpoints.
 	Gateways = Root + "gateways/"
 	// Quarantine is the prefix of what is kept of requests that are held back.
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -47,7 +47,7 @@
 	var out []candidate
 	usual := p.usualGap(w, snapshot)
 	for _, g := range snapshot.Groups {
-		if g.Service != w.Service || g.Model != w.Model || w.excludes(g.Name) || retiring[g.Name] || !p.usable(g, w.Size) {
+		if g.Service != w.Service || g.Model != w.Model || w.excludes(g.Name) || retiring[g.Name] || !p.usable(g, w.Size) || snapshot.Evacuated[g.Head.Zone] {
 			continue
 		}
 		h := p.health[g.Name]
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -241,3 +241,25 @@
 	place.StoodStill(now.Add(time.Second))
 	qt.Check(t, f.doubts, qt.Equals, 2, qt.Commentf("it had gone on meanwhile"))
 }
+
+func TestNothingIsSentToADataCentreThatIsOutOfUse(t *testing.T) {
+	f := newFleet()
+	f.group("g-near", "near", endpoint.Open, endpoint.Ready)
+	f.group("g-far", "far", endpoint.Open, endpoint.Ready)
+	f.directory.Apply([]*endpoint.Endpoint{{ID: "p-near", Service: "plain", Zone: "near"}}, nil, time.Now())
+	f.directory.Evacuate(map[string]bool{"near": true})
+	f.directory.Apply([]*endpoint.Endpoint{{ID: "p-far", Service: "plain", Zone: "far"}}, nil, time.Now())
+	for range 8 {
+		engine, plain := f.acquire(t, want()), f.acquire(t, &picker.Want{Service: "plain"})
+		qt.Check(t, engine.Group, qt.Equals, "g-far")
+		qt.Check(t, plain.Endpoint.ID, qt.Equals, "p-far")
+		engine.Release()
+		plain.Release()
+	}
+	f.directory.Evacuate(nil)
+	groups := make(map[string]bool)
+	for range 8 {
+		groups[f.acquire(t, want()).Group] = true
+	}
+	qt.Check(t, groups["g-near"], qt.IsTrue, qt.Commentf("it is taken back"))
+}
--- a/internal/server/changes.go
+++ b/internal/server/changes.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -35,6 +37,7 @@
 func (n *Server) apply(objects []infra.Object, now time.Time) {
 	var changed []*endpoint.Endpoint
 	var removed []string
+	evacuations := false
 	for _, o := range objects {
 		id, isEndpoint := strings.CutPrefix(o.Key, keys.Endpoints)
 		switch {
@@ -48,10 +51,15 @@
 				continue
 			}
 			changed = append(changed, e)
+		case strings.HasPrefix(o.Key, keys.Evacuations):
+			evacuations = true
 		case strings.HasPrefix(o.Key, keys.Accepted) && !o.Deleted:
 			n.accept(o)
 		}
 	}
+	if evacuations {
+		n.evacuate()
+	}
 	if len(changed)+len(removed) > 0 {
 		n.directory.Apply(changed, removed, now)
 		n.controller.Wake()
@@ -64,6 +72,17 @@
 	}
 }
 
+// evacuate takes the data centres out of use that operators have named, and takes the others back.
+func (n *Server) evacuate() {
+	dataCentres := make(map[string]bool)
+	for _, o := range n.follower.Mirror.List(keys.Evacuations) {
+		dataCentres[strings.TrimPrefix(o.Key, keys.Evacuations)] = true
+	}
+	n.directory.Evacuate(dataCentres)
+	n.picker.Review()
+	_ = level.Info(n.logger).Log("msg", "data centres out of use", "data_centres", slices.Sorted(maps.Keys(dataCentres)))
+}
+
 // accept puts a configuration in force unless a later one is.
 func (n *Server) accept(o infra.Object) {
 	t, err := n.platform.Table(follow.Revision(o), o.Value)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -103,6 +103,9 @@
 	leads := func() bool { return n.controller.Leads(clock.Now()) > 0 }
 	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
 	n.follower.StartPatience = n.startPatience
+	if s.Evacuations {
+		n.follower.Also(keys.Evacuations)
+	}
 	n.gossip.OnBeat = n.heard
 	n.gossip.OnSent = countBeats(n.scope)
 	n.rpc = gossip.NewServer(self.Incarnation, n.follower.Mirror, n.askFor)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -41,6 +41,9 @@
 	// reach the store goes on with the newest configuration it has.
 	CredentialProofRequired bool `json:"credential_proof_required"`
 
+	// Evacuations says whether operators take data centres out of use on this platform; their list is watched then.
+	Evacuations bool `json:"evacuations,omitempty"`
+
 	GraceMS            int     `json:"grace_ms"` // from the order to stop until the process is killed
 	AddressLifetimeMS  int     `json:"address_lifetime_ms"`
 	RepeatRatio        float64 `json:"repeat_ratio"`
