Send cold endpoints no more requests at once than they bear in half a second

A worker is cold after a start, and when its data centre was evacuated; it then bears cold_per_s requests a second from all nodes together. Entries tell how long it is cold, and those of a data centre that was just taken back count as cold until their entries can be known to tell. Weighed: a rate for each node (nodes do not know how many of them send, and a share of 18 among 70 is no request). Test: TestColdEndpointsGetFewRequestsAtOnce.

--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	d := &Directory{}
 	d.current.Store(&Snapshot{
 		Endpoints: map[string]*Endpoint{}, Services: map[string][]*Endpoint{}, Groups: map[string]*Group{}, Gone: map[string]Gone{},
+		Returned: map[string]time.Time{},
 	})
 	return d
 }
@@ -40,7 +42,7 @@
 		Endpoints: make(map[string]*Endpoint, len(old.Endpoints)+len(changed)),
 		Services:  make(map[string][]*Endpoint, len(old.Services)),
 		Gone:      make(map[string]Gone, len(old.Gone)+len(removed)),
-		Evacuated: old.Evacuated,
+		Evacuated: old.Evacuated, Returned: old.Returned,
 	}
 	for id, g := range old.Gone {
 		if now.Sub(g.At) < goneFor {
@@ -59,6 +61,9 @@
 		}
 		lives[Listed(e.ID)] = e
 		e.recall(old)
+		if e.ColdLeft > 0 {
+			e.Cold = now.Add(e.ColdLeft)
+		}
 		next.Endpoints[e.ID] = e
 		delete(next.Gone, e.ID)
 	}
@@ -75,11 +80,17 @@
 	d.current.Store(next)
 }
 
-// Evacuate says which data centres are taken out of use from now on.
-func (d *Directory) Evacuate(dataCentres map[string]bool) {
+// Evacuate says which data centres are out of use from now on.
+func (d *Directory) Evacuate(dataCentres map[string]bool, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	next := *d.current.Load()
-	next.Evacuated = dataCentres
+	returned := maps.Clone(next.Returned)
+	for name := range next.Evacuated {
+		if !dataCentres[name] {
+			returned[name] = now
+		}
+	}
+	next.Evacuated, next.Returned = dataCentres, returned
 	d.current.Store(&next)
 }
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -4,6 +4,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 // State is what an endpoint says of its part in a replica group.
@@ -39,6 +40,8 @@
 	Domain   string // of the fabric
 	Slots    int
 	Draining bool
+	ColdLeft time.Duration // for how much longer it is cold, as it was listed
+	Cold     time.Time     // until then it is, as far as that tells; zero if it is not
 	// Models it holds ready. An endpoint that has left its group lists none, but is ready for the model of that group
 	// again without a load, so that model stays here.
 	Models     []string
--- a/internal/endpoint/snapshot.go
+++ b/internal/endpoint/snapshot.go
@@ -11,6 +11,8 @@
 	Gone map[string]Gone
 	// Evacuated are the data centres to whose endpoints nothing more is sent.
 	Evacuated map[string]bool
+	// Returned says when data centres were last taken back into use.
+	Returned map[string]time.Time
 }
 
 // Gone is an endpoint that is no longer listed. It may be dead, leaving, or cut off from the platform.
@@ -19,3 +21,17 @@
 	At       time.Time
 	Over     bool // it has started again since, so this life has certainly ended
 }
+
+// toldWithin is within what an endpoint that has become cold is listed as such: it writes its entry each 1.2 s, and a node's
+// copy of that is some tenths of a second old.
+const toldWithin = 1500 * time.Millisecond
+
+// Cold reports whether the endpoint bears few requests now. Those of a data centre that was taken back may have become cold
+// just before, for as long as after a start.
+func (s *Snapshot) Cold(e *Endpoint, coldFor time.Duration, now time.Time) bool {
+	if now.Before(e.Cold) {
+		return true
+	}
+	back, known := s.Returned[e.Zone]
+	return known && now.Sub(back) < coldFor+toldWithin
+}
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -89,7 +89,7 @@
 // pick chooses a place and waits for it.
 func (f *flight) pick(ctx context.Context) (*picker.Place, error) {
 	w := &picker.Want{
-		Service: f.service.Name, Workspace: f.workspace.Name, Priority: f.priority(), Exclude: f.failed,
+		Service: f.service.Name, ColdFor: f.service.ColdFor, ColdPerSecond: f.service.ColdPerSecond, Workspace: f.workspace.Name, Priority: f.priority(), Exclude: f.failed,
 		Patience: time.Duration(patiencePart * float64(f.route.Objective)),
 	}
 	if e := f.service.Engine; e != nil {
--- a/internal/picker/alone.go
+++ b/internal/picker/alone.go
@@ -26,6 +26,9 @@
 		h := p.health[e.ID]
 		c := candidate{endpoint: e, load: totalLoad(h, others, e.ID)}
 		c.cost = float64(c.load) + p.draw()*jitter
+		if w.ColdPerSecond > 0 && snapshot.Cold(e, w.ColdFor, now) {
+			c.limit = w.coldLimit()
+		}
 		if p.elsewhere(e) {
 			c.cost += zoneCost
 		}
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -29,9 +29,22 @@
 	group    string
 	load     int // requests of all nodes
 	cost     float64
+	limit    int // requests beyond which it gets no more; 0: none
 	avoid    int // 0, or more the less it is to be chosen as long as there are others
 }
 
+// full reports whether the candidate gets no more requests; with queue set, those that wait in its own queue count as well.
+func (c *candidate) full(w *Want, queue bool) bool {
+	switch {
+	case c.limit == 0:
+		return false
+	case queue && c.limit == w.Slots:
+		return c.load >= c.limit+overflow
+	default:
+		return c.load >= c.limit
+	}
+}
+
 // candidates returns everything that may take the request, with its cost.
 func (p *Picker) candidates(w *Want, now time.Time) []candidate {
 	snapshot := p.options.Directory.Read()
@@ -51,7 +64,10 @@
 			continue
 		}
 		h := p.health[g.Name]
-		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(h, others, g.Head.ID)}
+		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(h, others, g.Head.ID), limit: w.Slots}
+		if w.ColdPerSecond > 0 && snapshot.Cold(g.Head, w.ColdFor, now) {
+			c.limit = min(c.limit, w.coldLimit())
+		}
 		c.cost = float64(c.load) + p.draw()*jitter
 		switch {
 		case doubted(g.Name, h, others, now) || h != nil && h.suspected(now):
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -116,13 +116,7 @@
 	if len(candidates) == 0 {
 		return nil, ErrNoEndpoint
 	}
-	limit := w.Slots
-	if full {
-		limit += overflow
-	}
-	if w.Slots > 0 {
-		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.load >= limit })
-	}
+	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.full(w, full) })
 	if len(candidates) == 0 {
 		return nil, nil //nolint:nilnil // neither a place nor a failure: wait
 	}
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -247,7 +247,7 @@
 	f.group("g-near", "near", endpoint.Open, endpoint.Ready)
 	f.group("g-far", "far", endpoint.Open, endpoint.Ready)
 	f.directory.Apply([]*endpoint.Endpoint{{ID: "p-near", Service: "plain", Zone: "near"}}, nil, time.Now())
-	f.directory.Evacuate(map[string]bool{"near": true})
+	f.directory.Evacuate(map[string]bool{"near": true}, time.Now())
 	f.directory.Apply([]*endpoint.Endpoint{{ID: "p-far", Service: "plain", Zone: "far"}}, nil, time.Now())
 	for range 8 {
 		engine, plain := f.acquire(t, want()), f.acquire(t, &picker.Want{Service: "plain"})
@@ -256,10 +256,35 @@
 		engine.Release()
 		plain.Release()
 	}
-	f.directory.Evacuate(nil)
+	f.directory.Evacuate(nil, time.Now())
 	groups := make(map[string]bool)
 	for range 8 {
 		groups[f.acquire(t, want()).Group] = true
 	}
 	qt.Check(t, groups["g-near"], qt.IsTrue, qt.Commentf("it is taken back"))
 }
+
+func TestColdEndpointsGetFewRequestsAtOnce(t *testing.T) {
+	const perSecond = 4
+	cold := &picker.Want{Service: "plain", ColdPerSecond: perSecond, ColdFor: time.Hour}
+	taken := func(f *fleet) int {
+		for n := range 10 {
+			if _, err := f.picker.Acquire(context.Background(), cold); err != nil {
+				return n
+			}
+		}
+		return 10
+	}
+	f := newFleet()
+	f.directory.Apply([]*endpoint.Endpoint{{ID: "p", Service: "plain", Zone: "near", ColdLeft: time.Hour}}, nil, time.Now())
+	qt.Check(t, taken(f), qt.Equals, perSecond/2, qt.Commentf("it is listed as cold"))
+	f = newFleet()
+	f.directory.Apply([]*endpoint.Endpoint{{ID: "p", Service: "plain", Zone: "near"}}, nil, time.Now())
+	qt.Check(t, taken(f), qt.Equals, 10)
+	f = newFleet()
+	f.directory.Apply([]*endpoint.Endpoint{{ID: "p", Service: "plain", Zone: "near"}}, nil, time.Now())
+	f.directory.Evacuate(map[string]bool{"near": true}, time.Now())
+	qt.Check(t, taken(f), qt.Equals, 0)
+	f.directory.Evacuate(nil, time.Now())
+	qt.Check(t, taken(f), qt.Equals, perSecond/2, qt.Commentf("its data centre was taken back just now"))
+}
--- a/internal/picker/want.go
+++ b/internal/picker/want.go
@@ -24,10 +24,14 @@
 	PromptTokens int
 	Objective    time.Duration
 	Engine       engine.Model // how a group of the model works; zero if it is not known
-	Priority     int          // 0 is the most urgent
-	Workspace    string
-	Exclude      []string // groups and endpoints that have failed the request
-	Patience     time.Duration
+	// ColdFor is how long an endpoint of the service is cold after its start, and ColdPerSecond how many requests a second it
+	// bears then; zero if it bears as many as any.
+	ColdFor       time.Duration
+	ColdPerSecond float64
+	Priority      int // 0 is the most urgent
+	Workspace     string
+	Exclude       []string // groups and endpoints that have failed the request
+	Patience      time.Duration
 }
 
 func (w *Want) excludes(key string) bool {
@@ -38,3 +42,10 @@
 	}
 	return false
 }
+
+// coldSeconds is for how many seconds' requests a cold endpoint has room at once. What other nodes have sent there is known
+// some 0.2 s later, and half a second's leaves room for what they send meanwhile within what it bears in one.
+const coldSeconds = 0.5
+
+// coldLimit is how many requests a cold endpoint may have.
+func (w *Want) coldLimit() int { return max(1, int(coldSeconds*w.ColdPerSecond)) }
--- a/internal/server/changes.go
+++ b/internal/server/changes.go
@@ -78,7 +78,7 @@
 	for _, o := range n.follower.Mirror.List(keys.Evacuations) {
 		dataCentres[strings.TrimPrefix(o.Key, keys.Evacuations)] = true
 	}
-	n.directory.Evacuate(dataCentres)
+	n.directory.Evacuate(dataCentres, clock.Now())
 	n.picker.Review()
 	_ = level.Info(n.logger).Log("msg", "data centres out of use", "data_centres", slices.Sorted(maps.Keys(dataCentres)))
 }
