--- /dev/null
+++ b/internal/quarantine/bench_test.go
@@ -0,0 +1,45 @@
+package quarantine_test
+
+import (
+	"bytes"
+	"runtime"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/quarantine"
+)
+
+// BenchmarkRequest is what each request costs: its fingerprint, whether it is held back, and that it was answered.
+func BenchmarkRequest(b *testing.B) {
+	table := quarantine.NewTable()
+	for f := range quarantine.Fingerprint(1000) {
+		ended(table, 1, 3, f)
+	}
+	c := quarantine.Content{Workspace: "w", Host: "h", Method: "POST", Target: "/a/b", Body: bytes.Repeat([]byte("x"), 2000)}
+	now := time.Now()
+	for b.Loop() {
+		f := c.Fingerprint()
+		table.Held(f, now)
+		table.Answered(f, now)
+	}
+}
+
+func TestFullTableTakesLessThanAMegabyte(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	table := quarantine.NewTable()
+	for f := range quarantine.Fingerprint(2000) {
+		ended(table, 1, 16, f)
+		table.Answered(1<<20+f, time.Now())
+		table.Answered(1<<21+f, time.Now())
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	kept := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	t.Logf("%d KB", kept/1024)
+	qt.Check(t, kept < 1<<20, qt.IsTrue, qt.Commentf("%d bytes", kept))
+	runtime.KeepAlive(table)
+}
