Count endpoints of one domain that end at once as one incident

A request that callers repeat before it was answered may run at several endpoints of a rack when that is lost, while the rest of its domain lives: three ends, none of them its own. Endings carry their domain and age now; those within half a second count once. TestEndpointsThatAreLostTogetherCountOnce fails before.

--- a/internal/gossip/quarantine.go
+++ b/internal/gossip/quarantine.go
@@ -38,7 +38,7 @@
 		records = append(records, n.Quarantine.Suspected(recordsABeat)...)
 	}
 	for _, r := range records {
-		b.Quarantine = append(b.Quarantine, recordToWire(r))
+		b.Quarantine = append(b.Quarantine, recordToWire(r, now))
 	}
 	b.QuarantineTo, b.QuarantineSeen, b.QuarantineDigest = reached, s.taken, n.Quarantine.Digest()
 }
@@ -85,7 +85,7 @@
 	if len(b.Quarantine) > 0 {
 		records := make([]quarantine.Record, 0, len(b.Quarantine))
 		for _, w := range b.Quarantine {
-			records = append(records, recordFromWire(w))
+			records = append(records, recordFromWire(w, asOf))
 		}
 		held = n.Quarantine.Merge(records, quarantine.Source{VM: b.Vm, Relay: b.Relay}, asOf)
 	}
@@ -98,18 +98,18 @@
 	return held
 }
 
-func recordToWire(r quarantine.Record) *gossippb.QuarantineRecord {
+func recordToWire(r quarantine.Record, now time.Time) *gossippb.QuarantineRecord {
 	s := &gossippb.QuarantineRecord{Fingerprint: uint64(r.Fingerprint), Answered: r.Answered, HoldMs: wholeMillis(r.Hold), AgeMs: wholeMillis(r.Age)}
 	for _, e := range r.Endings {
-		s.Endings = append(s.Endings, uint32(e))
+		s.Endings = append(s.Endings, &gossippb.Ending{Life: e.Life, Domain: e.Domain, AgeMs: wholeMillis(max(0, now.Sub(e.At)))})
 	}
 	return s
 }
 
-func recordFromWire(s *gossippb.QuarantineRecord) quarantine.Record {
+func recordFromWire(s *gossippb.QuarantineRecord, asOf time.Time) quarantine.Record {
 	r := quarantine.Record{Fingerprint: quarantine.Fingerprint(s.Fingerprint), Answered: s.Answered, Hold: millis(s.HoldMs), Age: millis(s.AgeMs)}
 	for _, e := range s.Endings {
-		r.Endings = append(r.Endings, quarantine.Ending(e))
+		r.Endings = append(r.Endings, quarantine.Ending{Life: e.Life, Domain: e.Domain, At: asOf.Add(-millis(e.AgeMs))})
 	}
 	return r
 }
--- a/internal/gossip/quarantine_test.go
+++ b/internal/gossip/quarantine_test.go
@@ -35,14 +35,19 @@
 	}
 }
 
-// end lets an endpoint end that had the deadly request at one node and other requests at others.
+// endingOf returns the ending of an endpoint in one of six domains.
+func endingOf(number int) quarantine.Ending {
+	return quarantine.Ending{Life: uint32(number), Domain: uint32(number % 6), At: time.Now()}
+}
+
+// ending lets an endpoint end that had the deadly request at one node and other requests at others.
 func (f *largeFleet) ending(number int, deadlyAt int) {
-	if f.nodes[deadlyAt].Quarantine.Ended(quarantine.Ending(number), []quarantine.Fingerprint{deadly}, time.Now()) {
+	if f.nodes[deadlyAt].Quarantine.Ended(endingOf(number), []quarantine.Fingerprint{deadly}, time.Now()) {
 		f.nodes[deadlyAt].Kick()
 	}
 	for i := range runningThere - 1 {
 		other := quarantine.Fingerprint(1000*number + i)
-		f.nodes[(deadlyAt+i*7919)%len(f.nodes)].Quarantine.Ended(quarantine.Ending(number), []quarantine.Fingerprint{other}, time.Now())
+		f.nodes[(deadlyAt+i*7919)%len(f.nodes)].Quarantine.Ended(endingOf(number), []quarantine.Fingerprint{other}, time.Now())
 	}
 }
 
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -27,7 +27,7 @@
 
 // entry is what a Table keeps of one request.
 type entry struct {
-	endings  []Ending
+	endings  []Ending // in order of time
 	answered bool
 	until    time.Time // held back until then
 	touched  time.Time // when the last ending or answer was noted, by whichever node
@@ -42,26 +42,32 @@
 	Relay bool   // it tells all other relays, too
 }
 
-// holdFor is how long a request is held back under which that many endpoints have ended.
+// holdFor is how long a request is held back under which endpoints have ended that many times.
 func holdFor(endings int) time.Duration {
 	return min(firstHold<<min(max(0, endings-endingsToHold), maxEndings), mostHold)
 }
 
 // add takes in an ending and reports whether it is new.
 func (e *entry) add(ending Ending) bool {
-	if len(e.endings) >= maxEndings || slices.Contains(e.endings, ending) {
+	if len(e.endings) >= maxEndings || e.has(ending) {
 		return false
 	}
 	e.endings = append(e.endings, ending)
+	slices.SortStableFunc(e.endings, func(a, b Ending) int { return a.At.Compare(b.At) })
 	return true
 }
 
+// has reports whether that life of an endpoint has ended under the request.
+func (e *entry) has(ending Ending) bool {
+	return slices.ContainsFunc(e.endings, func(known Ending) bool { return known.Life == ending.Life })
+}
+
 // suspected reports whether enough endpoints have ended under the request and none has answered it.
-func (e *entry) suspected() bool { return !e.answered && len(e.endings) >= endingsToHold }
+func (e *entry) suspected() bool { return !e.answered && incidents(e.endings) >= endingsToHold }
 
 // prolong holds the request back from now on for as long as its endings say, and at least as long as before.
 func (e *entry) prolong(now time.Time) {
-	if until := now.Add(holdFor(len(e.endings))); e.suspected() && until.After(e.until) {
+	if until := now.Add(holdFor(incidents(e.endings))); e.suspected() && until.After(e.until) {
 		e.until = until
 	}
 }
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -139,8 +139,13 @@
 // digest stands for the request and its endings, in whatever order they were noted.
 func (e *entry) digest(f Fingerprint) uint64 {
 	content := binary.BigEndian.AppendUint64(nil, uint64(f))
-	for _, ending := range slices.Sorted(slices.Values(e.endings)) {
-		content = binary.BigEndian.AppendUint32(content, uint32(ending))
+	lives := make([]uint32, 0, len(e.endings))
+	for _, ending := range e.endings {
+		lives = append(lives, ending.Life)
+	}
+	slices.Sort(lives)
+	for _, life := range lives {
+		content = binary.BigEndian.AppendUint32(content, life)
 	}
 	return xxhash.Sum64(content)
 }
--- a/internal/quarantine/inquiry.go
+++ b/internal/quarantine/inquiry.go
@@ -58,7 +58,7 @@
 	Logger log.Logger
 
 	mu   sync.Mutex
-	open map[Ending]*inquest
+	open map[uint32]*inquest      // by the endpoint's life
 	left map[string][]leftRequest // by the endpoint's id
 }
 
@@ -81,17 +81,16 @@
 // Failed takes in that the connection to an endpoint broke while it had the request.
 func (q *Inquiry) Failed(e *endpoint.Endpoint, f Fingerprint) {
 	now := clock.Now()
-	ending := EndingOf(e)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	o := q.open[ending]
+	o := q.open[lifeOf(e)]
 	switch {
 	case o == nil || !o.fresh(now):
-		q.begin(e, ending, f)
+		q.begin(e, f)
 	case o.found == "":
 		o.requests = append(o.requests, f)
 	case o.found == endedAlone:
-		q.Table.Ended(ending, []Fingerprint{f}, now)
+		q.Table.Ended(EndingOf(e, o.at), []Fingerprint{f}, now)
 	}
 }
 
@@ -115,8 +114,8 @@
 func (q *Inquiry) Refused(e *endpoint.Endpoint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if ending := EndingOf(e); len(q.stillLeft(e.ID, clock.Now())) > 0 && q.open[ending] == nil {
-		q.begin(e, ending)
+	if len(q.stillLeft(e.ID, clock.Now())) > 0 && q.open[lifeOf(e)] == nil {
+		q.begin(e)
 	}
 }
 
@@ -129,9 +128,9 @@
 			delete(q.left, id)
 		}
 	}
-	for ending, o := range q.open {
+	for life, o := range q.open {
 		if !o.fresh(now) {
-			delete(q.open, ending)
+			delete(q.open, life)
 		}
 	}
 }
@@ -142,24 +141,24 @@
 }
 
 // begin opens an inquest; the lock is held.
-func (q *Inquiry) begin(e *endpoint.Endpoint, ending Ending, requests ...Fingerprint) {
+func (q *Inquiry) begin(e *endpoint.Endpoint, requests ...Fingerprint) {
 	if q.open == nil {
-		q.open = make(map[Ending]*inquest)
+		q.open = make(map[uint32]*inquest)
 	}
-	q.open[ending] = &inquest{requests: requests}
-	go q.conclude(e, ending)
+	q.open[lifeOf(e)] = &inquest{requests: requests}
+	go q.conclude(e, clock.Now())
 }
 
-// conclude finds out whether the endpoint has ended by itself and notes it against its requests.
-func (q *Inquiry) conclude(e *endpoint.Endpoint, ending Ending) {
+// conclude finds out whether the endpoint has ended by itself and notes it against its requests, as of when that was noticed.
+func (q *Inquiry) conclude(e *endpoint.Endpoint, noticed time.Time) {
 	found := q.reason(e)
 	now := clock.Now()
 	q.mu.Lock()
-	o := q.open[ending]
+	o := q.open[lifeOf(e)]
 	requests := o.requests
-	o.found, o.at, o.requests = found, now, nil
+	o.found, o.at, o.requests = found, noticed, nil
 	if found == stillAlive {
-		delete(q.open, ending) // it may end any moment
+		delete(q.open, lifeOf(e)) // it may end any moment
 		q.mu.Unlock()
 		return
 	}
@@ -169,7 +168,7 @@
 	q.mu.Unlock()
 	q.tell(e, found, requests)
 	if found == endedAlone {
-		q.Noted(q.Table.Ended(ending, requests, now))
+		q.Noted(q.Table.Ended(EndingOf(e, noticed), requests, now))
 	}
 }
 
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -101,7 +101,7 @@
 
 // take merges the store's list into the table.
 func (k *Keeper) take(o infra.Object) {
-	records, err := Records(o.Value)
+	records, err := Records(o.Value, clock.Now())
 	if err != nil {
 		_ = level.Error(k.Logger).Log("msg", "the list of held requests cannot be read and is replaced", "key", o.Key, "err", err)
 		return
@@ -120,7 +120,7 @@
 	if !k.changed(holds, now) {
 		return
 	}
-	outcome, version, err := k.Objects.Put(ctx, keys.Held, Keep(holds), k.version)
+	outcome, version, err := k.Objects.Put(ctx, keys.Held, Keep(holds, now), k.version)
 	if outcome != infra.Applied {
 		k.tenure = 0 // read it again: another leader may have written, or the answer was lost
 		_ = level.Warn(k.Logger).Log("msg", "the list of held requests was not written", "key", keys.Held, "err", err)
@@ -152,7 +152,7 @@
 
 // writtenIn returns what the store's list holds.
 func writtenIn(o infra.Object) map[Fingerprint]keptHold {
-	records, err := Records(o.Value)
+	records, err := Records(o.Value, clock.Now())
 	if err != nil {
 		return nil // said where it was taken in
 	}
--- a/internal/quarantine/kept.go
+++ b/internal/quarantine/kept.go
@@ -23,24 +23,35 @@
 // KeptRequest is one held request. Clocks of different lives cannot be compared, so what was left of its hold counts from
 // when it is read again.
 type KeptRequest struct {
-	Fingerprint string   `json:"fingerprint"`
-	Endings     []Ending `json:"endings"`
-	HoldMillis  int64    `json:"hold_ms"`
+	Fingerprint string       `json:"fingerprint"`
+	Endings     []KeptEnding `json:"endings"`
+	HoldMillis  int64        `json:"hold_ms"`
+}
+
+// KeptEnding is one Ending, with its age when it was written.
+type KeptEnding struct {
+	Life      uint32 `json:"life"`
+	Domain    uint32 `json:"domain"`
+	AgeMillis int64  `json:"age_ms"`
 }
 
 // Keep returns the records as they are kept, those under which most endpoints have ended first.
-func Keep(records []Record) Kept {
+func Keep(records []Record, now time.Time) Kept {
 	sorted := slices.Clone(records)
 	slices.SortStableFunc(sorted, func(a, b Record) int { return len(b.Endings) - len(a.Endings) })
 	k := Kept{Requests: []KeptRequest{}}
 	for _, r := range sorted[:min(len(sorted), maxKept)] {
-		k.Requests = append(k.Requests, KeptRequest{r.Fingerprint.String(), r.Endings, r.Hold.Milliseconds()})
+		kept := KeptRequest{Fingerprint: r.Fingerprint.String(), HoldMillis: r.Hold.Milliseconds()}
+		for _, e := range r.Endings {
+			kept.Endings = append(kept.Endings, KeptEnding{e.Life, e.Domain, now.Sub(e.At).Milliseconds()})
+		}
+		k.Requests = append(k.Requests, kept)
 	}
 	return k
 }
 
-// Records reads a kept list.
-func Records(content []byte) ([]Record, error) {
+// Records reads a kept list as of now.
+func Records(content []byte, now time.Time) ([]Record, error) {
 	var k Kept
 	if err := json.Unmarshal(content, &k); err != nil {
 		return nil, keptError.Wrap(err)
@@ -52,7 +63,12 @@
 			return nil, keptError.New("fingerprint %q is no number of 16 hexadecimal digits", r.Fingerprint)
 		}
 		hold := min(time.Duration(r.HoldMillis)*time.Millisecond, mostHold)
-		out = append(out, Record{Fingerprint: Fingerprint(f), Endings: r.Endings, Hold: hold})
+		record := Record{Fingerprint: Fingerprint(f), Hold: hold}
+		for _, e := range r.Endings {
+			at := now.Add(-time.Duration(e.AgeMillis) * time.Millisecond)
+			record.Endings = append(record.Endings, Ending{Life: e.Life, Domain: e.Domain, At: at})
+		}
+		out = append(out, record)
 	}
 	return out, nil
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -8,13 +8,44 @@
 	"moorrun.dev/moorrun/internal/endpoint"
 )
 
-// Ending stands for the end of one life of an endpoint, by four bytes of a hash. That two endings of the few under one
-// request are taken for one happens once in some 10^9.
-type Ending uint32
+// Ending is the end of one life of an endpoint. Life and Domain are four bytes of a hash each: that two lives of the few
+// under one request are taken for one happens once in some 10^9.
+type Ending struct {
+	Life   uint32
+	Domain uint32 // what is lost together with it: its fabric domain, or its data centre if it is in none
+	At     time.Time
+}
+
+// EndingOf returns the ending of that life of the endpoint, noticed at that instant.
+func EndingOf(e *endpoint.Endpoint, at time.Time) Ending {
+	domain := "domain/" + e.Domain
+	if e.Domain == "" {
+		domain = "data centre/" + e.Zone
+	}
+	return Ending{Life: lifeOf(e), Domain: hash(domain), At: at}
+}
+
+func lifeOf(e *endpoint.Endpoint) uint32 { return hash(e.ID) }
+
+func hash(s string) uint32 { return uint32(xxhash.Sum64String(s)) } //nolint:gosec // four bytes are wanted
+
+// together is within what endpoints of one domain end that are lost together, such as those of a rack. Endings are told with
+// an age that is some tenths of a second off.
+const together = 500 * time.Millisecond
 
-// EndingOf returns the ending of that life of the endpoint.
-func EndingOf(e *endpoint.Endpoint) Ending {
-	return Ending(xxhash.Sum64String(e.ID)) //nolint:gosec // four bytes are wanted
+// incidents counts endings, and those of one domain at about the same time as one. They are in order of time.
+func incidents(endings []Ending) int {
+	count := 0
+	last := make(map[uint32]time.Time, len(endings)) // that was counted, by domain
+	for _, e := range endings {
+		at, known := last[e.Domain]
+		if known && e.At.Sub(at) < together {
+			continue
+		}
+		last[e.Domain] = e.At
+		count++
+	}
+	return count
 }
 
 // maxEndings bounds the endings kept of one request. It is held back long before; more of them say for how long, and which
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -135,7 +135,7 @@
 		return 0, false
 	}
 	left := e.until.Sub(now)
-	if hold := holdFor(len(e.endings)); left < time.Duration(renewFrom*float64(hold)) {
+	if hold := holdFor(incidents(e.endings)); left < time.Duration(renewFrom*float64(hold)) {
 		e.until = now.Add(hold)
 		t.store(f, e, Source{}, now)
 		left = hold
@@ -149,20 +149,20 @@
 	if !e.suspected() || !now.Before(e.until) {
 		return false
 	}
-	own := 0
+	var own []Ending
 	for _, ending := range e.endings {
 		if !t.explained(ending, e) {
-			own++
+			own = append(own, ending)
 		}
 	}
-	return own >= endingsToHold
+	return incidents(own) >= endingsToHold
 }
 
 // explained reports whether another request has ended the endpoint as far as can be known: one that is suspected itself,
 // of more endings. Whoever shared endpoints with a request that ends them is not held back for it.
 func (t *Table) explained(ending Ending, e *entry) bool {
 	for _, other := range t.entries {
-		if other.suspected() && len(other.endings) > len(e.endings) && slices.Contains(other.endings, ending) {
+		if other.suspected() && len(other.endings) > len(e.endings) && other.has(ending) {
 			return true
 		}
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -16,10 +16,15 @@
 	other  = quarantine.Fingerprint(2)
 )
 
+// ending returns the ending of an endpoint in a domain of its own.
+func ending(i int) quarantine.Ending {
+	return quarantine.Ending{Life: uint32(i), Domain: uint32(i), At: time.Now()}
+}
+
 // ended notes endings under the requests, from one number to another.
 func ended(t *quarantine.Table, from, to int, requests ...quarantine.Fingerprint) {
 	for i := from; i <= to; i++ {
-		t.Ended(quarantine.Ending(i), requests, time.Now())
+		t.Ended(ending(i), requests, time.Now())
 	}
 }
 
@@ -61,7 +66,7 @@
 		},
 		"before another node told of endings": func(table *quarantine.Table) {
 			table.Answered(other, time.Now())
-			table.Merge([]quarantine.Record{{Fingerprint: other, Endings: []quarantine.Ending{1, 2, 3}}}, quarantine.Source{VM: "b"}, time.Now())
+			table.Merge([]quarantine.Record{{Fingerprint: other, Endings: []quarantine.Ending{ending(1), ending(2), ending(3)}}}, quarantine.Source{VM: "b"}, time.Now())
 		},
 	} {
 		table := quarantine.NewTable()
@@ -107,7 +112,7 @@
 	table := quarantine.NewTable()
 	ended(table, 1, 3, deadly)
 	for f := range quarantine.Fingerprint(3_000) {
-		table.Ended(9, []quarantine.Fingerprint{100 + f}, time.Now())
+		table.Ended(ending(9), []quarantine.Fingerprint{100 + f}, time.Now())
 	}
 	qt.Check(t, isHeld(table, deadly), qt.IsTrue)
 	all, _ := table.Since(0, everything, 1<<20)
@@ -149,3 +154,25 @@
 	tables[0].Merge(all, quarantine.Source{VM: name(1)}, time.Now())
 	qt.Check(t, tables[0].Sequence(), qt.Equals, before, qt.Commentf("what is known is not passed on again"))
 }
+
+// Callers repeat a request before it was answered, so that several endpoints of a rack have it when that is lost.
+func TestEndpointsThatAreLostTogetherCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := quarantine.NewTable()
+		end := func(life int, domain uint32) {
+			e := ending(life)
+			e.Domain = domain
+			table.Ended(e, []quarantine.Fingerprint{other}, time.Now())
+		}
+		for life := range 5 {
+			end(life, 1)
+			time.Sleep(30 * time.Millisecond)
+		}
+		qt.Check(t, isHeld(table, other), qt.IsFalse)
+		time.Sleep(time.Second)
+		end(10, 1)
+		qt.Check(t, isHeld(table, other), qt.IsFalse, qt.Commentf("two incidents"))
+		end(11, 2)
+		qt.Check(t, isHeld(table, other), qt.IsTrue, qt.Commentf("another domain is another incident"))
+	})
+}
