Take no endpoint for dead whose data centre is out of sight

An endpoint in a data centre of which no node is heard, while some were lately, proves nothing by silence now. What it costs: where nodes and endpoints of a data centre are lost together, members elsewhere of their groups would wait 40 s; domains lie within one.

--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -84,6 +84,7 @@
 	ownAt      time.Time
 	ownStale   bool // a node of it has said something that is passed on at once
 	seen       map[string]time.Time
+	zoneSeen   map[string]time.Time // a live node of that data centre was last known
 	relaying   bool
 	subscribed []string // addresses of the relays that this node reports and subscribes to
 	last       Status   // what this node said last
@@ -100,7 +101,7 @@
 func NewNode(self Identity, conn Conn, status func(now time.Time) Status) *Node {
 	return &Node{
 		self: self, conn: conn, status: status, peers: make(map[string]*contact), rosters: make(map[uint64]*roster),
-		seen: make(map[string]time.Time), kick: make(chan struct{}, 1),
+		seen: make(map[string]time.Time), zoneSeen: make(map[string]time.Time), kick: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -35,6 +35,7 @@
 	out := make([]*Peer, 0, len(found))
 	for _, p := range found {
 		n.seen[p.VM] = now
+		n.zoneSeen[p.Zone] = now
 		out = append(out, p)
 	}
 	slices.SortFunc(out, func(a, b *Peer) int { return cmp.Compare(a.VM, b.VM) })
@@ -58,6 +59,17 @@
 	}
 }
 
+// OutOfSight reports whether a data centre had live nodes lately and none is live now: nobody can tell then what goes on
+// there, because those who could do not hear the question or are not heard.
+func (n *Node) OutOfSight(dataCentre string, now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	live := n.live(now)
+	at, known := n.zoneSeen[dataCentre]
+	inSight := dataCentre == n.self.Zone || slices.ContainsFunc(live, func(p *Peer) bool { return p.Zone == dataCentre })
+	return known && !inSight && now.Sub(at) < forgetAfter
+}
+
 // Known returns how many other nodes have been heard and are not forgotten.
 func (n *Node) Known(now time.Time) int {
 	n.mu.Lock()
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -105,8 +105,13 @@
 	return n.platform.Engine.Ask(ctx, &endpoint.Endpoint{ID: id, Address: address}).Heard()
 }
 
-// heardElsewhere asks other nodes, in a large fleet some by chance, whether an endpoint answers them.
+// heardElsewhere asks other nodes, in a large fleet some by chance, whether an endpoint answers them. One in a data centre
+// of which no node is heard any more counts as heard: packets may pass one way only, and then it serves on while it seems
+// silent to everybody else. Its group's members must not join others meanwhile.
 func (n *Server) heardElsewhere(ctx context.Context, e *endpoint.Endpoint) bool {
+	if n.gossip.OutOfSight(e.Zone, clock.Now()) {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeWait)
 	defer cancel()
 	var g errgroup.Group
