Count an endpoint that took a request up after another had ended by itself

What is lost together is lost before a request is sent on, so the ending of its second endpoint is an incident of its own.

--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -42,7 +42,7 @@
 	case ctx.Err() != nil, errors.Is(err, errHedged), errors.Is(err, errStandsStill), errors.Is(err, errCaller):
 		inquiry.Left(place.Endpoint, f.fingerprint)
 	default:
-		inquiry.Failed(place.Endpoint, f.fingerprint)
+		inquiry.Failed(place.Endpoint, f.fingerprint, f.sends > 1)
 	}
 }
 
--- a/internal/quarantine/inquiry.go
+++ b/internal/quarantine/inquiry.go
@@ -65,8 +65,9 @@
 // inquest is the question of one endpoint's end.
 type inquest struct {
 	requests []Fingerprint
-	found    reason    // empty while it is open
-	at       time.Time // of the finding
+	resent   []Fingerprint // that another endpoint had failed before
+	found    reason        // empty while it is open
+	at       time.Time     // of the finding
 }
 
 // fresh reports whether what was found still holds for a connection that breaks now.
@@ -78,19 +79,22 @@
 	at          time.Time
 }
 
-// Failed takes in that the connection to an endpoint broke while it had the request.
-func (q *Inquiry) Failed(e *endpoint.Endpoint, f Fingerprint) {
+// Failed takes in that the connection to an endpoint broke while it had the request; resent says that it was sent there
+// after another endpoint had failed it.
+func (q *Inquiry) Failed(e *endpoint.Endpoint, f Fingerprint, resent bool) {
 	now := clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	o := q.open[lifeOf(e)]
 	switch {
 	case o == nil || !o.fresh(now):
-		q.begin(e, f)
+		q.begin(e).add(f, resent)
 	case o.found == "":
-		o.requests = append(o.requests, f)
+		o.add(f, resent)
 	case o.found == endedAlone:
-		q.Table.Ended(EndingOf(e, o.at), []Fingerprint{f}, now)
+		late := &inquest{}
+		late.add(f, resent)
+		q.note(e, late, o.at, now)
 	}
 }
 
@@ -141,12 +145,29 @@
 }
 
 // begin opens an inquest; the lock is held.
-func (q *Inquiry) begin(e *endpoint.Endpoint, requests ...Fingerprint) {
+func (q *Inquiry) begin(e *endpoint.Endpoint) *inquest {
 	if q.open == nil {
 		q.open = make(map[uint32]*inquest)
 	}
-	q.open[lifeOf(e)] = &inquest{requests: requests}
+	o := &inquest{}
+	q.open[lifeOf(e)] = o
 	go q.conclude(e, clock.Now())
+	return o
+}
+
+func (o *inquest) add(f Fingerprint, resent bool) {
+	if resent {
+		o.resent = append(o.resent, f)
+		return
+	}
+	o.requests = append(o.requests, f)
+}
+
+// note notes the endpoint's end against the requests, and reports whether one of them begins to be held back.
+func (q *Inquiry) note(e *endpoint.Endpoint, o *inquest, noticed, now time.Time) bool {
+	ending := EndingOf(e, noticed)
+	held := q.Table.Ended(ending, o.requests, now)
+	return q.Table.Ended(ending.apart(), o.resent, now) || held
 }
 
 // conclude finds out whether the endpoint has ended by itself and notes it against its requests, as of when that was noticed.
@@ -155,20 +176,20 @@
 	now := clock.Now()
 	q.mu.Lock()
 	o := q.open[lifeOf(e)]
-	requests := o.requests
-	o.found, o.at, o.requests = found, noticed, nil
+	had := &inquest{requests: o.requests, resent: o.resent}
+	*o = inquest{found: found, at: noticed}
 	if found == stillAlive {
 		delete(q.open, lifeOf(e)) // it may end any moment
 		q.mu.Unlock()
 		return
 	}
 	for _, l := range q.stillLeft(e.ID, now) {
-		requests = append(requests, l.fingerprint)
+		had.add(l.fingerprint, false)
 	}
 	q.mu.Unlock()
-	q.tell(e, found, requests)
+	q.tell(e, found, slices.Concat(had.requests, had.resent))
 	if found == endedAlone {
-		q.Noted(q.Table.Ended(EndingOf(e, noticed), requests, now))
+		q.Noted(q.note(e, had, noticed, now))
 	}
 }
 
--- a/internal/quarantine/inquiry_test.go
+++ b/internal/quarantine/inquiry_test.go
@@ -93,8 +93,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				d := newDomain(domainName, 5)
 				c.play(d)
-				d.Failed(d.list[0], deadly)
-				d.Failed(d.list[0], deadly)
+				d.Failed(d.list[0], deadly, false)
+				d.Failed(d.list[0], deadly, false)
 				qt.Check(t, d.endings(deadly), qt.Equals, c.want, qt.Commentf("%s, domain %q", name, domainName))
 			})
 		}
@@ -107,7 +107,7 @@
 		d := newDomain("d", 6)
 		d.lose(quarantine.Ended, 0, 1, 2, 3, 4, 5)
 		for _, e := range d.list {
-			d.Failed(e, other)
+			d.Failed(e, other, false)
 		}
 		synctest.Wait()
 		_, held := d.Table.Held(other, time.Now())
@@ -123,7 +123,7 @@
 			again.ID = endpoint.Life(again.ID, int64(100+life))
 			d.Directory.Apply([]*endpoint.Endpoint{&again}, nil, time.Now())
 			d.findings[again.ID] = quarantine.Ended
-			d.Failed(&again, deadly)
+			d.Failed(&again, deadly, false)
 			synctest.Wait()
 			time.Sleep(3 * time.Second)
 		}
@@ -157,11 +157,25 @@
 		d := newDomain("d", 5)
 		d.lose(quarantine.Ended, 0)
 		for f := range quarantine.Fingerprint(17) {
-			d.Failed(d.list[0], f)
+			d.Failed(d.list[0], f, false)
 		}
 		qt.Check(t, d.endings(0), qt.Equals, 1)
-		d.Failed(d.list[0], 17)
+		d.Failed(d.list[0], 17, false)
 		qt.Check(t, d.endings(17), qt.Equals, 1, qt.Commentf("a connection that breaks a moment later"))
 		qt.Check(t, d.asked, qt.Equals, 2, qt.Commentf("the endpoint, and one beside it"))
 	})
 }
+
+// Of a request's two sendings the second is made after the first endpoint has ended; both ended under it.
+func TestEndOfAnEndpointThatTookTheRequestUpCountsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDomain("d", 8)
+		d.lose(quarantine.Ended, 0, 1, 2)
+		d.Failed(d.list[0], deadly, false)
+		d.Failed(d.list[1], deadly, true)
+		d.Failed(d.list[2], deadly, true)
+		synctest.Wait()
+		_, held := d.Table.Held(deadly, time.Now())
+		qt.Check(t, held, qt.IsTrue)
+	})
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -25,6 +25,13 @@
 	return Ending{Life: lifeOf(e), Domain: hash(domain), At: at}
 }
 
+// apart returns the ending as an incident of its own: of an endpoint to which the request was sent after another one had
+// failed it. What is lost together is lost before that.
+func (e Ending) apart() Ending {
+	e.Domain = e.Life
+	return e
+}
+
 func lifeOf(e *endpoint.Endpoint) uint32 { return hash(e.ID) }
 
 func hash(s string) uint32 { return uint32(xxhash.Sum64String(s)) } //nolint:gosec // four bytes are wanted
