--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -36,12 +36,6 @@
 	found    uint64    // sequence at the last change that no relay has told of, so that all others need to be told
 }
 
-// Source is the node that has told of a change.
-type Source struct {
-	VM    string // empty if the change was found here
-	Relay bool   // it tells all other relays, too
-}
-
 // holdFor is how long a request is held back under which endpoints have ended that many times.
 func holdFor(endings int) time.Duration {
 	return min(firstHold<<min(max(0, endings-endingsToHold), maxEndings), mostHold)
--- a/internal/quarantine/inquiry.go
+++ b/internal/quarantine/inquiry.go
@@ -20,9 +20,6 @@
 	// neighbours is how many endpoints beside one that has ended are asked at the most. One that answers shows that the
 	// fabric domain lives, and mostly it is the first.
 	neighbours = 3
-	// findingFor is how long it is remembered that an endpoint has ended: the connections of its requests do not all break at
-	// the same instant.
-	findingFor = time.Second
 	// leftFor is how long after a request was given up its endpoint may end under it: it ends when it begins to run it, and
 	// waits for its place in a batch before.
 	leftFor = 2 * time.Second
@@ -32,18 +29,6 @@
 	maxNamed = 20
 )
 
-// Finding is what asking an endpoint has shown.
-type Finding uint8
-
-const (
-	// Alive means that it answered.
-	Alive Finding = iota + 1
-	// Ended means that nothing listens there any more, or another endpoint does.
-	Ended
-	// Unknown means that nothing came: it may be cut off, suspended or without power.
-	Unknown
-)
-
 // Inquiry finds out why connections to endpoints have broken. An endpoint's end counts against the requests that it was
 // running only if there is no other reason to be seen: it was not about to leave, and its fabric domain lives. A silent
 // endpoint has not ended as far as can be known.
@@ -62,17 +47,6 @@
 	left map[string][]leftRequest // by the endpoint's id
 }
 
-// inquest is the question of one endpoint's end.
-type inquest struct {
-	requests []Fingerprint
-	resent   []Fingerprint // that another endpoint had failed before
-	found    reason        // empty while it is open
-	at       time.Time     // of the finding
-}
-
-// fresh reports whether what was found still holds for a connection that breaks now.
-func (o *inquest) fresh(now time.Time) bool { return o.found == "" || now.Sub(o.at) < findingFor }
-
 // leftRequest is a request that was given up before its endpoint had answered.
 type leftRequest struct {
 	fingerprint Fingerprint
@@ -155,14 +129,6 @@
 	return o
 }
 
-func (o *inquest) add(f Fingerprint, resent bool) {
-	if resent {
-		o.resent = append(o.resent, f)
-		return
-	}
-	o.requests = append(o.requests, f)
-}
-
 // note notes the endpoint's end against the requests, and reports whether one of them begins to be held back.
 func (q *Inquiry) note(e *endpoint.Endpoint, o *inquest, noticed, now time.Time) bool {
 	ending := EndingOf(e, noticed)
@@ -199,16 +165,6 @@
 		"requests", len(requests), "fingerprints", requests[:min(len(requests), maxNamed)])
 }
 
-// reason is why connections to an endpoint have broken.
-type reason string
-
-const (
-	stillAlive reason = "it lives, or nothing is known"
-	wasLeaving reason = "it was leaving"
-	withDomain reason = "its domain was lost"
-	endedAlone reason = "alone, under its requests"
-)
-
 // reason asks the endpoint and those beside it.
 func (q *Inquiry) reason(e *endpoint.Endpoint) reason {
 	if q.ask(e) != Ended {
