Run many nodes in virtual time over a stand-in network and before a stand-in store

A process takes what it exchanges with others over as a Transport. The network of the gossip's tests is internal/standin/network now and carries connections as well.

--- a/internal/gossip/caller.go
+++ b/internal/gossip/caller.go
@@ -23,20 +23,29 @@
 // errRestarted means that another process answers at the address than was asked.
 var errRestarted = errors.New("the node has started anew")
 
+// Dial connects to another node's peer address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP connects over TCP.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialWait}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // Caller makes calls to other nodes over pooled connections.
 type Caller struct {
+	dial Dial
 	pool *drpcpool.Pool[string, drpcpool.Conn]
 }
 
-// NewCaller returns a Caller.
-func NewCaller() *Caller {
-	return &Caller{drpcpool.New[string, drpcpool.Conn](drpcpool.Options{KeyCapacity: pooledPerPeer, Expiration: pooledFor})}
+// NewCaller returns a Caller that connects by dial.
+func NewCaller(dial Dial) *Caller {
+	return &Caller{dial, drpcpool.New[string, drpcpool.Conn](drpcpool.Options{KeyCapacity: pooledPerPeer, Expiration: pooledFor})}
 }
 
 func (c *Caller) client(ctx context.Context, address string) gossippb.DRPCGossipClient {
 	conn := c.pool.Get(ctx, address, func(ctx context.Context, address string) (drpcpool.Conn, error) {
-		d := net.Dialer{Timeout: dialWait}
-		raw, err := d.DialContext(ctx, "tcp", address)
+		raw, err := c.dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/gossip/caller_test.go
+++ b/internal/gossip/caller_test.go
@@ -22,7 +22,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = NewServer("1", m, nil).Serve(ctx, quiet) }()
-	caller := NewCaller()
+	caller := NewCaller(DialTCP)
 	t.Cleanup(func() { _ = caller.Close() })
 	pull := func(within time.Duration) error {
 		callCtx, end := context.WithTimeout(ctx, within)
--- a/internal/gossip/node_test.go
+++ b/internal/gossip/node_test.go
@@ -103,7 +103,7 @@
 	defer cancel()
 	s := NewServer("x", m, func(_ context.Context, id, _ string) bool { return id == "up" })
 	go func() { _ = s.Serve(ctx, lis) }()
-	c := NewCaller()
+	c := NewCaller(DialTCP)
 	defer c.Close() //nolint:errcheck // the test is over
 	address := lis.Addr().String()
 	sequence, objects, err := c.Pull(ctx, address, "x", 0)
--- a/internal/gossip/quarantine_test.go
+++ b/internal/gossip/quarantine_test.go
@@ -55,7 +55,7 @@
 func (f *largeFleet) holding() int {
 	count := 0
 	for i, n := range f.nodes {
-		if _, held := n.Quarantine.Held(deadly, time.Now()); held && !f.ports[i].cut {
+		if _, held := n.Quarantine.Held(deadly, time.Now()); held && !f.unreachable[i] {
 			count++
 		}
 	}
@@ -88,8 +88,8 @@
 					f.ending(10+i, (i*2711)%size)
 					time.Sleep(time.Second / endingsASecond)
 				}
-				sent := (f.sent().bytes - began.bytes) / size
-				costs := (sent - endingSeconds*calm.bytes) / (endingSeconds * endingsASecond)
+				sent := (f.sent().Bytes - began.Bytes) / size
+				costs := (sent - endingSeconds*calm.Bytes) / (endingSeconds * endingsASecond)
 				t.Logf("an ending of %d requests costs %d bytes a node", runningThere, costs)
 				qt.Check(t, costs < bytesAnEnding, qt.IsTrue, qt.Commentf("%d bytes", costs))
 				f.end()
@@ -108,12 +108,7 @@
 				qt.Check(t, f.settled(size-1), qt.IsTrue)
 				f.cut(true)
 				time.Sleep(3 * time.Second)
-				reachable := 0
-				for _, p := range f.ports {
-					if !p.cut {
-						reachable++
-					}
-				}
+				reachable := len(f.nodes) - len(f.unreachable)
 				for i := range 3 {
 					f.ending(10+i, 3*(i*2711%(size/3)))
 				}
@@ -136,7 +131,7 @@
 		f := newLargeFleet(9)
 		f.quarantined()
 		qt.Check(t, f.settled(8), qt.IsTrue)
-		f.network.part(f.ports[0], f.ports[1])
+		f.network.Part(f.ports[0], f.ports[1])
 		for i, at := range []int{0, 0, 0} {
 			f.ending(10+i, at)
 		}
--- a/internal/gossip/size_test.go
+++ b/internal/gossip/size_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/standin/network"
 )
 
 const (
@@ -25,28 +27,27 @@
 
 // largeFleet runs the gossip of many nodes over a network in a synctest bubble.
 type largeFleet struct {
-	network *network
+	network *network.Network
 	nodes   []*Node
-	ports   []*port
-	stop    context.CancelFunc
-	running sync.WaitGroup
-	before  traffic
+	ports   []*network.Port
+	// unreachable says which nodes are cut off.
+	unreachable map[int]bool
+	stop        context.CancelFunc
+	running     sync.WaitGroup
+	before      network.Traffic
 }
 
-// traffic is what all nodes of a fleet have sent.
-type traffic struct{ datagrams, bytes, farBytes int }
-
 func newLargeFleet(size int) *largeFleet {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &largeFleet{network: newNetwork(), stop: cancel}
+	f := &largeFleet{network: network.New(), unreachable: make(map[int]bool), stop: cancel}
 	for i := range size {
-		p := f.network.open(i)
-		address := p.address.String()
+		p := f.network.Open(i)
+		address := p.Address()
 		id := Identity{
-			VM: fmt.Sprintf("entry-%d", i), Incarnation: fmt.Sprintf("%08x", i), Zone: fmt.Sprintf("data-centre-%d", p.zone),
+			VM: fmt.Sprintf("entry-%d", i), Incarnation: fmt.Sprintf("%08x", i), Zone: fmt.Sprintf("data-centre-%d", p.Zone()),
 			CallerAddress: address, GossipAddress: address, PeerAddress: address, Capacity: 192,
 		}
-		if i < 3*zones {
+		if i < 3*network.DataCentres {
 			id.Capacity = 800
 		}
 		f.ports = append(f.ports, p)
@@ -72,7 +73,7 @@
 	}
 	return func(now time.Time) Status {
 		up := now.Sub(started)
-		s := Status{Serving: up > time.Second, Eligible: true, Uptime: up, ProofAt: now, Idle: i >= usedAZone*zones, Suspects: map[string]time.Time{}}
+		s := Status{Serving: up > time.Second, Eligible: true, Uptime: up, ProofAt: now, Idle: i >= usedAZone*network.DataCentres, Suspects: map[string]time.Time{}}
 		if !s.Idle {
 			s.Loads = loads
 			s.Demands = map[string]Demand{"m": {Running: 3}}
@@ -94,50 +95,52 @@
 }
 
 // during lets some seconds pass and returns what a node sent a second meanwhile, on average.
-func (f *largeFleet) during(seconds int) traffic {
+func (f *largeFleet) during(seconds int) network.Traffic {
 	time.Sleep(time.Duration(seconds) * time.Second)
 	now := f.sent()
 	share := seconds * len(f.nodes)
-	out := traffic{(now.datagrams - f.before.datagrams) / share, (now.bytes - f.before.bytes) / share, (now.farBytes - f.before.farBytes) / share}
+	out := network.Traffic{
+		Datagrams: (now.Datagrams - f.before.Datagrams) / share, Bytes: (now.Bytes - f.before.Bytes) / share,
+		FarBytes: (now.FarBytes - f.before.FarBytes) / share,
+	}
 	f.before = now
 	return out
 }
 
 // sent returns what all nodes have sent so far.
-func (f *largeFleet) sent() traffic {
-	f.network.mu.Lock()
-	defer f.network.mu.Unlock()
-	var out traffic
+func (f *largeFleet) sent() network.Traffic {
+	var out network.Traffic
 	for _, p := range f.ports {
-		out.datagrams += p.sent
-		out.bytes += p.bytes
-		out.farBytes += p.farBytes
+		sent := f.network.Sent(p)
+		out.Datagrams += sent.Datagrams
+		out.Bytes += sent.Bytes
+		out.FarBytes += sent.FarBytes
 	}
 	return out
 }
 
 // cut makes a third of the nodes unreachable, or reachable again.
 func (f *largeFleet) cut(apart bool) {
-	f.network.mu.Lock()
-	defer f.network.mu.Unlock()
+	clear(f.unreachable)
 	for i, p := range f.ports {
-		p.cut = p.cut || apart && i%3 == 1
-		p.cut = p.cut && apart
+		if apart && i%3 == 1 {
+			f.unreachable[i] = true
+		}
+		f.network.Cut(f.unreachable[i], p)
 	}
 }
 
 // lose makes a node unreachable for good.
 func (f *largeFleet) lose(i int) {
-	f.network.mu.Lock()
-	defer f.network.mu.Unlock()
-	f.ports[i].cut = true
+	f.network.Cut(true, f.ports[i])
+	f.unreachable[i] = true
 }
 
 // leastSeen returns how many others the reachable node sees that sees fewest.
 func (f *largeFleet) leastSeen() int {
 	least := len(f.nodes)
 	for i, n := range f.nodes {
-		if !f.ports[i].cut {
+		if !f.unreachable[i] {
 			least = min(least, len(n.Live(time.Now())))
 		}
 	}
@@ -170,9 +173,9 @@
 				f := newLargeFleet(size)
 				check := func(what string, seconds, bytes, datagrams int) {
 					got := f.during(seconds)
-					t.Logf("%s: a node sends %d datagrams and %d bytes a second, %d of them to other data centres", what, got.datagrams, got.bytes, got.farBytes)
-					qt.Check(t, got.bytes < bytes, qt.IsTrue, qt.Commentf("%s: %d bytes", what, got.bytes))
-					qt.Check(t, got.datagrams < datagrams, qt.IsTrue, qt.Commentf("%s: %d datagrams", what, got.datagrams))
+					t.Logf("%s: a node sends %d datagrams and %d bytes a second, %d of them to other data centres", what, got.Datagrams, got.Bytes, got.FarBytes)
+					qt.Check(t, got.Bytes < bytes, qt.IsTrue, qt.Commentf("%s: %d bytes", what, got.Bytes))
+					qt.Check(t, got.Datagrams < datagrams, qt.IsTrue, qt.Commentf("%s: %d datagrams", what, got.Datagrams))
 				}
 				check("start", 6, 60_000, 80)
 				qt.Check(t, f.settled(size-1), qt.IsTrue)
--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -2,32 +2,27 @@
 
 import (
 	"net"
+
+	"moorrun.dev/moorrun/internal/settings"
 )
 
-// listeners are the sockets of a process, besides the one for datagrams.
-type listeners struct{ caller, registry, readiness, peer, metrics net.Listener }
+// listeners are the sockets at which a process takes callers, and those who look after it; nil where it does not.
+type listeners struct{ caller, registry, readiness, metrics net.Listener }
 
-// listen opens the sockets.
-func (n *Server) listen() (err error) {
-	s := n.settings
+// listen opens the sockets for all but other nodes.
+func listen(s *settings.Gateway) (out listeners, err error) {
 	for _, l := range []struct {
 		address string
 		to      *net.Listener
 	}{
-		{s.CallerAddress, &n.listeners.caller}, {s.RegistryAddress, &n.listeners.registry},
-		{s.ReadinessAddress, &n.listeners.readiness}, {s.PeerAddress, &n.listeners.peer}, {s.MetricsAddress, &n.listeners.metrics},
+		{s.CallerAddress, &out.caller}, {s.RegistryAddress, &out.registry}, {s.ReadinessAddress, &out.readiness}, {s.MetricsAddress, &out.metrics},
 	} {
 		if l.address == "" {
 			continue
 		}
 		if *l.to, err = net.Listen("tcp", l.address); err != nil {
-			return err
+			return out, err
 		}
 	}
-	address, err := net.ResolveUDPAddr("udp", s.PeerAddress)
-	if err != nil {
-		return err
-	}
-	n.datagrams, err = net.ListenUDP("udp", address)
-	return err
+	return out, nil
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"runtime"
 	"time"
@@ -21,12 +22,11 @@
 	metricsPath   = "/metrics"
 )
 
-// newScope returns the root of this process's metrics, whose values reporter keeps.
-func newScope(reporter *metrics.Reporter, dataCentre string) tally.Scope {
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+// newScope returns the root of this process's metrics, whose values reporter keeps, and what ends it.
+func newScope(reporter *metrics.Reporter, dataCentre string) (tally.Scope, io.Closer) {
+	return tally.NewRootScope(tally.ScopeOptions{
 		Prefix: metricsPrefix, Reporter: reporter, Separator: "_", Tags: map[string]string{"data_centre": dataCentre},
 	}, metricsEvery)
-	return scope
 }
 
 // metricsHandler serves what reporter keeps.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -70,6 +71,7 @@
 	rpc        *gossip.Server
 	reporter   *metrics.Reporter
 	scope      tally.Scope
+	closeScope io.Closer
 	requests   atomic.Int64
 	traffic    traffic
 	introduced atomic.Int64 // other nodes that are registered
@@ -78,26 +80,41 @@
 	election   *election
 
 	listeners listeners
-	datagrams *net.UDPConn
+	transport Transport
 }
 
 // New takes the process's addresses and puts its parts together; nothing runs yet.
 func New(s *settings.Gateway, newPlatform NewPlatform, logger log.Logger) (*Server, error) {
-	n := &Server{settings: s, logger: logger, started: clock.Now(), calls: httpcall.NewClient(), directory: endpoint.NewDirectory(), caller: gossip.NewCaller()}
+	l, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+	t, err := listenToNodes(s)
+	if err != nil {
+		return nil, err
+	}
+	n := NewOver(t, s, newPlatform, logger)
+	n.listeners = l
+	return n, nil
+}
+
+// NewOver puts together a process that exchanges with others over t and takes no callers.
+func NewOver(t Transport, s *settings.Gateway, newPlatform NewPlatform, logger log.Logger) *Server {
+	n := &Server{
+		settings: s, logger: logger, started: clock.Now(), transport: t, calls: httpcall.NewClient(), directory: endpoint.NewDirectory(),
+		caller: gossip.NewCaller(t.Dial),
+	}
 	n.calls.DialTimeout = dialTimeout
 	n.reporter = metrics.NewReporter()
-	n.scope = newScope(n.reporter, s.DataCentre)
+	n.scope, n.closeScope = newScope(n.reporter, s.DataCentre)
 	n.startDraw = rand.Float64() //nolint:gosec // spreads questions
 	n.platform = newPlatform(s, n.calls)
-	if err := n.listen(); err != nil {
-		return nil, err
-	}
 	self := gossip.Identity{
 		VM: s.VM, Incarnation: uuid.NewString()[:8], Zone: s.DataCentre, CallerAddress: s.CallerAddress,
 		GossipAddress: s.PeerAddress, PeerAddress: s.PeerAddress, Capacity: uint32(s.Capacity * capacityUnit),
 	}
 	n.election = newElection(n.started, self.Capacity)
-	n.gossip = gossip.NewNode(self, n.datagrams, n.status)
+	n.gossip = gossip.NewNode(self, t.Datagrams, n.status)
 	n.gossip.Add(s.Peers...)
 	n.isolate()
 	leads := func() bool { return n.controller.Leads(clock.Now()) > 0 }
@@ -128,7 +145,7 @@
 		Story: func(id string) gateway.Story { return decisions.Request(id) },
 		Scope: n.scope,
 	})
-	return n, nil
+	return n
 }
 
 func (n *Server) limits() route.Limits {
@@ -154,14 +171,18 @@
 	registry := newHTTP(n.platform.Registry(n.addresses, n.settings.AddressLifetime()))
 	readiness := newHTTP(n.platform.Readiness(n.ready))
 	var g errgroup.Group
-	g.Go(func() error { return served(callers.Serve(n.listeners.caller)) })
-	g.Go(func() error { return served(registry.Serve(n.listeners.registry)) })
-	g.Go(func() error { return served(readiness.Serve(n.listeners.readiness)) })
 	figures := newHTTP(metricsHandler(n.reporter))
-	if n.listeners.metrics != nil {
-		g.Go(func() error { return served(figures.Serve(n.listeners.metrics)) })
+	for _, l := range []struct {
+		server *http.Server
+		on     net.Listener
+	}{
+		{callers, n.listeners.caller}, {registry, n.listeners.registry}, {readiness, n.listeners.readiness}, {figures, n.listeners.metrics},
+	} {
+		if l.on != nil {
+			g.Go(func() error { return served(l.server.Serve(l.on)) })
+		}
 	}
-	g.Go(func() error { _ = n.rpc.Serve(work, n.listeners.peer); return nil })
+	g.Go(func() error { _ = n.rpc.Serve(work, n.transport.Calls); return nil })
 	for _, run := range []func(context.Context) error{
 		n.gossip.Run, n.follower.Run, n.keeper.Run, n.controller.Run, n.takeChanges, n.register, n.sweep, n.gauge, n.watchProof, n.holds.Run,
 	} {
@@ -175,7 +196,7 @@
 	})
 	err := g.Wait()
 	_ = level.Info(n.logger).Log("msg", "stopped", "err", err)
-	return errors.Join(err, n.caller.Close())
+	return errors.Join(err, n.caller.Close(), n.closeScope.Close())
 }
 
 func newHTTP(handler http.Handler) *http.Server {
@@ -199,3 +220,9 @@
 	})
 	return nil
 }
+
+// Table returns the configuration in force, nil before there is one.
+func (n *Server) Table() *route.Table { return n.table.Load() }
+
+// Endpoints returns what this node lists.
+func (n *Server) Endpoints() *endpoint.Snapshot { return n.directory.Read() }
--- /dev/null
+++ b/internal/server/transport.go
@@ -0,0 +1,32 @@
+package server
+
+import (
+	"net"
+
+	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/settings"
+)
+
+// Transport is what a node exchanges with the others over.
+type Transport struct {
+	Datagrams gossip.Conn
+	Calls     net.Listener // takes the calls of other nodes
+	Dial      gossip.Dial  // connects to other nodes' listeners
+}
+
+// listenToNodes opens the sockets for other nodes.
+func listenToNodes(s *settings.Gateway) (Transport, error) {
+	calls, err := net.Listen("tcp", s.PeerAddress)
+	if err != nil {
+		return Transport{}, err
+	}
+	address, err := net.ResolveUDPAddr("udp", s.PeerAddress)
+	if err != nil {
+		return Transport{}, err
+	}
+	datagrams, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return Transport{}, err
+	}
+	return Transport{Datagrams: datagrams, Calls: calls, Dial: gossip.DialTCP}, nil
+}
