Derive what rests on the beat of the endpoints' entries from the setting

Cause: three times were reckoned from entries that are written each 1.2 s. Where they are written each 5 s an endpoint that lived through an absence of the store was taken for gone before it could write again (2.2 s), a head that had left without a word could be taken for dead while it served (5 s instead of three beats and what their removal takes), and a cold endpoint of a data centre taken back into use was taken for warm (1.5 s).

Change: new setting endpoint_beat_ms, which the platform's settings tell.

--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -16,12 +16,12 @@
 	current atomic.Pointer[Snapshot]
 }
 
-// NewDirectory returns an empty Directory.
-func NewDirectory() *Directory {
+// NewDirectory returns an empty Directory of endpoints that write their entries that often.
+func NewDirectory(beat time.Duration) *Directory {
 	d := &Directory{}
 	d.current.Store(&Snapshot{
 		Endpoints: map[string]*Endpoint{}, Services: map[string][]*Endpoint{}, Groups: map[string]*Group{}, Gone: map[string]Gone{},
-		Returned: map[string]time.Time{},
+		Returned: map[string]time.Time{}, beat: beat,
 	})
 	return d
 }
@@ -42,7 +42,7 @@
 		Endpoints: make(map[string]*Endpoint, len(old.Endpoints)+len(changed)),
 		Services:  make(map[string][]*Endpoint, len(old.Services)),
 		Gone:      make(map[string]Gone, len(old.Gone)+len(removed)),
-		Evacuated: old.Evacuated, Returned: old.Returned,
+		Evacuated: old.Evacuated, Returned: old.Returned, beat: old.beat,
 	}
 	for id, g := range old.Gone {
 		if now.Sub(g.At) < goneFor {
--- a/internal/endpoint/directory_test.go
+++ b/internal/endpoint/directory_test.go
@@ -18,7 +18,7 @@
 }
 
 func TestGroupIsReadyWithAllItsMembersOnly(t *testing.T) {
-	d := endpoint.NewDirectory()
+	d := endpoint.NewDirectory(time.Second)
 	d.Apply([]*endpoint.Endpoint{member("a", "g", 1, 0, endpoint.Open), member("b", "g", 1, 1, endpoint.Joining)}, nil, origin)
 	g := d.Read().Groups["g"]
 	qt.Check(t, g.Head.ID, qt.Equals, "a")
@@ -31,14 +31,14 @@
 }
 
 func TestMembersOfAnEarlierEpochDoNotCount(t *testing.T) {
-	d := endpoint.NewDirectory()
+	d := endpoint.NewDirectory(time.Second)
 	d.Apply([]*endpoint.Endpoint{member("a", "g", 2, 0, endpoint.Ready), member("b", "g", 1, 1, endpoint.Ready)}, nil, origin)
 	qt.Check(t, d.Read().Groups["g"].Ready(2), qt.IsFalse)
 	qt.Check(t, d.Read().Groups["g"].Epoch, qt.Equals, int64(2))
 }
 
 func TestRemovedEndpointsAreRememberedForAWhile(t *testing.T) {
-	d := endpoint.NewDirectory()
+	d := endpoint.NewDirectory(time.Second)
 	d.Apply([]*endpoint.Endpoint{member("a", "g", 1, 0, endpoint.Open)}, nil, origin)
 	d.Apply(nil, []string{"a", "unknown"}, origin.Add(time.Second))
 	s := d.Read()
@@ -53,7 +53,7 @@
 }
 
 func TestModelOfTheLastGroupIsKept(t *testing.T) {
-	d := endpoint.NewDirectory()
+	d := endpoint.NewDirectory(time.Second)
 	left := func() *endpoint.Endpoint { return &endpoint.Endpoint{ID: "a", Service: "lm", Staged: []string{"n"}} }
 	d.Apply([]*endpoint.Endpoint{left()}, nil, origin)
 	qt.Check(t, d.Read().Endpoints["a"].Holds("m"), qt.IsFalse)
@@ -72,7 +72,7 @@
 }
 
 func TestDrainingMemberMarksItsGroup(t *testing.T) {
-	d := endpoint.NewDirectory()
+	d := endpoint.NewDirectory(time.Second)
 	leaving := member("b", "g", 1, 1, endpoint.Ready)
 	leaving.Draining = true
 	d.Apply([]*endpoint.Endpoint{member("a", "g", 1, 0, endpoint.Open), leaving}, nil, origin)
@@ -80,7 +80,7 @@
 }
 
 func TestEndpointThatStartsAgainUnderItsIDTakesThePlaceOfItsEarlierLife(t *testing.T) {
-	d := endpoint.NewDirectory()
+	d := endpoint.NewDirectory(time.Second)
 	first := &endpoint.Endpoint{ID: endpoint.Life("i-1", 100), Service: "s", Models: []string{"m"}, Membership: &endpoint.Membership{Group: "g", Epoch: 1, State: endpoint.Open}}
 	d.Apply([]*endpoint.Endpoint{first, {ID: endpoint.Life("i-2", 100), Service: "s"}}, nil, time.Now())
 	second := &endpoint.Endpoint{ID: endpoint.Life("i-1", 200), Service: "s"}
--- a/internal/endpoint/snapshot.go
+++ b/internal/endpoint/snapshot.go
@@ -13,6 +13,8 @@
 	Evacuated map[string]bool
 	// Returned says when data centres were last taken back into use.
 	Returned map[string]time.Time
+
+	beat time.Duration // within which an endpoint that has become cold writes so
 }
 
 // Gone is an endpoint that is no longer listed. It may be dead, leaving, or cut off from the platform.
@@ -22,9 +24,8 @@
 	Over     bool // it has started again since, so this life has certainly ended
 }
 
-// toldWithin is within what an endpoint that has become cold is listed as such: it writes its entry each 1.2 s, and a node's
-// copy of that is some tenths of a second old.
-const toldWithin = 1500 * time.Millisecond
+// copyAge is how old a node's copy of what an endpoint has written may be.
+const copyAge = 300 * time.Millisecond
 
 // Cold reports whether the endpoint bears few requests now. Those of a data centre that was taken back may have become cold
 // just before, for as long as after a start.
@@ -33,5 +34,5 @@
 		return true
 	}
 	back, known := s.Returned[e.Zone]
-	return known && now.Sub(back) < coldFor+toldWithin
+	return known && now.Sub(back) < coldFor+s.beat+copyAge
 }
--- a/internal/follow/absent.go
+++ b/internal/follow/absent.go
@@ -9,20 +9,24 @@
 const (
 	// awayFor is how old the copy must be for the store to count as having been away.
 	awayFor = 2500 * time.Millisecond
-	// lapseGrace is how long after the store's return an entry may be missing whose endpoint lives.
+	// lapseGrace is how long after the store's return an entry may be missing whose endpoint lives, at the least: the platform
+	// promises that it is back within two seconds.
 	lapseGrace = 2200 * time.Millisecond
+	// beatSlack is what a beat takes to be known here: an endpoint that writes seldom is not back before its next one.
+	beatSlack = 300 * time.Millisecond
 )
 
 // absentees holds the removals back that are seen just after the store was away: entries that have run out meanwhile
 // come back soon if their endpoints live. What is missing after that is gone.
 type absentees struct {
+	beat     time.Duration // of the endpoints' entries
 	until    time.Time
 	removals map[string]infra.Object // by key
 }
 
 // wait begins to hold removals back.
 func (a *absentees) wait(now time.Time) {
-	a.until = now.Add(lapseGrace)
+	a.until = now.Add(max(lapseGrace, a.beat+beatSlack))
 	if a.removals == nil {
 		a.removals = make(map[string]infra.Object)
 	}
--- a/internal/follow/absent_test.go
+++ b/internal/follow/absent_test.go
@@ -25,3 +25,16 @@
 	qt.Check(t, a.due(later), qt.HasLen, 0)
 	qt.Check(t, a.holds(gone, later), qt.IsFalse)
 }
+
+// An endpoint that writes each five seconds may have its entry back so long after the store is.
+func TestEntriesOfEndpointsThatWriteSeldomMayComeBackLater(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, beat := range []time.Duration{1200 * time.Millisecond, 5 * time.Second} {
+		a := absentees{beat: beat}
+		a.wait(now)
+		qt.Check(t, a.holds(infra.Object{Key: "e/1", Version: 9, Deleted: true}, now), qt.IsTrue)
+		qt.Check(t, a.due(now.Add(beat)), qt.HasLen, 0, qt.Commentf("%v", beat))
+		qt.Check(t, a.holds(infra.Object{Key: "e/1", Version: 11}, now.Add(beat)), qt.IsFalse)
+		qt.Check(t, a.due(now.Add(3*beat)), qt.HasLen, 0, qt.Commentf("it is back"))
+	}
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -49,6 +49,8 @@
 // Follower keeps the copy.
 type Follower struct {
 	Mirror *mirror.Mirror
+	// Beat is how often endpoints write their entries in the store.
+	Beat time.Duration
 	// StartPatience returns how long a new process waits for the beats of others before it asks the store.
 	StartPatience func() time.Duration
 
@@ -89,7 +91,7 @@
 	var g errgroup.Group
 	sources := []*source{
 		{prefix: keys.Accepted, wait: watchWait},
-		{prefix: keys.Endpoints, wait: watchWait, gather: endpointsGather, lapses: true},
+		{prefix: keys.Endpoints, wait: watchWait, gather: endpointsGather, lapses: true, absent: absentees{beat: f.Beat}},
 	}
 	for _, prefix := range f.also {
 		sources = append(sources, &source{prefix: prefix, wait: watchWait})
--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -53,7 +53,7 @@
 }
 
 func (s *estate) view() *View {
-	d := endpoint.NewDirectory()
+	d := endpoint.NewDirectory(time.Second)
 	d.Apply(s.list, nil, s.now)
 	return &View{Now: s.now, AsOf: s.now, Steady: origin.Add(-time.Hour), Service: testService(), Snapshot: d.Read(), Demand: s.demand, Busy: true}
 }
@@ -234,15 +234,20 @@
 	s := &estate{demand: map[string]int{"big": 1, "small": 1}}
 	s.group("a", "d1", "big", "small", 3)
 	s.settled()
+	for _, beat := range []time.Duration{1200 * time.Millisecond, 5 * time.Second} {
+		v := s.view()
+		v.Beat = beat
+		v.Contacts = map[string]Contact{"e00": {Failed: s.now, Refused: true}}
+		v.Steady = s.now.Add(-3 * beat) // its entry may have been written last just before the store was away
+		qt.Check(t, v.dead("e00"), qt.IsFalse, qt.Commentf("%v", beat))
+	}
 	v := s.view()
 	v.Contacts = map[string]Contact{"e00": {Failed: s.now, Refused: true}}
-	v.Steady = s.now.Add(-heldBackFor + time.Millisecond)
-	qt.Check(t, v.dead("e00"), qt.IsFalse)
 	v.Steady = time.Time{}
 	qt.Check(t, v.dead("e00"), qt.IsFalse, qt.Commentf("the list is not current"))
 	v.Now = v.Now.Add(leavesWithin)
 	qt.Check(t, v.dead("e00"), qt.IsTrue, qt.Commentf("it has had the time to finish"))
-	v.Now, v.Steady = s.now, s.now.Add(-heldBackFor)
+	v.Now, v.Steady = s.now, s.now.Add(-lapseBeats*v.Beat-lapseSlack)
 	qt.Check(t, v.dead("e00"), qt.IsTrue)
 }
 
--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -42,7 +42,7 @@
 }
 
 func newTestController(e Engine, lease func(time.Time) (int64, time.Time, bool)) *Controller {
-	d := endpoint.NewDirectory()
+	d := endpoint.NewDirectory(time.Second)
 	var list []*endpoint.Endpoint
 	for _, id := range []string{"a", "b", "c"} {
 		list = append(list, &endpoint.Endpoint{ID: id, Service: "lm", Domain: "d"})
--- a/internal/formation/options.go
+++ b/internal/formation/options.go
@@ -16,6 +16,7 @@
 	Engine    Engine
 	Directory *endpoint.Directory
 	Table     func() *route.Table
+	Beat      time.Duration // how often endpoints write their entries
 	Lease     func(now time.Time) (epoch int64, until time.Time, ok bool)
 	Current   func() time.Time                   // the directory was certainly current then
 	Others    func(now time.Time) *gossip.Totals // loads and doubts of the other nodes
--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -11,8 +11,9 @@
 // View is what a Planner sees in one step.
 type View struct {
 	Now      time.Time
-	AsOf     time.Time // the snapshot is certainly current as of then
-	Steady   time.Time // since when it has been current without a long pause; zero if it is not
+	AsOf     time.Time     // the snapshot is certainly current as of then
+	Steady   time.Time     // since when it has been current without a long pause; zero if it is not
+	Beat     time.Duration // how often endpoints write their entries
 	Service  *route.Service
 	Snapshot *endpoint.Snapshot
 	Contacts map[string]Contact    // by endpoint ID, of those that have been asked lately
@@ -40,10 +41,11 @@
 	// deadAfter is how long an endpoint that is not listed any more must be silent to all nodes before it counts
 	// as dead. Only then may the members of a group that it headed join others: it may still serve them.
 	deadAfter = 1200 * time.Millisecond
-	// heldBackFor is how long after the store was away endpoints may be listed that have left: the platform removes an
-	// entry after three heartbeats of 1.2 s without a write, and package follow holds removals back for 2.2 s, of which
-	// a part falls into the same time.
-	heldBackFor = 5 * time.Second
+	// lapseBeats is after how many beats without a write the platform removes an endpoint's entry.
+	lapseBeats = 3
+	// lapseSlack is what the removal may take beyond that to be known here: package follow holds removals back after the
+	// store was away, of which a part falls into the same time.
+	lapseSlack = 1400 * time.Millisecond
 	// leavesWithin is how long an endpoint that leaves may serve what it has begun after it has stopped listening.
 	leavesWithin = 11 * time.Second
 )
@@ -99,7 +101,9 @@
 
 // confirmed reports whether what is listed is certainly in the store. After the store was away, removals are held back
 // for some time: an endpoint that has left meanwhile without a word is still listed.
-func (v *View) confirmed() bool { return !v.Steady.IsZero() && v.Now.Sub(v.Steady) >= heldBackFor }
+func (v *View) confirmed() bool {
+	return !v.Steady.IsZero() && v.Now.Sub(v.Steady) >= lapseBeats*v.Beat+lapseSlack
+}
 
 // answers reports whether the endpoint has answered a direct question within that time.
 func (v *View) answers(id string, within time.Duration) bool {
--- a/internal/formation/world_test.go
+++ b/internal/formation/world_test.go
@@ -172,7 +172,7 @@
 
 // snapshot is what the store lists now.
 func (w *world) snapshot() *endpoint.Snapshot {
-	d := endpoint.NewDirectory()
+	d := endpoint.NewDirectory(time.Second)
 	var listed []*endpoint.Endpoint
 	var all []*endpoint.Endpoint
 	var gone []string
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -143,7 +143,7 @@
 		{Name: "plain"}, {Name: "lm", Engine: &route.Engine{Slots: 4, Models: []route.Model{{Name: "m", Size: 1}}}},
 	})
 	s.table.AddWorkspace(&route.Workspace{Name: "w", Priority: 3, HasPriority: true}, []string{"key"})
-	d := endpoint.NewDirectory()
+	d := endpoint.NewDirectory(time.Second)
 	var list []*endpoint.Endpoint
 	for i := range 3 {
 		id := fmt.Sprintf("g%d", i)
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -24,7 +24,7 @@
 }
 
 func newFleet() *fleet {
-	f := &fleet{directory: endpoint.NewDirectory(), retiring: map[string]bool{}}
+	f := &fleet{directory: endpoint.NewDirectory(time.Second), retiring: map[string]bool{}}
 	f.picker = picker.New(picker.Options{
 		Zone: "near", Directory: f.directory,
 		Others: func(time.Time) *gossip.Totals {
--- a/internal/picker/sample_test.go
+++ b/internal/picker/sample_test.go
@@ -21,7 +21,7 @@
 			ID: id, Service: "lm", Zone: zones[i%len(zones)], Models: []string{"m"}, Membership: &endpoint.Membership{Group: id, Epoch: 1, State: endpoint.Open},
 		})
 	}
-	d := endpoint.NewDirectory()
+	d := endpoint.NewDirectory(time.Second)
 	d.Apply(list, nil, time.Now())
 	return d
 }
--- a/internal/quarantine/inquiry_test.go
+++ b/internal/quarantine/inquiry_test.go
@@ -27,7 +27,7 @@
 
 func newDomain(name string, size int) *domain {
 	d := &domain{findings: make(map[string]quarantine.Finding)}
-	directory := endpoint.NewDirectory()
+	directory := endpoint.NewDirectory(time.Second)
 	for i := range size {
 		d.list = append(d.list, &endpoint.Endpoint{ID: fmt.Sprint("i-", i), Service: "s", Zone: "z", Domain: name})
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -101,7 +101,7 @@
 // NewOver puts together a process that exchanges with others over t and takes no callers.
 func NewOver(t Transport, s *settings.Gateway, newPlatform NewPlatform, logger log.Logger) *Server {
 	n := &Server{
-		settings: s, logger: logger, started: clock.Now(), transport: t, calls: httpcall.NewClient(), directory: endpoint.NewDirectory(),
+		settings: s, logger: logger, started: clock.Now(), transport: t, calls: httpcall.NewClient(), directory: endpoint.NewDirectory(s.EndpointBeat()),
 		caller: gossip.NewCaller(t.Dial),
 	}
 	n.calls.DialTimeout = dialTimeout
@@ -119,6 +119,7 @@
 	n.isolate()
 	leads := func() bool { return n.controller.Leads(clock.Now()) > 0 }
 	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
+	n.follower.Beat = s.EndpointBeat()
 	n.follower.StartPatience = n.startPatience
 	if s.Evacuations {
 		n.follower.Also(keys.Evacuations)
@@ -132,7 +133,7 @@
 	ttl := s.LeaseTTL()
 	n.keeper = holder.NewKeeper(n.platform.Objects, leaseName, s.VM, ttl, ttl/leaseMarginPart, n.wantsLead, logger)
 	n.controller = formation.NewController(formation.Options{
-		Engine: n.platform.Engine, Directory: n.directory, Table: n.table.Load, Lease: n.keeper.Held,
+		Engine: n.platform.Engine, Directory: n.directory, Table: n.table.Load, Lease: n.keeper.Held, Beat: s.EndpointBeat(),
 		Current: func() time.Time { return n.follower.Current(keys.Endpoints) }, Others: n.gossip.Others, Own: n.ownStatus,
 		Busy: func() bool { return n.requests.Load() > 0 }, Heard: n.heardElsewhere, Told: n.gossip.Kick, Logger: logger,
 	})
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -33,6 +33,8 @@
 	StoreAddress     string `json:"store_address"`
 	// Capacity is the VM's share of processors, in cores.
 	Capacity float64 `json:"capacity,omitempty"`
+	// FirstStart says that the fleet starts for the first time: no node of it is known to the store yet.
+	FirstStart bool `json:"first_start,omitempty"`
 	// Peers are peer addresses of some nodes, to be tried before any is known.
 	Peers []string `json:"peers,omitempty"`
 
@@ -44,6 +46,9 @@
 	// Evacuations says whether operators take data centres out of use on this platform; their list is watched then.
 	Evacuations bool `json:"evacuations,omitempty"`
 
+	// EndpointBeatMS is how often endpoints write their entries in the store; one that has not for three such is removed.
+	EndpointBeatMS int `json:"endpoint_beat_ms,omitempty"`
+
 	GraceMS            int     `json:"grace_ms"` // from the order to stop until the process is killed
 	AddressLifetimeMS  int     `json:"address_lifetime_ms"`
 	RepeatRatio        float64 `json:"repeat_ratio"`
@@ -55,7 +60,7 @@
 	FailureLinesSecond float64 `json:"failure_lines_per_second,omitempty"`
 }
 
-var gatewayDefaults = Gateway{CredentialProofRequired: true, Capacity: 1, LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
+var gatewayDefaults = Gateway{CredentialProofRequired: true, Capacity: 1, EndpointBeatMS: 1200, LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
 
 // ReadGateway reads and checks the file; the error names every faulty field.
 func ReadGateway(file string) (*Gateway, error) {
@@ -97,6 +102,9 @@
 // CredentialProof is how old the proof of the configuration may be for requests with a credential.
 func (s *Gateway) CredentialProof() time.Duration { return millis(s.CredentialProofMS) }
 
+// EndpointBeat is how often endpoints write their entries.
+func (s *Gateway) EndpointBeat() time.Duration { return millis(s.EndpointBeatMS) }
+
 // Grace is the time from the order to stop until the process is killed.
 func (s *Gateway) Grace() time.Duration { return millis(s.GraceMS) }
 
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -48,13 +48,15 @@
 	network *network.Network
 	lives   []*life
 	running errgroup.Group
-	logger  log.Logger
+	// firstStart says that no node is known to the store.
+	firstStart bool
+	logger     log.Logger
 }
 
 // newFleet starts that many nodes before an estate of endpoints and a configuration.
 func newFleet(nodes int) *fleet {
 	s := newStore()
-	f := &fleet{store: s, estate: newEstate(s), network: network.New(), lives: make([]*life, nodes), logger: log.NewNopLogger()}
+	f := &fleet{store: s, estate: newEstate(s), network: network.New(), lives: make([]*life, nodes), logger: log.NewNopLogger(), firstStart: true}
 	f.estate.start(nodes*enginesANode, beat)
 	s.write("accepted/main", configuration())
 	f.startAll()
@@ -78,6 +80,7 @@
 		})
 	}
 	time.Sleep(startSpread)
+	f.firstStart = false
 }
 
 func (f *fleet) prepare(i int) *life { return &life{port: f.network.Open(i), cut: new(bool)} }
@@ -86,7 +89,7 @@
 	s := &settings.Gateway{
 		VM: fmt.Sprintf("entry-%03d", i), DataCentre: zoneOf(l.port.Zone()), Region: "r", CallerAddress: l.port.Address(), PeerAddress: l.port.Address(),
 		Capacity: smallVM, CredentialProofMS: 5000, CredentialProofRequired: true, Evacuations: true, GraceMS: 1000, AddressLifetimeMS: 1000,
-		RepeatRatio: 0.2, RepeatSlack: 1000, RepeatWindowMS: 10000, LeaseTTLMS: 1500, SampleOneIn: 20, FailureLinesSecond: 20,
+		RepeatRatio: 0.2, RepeatSlack: 1000, RepeatWindowMS: 10000, LeaseTTLMS: 1500, FirstStart: f.firstStart, EndpointBeatMS: int(beat / time.Millisecond), SampleOneIn: 20, FailureLinesSecond: 20,
 	}
 	if i < largeADataCentre*network.DataCentres {
 		s.Capacity = largeVM
