Let few nodes ask the store when a fleet starts, and relays watch it for the others

Cause: every node that has no copy asked for three lists 0.15 s after its start; of the spread by registered nodes nothing was left, since nobody is registered at a first start and one node in eight later. Nodes that had looked four times for others registered, though lists are 0.8 s old. A node that was never answered asked again at once, all nodes asked within a second of the store's return, and beyond the tenth in order of names all took themselves for the next to watch at once, 2.6 s after the last proof. An idle node's proof is up to 1.5 s old and was thought too old at 1.1 s, so idle nodes listed everything again and again at rest, and one that watched alone listed anew each 1.1 s.

Change: a new process waits for its turn among the nodes that are as large, 50 ms for each, by what the registered nodes tell of the fleet's size (all at 150 ms where it is small), a second longer where others are larger, and 1.5 s at a first start. Who is no registrar draws lots with a chance that doubles. Only relays and the leader insist on an answer and watch within 1.1 to 2.6 s; others from 2.8 s on, spread over all of them; one that watches goes on until another does.

Weighed: the widening by rank as before (all nodes beyond the tenth at once, see above), and drawing by a chance that doubles each tenth of a second without knowing anything of the size (a fleet of seven then waits some 0.9 s; not built).

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,17 +26,20 @@
 	// watchWait is how long one watch waits. The proof is twice as old at the most while the store answers.
 	watchWait       = 450 * time.Millisecond
 	endpointsGather = 60 * time.Millisecond
-	// patience is how old the proof may get before this node watches the store by itself, plus rankPatience
-	// for each live node that would do so sooner.
-	patience     = 1100 * time.Millisecond
-	rankPatience = 150 * time.Millisecond
+	// patience is how old the proof may get before a relay watches the store by itself, plus rankPatience for each live relay
+	// that would do so sooner, and ranksPatience for all of them at the most: the last is to watch before the proof is too old.
+	patience      = 1100 * time.Millisecond
+	rankPatience  = 150 * time.Millisecond
+	ranksPatience = 1500 * time.Millisecond
+	// reporterPatience is how old the proof of a node may get that is no relay. Relays are asked to watch for it: when the
+	// leader has died the first of them does so within patience, and an idle node hears of it half a second later. It is less
+	// than the 0.6 of five seconds after which a node that needs a proof takes no new callers.
+	reporterPatience = 2800 * time.Millisecond
 	// pullWait bounds the fetching of what has changed from another node.
 	pullWait = time.Second
-	// lastRank bounds the wait in a large fleet.
-	lastRank = 10
-	// turnOfNode is how often the nodes of a fleet together ask a store that does not answer: on average one of them each
-	// such while, and it tells the others. While the store was away for 11 s, 71 nodes that each asked twice a second for
-	// each prefix made 2,700 calls, of the 3,900 of 55 s.
+	// turnOfNode is how often the nodes of a fleet together ask the store where one of them is enough, because it tells the
+	// others: on average one of them each such while. While the store was away for 11 s, 71 nodes that each asked twice a
+	// second for each prefix made 2,700 calls, of the 3,900 of 55 s.
 	turnOfNode = 100 * time.Millisecond
 	// staleMargin is how much fresher a node must be that does not watch, for this one to pull from it.
 	staleMargin = 500 * time.Millisecond
@@ -53,6 +57,8 @@
 	Beat time.Duration
 	// StartPatience returns how long a new process waits for the beats of others before it asks the store.
 	StartPatience func() time.Duration
+	// Relaying reports whether this node passes on what others tell; it watches the store sooner then than one that does not.
+	Relaying func() bool
 
 	objects infra.ObjectStore
 	puller  Puller
@@ -61,6 +67,7 @@
 	self    string
 	logger  log.Logger
 	started time.Time
+	draw    float64 // 0 to 1, by chance
 	proof   *proof
 	also    []string // prefixes beside the configuration and the endpoints
 	beats   chan *gossip.Peer
@@ -75,7 +82,9 @@
 func NewFollower(objects infra.ObjectStore, puller Puller, self string, leads func() bool, live func(now time.Time) []*gossip.Peer, logger log.Logger) *Follower {
 	return &Follower{
 		Mirror: mirror.New(), objects: objects, puller: puller, leads: leads, live: live, self: self, logger: logger,
-		StartPatience: func() time.Duration { return 0 }, started: clock.Now(), proof: newProof(keys.Accepted, keys.Endpoints), beats: make(chan *gossip.Peer, 64),
+		StartPatience: func() time.Duration { return 0 }, Relaying: func() bool { return true },
+		draw:    rand.Float64(), //nolint:gosec // spreads questions
+		started: clock.Now(), proof: newProof(keys.Accepted, keys.Endpoints), beats: make(chan *gossip.Peer, 64),
 		pulled: make(map[string]uint64), lost: make(map[string]bool),
 	}
 }
@@ -99,7 +108,7 @@
 	for _, s := range sources {
 		s.objects, s.mirror, s.wanted = f.objects, f.Mirror, f.shouldWatch
 		s.proved, s.failed = f.proved, f.failed
-		s.turn, s.answered = f.turn, f.answered
+		s.turn, s.answered, s.insists = f.turn, f.answered, f.insists
 		s.age = func(now time.Time) time.Duration { return now.Sub(f.Current(s.prefix)) }
 		g.Go(func() error { return s.run(ctx) })
 	}
@@ -129,16 +138,27 @@
 	}
 }
 
-// turn returns after how long this node asks a store again that does not answer, if it has drawn that number. The leader,
-// a node that has never had a copy and one that hears no other ask at once: after all have been killed nobody can tell.
+// turn returns after how long this node asks a store again that does not answer, if it has drawn that number. The leader and
+// a node that hears no other ask at once. Others wait for their turn also when they have had no copy yet: whoever is answered
+// tells the rest, and all nodes of a fleet that starts asking at once is what the store could not answer.
 func (f *Follower) turn(draw float64) time.Duration {
-	if at, _ := f.proof.whole(); f.leads() || at.IsZero() {
+	if f.leads() {
 		return 0
 	}
-	others := len(f.live(clock.Now()))
+	others := 0
+	relaying := f.Relaying()
+	for _, p := range f.live(clock.Now()) {
+		if p.Relay || !relaying {
+			others++
+		}
+	}
 	return time.Duration(2 * draw * float64(others) * float64(turnOfNode))
 }
 
+// insists reports whether this node has to know whether the store answers it, though others tell what is there: a relay may
+// have to lead next. If all 986 nodes of a fleet insisted, each return of the store cost some 9,000 calls.
+func (f *Follower) insists() bool { return f.leads() || f.Relaying() }
+
 // answered returns when the store has last answered this node.
 func (f *Follower) answered() time.Time {
 	f.mu.Lock()
@@ -148,24 +168,52 @@
 
 // shouldWatch reports whether this node watches the store itself now.
 func (f *Follower) shouldWatch() bool {
-	now := clock.Now()
 	if f.leads() {
 		return true
 	}
-	rank := 0
+	now := clock.Now()
+	at, watching := f.proof.whole()
+	switch {
+	case at.IsZero():
+		return now.Sub(f.started) > f.StartPatience() && !f.watched(now)
+	case watching:
+		return !f.watched(now)
+	case now.Sub(at) <= patience: // said first, because it holds nearly always and takes no look at the fleet
+		return false
+	case !f.Relaying():
+		return now.Sub(at) > reporterPatience+time.Duration(f.draw*float64(len(f.live(now)))*float64(turnOfNode))
+	}
+	return now.Sub(at) > patience+f.rankWait(now) && !f.watched(now)
+}
+
+// watched reports whether another node watches the store for all. One that is no relay does not hear who watches, but that
+// its relay is current while somebody leads.
+func (f *Follower) watched(now time.Time) bool {
+	led, upstream := false, false
 	for _, p := range f.live(now) {
-		if p.Watching && now.Sub(p.ProofAt) < patience && (p.LeaderEpoch > 0 || p.VM < f.self) {
-			return false
+		current := now.Sub(p.ProofAt) < patience
+		if p.Watching && current && (p.LeaderEpoch > 0 || p.VM < f.self) {
+			return true
+		}
+		led = led || p.LeaderEpoch > 0
+		upstream = upstream || p.Upstream && current
+	}
+	return led && upstream
+}
+
+// rankWait is how long this relay leaves it to others to watch the store first.
+func (f *Follower) rankWait(now time.Time) time.Duration {
+	relays, sooner := 1, 0
+	for _, p := range f.live(now) {
+		if !p.Relay {
+			continue
 		}
+		relays++
 		if p.VM < f.self {
-			rank++
+			sooner++
 		}
 	}
-	at, _ := f.proof.whole()
-	if at.IsZero() {
-		return now.Sub(f.started) > f.StartPatience()
-	}
-	return now.Sub(at) > patience+time.Duration(min(rank, lastRank))*rankPatience
+	return min(time.Duration(sooner)*rankPatience, ranksPatience*time.Duration(sooner)/time.Duration(relays))
 }
 
 // Heard takes in a beat; it never blocks.
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -35,6 +35,7 @@
 	// turn returns after how long a node that has drawn that number, 0 to 1, asks a store again that does not answer.
 	turn     func(draw float64) time.Duration
 	answered func() time.Time // the store has last answered this node
+	insists  func() bool      // an unanswered question is asked again though what it asks for is not wanted any more
 	// lapses, if set, says that entries may run out while the store is away, and that those of endpoints that live
 	// come back soon after. age tells how old the copy is.
 	lapses bool
@@ -48,10 +49,10 @@
 	retry.InitialInterval = firstRetry
 	retry.MaxInterval = lastRetry
 	version := int64(0)
-	failing := false // the last question was not answered; it is asked again though others tell what is wanted
+	failing := false // the last question was not answered
 	for ctx.Err() == nil {
-		if !s.wanted() && !failing {
-			version = 0
+		if !s.wanted() && !(failing && s.insists()) {
+			version, failing = 0, false
 			loop.Sleep(ctx, firstRetry)
 			continue
 		}
@@ -83,8 +84,8 @@
 	return nil
 }
 
-// rest waits after a failure: for least, and then until it is this node's turn to ask, or until another of its sources has
-// been answered. If nobody had been answered for a while and others are answered now, the turn comes within a second: a
+// rest waits after a failure: for least, and then until it is this node's turn to ask, until there is nothing to ask any
+// more, or until another of its sources has been answered. If nobody had been answered for a while and others are answered now, the turn comes within a second: a
 // node that does not know whether the store answers it does not lead.
 func (s *source) rest(ctx context.Context, least time.Duration) {
 	failed := clock.Now()
@@ -93,6 +94,9 @@
 	var back time.Time // others have been answered since
 	loop.Sleep(ctx, least)
 	for ctx.Err() == nil && !s.answered().After(failed) {
+		if !s.insists() && !s.wanted() {
+			return
+		}
 		now := clock.Now()
 		if back.IsZero() && s.age(now) < now.Sub(failed) {
 			back = now
@@ -100,7 +104,7 @@
 		if now.Sub(failed) >= s.turn(draw) {
 			return
 		}
-		if forAll && !back.IsZero() && now.Sub(back) >= time.Duration(draw*float64(backWithin)) {
+		if forAll && s.insists() && !back.IsZero() && now.Sub(back) >= time.Duration(draw*float64(backWithin)) {
 			return
 		}
 		loop.Sleep(ctx, firstRetry)
--- a/internal/server/registration.go
+++ b/internal/server/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -19,16 +20,23 @@
 	registrarOneIn = 8
 	// enoughRegistered is how many others have to be registered for a node not to register.
 	enoughRegistered = 6
-	// registerPatience is how many times a node looks for others before it registers though it is no registrar. Lists
-	// may be some seconds old, and at the first start of a fleet nobody is registered.
+	// registerPatience is how many times a node looks for others before it may register though it is no registrar. Lists may
+	// be some seconds old, and at the first start of a fleet nobody is registered. From then on it draws lots at each look,
+	// first with a chance of one in registrarOneIn and then of twice as much each time: when all nodes registered at the
+	// fourth look, 220 of 300 that started together did, most of them before the lists showed the registrars.
 	registerPatience = 3
 	// startPatience is how long a new process waits for the beats of others before it asks the store: those that live
 	// send one each 100 ms to the address that it had before.
 	startPatience = 150 * time.Millisecond
-	// startSpread is how much longer that is at most for each registered node beyond gossip.SmallFleet. When a large fleet
-	// starts, those that ask first tell the others: of 295 nodes, with 37 registered, some 50 should ask instead of all
-	// (reckoned from half a second until a few know, not measured by itself).
-	startSpread = 60 * time.Millisecond
+	// firstStartPatience is that at the first start of a fleet, when nobody is listed yet: within it nodes find the
+	// registrars, whose entries the lists show some tenths of a second late, and hear each other.
+	firstStartPatience = 1500 * time.Millisecond
+	// startSpread is how much longer the wait is at most for each node beyond gossip.SmallFleet that would ask as soon, so that
+	// twenty a second ask, however many there are, until those that were answered have told the others.
+	startSpread = 50 * time.Millisecond
+	// smallerWait is how much longer it is for a node of a fleet with larger VMs: the first ones with a copy hand it on to
+	// all others, which over a link of 20 Mbit/s takes seconds.
+	smallerWait = time.Second
 	// registerRetry and registerRetryMax bound the growing pause between two tries to register.
 	registerRetry    = 250 * time.Millisecond
 	registerRetryMax = time.Second
@@ -57,23 +65,36 @@
 
 // registered reports whether this node has nothing more to do to find the others and be found.
 func (n *Server) registered(ctx context.Context, tries int) bool {
-	if n.isRegistrar() || tries > registerPatience {
+	if isRegistrar(n.settings.VM) || tries > registerPatience && n.draws(tries-registerPatience) {
 		return n.registerOnce(ctx)
 	}
 	l, err := n.platform.Recent(ctx, keys.Gateways)
 	return err == nil && n.introduce(l.Objects) >= enoughRegistered
 }
 
+// draws draws lots, with a chance that doubles from turn to turn.
+func (n *Server) draws(turn int) bool {
+	return rand.IntN(registrarOneIn) < 1<<(turn-1) //nolint:gosec // spreads writes
+}
+
 // startPatience is how long this new process waits for others to tell it the configuration before it asks the store.
 func (n *Server) startPatience() time.Duration {
-	crowd := max(0, n.introduced.Load()-gossip.SmallFleet)
-	return startPatience + time.Duration(n.startDraw*float64(crowd)*float64(startSpread))
+	wait := startPatience
+	if n.settings.FirstStart {
+		wait = firstStartPatience
+	}
+	c := n.crowd.Load()
+	if c == nil {
+		return wait
+	}
+	if c.larger {
+		wait += smallerWait
+	}
+	return wait + time.Duration(n.startDraw*float64(max(0, c.alike-gossip.SmallFleet))*float64(startSpread))
 }
 
-// isRegistrar reports whether this node registers without looking for others first.
-func (n *Server) isRegistrar() bool {
-	return xxhash.Sum64String(n.settings.VM)%registrarOneIn == 0
-}
+// isRegistrar reports whether that node registers without looking for others first.
+func isRegistrar(vm string) bool { return xxhash.Sum64String(vm)%registrarOneIn == 0 }
 
 // registerOnce writes this node's address first and reads the others' after it: of two nodes that start at once
 // the later writer reads the earlier one's.
@@ -91,19 +112,20 @@
 
 // introduce makes the registered nodes known to the gossip and returns how many others there are.
 func (n *Server) introduce(objects []infra.Object) int {
-	others := 0
+	var others []gossip.Identity
 	for _, o := range objects {
 		var r registration
 		if json.Unmarshal(o.Value, &r) != nil || r.PeerAddress == n.settings.PeerAddress {
 			continue
 		}
-		others++
-		n.gossip.Introduce(gossip.Identity{
+		id := gossip.Identity{
 			VM: o.Key[len(keys.Gateways):], Zone: r.DataCentre, Capacity: r.Capacity, GossipAddress: r.PeerAddress, PeerAddress: r.PeerAddress,
-		})
+		}
+		others = append(others, id)
+		n.gossip.Introduce(id)
 	}
-	n.introduced.Store(int64(others))
-	return others
+	n.crowd.Store(crowdOf(n.gossip.Self().Capacity, others))
+	return len(others)
 }
 
 // writeRegistration makes sure that the store holds this node's address.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -74,8 +74,8 @@
 	closeScope io.Closer
 	requests   atomic.Int64
 	traffic    traffic
-	introduced atomic.Int64 // other nodes that are registered
-	startDraw  float64      // 0 to 1, by chance
+	crowd      atomic.Pointer[crowd] // nil until the list of registered nodes was read
+	startDraw  float64               // 0 to 1, by chance
 	leaving    atomic.Bool
 	election   *election
 
@@ -120,7 +120,7 @@
 	leads := func() bool { return n.controller.Leads(clock.Now()) > 0 }
 	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
 	n.follower.Beat = s.EndpointBeat()
-	n.follower.StartPatience = n.startPatience
+	n.follower.StartPatience, n.follower.Relaying = n.startPatience, n.gossip.Relaying
 	if s.Evacuations {
 		n.follower.Also(keys.Evacuations)
 	}
