Give nodes that form no groups only those endpoints that take requests

Cause: copies of all endpoints at all nodes grew with nodes times endpoints, and every change that an endpoint goes through until it serves was sent to, read and listed by every node. Each look for what had changed went through all that is held, and each object of a batch woke those who wait, so that the directory was built anew for the first one alone.

Change: nodes that are neither relays nor watch the store fetch heads of open groups and endpoints that serve alone, with removals for what takes requests no more; beats tell up to which change that is. Groups are formed only by what the store itself has told the leader, as a copy from others may be of that kind. A copy that is fetched whole drops what the other node does not have though it has later changes: a relay that started after a removal could not tell it before.

--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -42,7 +42,7 @@
 		Endpoints: make(map[string]*Endpoint, len(old.Endpoints)+len(changed)),
 		Services:  make(map[string][]*Endpoint, len(old.Services)),
 		Gone:      make(map[string]Gone, len(old.Gone)+len(removed)),
-		Evacuated: old.Evacuated, Returned: old.Returned, beat: old.beat,
+		Evacuated: old.Evacuated, Returned: old.Returned, RoutingOnly: old.RoutingOnly, beat: old.beat,
 	}
 	for id, g := range old.Gone {
 		if now.Sub(g.At) < goneFor {
@@ -80,6 +80,18 @@
 	d.current.Store(next)
 }
 
+// SetRoutingOnly says whether only those endpoints are listed that take requests.
+func (d *Directory) SetRoutingOnly(only bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.current.Load().RoutingOnly == only {
+		return
+	}
+	next := *d.current.Load()
+	next.RoutingOnly = only
+	d.current.Store(&next)
+}
+
 // Evacuate says which data centres are out of use from now on.
 func (d *Directory) Evacuate(dataCentres map[string]bool, now time.Time) {
 	d.mu.Lock()
--- a/internal/endpoint/snapshot.go
+++ b/internal/endpoint/snapshot.go
@@ -13,6 +13,9 @@
 	Evacuated map[string]bool
 	// Returned says when data centres were last taken back into use.
 	Returned map[string]time.Time
+	// RoutingOnly says that of replica groups only the heads of open ones are listed. They were opened by a leader that has
+	// seen all their members ready.
+	RoutingOnly bool
 
 	beat time.Duration // within which an endpoint that has become cold writes so
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -133,7 +133,7 @@
 	asked    []uint64
 }
 
-func (f *fakePuller) Pull(_ context.Context, _, _ string, since uint64) (uint64, []infra.Object, error) {
+func (f *fakePuller) Pull(_ context.Context, _, _ string, since uint64, _ bool) (uint64, []infra.Object, error) {
 	f.asked = append(f.asked, since)
 	return f.sequence, f.objects, f.err
 }
@@ -227,7 +227,7 @@
 	failAt uint64
 }
 
-func (p *pagedPuller) Pull(_ context.Context, _, _ string, since uint64) (uint64, []infra.Object, error) {
+func (p *pagedPuller) Pull(_ context.Context, _, _ string, since uint64, _ bool) (uint64, []infra.Object, error) {
 	if since == p.failAt {
 		return 0, nil, infra.ErrUnavailable
 	}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -45,9 +45,9 @@
 	staleMargin = 500 * time.Millisecond
 )
 
-// Puller fetches what another node has taken in since a sequence of its own.
+// Puller fetches what another node has taken in since a sequence of its own, or of that what is needed for routing.
 type Puller interface {
-	Pull(ctx context.Context, address, incarnation string, since uint64) (sequence uint64, objects []infra.Object, err error)
+	Pull(ctx context.Context, address, incarnation string, since uint64, routing bool) (sequence uint64, objects []infra.Object, err error)
 }
 
 // Follower keeps the copy.
@@ -59,6 +59,8 @@
 	StartPatience func() time.Duration
 	// Relaying reports whether this node passes on what others tell; it watches the store sooner then than one that does not.
 	Relaying func() bool
+	// KeepsAll reports whether this node keeps all endpoints also when it does not watch the store.
+	KeepsAll func() bool
 
 	objects infra.ObjectStore
 	puller  Puller
@@ -73,19 +75,23 @@
 	beats   chan *gossip.Peer
 
 	mu     sync.Mutex
-	pulled map[string]uint64 // by incarnation
+	pulled map[string]pulled // by incarnation
 	lost   map[string]bool   // prefixes that the store does not give
 	answer time.Time         // last of the store
+	full   bool              // the copy holds all endpoints
+	// watching says that this node lists and watches the endpoints in the store.
+	watching bool
+	listed   listed
 }
 
 // NewFollower returns a Follower for the node self; leads says whether it is the leader.
 func NewFollower(objects infra.ObjectStore, puller Puller, self string, leads func() bool, live func(now time.Time) []*gossip.Peer, logger log.Logger) *Follower {
 	return &Follower{
 		Mirror: mirror.New(), objects: objects, puller: puller, leads: leads, live: live, self: self, logger: logger,
-		StartPatience: func() time.Duration { return 0 }, Relaying: func() bool { return true },
+		StartPatience: func() time.Duration { return 0 }, Relaying: func() bool { return true }, KeepsAll: func() bool { return true },
 		draw:    rand.Float64(), //nolint:gosec // spreads questions
 		started: clock.Now(), proof: newProof(keys.Accepted, keys.Endpoints), beats: make(chan *gossip.Peer, 64),
-		pulled: make(map[string]uint64), lost: make(map[string]bool),
+		pulled: make(map[string]pulled), lost: make(map[string]bool),
 	}
 }
 
@@ -108,6 +114,9 @@
 	for _, s := range sources {
 		s.objects, s.mirror, s.wanted = f.objects, f.Mirror, f.shouldWatch
 		s.proved, s.failed = f.proved, f.failed
+		if s.prefix == keys.Endpoints {
+			s.watching = f.watch
+		}
 		s.turn, s.answered, s.insists = f.turn, f.answered, f.insists
 		s.age = func(now time.Time) time.Duration { return now.Sub(f.Current(s.prefix)) }
 		g.Go(func() error { return s.run(ctx) })
@@ -119,6 +128,10 @@
 func (f *Follower) proved(prefix string, at time.Time) {
 	f.proof.fromStore(prefix, at)
 	f.mu.Lock()
+	if prefix == keys.Endpoints {
+		f.full = true
+		f.listed = listed{at, f.Mirror.Sequence()}
+	}
 	was := f.lost[prefix]
 	f.lost[prefix] = false
 	f.answer = clock.Now()
@@ -238,57 +251,23 @@
 	}
 }
 
-func (f *Follower) take(ctx context.Context, p *gossip.Peer) {
-	at, _ := f.proof.whole()
-	source := p.Watching || p.Upstream
-	if !p.ProofAt.After(at) && !source {
-		return
-	}
-	f.mu.Lock()
-	have, known := f.pulled[p.Incarnation]
-	f.mu.Unlock()
-	if known && have >= p.Sequence {
-		f.proof.fromPeer(p.ProofAt)
-		return
-	}
-	if !source && p.ProofAt.Sub(at) < staleMargin {
-		return
-	}
-	if f.pull(ctx, p, have) {
-		f.proof.fromPeer(p.ProofAt)
-	}
-}
+// Current returns an instant as of which the objects below the prefix are certainly current.
+func (f *Follower) Current(prefix string) time.Time { return f.proof.of(prefix) }
 
-// pull fetches from a node, reply by reply, what this one lacks of what it had when it sent its beat, and reports whether
-// that is complete. What a reply has brought is kept though a later one fails.
-func (f *Follower) pull(ctx context.Context, p *gossip.Peer, have uint64) bool {
-	for {
-		sequence, objects, err := f.pullOnce(ctx, p, have)
-		if err != nil {
-			return false
-		}
-		for _, o := range objects {
-			f.Mirror.Put(o)
-		}
-		f.mu.Lock()
-		f.pulled[p.Incarnation] = sequence
-		f.mu.Unlock()
-		if sequence >= p.Sequence || sequence <= have {
-			return sequence >= p.Sequence
-		}
-		have = sequence
-	}
+// Listed returns an instant as of which the store itself has told this node all endpoints, and the sequence that the copy had
+// reached then.
+func (f *Follower) Listed() (at time.Time, sequence uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed.at, f.listed.sequence
 }
 
-func (f *Follower) pullOnce(ctx context.Context, p *gossip.Peer, have uint64) (uint64, []infra.Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullWait)
-	defer cancel()
-	return f.puller.Pull(ctx, p.PeerAddress, p.Incarnation, have)
+// listed is what the store itself has told last of the endpoints.
+type listed struct {
+	at       time.Time
+	sequence uint64
 }
 
-// Current returns an instant as of which the objects below the prefix are certainly current.
-func (f *Follower) Current(prefix string) time.Time { return f.proof.of(prefix) }
-
 // Whole returns the instant for everything, and whether the store itself gave it.
 func (f *Follower) Whole() (at time.Time, watching bool) { return f.proof.whole() }
 
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -36,6 +36,8 @@
 	turn     func(draw float64) time.Duration
 	answered func() time.Time // the store has last answered this node
 	insists  func() bool      // an unanswered question is asked again though what it asks for is not wanted any more
+	// watching is told when asking begins and when it has ended; nil if nobody wants to know.
+	watching func(bool)
 	// lapses, if set, says that entries may run out while the store is away, and that those of endpoints that live
 	// come back soon after. age tells how old the copy is.
 	lapses bool
@@ -51,7 +53,11 @@
 	version := int64(0)
 	failing := false // the last question was not answered
 	for ctx.Err() == nil {
-		if !s.wanted() && !(failing && s.insists()) {
+		asks := s.wanted() || failing && s.insists()
+		if s.watching != nil {
+			s.watching(asks)
+		}
+		if !asks {
 			version, failing = 0, false
 			loop.Sleep(ctx, firstRetry)
 			continue
@@ -74,9 +80,7 @@
 		retry.Reset()
 		version = next
 		s.proved(s.prefix, sent)
-		for _, o := range s.absent.due(clock.Now()) {
-			s.mirror.Put(o)
-		}
+		s.mirror.Put(s.absent.due(clock.Now())...)
 		if changed {
 			loop.Sleep(ctx, s.gather)
 		}
@@ -120,9 +124,7 @@
 			return version, false, err
 		}
 		s.returned(away)
-		for _, o := range l.Objects {
-			s.put(ordered(o))
-		}
+		s.put(l.Objects)
 		return max(version, l.Version), len(l.Objects) > 0, nil
 	}
 	l, err := s.objects.List(ctx, s.prefix)
@@ -133,13 +135,13 @@
 	listed := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		listed[o.Key] = true
-		s.put(ordered(o))
 	}
 	for _, o := range s.mirror.List(s.prefix) {
 		if !listed[o.Key] {
-			s.put(ordered(infra.Object{Key: o.Key, Version: l.Version, Deleted: true}))
+			l.Objects = append(l.Objects, infra.Object{Key: o.Key, Version: l.Version, Deleted: true})
 		}
 	}
+	s.put(l.Objects)
 	return l.Version, false, nil
 }
 
@@ -150,12 +152,16 @@
 	}
 }
 
-// put takes an object into the copy. For some time after the store was away, removals are held back.
-func (s *source) put(o infra.Object) {
-	if s.absent.holds(o, clock.Now()) {
-		return
+// put takes objects into the copy. For some time after the store was away, removals are held back.
+func (s *source) put(objects []infra.Object) {
+	now := clock.Now()
+	taken := make([]infra.Object, 0, len(objects))
+	for _, o := range objects {
+		if o = ordered(o); !s.absent.holds(o, now) {
+			taken = append(taken, o)
+		}
 	}
-	s.mirror.Put(o)
+	s.mirror.Put(taken...)
 }
 
 // ordered gives an object a version at which its removal comes after its last change, though the store may tell
--- a/internal/follow/turn_test.go
+++ b/internal/follow/turn_test.go
@@ -180,7 +180,7 @@
 // emptyCopies says that other nodes hold nothing.
 type emptyCopies struct{}
 
-func (emptyCopies) Pull(context.Context, string, string, uint64) (uint64, []infra.Object, error) {
+func (emptyCopies) Pull(context.Context, string, string, uint64, bool) (uint64, []infra.Object, error) {
 	return 0, nil, nil
 }
 
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -138,7 +138,7 @@
 	}
 	defer c.tell()
 	c.noteAge(now)
-	if !ok || table == nil || now.Sub(c.Current()) > freshEnough || until.Sub(now) < orderWait {
+	if !ok || table == nil || now.Sub(c.Listed()) > freshEnough || until.Sub(now) < orderWait {
 		return
 	}
 	for _, s := range table.Engines() {
@@ -180,7 +180,7 @@
 
 func (c *Controller) view(s *route.Service, now time.Time) *View {
 	v := &View{
-		Now: now, AsOf: c.Current(), Steady: c.steady, Beat: c.Beat, Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
+		Now: now, AsOf: c.Listed(), Steady: c.steady, Beat: c.Beat, Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
 		Loads: make(map[string]int), Suspects: make(map[string]bool), Demand: make(map[string]int),
 		Mixes: make(map[string]engine.Mix),
 	}
--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -51,8 +51,8 @@
 	table := route.NewTable(1, 1, nil, []*route.Service{testService()})
 	return NewController(Options{
 		Engine: e, Directory: d, Table: func() *route.Table { return table }, Lease: lease,
-		Current: func() time.Time { return origin.Add(time.Hour) },
-		Others:  func(time.Time) *gossip.Totals { return gossip.NewTotals() }, Own: func(time.Time) gossip.Status { return gossip.Status{} },
+		Current: func() time.Time { return origin.Add(time.Hour) }, Listed: func() time.Time { return origin.Add(time.Hour) },
+		Others: func(time.Time) *gossip.Totals { return gossip.NewTotals() }, Own: func(time.Time) gossip.Status { return gossip.Status{} },
 		Busy: func() bool { return false }, Heard: func(context.Context, *endpoint.Endpoint) bool { return true }, Logger: log.NewNopLogger(),
 	})
 }
@@ -103,6 +103,26 @@
 	qt.Check(t, len(e.joins()) > before, qt.IsTrue, qt.Commentf("new groups have new names"))
 }
 
+// A copy from other nodes may lack the members of groups: it is current and tells too little to form by.
+func TestLeaderFormsNothingBeforeTheStoreItselfHasToldIt(t *testing.T) {
+	e := &fakeEngine{}
+	c := newTestController(e, func(time.Time) (int64, time.Time, bool) { return 1, time.Now().Add(time.Hour), true })
+	listed := time.Time{}
+	c.Listed = func() time.Time { return listed }
+	c.Current = func() time.Time { return time.Now() }
+	play := func() {
+		for now := origin; now.Before(origin.Add(2 * gatherAtMost)); now = now.Add(tick) {
+			c.step(context.Background(), now)
+		}
+		time.Sleep(10 * time.Millisecond) // orders are given beside the steps
+	}
+	play()
+	qt.Check(t, e.joins(), qt.HasLen, 0)
+	listed = origin.Add(time.Hour)
+	play()
+	qt.Check(t, len(e.joins()) > 0, qt.IsTrue)
+}
+
 // TestRetiringDoesNotWaitForAStep: the choice of an endpoint asks for the retiring groups under its own lock, and
 // a step asks it for this node's loads.
 func TestRetiringDoesNotWaitForAStep(t *testing.T) {
--- a/internal/formation/options.go
+++ b/internal/formation/options.go
@@ -18,7 +18,8 @@
 	Table     func() *route.Table
 	Beat      time.Duration // how often endpoints write their entries
 	Lease     func(now time.Time) (epoch int64, until time.Time, ok bool)
-	Current   func() time.Time                   // the directory was certainly current then
+	Current   func() time.Time                   // the directory was certainly current then, as far as it goes
+	Listed    func() time.Time                   // it held certainly all that the store listed then
 	Others    func(now time.Time) *gossip.Totals // loads and doubts of the other nodes
 	Own       func(now time.Time) gossip.Status  // this node's own loads and doubts
 	Busy      func() bool                        // a caller has sent a request to this node
--- a/internal/gossip/caller.go
+++ b/internal/gossip/caller.go
@@ -54,9 +54,9 @@
 	return gossippb.NewDRPCGossipClient(drpc.Conn(conn))
 }
 
-// Pull fetches what the node has taken in since a sequence of its own.
-func (c *Caller) Pull(ctx context.Context, address, incarnation string, since uint64) (uint64, []infra.Object, error) {
-	reply, err := c.client(ctx, address).Pull(ctx, &gossippb.PullRequest{Incarnation: incarnation, Since: since})
+// Pull fetches what the node has taken in since a sequence of its own, or of that what is needed for routing.
+func (c *Caller) Pull(ctx context.Context, address, incarnation string, since uint64, routing bool) (uint64, []infra.Object, error) {
+	reply, err := c.client(ctx, address).Pull(ctx, &gossippb.PullRequest{Incarnation: incarnation, Since: since, Routing: routing})
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/gossip/caller_test.go
+++ b/internal/gossip/caller_test.go
@@ -27,7 +27,7 @@
 	pull := func(within time.Duration) error {
 		callCtx, end := context.WithTimeout(ctx, within)
 		defer end()
-		_, _, err := caller.Pull(callCtx, lis.Addr().String(), "1", 0)
+		_, _, err := caller.Pull(callCtx, lis.Addr().String(), "1", 0, false)
 		return err
 	}
 	qt.Assert(t, pull(10*time.Second), qt.IsNil)
--- a/internal/gossip/packing.go
+++ b/internal/gossip/packing.go
@@ -23,17 +23,18 @@
 	mu      sync.Mutex
 	encoder *zstd.Encoder
 	since   uint64
+	routing bool
 	reply   *gossippb.PullReply
 }
 
-// pack returns the reply to a node that has everything up to since, with its objects compressed if they are large.
-func (p *packer) pack(since uint64, reply *gossippb.PullReply) (*gossippb.PullReply, error) {
+// pack returns the reply to a request, with its objects compressed if they are large.
+func (p *packer) pack(request *gossippb.PullRequest, reply *gossippb.PullReply) (*gossippb.PullReply, error) {
 	if proto.Size(reply) < packFrom {
 		return reply, nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.reply != nil && p.since == since && p.reply.Sequence == reply.Sequence {
+	if p.reply != nil && p.since == request.Since && p.routing == request.Routing && p.reply.Sequence == reply.Sequence {
 		return p.reply, nil
 	}
 	if p.encoder == nil {
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.since = since
+	p.since, p.routing = request.Since, request.Routing
 	p.reply = &gossippb.PullReply{Incarnation: reply.Incarnation, Sequence: reply.Sequence, Packed: p.encoder.EncodeAll(content, nil)}
 	return p.reply, nil
 }
--- a/internal/gossip/server.go
+++ b/internal/gossip/server.go
@@ -44,12 +44,16 @@
 	if request.Incarnation != s.incarnation {
 		since = 0
 	}
-	objects, sequence := s.mirror.Page(since, pullBytes)
+	page := s.mirror.Page
+	if request.Routing {
+		page = s.mirror.RoutingPage
+	}
+	objects, sequence := page(since, pullBytes)
 	reply := &gossippb.PullReply{Incarnation: s.incarnation, Sequence: sequence}
 	for _, o := range objects {
 		reply.Objects = append(reply.Objects, &gossippb.Object{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted})
 	}
-	return s.packer.pack(since, reply)
+	return s.packer.pack(request, reply)
 }
 
 // Probe implements the drpc service.
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -10,9 +10,11 @@
 	LeaderEpoch int64 // while it leads, else 0
 	Lease       Lease // of the leader, while it leads
 	Uptime      time.Duration
-	Relay       bool // it passes on what other nodes tell it
-	Idle        bool // it has had no requests lately: it needs no loads, and tells and is told less often
-	Sequence    uint64
+	Relay       bool      // it passes on what other nodes tell it
+	Idle        bool      // it has had no requests lately: it needs no loads, and tells and is told less often
+	Sequence    uint64    // of its copy of the store's objects
+	Routing     uint64    // Sequence of the last change that nodes need which only route
+	Full        bool      // its copy holds all endpoints, not only what is needed for routing
 	Watching    bool      // its copy comes from the store itself
 	ProofAt     time.Time // its copy of the store is current as of then; zero if unknown
 	Loads       Loads     // requests it has at endpoints
--- /dev/null
+++ b/internal/mirror/routing_test.go
@@ -0,0 +1,117 @@
+package mirror
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/infra"
+)
+
+// all returns what a node that only routes gets in pages of one object, and how far it comes.
+func all(m *Mirror, since uint64) (out []infra.Object, reached uint64) {
+	for {
+		page, next := m.RoutingPage(since, 1)
+		out = append(out, page...)
+		if next == since {
+			return out, next
+		}
+		since = next
+	}
+}
+
+func object(key string, version int64) infra.Object {
+	return infra.Object{Key: key, Version: version, Value: []byte(`{"a":1}`)}
+}
+
+func TestNodesThatOnlyRouteGetOnlyWhatTheyNeed(t *testing.T) {
+	m := New()
+	head, member := object("head", 1), object("member", 2)
+	m.Put(head, member)
+	m.Mark(head, true)
+	m.Mark(member, false)
+	got, reached := all(m, 0)
+	qt.Check(t, got, qt.DeepEquals, []infra.Object{head})
+	qt.Check(t, reached, qt.Equals, uint64(2))
+	qt.Check(t, m.RoutingSequence(), qt.Equals, uint64(1))
+
+	changed := object("member", 3)
+	m.Put(changed)
+	m.Mark(changed, false)
+	got, reached = all(m, reached)
+	qt.Check(t, got, qt.HasLen, 0, qt.Commentf("its changes are nothing to them"))
+	qt.Check(t, m.RoutingSequence(), qt.Equals, uint64(1))
+
+	left := object("head", 4)
+	m.Put(left)
+	m.Mark(left, false)
+	got, _ = all(m, reached)
+	qt.Check(t, got, qt.DeepEquals, []infra.Object{{Key: "head", Version: 4, Deleted: true}}, qt.Commentf("they are told that it takes no requests any more"))
+	qt.Check(t, m.RoutingSequence(), qt.Equals, uint64(4))
+}
+
+// Whether a change matters to them is known only once it has been read. Until then a node is not as current as it looks.
+func TestNothingIsGivenPastAChangeThatHasNotBeenRead(t *testing.T) {
+	m := New()
+	unread, head := object("unread", 1), object("head", 2)
+	m.Put(unread, head)
+	m.Mark(head, true)
+	got, reached := all(m, 0)
+	qt.Check(t, got, qt.HasLen, 0)
+	qt.Check(t, reached, qt.Equals, uint64(0))
+	qt.Check(t, m.RoutingSequence(), qt.Equals, uint64(2), qt.Commentf("the unread one may be needed"))
+	m.Mark(unread, false)
+	got, reached = all(m, 0)
+	qt.Check(t, got, qt.DeepEquals, []infra.Object{head})
+	qt.Check(t, reached, qt.Equals, uint64(2))
+}
+
+func TestForgottenObjectMayBeToldAgain(t *testing.T) {
+	m := New()
+	o := object("e", 7)
+	m.Put(o)
+	m.Forget("", func(infra.Object) bool { return true })
+	_, there := m.Get("e")
+	qt.Check(t, there, qt.IsFalse)
+	qt.Check(t, m.Put(object("e", 6)), qt.IsFalse, qt.Commentf("not in an earlier version"))
+	qt.Check(t, m.Put(o), qt.IsTrue)
+}
+
+func TestThoseWhoWaitAreToldOnceOfManyChanges(t *testing.T) {
+	m := New()
+	before := m.Changed()
+	m.Put(object("a", 1), object("b", 2))
+	<-before
+	qt.Check(t, m.Sequence(), qt.Equals, uint64(2))
+	after := m.Changed()
+	m.Put(object("a", 1))
+	select {
+	case <-after:
+		t.Error("nothing has changed")
+	default:
+	}
+}
+
+// What came after a sequence is found without looking at the rest.
+func TestChangesAreFoundWhateverElseIsHeld(t *testing.T) {
+	allocations := func(held int) float64 {
+		m := New()
+		for i := range held {
+			m.Put(object(string(rune(i)), 1))
+		}
+		at := m.Sequence() - 2
+		return testing.AllocsPerRun(10, func() { m.Since(at) })
+	}
+	qt.Check(t, allocations(3000), qt.Equals, allocations(30))
+}
+
+func BenchmarkSince(b *testing.B) {
+	m := New()
+	for i := range 3064 {
+		m.Put(object(string(rune(i)), 1))
+	}
+	at := m.Sequence() - 2
+	for b.Loop() {
+		m.Since(at)
+	}
+}
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -60,7 +60,7 @@
 	var out []candidate
 	usual := p.usualGap(w, snapshot)
 	for _, g := range snapshot.Groups {
-		if g.Service != w.Service || g.Model != w.Model || w.excludes(g.Name) || retiring[g.Name] || !p.usable(g, w.Size) || snapshot.Evacuated[g.Head.Zone] {
+		if g.Service != w.Service || g.Model != w.Model || w.excludes(g.Name) || retiring[g.Name] || !p.usable(snapshot, g, w.Size) || snapshot.Evacuated[g.Head.Zone] {
 			continue
 		}
 		h := p.health[g.Name]
@@ -92,11 +92,15 @@
 // elsewhere reports whether the endpoint is in another data centre.
 func (p *Picker) elsewhere(e *endpoint.Endpoint) bool { return e.Zone != p.options.Zone }
 
-// usable reports whether the head takes requests and every member has been ready at one time in this group.
-func (p *Picker) usable(g *endpoint.Group, size int) bool {
+// usable reports whether the head takes requests and every member has been ready at one time in this group. Where members are
+// not listed the leader's word counts for that: no group is opened otherwise.
+func (p *Picker) usable(s *endpoint.Snapshot, g *endpoint.Group, size int) bool {
 	if g.Head == nil || g.Head.Draining || g.Head.Membership.State != endpoint.Open {
 		return false
 	}
+	if s.RoutingOnly {
+		return true
+	}
 	if g.Ready(size) {
 		p.complete[g.Name] = true
 	}
--- a/internal/server/changes.go
+++ b/internal/server/changes.go
@@ -21,9 +21,15 @@
 	var sequence uint64
 	for ctx.Err() == nil {
 		changed := n.follower.Mirror.Changed()
+		full := n.follower.Full() // what is listed after that makes up for it
 		var objects []infra.Object
-		if objects, sequence = n.follower.Mirror.Since(sequence); len(objects) > 0 {
+		objects, sequence = n.follower.Mirror.Since(sequence)
+		if len(objects) > 0 {
 			n.apply(objects, clock.Now())
+		}
+		n.directory.SetRoutingOnly(!full)
+		n.applied.Store(sequence)
+		if len(objects) > 0 {
 			continue
 		}
 		select {
@@ -40,6 +46,7 @@
 	evacuations := false
 	for _, o := range objects {
 		id, isEndpoint := strings.CutPrefix(o.Key, keys.Endpoints)
+		routing := !isEndpoint
 		switch {
 		case isEndpoint && o.Deleted:
 			removed = append(removed, id)
@@ -48,14 +55,16 @@
 			if err != nil {
 				_ = level.Warn(n.logger).Log("msg", "endpoint entry cannot be read and is left out", "endpoint", id, "err", err)
 				removed = append(removed, id)
-				continue
+				break
 			}
 			changed = append(changed, e)
+			routing = e.Routable()
 		case strings.HasPrefix(o.Key, keys.Evacuations):
 			evacuations = true
 		case strings.HasPrefix(o.Key, keys.Accepted) && !o.Deleted:
 			n.accept(o)
 		}
+		n.follower.Mirror.Mark(o, routing)
 	}
 	if evacuations {
 		n.evacuate()
@@ -96,3 +105,15 @@
 	n.table.Store(t)
 	_ = level.Info(n.logger).Log("msg", "configuration in force", "version", t.Version, "revision", t.Revision, "routes", t.Size())
 }
+
+// listedAsOf returns an instant as of which the store itself has told this node all endpoints, once they are in the directory.
+// Groups are formed by nothing else: a copy from others may hold only those that take requests.
+func (n *Server) listedAsOf() time.Time {
+	if at, sequence := n.follower.Listed(); n.applied.Load() >= sequence {
+		n.listed.Store(&at)
+	}
+	if at := n.listed.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -77,6 +77,9 @@
 	crowd      atomic.Pointer[crowd] // nil until the list of registered nodes was read
 	startDraw  float64               // 0 to 1, by chance
 	leaving    atomic.Bool
+	applied    atomic.Uint64             // sequence of the copy that is in the directory
+	listed     atomic.Pointer[time.Time] // the endpoints in the directory are certainly what the store had then
+	relayed    relayed
 	election   *election
 
 	listeners listeners
@@ -119,6 +122,7 @@
 	n.isolate()
 	leads := func() bool { return n.controller.Leads(clock.Now()) > 0 }
 	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
+	n.follower.KeepsAll = n.keepsAll
 	n.follower.Beat = s.EndpointBeat()
 	n.follower.StartPatience, n.follower.Relaying = n.startPatience, n.gossip.Relaying
 	if s.Evacuations {
@@ -134,7 +138,7 @@
 	n.keeper = holder.NewKeeper(n.platform.Objects, leaseName, s.VM, ttl, ttl/leaseMarginPart, n.wantsLead, logger)
 	n.controller = formation.NewController(formation.Options{
 		Engine: n.platform.Engine, Directory: n.directory, Table: n.table.Load, Lease: n.keeper.Held, Beat: s.EndpointBeat(),
-		Current: func() time.Time { return n.follower.Current(keys.Endpoints) }, Others: n.gossip.Others, Own: n.ownStatus,
+		Current: func() time.Time { return n.follower.Current(keys.Endpoints) }, Listed: n.listedAsOf, Others: n.gossip.Others, Own: n.ownStatus,
 		Busy: func() bool { return n.requests.Load() > 0 }, Heard: n.heardElsewhere, Told: n.gossip.Kick, Logger: logger,
 	})
 	decisions := eventlog.NewDecisions(logger, eventlog.Limits{SampleOneIn: s.SampleOneIn, Failures: s.FailureLinesSecond})
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -32,8 +32,8 @@
 	s.Idle = n.traffic.idle(now)
 	s.LeaderEpoch = n.controller.Leads(now)
 	s.Uptime = now.Sub(n.started)
-	s.Sequence = n.follower.Mirror.Sequence()
-	s.ProofAt, s.Watching = n.follower.Whole()
+	s.ProofAt, s.Watching = n.follower.Whole() // before the sequences, which may then be later than what it is of
+	s.Sequence, s.Routing, s.Full = n.follower.Mirror.Sequence(), n.follower.Mirror.RoutingSequence(), n.follower.Full()
 	if s.LeaderEpoch > 0 {
 		s.Retiring = n.controller.Retiring()
 		s.Lost = n.controller.Lost()
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -75,6 +75,9 @@
 	other := w.ports[to]
 	from.sent.Datagrams += datagrams
 	from.sent.Bytes += size
+	if datagrams > 0 {
+		from.sent.Beats += size
+	}
 	if other == nil || from.cut || other.cut || w.apart[[2]netip.AddrPort{from.address, to}] {
 		return nil, 0
 	}
--- a/internal/standin/network/port.go
+++ b/internal/standin/network/port.go
@@ -10,6 +10,7 @@
 type Traffic struct {
 	Datagrams int
 	Bytes     int // of datagrams and connections
+	Beats     int // of Bytes, in datagrams
 	FarBytes  int // of Bytes, to other data centres
 }
 
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -182,6 +182,7 @@
 		all.Datagrams += sent.Datagrams
 		all.Bytes += sent.Bytes
 		all.FarBytes += sent.FarBytes
+		all.Beats += sent.Beats
 		if sent.Bytes > busiest.Bytes {
 			busiest = sent
 		}
--- a/test/fleet/start_test.go
+++ b/test/fleet/start_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/standin/network"
 )
 
 // nodes is the size of the fleet; 100 in CI.
@@ -17,8 +19,7 @@
 // began is a moment from which things are counted.
 type began struct {
 	at   time.Time
-	sent int
-	far  int
+	sent network.Traffic
 }
 
 // report logs what has been asked and sent since a moment.
@@ -26,8 +27,9 @@
 	t.Helper()
 	byKind, calls := f.store.counted()
 	all, busiest := f.traffic()
-	t.Logf("%s: %.1f s; %.0f calls of the store; all sent %.1f MB, %.1f to other data centres; the busiest %.2f MB so far", what, time.Since(since.at).Seconds(), calls,
-		float64(all.Bytes-since.sent)/1e6, float64(all.FarBytes-since.far)/1e6, float64(busiest.Bytes)/1e6)
+	t.Logf("%s: %.1f s; %.0f calls of the store; all sent %.1f MB, %.1f of it in beats and %.1f to other data centres; the busiest %.2f MB so far",
+		what, time.Since(since.at).Seconds(), calls, float64(all.Bytes-since.sent.Bytes)/1e6, float64(all.Beats-since.sent.Beats)/1e6,
+		float64(all.FarBytes-since.sent.FarBytes)/1e6, float64(busiest.Bytes)/1e6)
 	for _, kind := range slices.Sorted(maps.Keys(byKind)) {
 		t.Logf("    %-20s %.0f", kind, byKind[kind])
 	}
@@ -36,7 +38,7 @@
 
 func (f *fleet) mark() began {
 	all, _ := f.traffic()
-	return began{time.Now(), all.Bytes, all.FarBytes}
+	return began{time.Now(), all}
 }
 
 // TestStart starts all nodes at once before a store that knows none of them.
