Tell nodes that are no relays of the largest nodes only

Cause: each change of any node's flags went to every node with the roster of its relay, 30 nodes a roster; while a fleet starts every roster changes each second, so what a node takes in grows with the fleet: 28 of the 72 MB that 300 nodes sent in their first six seconds of serving, each other's rosters to those that are no relays.

Change: a relay tells those that report to it the relays, the leader, and of each data centre the 16 largest that serve, or as many as bear twice the running requests, and how many nodes there are. Callers are sent to the eight largest of a data centre and relays are drawn from the largest, so nothing else of the list was used but its length.

Weighed: rosters as differences to what the receiver holds: every node would still take in every change, some 90 bytes each.

--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -73,6 +73,8 @@
 	OnBeat func(p *Peer)
 	// Quarantine is what the nodes tell each other of requests that end endpoints; nil if they do not.
 	Quarantine *quarantine.Table
+	// CapacityOfRequest is how much of the nodes that callers use one running request needs, in thousandths of a core.
+	CapacityOfRequest float64
 	// OnSent is called with each beat sent and its size in bytes; it must not block.
 	OnSent func(kind BeatKind, size int)
 
@@ -82,7 +84,10 @@
 	relays     []*Peer             // the other nodes that should be relays
 	own        *roster             // while this node is a relay
 	ownAt      time.Time
-	ownStale   bool // a node of it has said something that is passed on at once
+	ownStale   bool        // a node of it has said something that is passed on at once
+	view       partialView // while this node is a relay
+	toldNodes  int         // in the fleet, as a relay has said
+	toldAt     time.Time
 	seen       map[string]time.Time
 	zoneSeen   map[string]time.Time // a live node of that data centre was last known
 	relaying   bool
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -67,9 +67,15 @@
 	c.takeFlags(b)
 	c.peer = fromWire(b, asOf)
 	c.peer.Upstream = !n.relaying && len(n.subscribed) > 0 && n.subscribed[0] == b.GossipAddress
+	if b.WholeFleet {
+		n.toldNodes, n.toldAt = int(b.Nodes), now
+	}
 	for _, w := range b.NewRosters {
-		n.rosters[w.Digest] = rosterFromWire(w, asOf)
+		r := rosterFromWire(w, asOf)
+		n.rosters[w.Digest] = r
+		n.view.stale = n.view.stale || n.relaying && slices.ContainsFunc(r.members, n.view.outdates)
 	}
+	n.view.stale = n.view.stale || news && n.relaying && n.view.outdates(c.peer)
 	n.changed = n.changed || appeared || news || len(b.NewRosters) > 0
 	if (news || held) && n.relaying {
 		n.Kick()
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"slices"
 	"time"
 
 	"moorrun.dev/moorrun/internal/gossip/gossippb"
@@ -133,17 +132,6 @@
 
 // writeWholeFleet tells a subscriber what all nodes but itself have.
 func (n *Node) writeWholeFleet(c *contact, now time.Time) {
-	n.refreshOwnRoster(now)
-	rosters := []*roster{n.own}
-	for _, other := range n.peers {
-		if !other.relay(now) {
-			continue
-		}
-		for _, digest := range other.rosters {
-			rosters = append(rosters, n.rosters[digest])
-		}
-	}
-	slices.SortFunc(rosters, compareRosters)
 	total := NewTotals()
 	total.Add(&n.last)
 	total.AddTotals(n.othersNow(now))
@@ -155,7 +143,8 @@
 	}
 	b := toWire(n.self, total.over(n.last), now)
 	b.Relay, b.WholeFleet = true, true
-	n.write(c, now, ToSubscriber, n.marshal(b), n.rosterFields(c, now, c.reporter(now), rosters...))
+	b.Nodes = uint32(1 + n.knownNow(now)) //nolint:gosec // fleets are smaller
+	n.write(c, now, ToSubscriber, n.marshal(b), n.rosterFields(c, now, c.reporter(now), n.refreshView(now)))
 }
 
 // rosterFields names the rosters that this node goes by, if wanted with the content of those that the receiver lacks.
--- a/internal/gossip/relays.go
+++ b/internal/gossip/relays.go
@@ -29,8 +29,9 @@
 }
 
 // relaysOf returns which of the nodes should be relays: the leader, and of each data centre in turn the largest. Nodes
-// that see different parts of the fleet may disagree: whoever is reported to acts as a relay.
-func relaysOf(nodes []*Peer) []*Peer {
+// that see different parts of the fleet may disagree: whoever is reported to acts as a relay. Size is how many nodes the
+// fleet has, of which these are the largest.
+func relaysOf(nodes []*Peer, size int) []*Peer {
 	ranked := make([]rankedPeer, 0, len(nodes))
 	for _, p := range nodes {
 		if !p.Leaving {
@@ -46,7 +47,7 @@
 	}
 	slices.SortStableFunc(ranked, rankedPeer.comparePlace)
 	var out []*Peer
-	for _, r := range ranked[:min(len(ranked), relayCount(len(nodes)))] {
+	for _, r := range ranked[:min(len(ranked), relayCount(size))] {
 		out = append(out, r.Peer)
 	}
 	return out
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -27,8 +27,14 @@
 // review decides which nodes should be relays, and whether this node is one.
 func (n *Node) review(now time.Time, status Status) {
 	nodes := append([]*Peer{{Identity: n.self, Status: status, Heard: now}}, n.live(now)...)
-	nodes = append(nodes, n.presumed(now)...)
-	relays := relaysOf(nodes)
+	size := len(nodes)
+	if n.upstream(now) != nil {
+		size = max(size, n.toldNodes) // it knows the largest ones
+	} else {
+		nodes = append(nodes, n.presumed(now)...)
+		size = len(nodes)
+	}
+	relays := relaysOf(nodes, size)
 	isSelf := func(p *Peer) bool { return p.VM == n.self.VM }
 	n.relaying = status.LeaderEpoch > 0 || slices.ContainsFunc(relays, isSelf) || n.hasReporters(now)
 	if status.Leaving {
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// Live returns the other nodes heard lately, by this node or by relays that it hears, in order of VM.
+// Live returns the other nodes heard lately, by this node or by relays that it hears, in order of VM. A node of a large fleet
+// that is no relay knows of the largest of each data centre only.
 func (n *Node) Live(now time.Time) []*Peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -70,20 +71,25 @@
 	return known && !inSight && now.Sub(at) < forgetAfter
 }
 
-// Known returns how many other nodes have been heard and are not forgotten.
+// Known returns how many other nodes have been heard and are not forgotten, by this node or by its relay.
 func (n *Node) Known(now time.Time) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.knownNow(now)
+}
+
+// knownNow is Known with the lock held.
+func (n *Node) knownNow(now time.Time) int {
 	n.live(now)
-	count := 0
 	for vm, at := range n.seen {
 		if now.Sub(at) > forgetAfter {
 			delete(n.seen, vm)
-			continue
 		}
-		count++
 	}
-	return count
+	if !n.relaying && now.Sub(n.toldAt) <= forgetAfter {
+		return max(len(n.seen), n.toldNodes-1)
+	}
+	return len(n.seen)
 }
 
 // Others returns the loads and doubts of all other nodes. The result is shared; it must not be changed.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -129,6 +129,7 @@
 		n.follower.Also(keys.Evacuations)
 	}
 	n.gossip.OnBeat = n.heard
+	n.gossip.CapacityOfRequest = capacityUnit * coresOfRequest / usedPart
 	n.gossip.OnSent = countBeats(n.scope)
 	n.rpc = gossip.NewServer(self.Incarnation, n.follower.Mirror, n.askFor)
 	n.picker = picker.New(picker.Options{
