Let registered nodes that start again write nothing, and hold the fleet's calls of the store to their bounds

Cause: after all nodes were killed each registrar wrote its address, read it and listed the others, four calls, though all of it stands in the store since before.

The tests start a fleet, kill all of it, keep a third from the store for nine seconds, the leader for seven, then all; their bounds are what is asked of 986 nodes: 600 calls until all serve, 20 a second afterwards. Each process has a decoder of its own for compressed copies, which a test of many processes in one needs.

A leader gives 128 orders at a time and asks 128 endpoints at a time: 1,000 were begun at once before in the test.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -30,6 +30,11 @@
 	// within some ten milliseconds. A lost member is known 200 ms sooner than if the others were asked after askWait.
 	askOthersAfter = 80 * time.Millisecond
 	orderWait      = 700 * time.Millisecond
+	// ordersAtOnce and questionsAtOnce bound the orders and questions that are under way. The leader of a fleet that starts has
+	// an order for every endpoint, and a new leader a question: thousands begun at once are all late, and so is the renewal of
+	// the lease, which takes its turn on the processor with them.
+	ordersAtOnce    = 128
+	questionsAtOnce = 128
 	// forgetContact is how long what asking has shown is kept.
 	forgetContact = 30 * time.Second
 )
@@ -45,6 +50,8 @@
 	epoch    int64               // of the last tenure
 	planners map[string]*Planner // by service
 	contacts map[string]*contact
+	asking   int           // questions under way
+	ordering chan struct{} // holds one for each order under way
 	busy     bool
 	steady   time.Time // since when the list has been current without a long pause; zero if it is not
 	wake     chan struct{}
@@ -59,7 +66,7 @@
 
 // NewController returns a Controller.
 func NewController(o Options) *Controller {
-	return &Controller{Options: o, planners: make(map[string]*Planner), contacts: make(map[string]*contact), wake: make(chan struct{}, 1)}
+	return &Controller{Options: o, planners: make(map[string]*Planner), contacts: make(map[string]*contact), ordering: make(chan struct{}, ordersAtOnce), wake: make(chan struct{}, 1)}
 }
 
 // Wake makes the controller look at once.
@@ -208,8 +215,14 @@
 	return v
 }
 
-// carryOut gives one order, unless the lease has ended meanwhile.
+// carryOut gives one order when it is its turn, unless the lease has ended meanwhile.
 func (c *Controller) carryOut(ctx context.Context, p *Planner, o Order) {
+	select {
+	case c.ordering <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-c.ordering }()
 	if c.Leads(clock.Now()) == 0 {
 		return
 	}
@@ -238,10 +251,11 @@
 	if gone, ok := snapshot.Gone[id]; ok && e == nil {
 		e = gone.Endpoint
 	}
-	if k.asking || e == nil || now.Sub(k.asked) < askEvery || k.Refused {
-		return
+	if k.asking || e == nil || now.Sub(k.asked) < askEvery || k.Refused || c.asking >= questionsAtOnce {
+		return // if it still matters it is asked for again in the next step
 	}
 	k.asking, k.asked = true, now
+	c.asking++
 	go c.askNow(ctx, e, k)
 }
 
@@ -251,6 +265,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k.asking = false
+	c.asking--
 	was := k.Failed.IsZero()
 	switch answer {
 	case Answered, AnsweredBusy:
--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -123,6 +124,66 @@
 	qt.Check(t, len(e.joins()) > 0, qt.IsTrue)
 }
 
+// slowEngine answers after a while and counts how much is under way at once.
+type slowEngine struct {
+	mu            sync.Mutex
+	now, most     int
+	orders, asked int
+}
+
+func (s *slowEngine) work(count *int) {
+	s.mu.Lock()
+	s.now++
+	*count++
+	s.most = max(s.most, s.now)
+	s.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	s.mu.Lock()
+	s.now--
+	s.mu.Unlock()
+}
+
+func (s *slowEngine) Ask(context.Context, *endpoint.Endpoint) Answer {
+	s.work(&s.asked)
+	return Answered
+}
+func (s *slowEngine) Order(context.Context, Order) Outcome { s.work(&s.orders); return Taken }
+
+// A fleet that starts has an order for every endpoint, and a new leader a question: they are begun a few at a time, and all
+// in the end.
+func TestOrdersAndQuestionsAreGivenAFewAtATime(t *testing.T) {
+	const endpoints = 1000
+	synctest.Test(t, func(t *testing.T) {
+		e := &slowEngine{}
+		c := newTestController(e, func(time.Time) (int64, time.Time, bool) { return 1, time.Now().Add(time.Hour), true })
+		var list []*endpoint.Endpoint
+		for i := range endpoints {
+			list = append(list, &endpoint.Endpoint{ID: fmt.Sprint("e", i), Service: "lm", Domain: fmt.Sprint("d", i/10)})
+		}
+		c.Directory.Apply(list, nil, origin)
+		p := NewPlanner(1, origin)
+		for _, x := range list {
+			go c.carryOut(t.Context(), p, Order{Kind: Leave, Endpoint: x})
+		}
+		time.Sleep(time.Second)
+		qt.Check(t, e.orders, qt.Equals, endpoints)
+		qt.Check(t, e.most <= ordersAtOnce, qt.IsTrue, qt.Commentf("%d", e.most))
+		e.most = 0
+		for step := range 20 {
+			c.mu.Lock()
+			for _, x := range list {
+				if k := c.contacts[x.ID]; k == nil || k.Answered.IsZero() {
+					c.ask(t.Context(), c.Directory.Read(), x.ID, origin.Add(time.Duration(step)*askEvery))
+				}
+			}
+			c.mu.Unlock()
+			time.Sleep(stepEvery)
+		}
+		qt.Check(t, e.asked, qt.Equals, endpoints)
+		qt.Check(t, e.most <= questionsAtOnce, qt.IsTrue, qt.Commentf("%d", e.most))
+	})
+}
+
 // TestRetiringDoesNotWaitForAStep: the choice of an endpoint asks for the retiring groups under its own lock, and
 // a step asks it for this node's loads.
 func TestRetiringDoesNotWaitForAStep(t *testing.T) {
--- a/internal/gossip/caller.go
+++ b/internal/gossip/caller.go
@@ -36,11 +36,13 @@
 type Caller struct {
 	dial Dial
 	pool *drpcpool.Pool[string, drpcpool.Conn]
+	unpacker
 }
 
 // NewCaller returns a Caller that connects by dial.
 func NewCaller(dial Dial) *Caller {
-	return &Caller{dial, drpcpool.New[string, drpcpool.Conn](drpcpool.Options{KeyCapacity: pooledPerPeer, Expiration: pooledFor})}
+	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{KeyCapacity: pooledPerPeer, Expiration: pooledFor})
+	return &Caller{dial, pool, newUnpacker()}
 }
 
 func (c *Caller) client(ctx context.Context, address string) gossippb.DRPCGossipClient {
@@ -63,7 +65,7 @@
 	if reply.Incarnation != incarnation {
 		return 0, nil, errRestarted
 	}
-	objects, err := unpack(reply)
+	objects, err := c.unpack(reply)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/gossip/packing.go
+++ b/internal/gossip/packing.go
@@ -54,17 +54,23 @@
 	return p.reply, nil
 }
 
-// newDecoder is made once: it keeps its buffers.
-var newDecoder = sync.OnceValues(func() (*zstd.Decoder, error) {
-	return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxUnpacked))
-})
+// unpacker takes compressed replies apart, with one decoder, which keeps its buffers.
+type unpacker struct {
+	decoder func() (*zstd.Decoder, error)
+}
+
+func newUnpacker() unpacker {
+	return unpacker{sync.OnceValues(func() (*zstd.Decoder, error) {
+		return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxUnpacked))
+	})}
+}
 
 // unpack returns the objects of a reply.
-func unpack(reply *gossippb.PullReply) ([]*gossippb.Object, error) {
+func (u unpacker) unpack(reply *gossippb.PullReply) ([]*gossippb.Object, error) {
 	if len(reply.Packed) == 0 {
 		return reply.Objects, nil
 	}
-	decoder, err := newDecoder()
+	decoder, err := u.decoder()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gossip/packing_test.go
+++ b/internal/gossip/packing_test.go
@@ -21,7 +21,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, proto.Size(packed) < proto.Size(reply)/20, qt.IsTrue)
 	qt.Check(t, packed.Sequence, qt.Equals, uint64(9))
-	objects, err := unpack(packed)
+	objects, err := newUnpacker().unpack(packed)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, proto.Equal(objects[0], reply.Objects[0]), qt.IsTrue)
 	again, _ := p.pack(&gossippb.PullRequest{Since: 3}, reply)
@@ -39,7 +39,7 @@
 }
 
 func TestGarbledReplyIsAnError(t *testing.T) {
-	_, err := unpack(&gossippb.PullReply{Packed: []byte("not compressed")})
+	_, err := newUnpacker().unpack(&gossippb.PullReply{Packed: []byte("not compressed")})
 	qt.Check(t, err, qt.IsNotNil)
 }
 
@@ -54,7 +54,7 @@
 	for since := uint64(0); since < m.Sequence(); replies++ {
 		reply, err := s.Pull(t.Context(), &gossippb.PullRequest{Incarnation: "x", Since: since})
 		qt.Assert(t, err, qt.IsNil)
-		list, err := unpack(reply)
+		list, err := newUnpacker().unpack(reply)
 		qt.Assert(t, err, qt.IsNil)
 		got += len(list)
 		since = reply.Sequence
--- a/internal/server/registration.go
+++ b/internal/server/registration.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -65,11 +66,32 @@
 
 // registered reports whether this node has nothing more to do to find the others and be found.
 func (n *Server) registered(ctx context.Context, tries int) bool {
-	if isRegistrar(n.settings.VM) || tries > registerPatience && n.draws(tries-registerPatience) {
-		return n.registerOnce(ctx)
+	registers := isRegistrar(n.settings.VM) || tries > registerPatience && n.draws(tries-registerPatience)
+	if registers && n.settings.FirstStart {
+		return n.registerOnce(ctx) // it cannot be listed yet
 	}
 	l, err := n.platform.Recent(ctx, keys.Gateways)
-	return err == nil && n.introduce(l.Objects) >= enoughRegistered
+	if err != nil {
+		return false
+	}
+	others := n.introduce(l.Objects)
+	if registers && !n.lists(l.Objects) {
+		return n.registerOnce(ctx)
+	}
+	return others >= enoughRegistered || registers && tries > registerPatience
+}
+
+// lists reports whether this node's address is among the registered ones.
+func (n *Server) lists(objects []infra.Object) bool {
+	return slices.ContainsFunc(objects, func(o infra.Object) bool {
+		var r registration
+		return o.Key == keys.Gateways+n.settings.VM && json.Unmarshal(o.Value, &r) == nil && r == n.ownRegistration()
+	})
+}
+
+// ownRegistration is what the store is to hold of this node.
+func (n *Server) ownRegistration() registration {
+	return registration{PeerAddress: n.settings.PeerAddress, DataCentre: n.settings.DataCentre, Capacity: n.gossip.Self().Capacity}
 }
 
 // draws draws lots, with a chance that doubles from turn to turn.
@@ -131,7 +153,7 @@
 // writeRegistration makes sure that the store holds this node's address.
 func (n *Server) writeRegistration(ctx context.Context) bool {
 	key := keys.Gateways + n.settings.VM
-	own := registration{PeerAddress: n.settings.PeerAddress, DataCentre: n.settings.DataCentre, Capacity: n.gossip.Self().Capacity}
+	own := n.ownRegistration()
 	if outcome, _, _ := n.platform.Objects.Put(ctx, key, own, 0); outcome == infra.Applied {
 		return true
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -230,5 +230,11 @@
 // Table returns the configuration in force, nil before there is one.
 func (n *Server) Table() *route.Table { return n.table.Load() }
 
+// Leads reports whether this node leads.
+func (n *Server) Leads() bool { return n.controller.Leads(clock.Now()) > 0 }
+
+// Ready reports whether this node takes new callers.
+func (n *Server) Ready() bool { return n.ready() }
+
 // Endpoints returns what this node lists.
 func (n *Server) Endpoints() *endpoint.Snapshot { return n.directory.Read() }
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -216,3 +216,24 @@
 		},
 	}
 }
+
+// leader returns the number of the node that leads, or -1.
+func (f *fleet) leader() int {
+	for i, l := range f.lives {
+		if l.server != nil && l.server.Leads() {
+			return i
+		}
+	}
+	return -1
+}
+
+// ready returns how many nodes take callers: they know a configuration that was proved current lately.
+func (f *fleet) ready() int {
+	n := 0
+	for _, l := range f.lives {
+		if l.server != nil && l.server.Ready() {
+			n++
+		}
+	}
+	return n
+}
--- a/test/fleet/start_test.go
+++ b/test/fleet/start_test.go
@@ -16,6 +16,16 @@
 // nodes is the size of the fleet; 100 in CI.
 var nodes = flag.Int("nodes", 100, "nodes of the fleet")
 
+// What is aimed at for a fleet of 986 nodes, and so for smaller ones.
+const (
+	// mostCalls is how many calls of the store a fleet may make from the start of all nodes until all route.
+	mostCalls = 600
+	// mostCallsASecond is how many it may make afterwards.
+	mostCallsASecond = 20
+	// mostStart is within what all nodes have to route once their endpoints serve, or have gone on serving.
+	mostStart = 5 * time.Second
+)
+
 // began is a moment from which things are counted.
 type began struct {
 	at   time.Time
@@ -49,19 +59,114 @@
 		took, ok := await(20*time.Second, func() bool { return f.configured() == *nodes })
 		t.Logf("%d of %d nodes have the configuration after %.1f s", f.configured(), *nodes, took.Seconds())
 		qt.Check(t, ok, qt.IsTrue)
-		f.report(t, "configured", start)
+		calls := f.report(t, "configured", start)
 		most := *nodes * enginesANode / 8
 		_, ok = await(30*time.Second, func() bool { open, _, _ := f.estate.open(); return open >= most })
 		open, orders, first := f.estate.open()
 		t.Logf("%d groups open after %d orders, the first %.1f s after the start", open, orders, first.Sub(start.at).Seconds())
 		qt.Check(t, ok, qt.IsTrue)
-		took, ok = await(10*time.Second, func() bool { return f.routing() == *nodes })
+		took, ok = await(mostStart, func() bool { return f.routing() == *nodes })
 		t.Logf("%d of %d nodes route to them %.1f s later", f.routing(), *nodes, took.Seconds())
 		qt.Check(t, ok, qt.IsTrue)
-		f.report(t, "serving", start)
+		calls += f.report(t, "serving", start)
+		qt.Check(t, calls <= mostCalls, qt.IsTrue, qt.Commentf("%.0f calls", calls))
 		rest := f.mark()
 		time.Sleep(5 * time.Second)
-		f.report(t, "5 s at rest", rest)
+		calls = f.report(t, "5 s at rest", rest)
+		qt.Check(t, calls <= 5*mostCallsASecond, qt.IsTrue, qt.Commentf("%.0f calls", calls))
+		f.end()
+	})
+}
+
+// running starts a fleet and returns it once all groups serve and all nodes know.
+func running(t *testing.T) *fleet {
+	t.Helper()
+	f := newFleet(*nodes)
+	_, ok := await(30*time.Second, func() bool {
+		open, _, _ := f.estate.open()
+		return open >= *nodes*enginesANode/8 && f.routing() == *nodes
+	})
+	qt.Assert(t, ok, qt.IsTrue)
+	time.Sleep(3 * time.Second)
+	f.store.counted()
+	return f
+}
+
+// TestAllAreKilled kills all nodes at once. The groups go on; nodes have to find each other and learn of them.
+func TestAllAreKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := running(t)
+		f.killAll()
+		killed := f.mark()
+		time.Sleep(500 * time.Millisecond)
+		f.startAll()
+		killed.sent = network.Traffic{} // the new lives count from zero
+		took, ok := await(mostStart, func() bool { return f.ready() == *nodes && f.routing() == *nodes })
+		t.Logf("%d of %d nodes take callers and %d route after %.1f s", f.ready(), *nodes, f.routing(), took.Seconds())
+		qt.Check(t, ok, qt.IsTrue)
+		calls := f.report(t, "serving again", killed)
+		qt.Check(t, calls <= mostCalls, qt.IsTrue, qt.Commentf("%.0f calls", calls))
+		took, _ = await(10*time.Second, func() bool { return f.leader() >= 0 })
+		t.Logf("somebody leads %.1f s later", took.Seconds())
+		time.Sleep(5 * time.Second)
+		f.report(t, "5 s later", killed)
+		f.end()
+	})
+}
+
+// TestThirdWithoutTheStore keeps a third of the nodes from the store for nine seconds.
+func TestThirdWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := running(t)
+		var third []*life
+		for i, l := range f.lives {
+			if i%3 == 1 {
+				third = append(third, l)
+			}
+		}
+		f.cutFromStore(true, third...)
+		cut := f.mark()
+		least := *nodes
+		for range 90 {
+			time.Sleep(100 * time.Millisecond)
+			least = min(least, f.ready())
+		}
+		t.Logf("at least %d of %d nodes took callers meanwhile", least, *nodes)
+		qt.Check(t, least, qt.Equals, *nodes)
+		calls := f.report(t, "a third without the store", cut)
+		qt.Check(t, calls <= 9*mostCallsASecond, qt.IsTrue, qt.Commentf("%.0f calls", calls))
+		f.cutFromStore(false, third...)
+		back := f.mark()
+		time.Sleep(3 * time.Second)
+		f.report(t, "back", back)
+		f.end()
+	})
+}
+
+// TestLeaderWithoutTheStore keeps the leader from the store for seven seconds, and then all nodes.
+func TestLeaderWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := running(t)
+		was := f.leader()
+		f.cutFromStore(true, f.lives[was])
+		cut := f.mark()
+		took, ok := await(5*time.Second, func() bool { l := f.leader(); return l >= 0 && l != was })
+		t.Logf("another leads after %.1f s", took.Seconds())
+		qt.Check(t, ok, qt.IsTrue)
+		time.Sleep(7*time.Second - took)
+		qt.Check(t, f.ready(), qt.Equals, *nodes)
+		f.report(t, "the leader without the store", cut)
+		f.cutFromStore(true, f.lives...)
+		cut = f.mark()
+		time.Sleep(4 * time.Second)
+		f.report(t, "all without it", cut)
+		f.cutFromStore(false, f.lives...)
+		cut = f.mark()
+		took, ok = await(5*time.Second, func() bool { return f.ready() == *nodes && f.leader() >= 0 })
+		t.Logf("all take callers and one leads %.1f s after its return", took.Seconds())
+		qt.Check(t, ok, qt.IsTrue)
+		time.Sleep(3 * time.Second)
+		f.report(t, "back", cut)
 		f.end()
 	})
 }
