Divide half of the slack for repeats among the nodes that have requests

Cause: the slack was divided among all nodes. Callers of a fleet of 986 use some forty of them, so that each of these had 0.63 of a repeat in ten seconds beside 0.14 of its own requests, and of the slack of 1,040 a twentieth could be spent at all.

Change: beats tell how many nodes have requests; a node that has had some for three seconds has its part of 0.3 of the slack among those, and every node one of 0.3 among all, in place of 0.6 among all. A small fleet spends as much as before (TestAllNodesTogetherKeepTheLimit), 40 of 986 nodes 7 repeats more each.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -156,7 +156,7 @@
 		Table: func() *route.Table { return s.table }, Proof: func() time.Time { return s.proof }, ProofLimit: 5 * time.Second,
 		Picker:     picker.New(picker.Options{Directory: d, Others: nobody, Retiring: func(time.Time) map[string]bool { return nil }, Lost: func(string, time.Time) bool { return s.lost }}),
 		Quarantine: s.quarantine, Inquiry: s.inquiry(d),
-		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() int { return 1 }, Story: s.begin, Scope: tally.NoopScope,
+		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() retry.Nodes { return retry.Nodes{All: 1, Busy: 1} }, Story: s.begin, Scope: tally.NoopScope,
 	})
 	return s
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -24,7 +24,7 @@
 	Quarantine *quarantine.Table
 	Inquiry    *quarantine.Inquiry
 	Limits     retry.Limits
-	Nodes      func() int
+	Nodes      func() retry.Nodes
 	Story      func(id string) Story // begins the story of a request
 	Scope      tally.Scope
 }
--- a/internal/gossip/convert.go
+++ b/internal/gossip/convert.go
@@ -24,6 +24,7 @@
 	if !s.ProofAt.IsZero() {
 		b.ProofAgeMs = max(1, roundUp(now.Sub(s.ProofAt)))
 	}
+	b.Busy = uint32(s.Busy) //nolint:gosec // never negative
 	for endpoint, n := range s.Loads {
 		b.LoadEndpoints = append(b.LoadEndpoints, uint32(endpoint))
 		b.LoadRequests = append(b.LoadRequests, uint32(n)) //nolint:gosec // never negative
@@ -53,7 +54,7 @@
 		Status: Status{
 			Leaving: b.Leaving, Serving: b.Serving, Watching: b.Watching, Eligible: b.Eligible, LeaderEpoch: b.LeaderEpoch, Sequence: b.Sequence,
 			Routing: b.RoutingSequence, Full: b.Full,
-			Lease: Lease{b.LeaseVersion, millis(b.LeaseTtlMs)}, Retiring: b.Retiring, Lost: b.Lost, Relay: b.Relay, Idle: b.Idle, Uptime: millis(b.UptimeMs), Loads: make(Loads, len(b.LoadEndpoints)),
+			Lease: Lease{b.LeaseVersion, millis(b.LeaseTtlMs)}, Retiring: b.Retiring, Lost: b.Lost, Relay: b.Relay, Idle: b.Idle, Busy: int(b.Busy), Uptime: millis(b.UptimeMs), Loads: make(Loads, len(b.LoadEndpoints)),
 			Suspects: make(map[string]time.Time, len(b.Suspects)), Demands: make(map[string]Demand, len(b.Demands)),
 		},
 		Heard: asOf,
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -17,6 +17,7 @@
 	Full        bool      // its copy holds all endpoints, not only what is needed for routing
 	Watching    bool      // its copy comes from the store itself
 	ProofAt     time.Time // its copy of the store is current as of then; zero if unknown
+	Busy        int       // 1 if it has requests; of totals, how many nodes have
 	Loads       Loads     // requests it has at endpoints
 	Suspects    map[string]time.Time
 	Retiring    []string // groups that the leader is about to end
--- a/internal/gossip/totals.go
+++ b/internal/gossip/totals.go
@@ -8,6 +8,7 @@
 
 // Totals are the loads and doubts of several nodes together.
 type Totals struct {
+	Busy     int // nodes with requests
 	Loads    Loads
 	Suspects map[string]time.Time // groups that stand still, since when at the latest
 	Retiring []string             // groups that a leader is about to end
@@ -22,6 +23,7 @@
 
 // Add counts in what a node has told.
 func (t *Totals) Add(s *Status) {
+	t.Busy += s.Busy
 	for endpoint, n := range s.Loads {
 		t.Loads[endpoint] += n
 	}
@@ -57,6 +59,7 @@
 // it knows them anyway.
 func (t *Totals) without(s *Status) *Totals {
 	out := *t
+	out.Busy -= s.Busy
 	out.Loads, out.Demands = maps.Clone(t.Loads), maps.Clone(t.Demands)
 	for endpoint, n := range s.Loads {
 		if out.Loads[endpoint] -= n; out.Loads[endpoint] <= 0 {
@@ -71,6 +74,6 @@
 
 // over returns the status with the totals in place of the node's own loads and doubts.
 func (t *Totals) over(s Status) Status {
-	s.Loads, s.Suspects, s.Retiring, s.Lost, s.Demands = t.Loads, t.Suspects, t.Retiring, t.Lost, t.Demands
+	s.Busy, s.Loads, s.Suspects, s.Retiring, s.Lost, s.Demands = t.Busy, t.Loads, t.Suspects, t.Retiring, t.Lost, t.Demands
 	return s
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -9,11 +9,21 @@
 const (
 	// slices divide the window; the oldest is dropped as a whole.
 	slices = 20
-	// ratioPart and slackPart keep a node below its share, because windows slide and nodes differ.
+	// ratioPart, slackPart and busyPart keep a node below its share, because windows slide and nodes differ. Half of the slack
+	// that is used is divided among all nodes and half among those that have requests: in a fleet of 986 nodes callers use some
+	// forty, and a share of all left them less than one repeat in ten seconds beside the ratio. When callers move from some
+	// nodes to others both have spent busyPart in one window, which the rest of the slack covers.
 	ratioPart = 0.7
-	slackPart = 0.6
+	slackPart = 0.3
+	busyPart  = 0.3
 )
 
+// Nodes is who shares the slack.
+type Nodes struct {
+	All  int
+	Busy int // those that have requests, this one included; 0 if this one has none, or not for long enough to know
+}
+
 // Limits are what all nodes together may send again of one service's requests in a window.
 type Limits struct {
 	Ratio  float64 // of the requests
@@ -22,10 +32,10 @@
 }
 
 // Budget is one node's share of the repeats for one service. It keeps to it without talking to other nodes:
-// the ratio holds for each node's own requests, and the slack is divided among all nodes.
+// the ratio holds for each node's own requests, and the slack is divided among the nodes.
 type Budget struct {
 	limits Limits
-	nodes  func() int
+	nodes  func() Nodes
 	start  time.Time // slices count from then on the steady clock
 
 	mu       sync.Mutex
@@ -35,7 +45,7 @@
 }
 
 // NewBudget returns a Budget whose windows count from start; nodes tells how many nodes share the slack.
-func NewBudget(limits Limits, nodes func() int, start time.Time) *Budget {
+func NewBudget(limits Limits, nodes func() Nodes, start time.Time) *Budget {
 	return &Budget{limits: limits, nodes: nodes, start: start}
 }
 
@@ -49,7 +59,7 @@
 
 // Take spends one repeat and reports whether there was one.
 func (b *Budget) Take(now time.Time) bool {
-	nodes := max(1, b.nodes())
+	share := b.nodes().share()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
@@ -58,7 +68,7 @@
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
-	allowed := ratioPart*b.limits.Ratio*float64(requests) + slackPart*b.limits.Slack/float64(nodes)
+	allowed := ratioPart*b.limits.Ratio*float64(requests) + share*b.limits.Slack
 	if float64(repeats+1) > allowed {
 		return false
 	}
@@ -66,6 +76,16 @@
 	return true
 }
 
+// share returns the part of the slack that is this node's.
+func (n Nodes) share() float64 {
+	all := max(1, n.All)
+	share := slackPart / float64(all)
+	if n.Busy > 0 {
+		share += busyPart / float64(min(n.Busy, all))
+	}
+	return share
+}
+
 // advance drops what has left the window.
 func (b *Budget) advance(now time.Time) {
 	slice := now.Sub(b.start).Nanoseconds() / int64(b.limits.Window/slices)
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -14,7 +14,7 @@
 
 var limits = retry.Limits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}
 
-func one() int { return 1 }
+func one() retry.Nodes { return retry.Nodes{All: 1, Busy: 1} }
 
 func TestSlackAllowsFirstRepeats(t *testing.T) {
 	b := retry.NewBudget(limits, one, origin)
@@ -23,7 +23,7 @@
 
 func TestSlackIsDividedAmongNodes(t *testing.T) {
 	taken := func(nodes int) int {
-		b := retry.NewBudget(limits, func() int { return nodes }, origin)
+		b := retry.NewBudget(limits, func() retry.Nodes { return retry.Nodes{All: nodes, Busy: nodes} }, origin)
 		n := 0
 		for b.Take(origin) {
 			n++
@@ -34,6 +34,27 @@
 	qt.Check(t, taken(9) > 0, qt.IsTrue)
 }
 
+// Callers use few nodes of a large fleet: those have half of the slack that is used, and together no more than all nodes of
+// a fleet that callers use whole.
+func TestSlackGoesToThoseThatHaveRequests(t *testing.T) {
+	spent := func(all, busy int) int {
+		n := 0
+		for i := range all {
+			nodes := retry.Nodes{All: all}
+			if i < busy {
+				nodes.Busy = busy
+			}
+			b := retry.NewBudget(retry.Limits{Ratio: 0.2, Slack: 1040, Window: 10 * time.Second}, func() retry.Nodes { return nodes }, origin)
+			for b.Take(origin) {
+				n++
+			}
+		}
+		return n
+	}
+	qt.Check(t, spent(986, 40) >= 7*40, qt.IsTrue, qt.Commentf("%d by 40 of 986 nodes", spent(986, 40)))
+	qt.Check(t, spent(986, 40) <= spent(9, 9), qt.IsTrue, qt.Commentf("%d", spent(986, 40)))
+}
+
 func TestRepeatsAreForgottenAfterTheWindow(t *testing.T) {
 	b := retry.NewBudget(limits, one, origin)
 	for b.Take(origin) { //nolint:revive // spends all
@@ -50,7 +71,7 @@
 		budgets := make([]*retry.Budget, nodes)
 		for i := range budgets {
 			start := origin.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "start")) * time.Millisecond)
-			budgets[i] = retry.NewBudget(limits, func() int { return nodes }, start)
+			budgets[i] = retry.NewBudget(limits, func() retry.Nodes { return retry.Nodes{All: nodes, Busy: nodes} }, start)
 		}
 		var requests, repeats []time.Time
 		now := origin
--- a/internal/server/addresses.go
+++ b/internal/server/addresses.go
@@ -6,6 +6,7 @@
 
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/retry"
 )
 
 const (
@@ -37,6 +38,16 @@
 	return addressesFor(dataCentre, nodes, n.running(now))
 }
 
+// sharers returns how many nodes there are, and how many of them have requests.
+func (n *Server) sharers() retry.Nodes {
+	now := clock.Now()
+	out := retry.Nodes{All: 1 + n.gossip.Known(now)}
+	if n.traffic.settled(now) {
+		out.Busy = 1 + n.gossip.Others(now).Busy
+	}
+	return out
+}
+
 // running returns how many requests all nodes have at replica groups.
 func (n *Server) running(now time.Time) int {
 	return gossip.Sum(n.gossip.Others(now).Demands).Running + gossip.Sum(n.ownStatus(now).Demands).Running
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -147,7 +147,7 @@
 		Table: n.table.Load, Proof: func() time.Time { return n.follower.Current(keys.Accepted) }, ProofLimit: s.CredentialProof(),
 		ProofOptional: !s.CredentialProofRequired,
 		Picker:        n.picker, Quarantine: n.quarantine, Inquiry: n.inquiry, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
-		Nodes: func() int { return 1 + n.gossip.Known(clock.Now()) },
+		Nodes: n.sharers,
 		Story: func(id string) gateway.Story { return decisions.Request(id) },
 		Scope: n.scope,
 	})
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -29,7 +29,9 @@
 	s.Leaving = n.leaving.Load()
 	s.Serving = n.serving(now)
 	s.Eligible = !s.Leaving && n.follower.StoreAnswers() && n.gossip.Relaying()
-	s.Idle = n.traffic.idle(now)
+	if s.Idle = n.traffic.idle(now); !s.Idle {
+		s.Busy = 1
+	}
 	s.LeaderEpoch = n.controller.Leads(now)
 	s.Uptime = now.Sub(n.started)
 	s.ProofAt, s.Watching = n.follower.Whole() // before the sequences, which may then be later than what it is of
--- a/internal/server/traffic.go
+++ b/internal/server/traffic.go
@@ -10,6 +10,8 @@
 	// sent to few nodes; the others meet a request now and then, which does not make them need the fleet's loads.
 	busyWindow = 2 * time.Second
 	busyFrom   = 3
+	// knownWithin is within what nodes that have got requests know of each other that they have.
+	knownWithin = 3 * time.Second
 )
 
 // traffic tells whether callers use this node.
@@ -17,6 +19,7 @@
 	mu     sync.Mutex
 	recent [busyFrom]time.Time // of the last requests, in a ring
 	next   int
+	since  time.Time // callers have used it since then, if they do
 }
 
 // add notes a request and reports whether the node was idle until then and is not any more.
@@ -26,9 +29,19 @@
 	was := t.idleNow(now)
 	t.recent[t.next] = now
 	t.next = (t.next + 1) % busyFrom
+	if was {
+		t.since = now
+	}
 	return was && !t.idleNow(now)
 }
 
+// settled reports whether callers have used this node for so long that the others know.
+func (t *traffic) settled(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.idleNow(now) && now.Sub(t.since) >= knownWithin
+}
+
 // idle reports whether it has had fewer requests lately than a node that callers use.
 func (t *traffic) idle(now time.Time) bool {
 	t.mu.Lock()
