Let nodes look for each other once at a first start, and count all nodes where questions are spread

Change: the first look comes 1.2 s after a first start; who has written its address looks until it is listed; those that know of larger registered nodes leave the lease to them for three seconds; questions are spread over the number of nodes that the relay has told.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -59,6 +59,8 @@
 	StartPatience func() time.Duration
 	// Relaying reports whether this node passes on what others tell; it watches the store sooner then than one that does not.
 	Relaying func() bool
+	// Others returns how many other nodes the fleet has; this one may hear of some only.
+	Others func(now time.Time) int
 	// KeepsAll reports whether this node keeps all endpoints also when it does not watch the store.
 	KeepsAll func() bool
 
@@ -86,13 +88,15 @@
 
 // NewFollower returns a Follower for the node self; leads says whether it is the leader.
 func NewFollower(objects infra.ObjectStore, puller Puller, self string, leads func() bool, live func(now time.Time) []*gossip.Peer, logger log.Logger) *Follower {
-	return &Follower{
+	f := &Follower{
 		Mirror: mirror.New(), objects: objects, puller: puller, leads: leads, live: live, self: self, logger: logger,
 		StartPatience: func() time.Duration { return 0 }, Relaying: func() bool { return true }, KeepsAll: func() bool { return true },
 		draw:    rand.Float64(), //nolint:gosec // spreads questions
 		started: clock.Now(), proof: newProof(keys.Accepted, keys.Endpoints), beats: make(chan *gossip.Peer, 64),
 		pulled: make(map[string]pulled), lost: make(map[string]bool),
 	}
+	f.Others = func(now time.Time) int { return len(live(now)) }
+	return f
 }
 
 // Also lets the copy hold the objects below further prefixes; call it before Run.
@@ -158,12 +162,10 @@
 	if f.leads() {
 		return 0
 	}
-	others := 0
-	relaying := f.Relaying()
-	for _, p := range f.live(clock.Now()) {
-		if p.Relay || !relaying {
-			others++
-		}
+	now := clock.Now()
+	others := f.Others(now)
+	if f.Relaying() {
+		others = f.otherRelays(now)
 	}
 	return time.Duration(2 * draw * float64(others) * float64(turnOfNode))
 }
@@ -194,7 +196,7 @@
 	case now.Sub(at) <= patience: // said first, because it holds nearly always and takes no look at the fleet
 		return false
 	case !f.Relaying():
-		return now.Sub(at) > reporterPatience+time.Duration(f.draw*float64(len(f.live(now)))*float64(turnOfNode))
+		return now.Sub(at) > reporterPatience+time.Duration(f.draw*float64(f.Others(now))*float64(turnOfNode))
 	}
 	return now.Sub(at) > patience+f.rankWait(now) && !f.watched(now)
 }
@@ -216,19 +218,25 @@
 
 // rankWait is how long this relay leaves it to others to watch the store first.
 func (f *Follower) rankWait(now time.Time) time.Duration {
-	relays, sooner := 1, 0
+	relays, sooner := 1+f.otherRelays(now), 0
 	for _, p := range f.live(now) {
-		if !p.Relay {
-			continue
-		}
-		relays++
-		if p.VM < f.self {
+		if p.Relay && p.VM < f.self {
 			sooner++
 		}
 	}
 	return min(time.Duration(sooner)*rankPatience, ranksPatience*time.Duration(sooner)/time.Duration(relays))
 }
 
+func (f *Follower) otherRelays(now time.Time) int {
+	n := 0
+	for _, p := range f.live(now) {
+		if p.Relay {
+			n++
+		}
+	}
+	return n
+}
+
 // Heard takes in a beat; it never blocks.
 func (f *Follower) Heard(p *gossip.Peer) {
 	if p.ProofAt.IsZero() {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -41,6 +41,8 @@
 	// Alone reports whether this node hears no other one.
 	Alone  func(now time.Time) bool
 	Logger log.Logger
+	// FirstStart says that the fleet starts for the first time: there is nothing to restore.
+	FirstStart bool
 
 	restored bool
 	alone    time.Time // since when; zero if it is not
@@ -58,6 +60,7 @@
 
 // Run keeps the list until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
+	k.restored = k.FirstStart
 	loop.Every(ctx, keepEvery, func(now time.Time) {
 		if !k.restored {
 			k.restored = k.restore(ctx)
--- a/internal/server/election.go
+++ b/internal/server/election.go
@@ -32,7 +32,8 @@
 
 // wants reports whether this node should hold the lease: nobody else leads, and of those who could it is the largest and
 // has run for longest. After a while without a leader everyone wants it. able says whether this node could lead, relay whether it
-// is one of those that should.
+// is one of those that should: of a fleet that starts each node takes itself for a relay, and those that are not among the
+// largest ones registered leave it to these.
 func (e *election) wants(now time.Time, able, relay, leads bool, live []*gossip.Peer) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -27,7 +27,7 @@
 		},
 	}
 	n.holds = &quarantine.Keeper{
-		Table: n.quarantine, Objects: n.platform.Objects, Recent: n.platform.Recent, Logger: n.logger,
+		Table: n.quarantine, Objects: n.platform.Objects, Recent: n.platform.Recent, Logger: n.logger, FirstStart: n.settings.FirstStart,
 		Leads: func(now time.Time) int64 { return n.controller.Leads(now) },
 		Alone: func(now time.Time) bool { return len(n.gossip.Live(now)) == 0 },
 	}
--- a/internal/server/registration.go
+++ b/internal/server/registration.go
@@ -10,9 +10,11 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/loop"
 )
 
 const (
@@ -29,15 +31,19 @@
 	// startPatience is how long a new process waits for the beats of others before it asks the store: those that live
 	// send one each 100 ms to the address that it had before.
 	startPatience = 150 * time.Millisecond
-	// firstStartPatience is that at the first start of a fleet, when nobody is listed yet: within it nodes find the
-	// registrars, whose entries the lists show some tenths of a second late, and hear each other.
-	firstStartPatience = 1500 * time.Millisecond
+	// firstLook is how long a node waits at the first start of a fleet before it looks for others: lists show the registrars
+	// some tenths of a second late, and each look is a call.
+	firstLook = 1200 * time.Millisecond
+	// firstStartPatience is startPatience at the first start of a fleet: within it nodes find the registrars and hear others.
+	firstStartPatience = 2 * time.Second
 	// startSpread is how much longer the wait is at most for each node beyond gossip.SmallFleet that would ask as soon, so that
 	// twenty a second ask, however many there are, until those that were answered have told the others.
 	startSpread = 50 * time.Millisecond
 	// smallerWait is how much longer it is for a node of a fleet with larger VMs: the first ones with a copy hand it on to
 	// all others, which over a link of 20 Mbit/s takes seconds.
 	smallerWait = time.Second
+	// meetWithin is within what the nodes of a fleet that starts have met and agree on who relays.
+	meetWithin = 3 * time.Second
 	// registerRetry and registerRetryMax bound the growing pause between two tries to register.
 	registerRetry    = 250 * time.Millisecond
 	registerRetryMax = time.Second
@@ -52,46 +58,41 @@
 
 // register learns of the others, and makes this node known unless enough others are, once.
 func (n *Server) register(ctx context.Context) error {
+	if n.settings.FirstStart {
+		if isRegistrar(n.settings.VM) {
+			n.writeRegistration(ctx)
+		}
+		loop.Sleep(ctx, firstLook)
+	}
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = registerRetry
 	retry.MaxInterval = registerRetryMax
 	for tries := 1; ctx.Err() == nil && !n.registered(ctx, tries); tries++ {
-		select {
-		case <-ctx.Done():
-		case <-time.After(retry.NextBackOff()):
-		}
+		loop.Sleep(ctx, retry.NextBackOff())
 	}
 	return nil
 }
 
-// registered reports whether this node has nothing more to do to find the others and be found.
+// registered looks who is registered, registers this node if it should be, and reports whether it has nothing more to do to
+// find the others and be found. Of two nodes that register at once the later one finds the earlier one, since it looks until
+// it is listed itself.
 func (n *Server) registered(ctx context.Context, tries int) bool {
-	registers := isRegistrar(n.settings.VM) || tries > registerPatience && n.draws(tries-registerPatience)
-	if registers && n.settings.FirstStart {
-		return n.registerOnce(ctx) // it cannot be listed yet
-	}
 	l, err := n.platform.Recent(ctx, keys.Gateways)
 	if err != nil {
 		return false
 	}
 	others := n.introduce(l.Objects)
-	if registers && !n.lists(l.Objects) {
-		return n.registerOnce(ctx)
+	if n.lists(l.Objects) {
+		return others >= enoughRegistered || tries > registerPatience
 	}
-	return others >= enoughRegistered || registers && tries > registerPatience
-}
-
-// lists reports whether this node's address is among the registered ones.
-func (n *Server) lists(objects []infra.Object) bool {
-	return slices.ContainsFunc(objects, func(o infra.Object) bool {
-		var r registration
-		return o.Key == keys.Gateways+n.settings.VM && json.Unmarshal(o.Value, &r) == nil && r == n.ownRegistration()
-	})
-}
-
-// ownRegistration is what the store is to hold of this node.
-func (n *Server) ownRegistration() registration {
-	return registration{PeerAddress: n.settings.PeerAddress, DataCentre: n.settings.DataCentre, Capacity: n.gossip.Self().Capacity}
+	drawn := tries > registerPatience && others < enoughRegistered && n.draws(tries-registerPatience)
+	if !isRegistrar(n.settings.VM) && !drawn {
+		return others >= enoughRegistered
+	}
+	if !n.written { // lists may be some tenths of a second old
+		n.writeRegistration(ctx)
+	}
+	return false
 }
 
 // draws draws lots, with a chance that doubles from turn to turn.
@@ -115,21 +116,26 @@
 	return wait + time.Duration(n.startDraw*float64(max(0, c.alike-gossip.SmallFleet))*float64(startSpread))
 }
 
+// smaller reports whether this node has just started with a large fleet of which others have larger VMs.
+func (n *Server) smaller() bool {
+	c := n.crowd.Load()
+	return c != nil && c.larger && clock.Since(n.started) < meetWithin
+}
+
 // isRegistrar reports whether that node registers without looking for others first.
 func isRegistrar(vm string) bool { return xxhash.Sum64String(vm)%registrarOneIn == 0 }
 
-// registerOnce writes this node's address first and reads the others' after it: of two nodes that start at once
-// the later writer reads the earlier one's.
-func (n *Server) registerOnce(ctx context.Context) bool {
-	if !n.writeRegistration(ctx) {
-		return false
-	}
-	l, err := n.platform.Objects.List(ctx, keys.Gateways)
-	if err != nil {
-		return false
-	}
-	n.introduce(l.Objects)
-	return true
+// lists reports whether this node's address is among the registered ones.
+func (n *Server) lists(objects []infra.Object) bool {
+	return slices.ContainsFunc(objects, func(o infra.Object) bool {
+		var r registration
+		return o.Key == keys.Gateways+n.settings.VM && json.Unmarshal(o.Value, &r) == nil && r == n.ownRegistration()
+	})
+}
+
+// ownRegistration is what the store is to hold of this node.
+func (n *Server) ownRegistration() registration {
+	return registration{PeerAddress: n.settings.PeerAddress, DataCentre: n.settings.DataCentre, Capacity: n.gossip.Self().Capacity}
 }
 
 // introduce makes the registered nodes known to the gossip and returns how many others there are.
@@ -150,21 +156,23 @@
 	return len(others)
 }
 
-// writeRegistration makes sure that the store holds this node's address.
-func (n *Server) writeRegistration(ctx context.Context) bool {
+// writeRegistration makes sure that the store holds this node's address, as far as it answers.
+func (n *Server) writeRegistration(ctx context.Context) {
 	key := keys.Gateways + n.settings.VM
 	own := n.ownRegistration()
 	if outcome, _, _ := n.platform.Objects.Put(ctx, key, own, 0); outcome == infra.Applied {
-		return true
+		n.written = true
+		return
 	}
 	held, err := n.platform.Objects.Get(ctx, key)
 	if err != nil {
-		return false
+		return // it is tried again at the next look
 	}
 	var r registration
 	if json.Unmarshal(held.Value, &r) == nil && r == own {
-		return true
+		n.written = true
+		return
 	}
 	outcome, _, _ := n.platform.Objects.Put(ctx, key, own, held.Version)
-	return outcome == infra.Applied
+	n.written = outcome == infra.Applied
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -77,6 +77,7 @@
 	crowd      atomic.Pointer[crowd] // nil until the list of registered nodes was read
 	startDraw  float64               // 0 to 1, by chance
 	leaving    atomic.Bool
+	written    bool                      // this node's registration, since it started; only register looks at it
 	applied    atomic.Uint64             // sequence of the copy that is in the directory
 	listed     atomic.Pointer[time.Time] // the endpoints in the directory are certainly what the store had then
 	relayed    relayed
@@ -122,7 +123,7 @@
 	n.isolate()
 	leads := func() bool { return n.controller.Leads(clock.Now()) > 0 }
 	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
-	n.follower.KeepsAll = n.keepsAll
+	n.follower.KeepsAll, n.follower.Others = n.keepsAll, n.gossip.Known
 	n.follower.Beat = s.EndpointBeat()
 	n.follower.StartPatience, n.follower.Relaying = n.startPatience, n.gossip.Relaying
 	if s.Evacuations {
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -71,7 +71,7 @@
 func (n *Server) wantsLead() bool {
 	now := clock.Now()
 	able := !n.leaving.Load() && n.table.Load() != nil && n.follower.StoreAnswers()
-	return n.election.wants(now, able, n.gossip.Relaying(), n.controller.Leads(now) > 0, n.gossip.Live(now))
+	return n.election.wants(now, able, n.gossip.Relaying() && !n.smaller(), n.controller.Leads(now) > 0, n.gossip.Live(now))
 }
 
 // heard takes in another node's beat.
