Answer what a node knows of the fleet at its metrics address

An operator of 986 nodes asks a relay who leads, who watches the store, and how old the copies of those are that report to it, without reading 986 logs.

--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -29,12 +29,13 @@
 	}, metricsEvery)
 }
 
-// metricsHandler serves what reporter keeps.
-func metricsHandler(reporter *metrics.Reporter) http.Handler {
+// figures serves this process's metrics, and what it knows of the fleet.
+func (n *Server) figures() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+overviewPath, n.serveOverview)
 	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		_ = reporter.Write(w)
+		_ = n.reporter.Write(w)
 	})
 	return mux
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -178,7 +178,7 @@
 	registry := newHTTP(n.platform.Registry(n.addresses, n.settings.AddressLifetime()))
 	readiness := newHTTP(n.platform.Readiness(n.ready))
 	var g errgroup.Group
-	figures := newHTTP(metricsHandler(n.reporter))
+	figures := newHTTP(n.figures())
 	for _, l := range []struct {
 		server *http.Server
 		on     net.Listener
