Let ten nodes a second ask the store when a fleet starts, not twenty

Each asks for the configuration, the evacuations and some seven pages of endpoints, and the first that is answered tells the others within a second.

--- a/internal/server/crowd_test.go
+++ b/internal/server/crowd_test.go
@@ -43,7 +43,7 @@
 	return asked
 }
 
-// However many nodes start together, some twenty ask the store in the first second: they tell the others.
+// However many nodes start together, some ten ask the store in the first second: they tell the others.
 func TestNodesThatAskAtAStartDoNotGrowWithTheFleet(t *testing.T) {
 	for _, nodes := range []int{100, 300, 1000, 3000} {
 		got := askers(nodes, nodes/20, startPatience+time.Second)
--- a/internal/server/registration.go
+++ b/internal/server/registration.go
@@ -37,8 +37,8 @@
 	// firstStartPatience is startPatience at the first start of a fleet: within it nodes find the registrars and hear others.
 	firstStartPatience = 2 * time.Second
 	// startSpread is how much longer the wait is at most for each node beyond gossip.SmallFleet that would ask as soon, so that
-	// twenty a second ask, however many there are, until those that were answered have told the others.
-	startSpread = 50 * time.Millisecond
+	// ten a second ask, however many there are, until those that were answered have told the others: each asks for some ten pages.
+	startSpread = 100 * time.Millisecond
 	// smallerWait is how much longer it is for a node of a fleet with larger VMs: the first ones with a copy hand it on to
 	// all others, which over a link of 20 Mbit/s takes seconds.
 	smallerWait = time.Second
