--- a/test/fleet/start_test.go
+++ b/test/fleet/start_test.go
@@ -170,3 +170,18 @@
 		f.end()
 	})
 }
+
+// TestHistoryIsForgotten lets the store forget its history again and again.
+func TestHistoryIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := running(t)
+		since := f.mark()
+		for range 15 {
+			time.Sleep(time.Second)
+			f.store.forget()
+		}
+		f.report(t, "history forgotten each second", since)
+		qt.Check(t, f.ready(), qt.Equals, *nodes)
+		f.end()
+	})
+}
