--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -110,7 +110,7 @@
 	c := newTestController(e, func(time.Time) (int64, time.Time, bool) { return 1, time.Now().Add(time.Hour), true })
 	listed := time.Time{}
 	c.Listed = func() time.Time { return listed }
-	c.Current = func() time.Time { return time.Now() }
+	c.Current = time.Now
 	play := func() {
 		for now := origin; now.Before(origin.Add(2 * gatherAtMost)); now = now.Add(tick) {
 			c.step(context.Background(), now)
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -32,17 +32,6 @@
 	return &roster{digest: hash.Sum64(), members: members}
 }
 
-// compareRosters orders rosters by digest, those that are missing first.
-func compareRosters(a, b *roster) int {
-	digest := func(r *roster) uint64 {
-		if r == nil {
-			return 0
-		}
-		return r.digest
-	}
-	return cmp.Compare(digest(a), digest(b))
-}
-
 // recordOf returns what a roster tells of a node.
 func recordOf(p *Peer) *gossippb.Beat {
 	s := p.Status
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -73,14 +73,19 @@
 		stored = m.put(o) || stored
 	}
 	if stored {
-		m.mu.Lock()
-		close(m.changed)
-		m.changed = make(chan struct{})
-		m.mu.Unlock()
+		m.tell()
 	}
 	return stored
 }
 
+// tell wakes those who wait for a change.
+func (m *Mirror) tell() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 func (m *Mirror) put(o infra.Object) bool {
 	s := m.shard(o.Key)
 	s.mu.Lock()
@@ -127,10 +132,7 @@
 		s.mu.Unlock()
 	}
 	if forgot {
-		m.mu.Lock()
-		close(m.changed)
-		m.changed = make(chan struct{})
-		m.mu.Unlock()
+		m.tell()
 	}
 }
 
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -71,12 +71,9 @@
 		l.end = cancel
 		f.running.Go(func() error {
 			time.Sleep(time.Duration(i*7919%1000) * startSpread / 1000)
-			if ctx.Err() != nil {
-				return nil
-			}
 			n := f.newServer(i, l, first)
 			l.server.Store(n)
-			return n.Run(ctx)
+			return n.Run(ctx) // which ends at once if the node was killed meanwhile
 		})
 	}
 	time.Sleep(startSpread)
--- a/test/fleet/store_test.go
+++ b/test/fleet/store_test.go
@@ -155,18 +155,14 @@
 }
 
 func (h handle) list(ctx context.Context, prefix, what string, price float64, lag time.Duration) (infra.Listing, error) {
-	var out infra.Listing
-	for first := true; first || len(out.Objects) == pageObjects; first = false {
+	if err := h.enter(ctx, what, prefix, price); err != nil {
+		return infra.Listing{}, err
+	}
+	out := h.below(prefix, lag)
+	for range len(out.Objects) / pageObjects { // the further pages
 		if err := h.enter(ctx, what, prefix, price); err != nil {
 			return out, err
 		}
-		out = h.below(prefix, lag)
-		for range len(out.Objects) / pageObjects {
-			if err := h.enter(ctx, what, prefix, price); err != nil {
-				return out, err
-			}
-		}
-		return out, nil
 	}
 	return out, nil
 }
