--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -166,6 +166,7 @@
 			go c.carryOut(t.Context(), p, Order{Kind: Leave, Endpoint: x})
 		}
 		time.Sleep(time.Second)
+		synctest.Wait()
 		qt.Check(t, e.orders, qt.Equals, endpoints)
 		qt.Check(t, e.most <= ordersAtOnce, qt.IsTrue, qt.Commentf("%d", e.most))
 		e.most = 0
@@ -179,6 +180,7 @@
 			c.mu.Unlock()
 			time.Sleep(stepEvery)
 		}
+		synctest.Wait()
 		qt.Check(t, e.asked, qt.Equals, endpoints)
 		qt.Check(t, e.most <= questionsAtOnce, qt.IsTrue, qt.Commentf("%d", e.most))
 	})
