Tell plain endpoints by their service, and let small fleets register at the fourth look again

What an endpoint is follows from the configuration now; before there is one all are given. TestRestartedNodeLearnsFromTheOthersWhileTheStoreIsDown: three nodes that drew lots knew nobody for up to four seconds, and a node that was killed meanwhile was known to none. Lots are not needed since nodes of a large fleet look for each other after the lists show the registrars.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -72,13 +72,10 @@
 // Holds reports whether the endpoint runs that model.
 func (e *Endpoint) Holds(model string) bool { return contains(e.Models, model) }
 
-// Routable reports whether requests may be sent to the endpoint as far as it says: it heads an open replica group, or it is in
-// no fabric domain and serves alone.
-func (e *Endpoint) Routable() bool {
-	if m := e.Membership; m != nil {
-		return m.Rank == 0 && m.State == Open
-	}
-	return e.Domain == ""
+// Heads reports whether the endpoint says that it heads an open replica group.
+func (e *Endpoint) Heads() bool {
+	m := e.Membership
+	return m != nil && m.Rank == 0 && m.State == Open
 }
 
 // HasStaged reports whether the endpoint's host holds that model.
--- a/internal/server/changes.go
+++ b/internal/server/changes.go
@@ -58,7 +58,7 @@
 				break
 			}
 			changed = append(changed, e)
-			routing = e.Routable()
+			routing = n.routable(e)
 		case strings.HasPrefix(o.Key, keys.Evacuations):
 			evacuations = true
 		case strings.HasPrefix(o.Key, keys.Accepted) && !o.Deleted:
@@ -81,6 +81,17 @@
 	}
 }
 
+// routable reports whether nodes that only route need the endpoint: all but those of engines that head no open group. Where
+// the configuration does not say yet that a service has engines, its endpoints may serve alone.
+func (n *Server) routable(e *endpoint.Endpoint) bool {
+	if t := n.table.Load(); t != nil {
+		if s := t.Service(e.Service); s != nil && s.Engine != nil {
+			return e.Heads()
+		}
+	}
+	return true
+}
+
 // evacuate takes the data centres out of use that operators have named, and takes the others back.
 func (n *Server) evacuate() {
 	dataCentres := make(map[string]bool)
--- a/internal/server/registration.go
+++ b/internal/server/registration.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -23,10 +22,8 @@
 	registrarOneIn = 8
 	// enoughRegistered is how many others have to be registered for a node not to register.
 	enoughRegistered = 6
-	// registerPatience is how many times a node looks for others before it may register though it is no registrar. Lists may
-	// be some seconds old, and at the first start of a fleet nobody is registered. From then on it draws lots at each look,
-	// first with a chance of one in registrarOneIn and then of twice as much each time: when all nodes registered at the
-	// fourth look, 220 of 300 that started together did, most of them before the lists showed the registrars.
+	// registerPatience is how many times a node looks for others before it registers though it is no registrar. Lists may be
+	// some tenths of a second old, and those of a small fleet never show enough.
 	registerPatience = 3
 	// startPatience is how long a new process waits for the beats of others before it asks the store: those that live
 	// send one each 100 ms to the address that it had before.
@@ -85,8 +82,8 @@
 	if n.lists(l.Objects) {
 		return others >= enoughRegistered || tries > registerPatience
 	}
-	drawn := tries > registerPatience && others < enoughRegistered && n.draws(tries-registerPatience)
-	if !isRegistrar(n.settings.VM) && !drawn {
+	alone := others < enoughRegistered && tries > registerPatience
+	if !isRegistrar(n.settings.VM) && !alone {
 		return others >= enoughRegistered
 	}
 	if !n.written { // lists may be some tenths of a second old
@@ -95,11 +92,6 @@
 	return false
 }
 
-// draws draws lots, with a chance that doubles from turn to turn.
-func (n *Server) draws(turn int) bool {
-	return rand.IntN(registrarOneIn) < 1<<(turn-1) //nolint:gosec // spreads writes
-}
-
 // startPatience is how long this new process waits for others to tell it the configuration before it asks the store.
 func (n *Server) startPatience() time.Duration {
 	wait := startPatience
