Let idle nodes that watch the store leave it to a relay that is current enough for them

Cause: a node that is no relay and had once begun to watch ended that only when its relay's proof was under 1.1 s old. An idle node hears of its relay twice a second, and the relay's proof is up to a second older, so at the moments at which it looked the proof was 1.10 to 1.56 s old, and it went on for good, with 6.6 calls a second.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -202,11 +202,17 @@
 }
 
 // watched reports whether another node watches the store for all. One that is no relay does not hear who watches, but that
-// its relay is current while somebody leads.
+// its relay is current while somebody leads. What it hears of that is some half a second older than what a relay hears: an
+// idle node that asked for as much as a relay and had once begun to watch found it too old each time, and went on for good
+// with 6.6 calls a second.
 func (f *Follower) watched(now time.Time) bool {
+	bears := patience
+	if !f.Relaying() {
+		bears = reporterPatience
+	}
 	led, upstream := false, false
 	for _, p := range f.live(now) {
-		current := now.Sub(p.ProofAt) < patience
+		current := now.Sub(p.ProofAt) < bears
 		if p.Watching && current && (p.LeaderEpoch > 0 || p.VM < f.self) {
 			return true
 		}
--- a/internal/follow/turn_test.go
+++ b/internal/follow/turn_test.go
@@ -172,6 +172,20 @@
 	qt.Check(t, f.shouldWatch(), qt.IsFalse, qt.Commentf("its relay is current"))
 }
 
+// An idle node hears of its relay twice a second, and the relay is current as of up to a second before that.
+func TestReporterThatWatchesLeavesItToARelayThatIsCurrentEnoughForIt(t *testing.T) {
+	leader := &gossip.Peer{Identity: gossip.Identity{VM: "leader"}, Status: gossip.Status{LeaderEpoch: 7}} // as told by a roster
+	relay := &gossip.Peer{Identity: gossip.Identity{VM: "relay"}, Upstream: true}
+	f := NewFollower(&downStore{}, emptyCopies{}, "n", func() bool { return false }, func(time.Time) []*gossip.Peer { return []*gossip.Peer{leader, relay} }, log.NewNopLogger())
+	f.Relaying = func() bool { return false }
+	f.proof = newProof("")
+	f.proof.fromStore("", time.Now())
+	relay.ProofAt = time.Now().Add(-patience - 400*time.Millisecond)
+	qt.Check(t, f.shouldWatch(), qt.IsFalse)
+	relay.ProofAt = time.Now().Add(-reporterPatience)
+	qt.Check(t, f.shouldWatch(), qt.IsTrue)
+}
+
 // told returns a beat of another node whose copy, which is empty, is current as of then.
 func told(at time.Time) *gossip.Peer {
 	return &gossip.Peer{Identity: gossip.Identity{VM: "other", Incarnation: "1"}, Status: gossip.Status{Watching: true, ProofAt: at}}
