Let a node that has left watching to another begin anew only when its proof has grown old

Cause: a relay whose copy came from the store last began to watch again whenever the leader's proof was a little older than 1.1 s when it looked, which a watch that says nothing for 0.45 s makes happen now and then. Each beginning is a list of all prefixes, eleven calls and more at 3,064 endpoints: 14 to 19 lists in 9 s by one relay, where the leader had been cut from the store. Change: whether a source is watching is its own state; one that is not begins when the proof is as old as for any other node.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -58,7 +58,7 @@
 	f.idle = make(chan bool)
 	var mu sync.Mutex
 	s := &source{
-		prefix: keys.Endpoints, objects: f, mirror: m, wanted: func() bool { return true }, failed: func(string, error) {},
+		prefix: keys.Endpoints, objects: f, mirror: m, wanted: func(bool) bool { return true }, failed: func(string, error) {},
 		turn: func(float64) time.Duration { return 0 }, answered: func() time.Time { return time.Time{} }, age: func(time.Time) time.Duration { return 0 }, insists: func() bool { return true },
 		proved: func(_ string, at time.Time) { mu.Lock(); proofs = append(proofs, at); mu.Unlock() },
 	}
@@ -180,13 +180,13 @@
 func TestOneNodeWatchesWhileItIsCurrent(t *testing.T) {
 	now := time.Now()
 	f := newTestFollower(&fakePuller{sequence: 1}, watcher(1, now))
-	qt.Check(t, f.shouldWatch(), qt.IsFalse)
+	qt.Check(t, f.shouldWatch(false), qt.IsFalse)
 	f = newTestFollower(&fakePuller{sequence: 1}, watcher(1, now.Add(-2*time.Second)))
 	f.started = now.Add(-3 * time.Second)
-	qt.Check(t, f.shouldWatch(), qt.IsTrue, qt.Commentf("the watcher has not been current for two seconds"))
+	qt.Check(t, f.shouldWatch(false), qt.IsTrue, qt.Commentf("the watcher has not been current for two seconds"))
 	f = newTestFollower(nil)
 	f.started = now.Add(-3 * time.Second)
-	qt.Check(t, f.shouldWatch(), qt.IsTrue, qt.Commentf("nobody else"))
+	qt.Check(t, f.shouldWatch(false), qt.IsTrue, qt.Commentf("nobody else"))
 }
 
 func TestWholeIsAsOldAsItsOldestPart(t *testing.T) {
@@ -212,13 +212,13 @@
 	f := NewFollower(nil, nil, "b", func() bool { return false }, nobody, log.NewNopLogger())
 	const patience = 150 * time.Millisecond
 	f.StartPatience = func() time.Duration { return patience }
-	qt.Check(t, f.shouldWatch(), qt.IsFalse)
+	qt.Check(t, f.shouldWatch(false), qt.IsFalse)
 	f.started = time.Now().Add(-2 * patience)
-	qt.Check(t, f.shouldWatch(), qt.IsTrue)
+	qt.Check(t, f.shouldWatch(false), qt.IsTrue)
 	f.live = func(now time.Time) []*gossip.Peer {
 		return []*gossip.Peer{{Identity: gossip.Identity{VM: "a"}, Status: gossip.Status{Watching: true, ProofAt: now}}}
 	}
-	qt.Check(t, f.shouldWatch(), qt.IsFalse, qt.Commentf("another node has what it needs"))
+	qt.Check(t, f.shouldWatch(false), qt.IsFalse, qt.Commentf("another node has what it needs"))
 }
 
 // pagedPuller gives one object a reply and fails at a sequence.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -181,13 +181,15 @@
 	return f.answer
 }
 
-// shouldWatch reports whether this node watches the store itself now.
-func (f *Follower) shouldWatch() bool {
+// shouldWatch reports whether this node watches the store itself now. One that is watching goes on until another watches. One
+// that has left it to another begins anew only when its proof has grown old: each beginning is a list of everything, and a
+// watcher's proof is now and then a little older than this node bears.
+func (f *Follower) shouldWatch(watching bool) bool {
 	if f.leads() {
 		return true
 	}
 	now := clock.Now()
-	at, watching := f.proof.whole()
+	at, _ := f.proof.whole()
 	switch {
 	case at.IsZero():
 		return now.Sub(f.started) > f.StartPatience() && !f.watched(now)
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -31,7 +31,7 @@
 	gather  time.Duration // pause after a change, so that changes in a row cost one call
 	proved  func(prefix string, at time.Time)
 	failed  func(prefix string, err error)
-	wanted  func() bool
+	wanted  func(watching bool) bool // watching says that this source has listed everything and watches
 	// turn returns after how long a node that has drawn that number, 0 to 1, asks a store again that does not answer.
 	turn     func(draw float64) time.Duration
 	answered func() time.Time // the store has last answered this node
@@ -53,7 +53,7 @@
 	version := int64(0)
 	failing := false // the last question was not answered
 	for ctx.Err() == nil {
-		asks := s.wanted() || failing && s.insists()
+		asks := s.wanted(version > 0) || failing && s.insists()
 		if s.watching != nil {
 			s.watching(asks)
 		}
@@ -73,7 +73,7 @@
 				s.failed(s.prefix, err)
 			}
 			failing = true
-			s.rest(ctx, retry.NextBackOff())
+			s.rest(ctx, version > 0, retry.NextBackOff())
 			continue
 		}
 		failing = false
@@ -91,14 +91,14 @@
 // rest waits after a failure: for least, and then until it is this node's turn to ask, until there is nothing to ask any
 // more, or until another of its sources has been answered. If nobody had been answered for a while and others are answered now, the turn comes within a second: a
 // node that does not know whether the store answers it does not lead.
-func (s *source) rest(ctx context.Context, least time.Duration) {
+func (s *source) rest(ctx context.Context, watching bool, least time.Duration) {
 	failed := clock.Now()
 	draw := rand.Float64() //nolint:gosec // spreads questions
 	forAll := s.age(failed) > patience
 	var back time.Time // others have been answered since
 	loop.Sleep(ctx, least)
 	for ctx.Err() == nil && !s.answered().After(failed) {
-		if !s.insists() && !s.wanted() {
+		if !s.insists() && !s.wanted(watching) {
 			return
 		}
 		now := clock.Now()
--- a/internal/follow/turn_test.go
+++ b/internal/follow/turn_test.go
@@ -151,9 +151,9 @@
 	f.Relaying = func() bool { return false }
 	f.proof = newProof("")
 	f.proof.fromPeer(time.Now().Add(-patience - time.Second))
-	qt.Check(t, f.shouldWatch(), qt.IsFalse)
+	qt.Check(t, f.shouldWatch(false), qt.IsFalse)
 	f.Relaying = func() bool { return true }
-	qt.Check(t, f.shouldWatch(), qt.IsTrue)
+	qt.Check(t, f.shouldWatch(false), qt.IsTrue)
 }
 
 // One that has begun to watch goes on until another does, and does not list everything anew each time its proof ages.
@@ -162,14 +162,28 @@
 	f := NewFollower(&downStore{}, emptyCopies{}, "n", func() bool { return false }, func(time.Time) []*gossip.Peer { return others }, log.NewNopLogger())
 	f.proof = newProof("")
 	f.proof.fromStore("", time.Now())
-	qt.Check(t, f.shouldWatch(), qt.IsTrue)
+	qt.Check(t, f.shouldWatch(true), qt.IsTrue)
 	others = []*gossip.Peer{told(time.Now())}
 	others[0].LeaderEpoch = 7
-	qt.Check(t, f.shouldWatch(), qt.IsFalse)
+	qt.Check(t, f.shouldWatch(true), qt.IsFalse)
 	others[0].Watching = false // as told by a roster
-	qt.Check(t, f.shouldWatch(), qt.IsTrue)
+	qt.Check(t, f.shouldWatch(true), qt.IsTrue)
 	others = append(others, &gossip.Peer{Status: gossip.Status{ProofAt: time.Now()}, Upstream: true})
-	qt.Check(t, f.shouldWatch(), qt.IsFalse, qt.Commentf("its relay is current"))
+	qt.Check(t, f.shouldWatch(true), qt.IsFalse, qt.Commentf("its relay is current"))
+}
+
+// One that has left watching to another begins anew when it has not been told for a while, not when that one's proof is a little
+// older than usual.
+func TestWatchingThatWasLeftToAnotherIsNotBegunAnewForALittleAge(t *testing.T) {
+	leader := told(time.Now().Add(-patience - 100*time.Millisecond))
+	leader.LeaderEpoch = 7
+	f := NewFollower(&downStore{}, emptyCopies{}, "n", func() bool { return false }, func(time.Time) []*gossip.Peer { return []*gossip.Peer{leader} }, log.NewNopLogger())
+	f.proof = newProof("")
+	f.proof.fromStore("", time.Now().Add(-500*time.Millisecond))
+	qt.Check(t, f.shouldWatch(false), qt.IsFalse)
+	f.proof = newProof("")
+	f.proof.fromStore("", time.Now().Add(-patience-ranksPatience))
+	qt.Check(t, f.shouldWatch(false), qt.IsTrue)
 }
 
 // An idle node hears of its relay twice a second, and the relay is current as of up to a second before that.
@@ -181,9 +195,9 @@
 	f.proof = newProof("")
 	f.proof.fromStore("", time.Now())
 	relay.ProofAt = time.Now().Add(-patience - 400*time.Millisecond)
-	qt.Check(t, f.shouldWatch(), qt.IsFalse)
+	qt.Check(t, f.shouldWatch(true), qt.IsFalse)
 	relay.ProofAt = time.Now().Add(-reporterPatience)
-	qt.Check(t, f.shouldWatch(), qt.IsTrue)
+	qt.Check(t, f.shouldWatch(true), qt.IsTrue)
 }
 
 // told returns a beat of another node whose copy, which is empty, is current as of then.
