Let a relay that the store refuses alone ask it for one prefix, not for three

Cause: a relay that is cut from the store has to know when it is answered again, since it may have to lead; it asked for each prefix. Change: the configuration's source asks; the others wait for its answer. The test plays both cases now, whoever leads; before, chance decided.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -109,7 +109,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var g errgroup.Group
 	sources := []*source{
-		{prefix: keys.Accepted, wait: watchWait},
+		{prefix: keys.Accepted, wait: watchWait, probes: true},
 		{prefix: keys.Endpoints, wait: watchWait, gather: endpointsGather, lapses: true, absent: absentees{beat: f.Beat}},
 	}
 	for _, prefix := range f.also {
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -36,6 +36,9 @@
 	turn     func(draw float64) time.Duration
 	answered func() time.Time // the store has last answered this node
 	insists  func() bool      // an unanswered question is asked again though what it asks for is not wanted any more
+	// probes says that this source is the one that does so; the others of the node wait for its answer. Asking for each prefix
+	// would triple the calls of a relay that the store refuses, and tell it nothing more.
+	probes bool
 	// watching is told when asking begins and when it has ended; nil if nobody wants to know.
 	watching func(bool)
 	// lapses, if set, says that entries may run out while the store is away, and that those of endpoints that live
@@ -105,7 +108,7 @@
 		if back.IsZero() && s.age(now) < now.Sub(failed) {
 			back = now
 		}
-		if now.Sub(failed) >= s.turn(draw) {
+		if now.Sub(failed) >= s.turn(draw) && (s.probes || s.wanted(watching)) {
 			return
 		}
 		if forAll && s.insists() && !back.IsZero() && now.Sub(back) >= time.Duration(draw*float64(backWithin)) {
--- a/internal/follow/turn_test.go
+++ b/internal/follow/turn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/infra"
+	"moorrun.dev/moorrun/internal/keys"
 )
 
 // downStore counts the questions that it does not answer while it is down.
@@ -20,10 +22,26 @@
 	infra.ObjectStore
 	asked atomic.Int64
 	up    atomic.Bool
+
+	mu       sync.Mutex
+	byPrefix map[string]int
+}
+
+// askedFor returns how many of the questions were for a prefix.
+func (d *downStore) askedFor(prefix string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.byPrefix[prefix]
 }
 
-func (d *downStore) List(context.Context, string) (infra.Listing, error) {
+func (d *downStore) List(_ context.Context, prefix string) (infra.Listing, error) {
 	d.asked.Add(1)
+	d.mu.Lock()
+	if d.byPrefix == nil {
+		d.byPrefix = make(map[string]int)
+	}
+	d.byPrefix[prefix]++
+	d.mu.Unlock()
 	if !d.up.Load() {
 		return infra.Listing{}, errors.New("down")
 	}
@@ -205,6 +223,24 @@
 	return &gossip.Peer{Identity: gossip.Identity{VM: "other", Incarnation: "1"}, Status: gossip.Status{Watching: true, ProofAt: at}}
 }
 
+// A relay that the store refuses while others are answered has to know when it is answered again; one prefix tells.
+func TestRelayThatTheStoreRefusesAloneAsksForOnePrefixOnly(t *testing.T) {
+	store := &downStore{}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	f := currentFollower(store, 2) // a turn comes each 0.2 s
+	go func() {
+		for ctx.Err() == nil {
+			f.Heard(told(time.Now()))
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	qt.Assert(t, f.Run(ctx), qt.IsNil)
+	configuration, endpoints := store.askedFor(keys.Accepted), store.askedFor(keys.Endpoints)
+	qt.Check(t, configuration >= 3, qt.IsTrue, qt.Commentf("%d", configuration))
+	qt.Check(t, endpoints <= 1, qt.IsTrue, qt.Commentf("%d: before others had told it that the store answers them", endpoints))
+}
+
 // emptyCopies says that other nodes hold nothing.
 type emptyCopies struct{}
 
--- a/test/fleet/start_test.go
+++ b/test/fleet/start_test.go
@@ -114,33 +114,43 @@
 	})
 }
 
-// TestThirdWithoutTheStore keeps a third of the nodes from the store for nine seconds.
+// TestThirdWithoutTheStore keeps a third of the nodes from the store for nine seconds, the leader among them or not.
 func TestThirdWithoutTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := running(t)
-		var third []*life
-		for i, l := range f.lives {
-			if i%3 == 1 {
-				third = append(third, l)
-			}
-		}
-		f.cutFromStore(true, third...)
-		cut := f.mark()
-		least := *nodes
-		for range 90 {
-			time.Sleep(100 * time.Millisecond)
-			least = min(least, f.ready())
+	for name, withLeader := range map[string]bool{"leader": true, "others": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { thirdWithoutTheStore(t, withLeader) })
+		})
+	}
+}
+
+func thirdWithoutTheStore(t *testing.T, withLeader bool) {
+	f := running(t)
+	rest := f.leader() % 3
+	if !withLeader {
+		rest = (rest + 1) % 3
+	}
+	var third []*life
+	for i, l := range f.lives {
+		if i%3 == rest {
+			third = append(third, l)
 		}
-		t.Logf("at least %d of %d nodes took callers meanwhile", least, *nodes)
-		qt.Check(t, least, qt.Equals, *nodes)
-		calls := f.report(t, "a third without the store", cut)
-		qt.Check(t, calls <= 9*mostCallsASecond, qt.IsTrue, qt.Commentf("%.0f calls", calls))
-		f.cutFromStore(false, third...)
-		back := f.mark()
-		time.Sleep(3 * time.Second)
-		f.report(t, "back", back)
-		f.end()
-	})
+	}
+	f.cutFromStore(true, third...)
+	cut := f.mark()
+	least := *nodes
+	for range 90 {
+		time.Sleep(100 * time.Millisecond)
+		least = min(least, f.ready())
+	}
+	t.Logf("at least %d of %d nodes took callers meanwhile", least, *nodes)
+	qt.Check(t, least, qt.Equals, *nodes)
+	calls := f.report(t, "a third without the store", cut)
+	qt.Check(t, calls <= 9*mostCallsASecond, qt.IsTrue, qt.Commentf("%.0f calls", calls))
+	f.cutFromStore(false, third...)
+	back := f.mark()
+	time.Sleep(3 * time.Second)
+	f.report(t, "back", back)
+	f.end()
 }
 
 // TestLeaderWithoutTheStore keeps the leader from the store for seven seconds, and then all nodes.
