Let a leader go on when the store cuts a watch, while it still knows enough to decide

Cause: a leader gave the lease up as soon as one call was not answered. Change: who leads goes on until its list of the endpoints is older than decisions bear (2.5 s), or the lease runs out.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -18,8 +18,8 @@
 
 const (
 	stepEvery = 60 * time.Millisecond
-	// freshEnough is how old the copy of the endpoints' list may be for decisions.
-	freshEnough = 2500 * time.Millisecond
+	// FreshEnough is how old the copy of the endpoints' list may be for decisions.
+	FreshEnough = 2500 * time.Millisecond
 	// awayFor is how old the copy may get until the store counts as having been away. It is less than the age from which
 	// package follow holds removals back.
 	awayFor = 2 * time.Second
@@ -145,7 +145,7 @@
 	}
 	defer c.tell()
 	c.noteAge(now)
-	if !ok || table == nil || now.Sub(c.Listed()) > freshEnough || until.Sub(now) < orderWait {
+	if !ok || table == nil || now.Sub(c.Listed()) > FreshEnough || until.Sub(now) < orderWait {
 		return
 	}
 	for _, s := range table.Engines() {
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -10,6 +10,7 @@
 
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/formation"
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/lease"
@@ -70,8 +71,16 @@
 // wantsLead reports whether this node should hold the leader's lease.
 func (n *Server) wantsLead() bool {
 	now := clock.Now()
-	able := !n.leaving.Load() && n.table.Load() != nil && n.follower.StoreAnswers()
-	return n.election.wants(now, able, n.gossip.Relaying() && !n.smaller(), n.controller.Leads(now) > 0, n.gossip.Live(now))
+	leads := n.controller.Leads(now) > 0
+	able := !n.leaving.Load() && n.table.Load() != nil && (n.follower.StoreAnswers() || leads && n.listedLately(now))
+	return n.election.wants(now, able, n.gossip.Relaying() && !n.smaller(), leads, n.gossip.Live(now))
+}
+
+// listedLately reports whether a leader still knows enough to decide, though the store has not answered its last call. The store
+// may cut watches that wait, and connections break; giving the lease up for that cost two seconds without orders, and forty
+// calls of all the nodes that could lead. If the store answers nothing, the lease runs out by itself.
+func (n *Server) listedLately(now time.Time) bool {
+	return now.Sub(n.listedAsOf()) <= formation.FreshEnough
 }
 
 // heard takes in another node's beat.
--- a/test/fleet/start_test.go
+++ b/test/fleet/start_test.go
@@ -181,6 +181,22 @@
 	})
 }
 
+// TestWatchesAreCut cuts the watches that wait, as the store may at any time. Who leads has no reason to stop.
+func TestWatchesAreCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := running(t)
+		leader, since := f.leader(), f.mark()
+		f.store.cutWatches()
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			qt.Check(t, f.leader(), qt.Equals, leader)
+		}
+		calls := f.report(t, "watches cut", since)
+		qt.Check(t, calls <= 3*mostCallsASecond, qt.IsTrue, qt.Commentf("%.0f calls", calls))
+		f.end()
+	})
+}
+
 // TestHistoryIsForgotten lets the store forget its history again and again.
 func TestHistoryIsForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/test/fleet/store_test.go
+++ b/test/fleet/store_test.go
@@ -26,7 +26,10 @@
 	refusedFor = 5 * time.Millisecond
 )
 
-var errRefused = errors.New("status 503")
+var (
+	errRefused = errors.New("status 503")
+	errCut     = errors.New("connection cut")
+)
 
 // change is one step of the store's history.
 type change struct {
@@ -45,11 +48,12 @@
 	changed  chan struct{}
 	calls    map[string]float64 // by what was asked, priced
 	down     bool
+	broken   chan struct{} // closed when the watches that wait are cut
 }
 
 func newStore() *store {
 	return &store{
-		objects: make(map[string]infra.Object), written: make(map[string]time.Time), changed: make(chan struct{}), calls: make(map[string]float64),
+		objects: make(map[string]infra.Object), written: make(map[string]time.Time), changed: make(chan struct{}), calls: make(map[string]float64), broken: make(chan struct{}),
 	}
 }
 
@@ -90,6 +94,14 @@
 	s.history, s.dropped = nil, s.revision
 }
 
+// cutWatches cuts the watches that wait.
+func (s *store) cutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.broken)
+	s.broken = make(chan struct{})
+}
+
 // counted returns the calls since the last time, by what was asked, and their sum.
 func (s *store) counted() (byKind map[string]float64, sum float64) {
 	s.mu.Lock()
@@ -213,6 +225,9 @@
 		return infra.Listing{}, err
 	}
 	ends := time.After(wait)
+	h.mu.Lock()
+	broken := h.broken
+	h.mu.Unlock()
 	for {
 		l, changed, err := h.since(prefix, after)
 		if err != nil || len(l.Objects) > 0 {
@@ -221,6 +236,8 @@
 		select {
 		case <-ctx.Done():
 			return infra.Listing{}, ctx.Err()
+		case <-broken:
+			return infra.Listing{}, errors.Join(infra.ErrUnavailable, errCut)
 		case <-ends:
 			return l, nil
 		case <-changed:
