--- a/internal/server/crowd.go
+++ b/internal/server/crowd.go
@@ -11,14 +11,14 @@
 	few    bool // the fleet is a small one, in which nobody waits for others
 	alike  int  // other nodes with a VM as large as this one's or larger, if some are, else all
 	larger bool // others have larger VMs
-	// sooner is how many nodes go before this node where one is enough: up to turns of the
-	// registered ones with the largest VMs take turns, the others come after them.
+	// sooner is how many nodes go before this one where one is enough: of the registered nodes with the largest VMs the first
+	// few take turns, and the others come after them.
 	sooner int
 	turn   bool // this node is one of those that take turns
 }
 
-// turns is how many nodes take turns. Each dead one among them costs a fleet that starts turnWait; six nodes in five data
-// centres are hardly ever dead at once, and after them chance decides.
+// turns is how many nodes take turns. Each dead one among them costs a fleet that starts turnWait, and six nodes of several data
+// centres are hardly ever dead at once. After them chance decides.
 const turns = 6
 
 // crowdOf returns what these registered nodes tell a node; listed says that it is registered itself.
--- a/internal/server/registration.go
+++ b/internal/server/registration.go
@@ -33,8 +33,9 @@
 	firstLook = 1200 * time.Millisecond
 	// firstStartPatience is startPatience at the first start of a fleet: within it nodes find the registrars and hear others.
 	firstStartPatience = 2 * time.Second
-	// turnWait is how much longer it is for each node that goes before this one: within that time
-	// most of a fleet of 300 has the copy of the first one. All fifty large ones of 986 nodes made some 270 calls together.
+	// turnWait is how much longer it is for each node that goes before this one: within that time most of a fleet of 300 has
+	// the copy of the first. Without turns the nodes of a fleet of 300 that were all killed made 258 calls until they routed
+	// again, with them 91, in the same time.
 	turnWait = 400 * time.Millisecond
 	// startSpread is how much longer the wait is at most for each node of a large fleet that would ask as soon, so that
 	// ten a second ask, however many there are, until those that were answered have told the others: each asks for some ten pages.
--- a/test/fleet/start_test.go
+++ b/test/fleet/start_test.go
@@ -51,6 +51,14 @@
 	return began{time.Now(), all}
 }
 
+// spend lets some time pass and reports what was asked and sent in it.
+func (f *fleet) spend(t *testing.T, what string, d time.Duration) (calls float64) {
+	t.Helper()
+	since := f.mark()
+	time.Sleep(d)
+	return f.report(t, what, since)
+}
+
 // TestStart starts all nodes at once before a store that knows none of them.
 func TestStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -70,9 +78,7 @@
 		qt.Check(t, ok, qt.IsTrue)
 		calls += f.report(t, "serving", start)
 		qt.Check(t, calls <= mostCalls, qt.IsTrue, qt.Commentf("%.0f calls", calls))
-		rest := f.mark()
-		time.Sleep(5 * time.Second)
-		calls = f.report(t, "5 s at rest", rest)
+		calls = f.spend(t, "5 s at rest", 5*time.Second)
 		qt.Check(t, calls <= 5*mostCallsASecond, qt.IsTrue, qt.Commentf("%.0f calls", calls))
 		f.end()
 	})
@@ -147,9 +153,7 @@
 	calls := f.report(t, "a third without the store", cut)
 	qt.Check(t, calls <= 9*mostCallsASecond, qt.IsTrue, qt.Commentf("%.0f calls", calls))
 	f.cutFromStore(false, third...)
-	back := f.mark()
-	time.Sleep(3 * time.Second)
-	f.report(t, "back", back)
+	f.spend(t, "back", 3*time.Second)
 	f.end()
 }
 
@@ -167,9 +171,7 @@
 		qt.Check(t, f.ready(), qt.Equals, *nodes)
 		f.report(t, "the leader without the store", cut)
 		f.cutFromStore(true, f.lives...)
-		cut = f.mark()
-		time.Sleep(4 * time.Second)
-		f.report(t, "all without it", cut)
+		f.spend(t, "all without it", 4*time.Second)
 		f.cutFromStore(false, f.lives...)
 		cut = f.mark()
 		took, ok = await(5*time.Second, func() bool { return f.ready() == *nodes && f.leader() >= 0 })
