Give only as many members of groups a second model as conversions can reach, until a model is in need

Cause: before the first request each host got the model that its endpoint does not run, so that any endpoint could soon serve either: an order each, 2,600 of the fleet's 6,100, and two thirds of the prices of a fleet of 3,000 endpoints with little to do. But a group is ended for another model each 0.6 s at the most, so in the 16 s of a load that is ordered when the need shows some 200 endpoints of any fleet can change. Change: members of whole fabric domains, drawn by hash, as many as conversions take in the time of a load, twice; the rest when any model is in need. Fleets of up to some 400 endpoints do as before.

--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -31,6 +31,7 @@
 	plans     map[string]*plan
 	retiring  map[string]*retirement
 	bonds     bonds                  // what the plans and retirements bind
+	reached   reached                // by conversions
 	keeping   capability             // counted once a step, when it is first asked for; nil before
 	ended     map[string]time.Time   // groups whose members are free
 	lostAt    map[string]time.Time   // groups found to have lost a member
--- a/internal/formation/spare.go
+++ b/internal/formation/spare.go
@@ -5,11 +5,13 @@
 	"moorrun.dev/moorrun/internal/route"
 )
 
-// stageOthers gives every member of a group the model that it does not run, and what no group has taken a first one.
+// stageOthers gives members of groups the model that they do not run, as many as conversions can reach, and what no group has
+// taken a first one.
 func (p *Planner) stageOthers(v *View) {
 	p.stageCold(v)
+	within := p.withinReach(v)
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
-		if e.Membership == nil || !p.oneSided(e) {
+		if e.Membership == nil || !within[e.Domain] || !p.oneSided(e) {
 			continue
 		}
 		for _, m := range v.Service.Engine.Models {
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -25,8 +25,8 @@
 	until time.Time // it should have ended by then
 }
 
-// stage loads models to hosts: before any request has come the other model to every host, so that each endpoint
-// can soon serve either; later what a domain lacks for a group of the model in need, then a first model to free
+// stage loads models to hosts: before any request has come the other model to the hosts that conversions can reach, so that
+// these endpoints can soon serve either; later what a domain lacks for a group of the model in need, then a first model to free
 // endpoints that hold none, and then the other model to those that have forgotten it.
 func (p *Planner) stage(v *View) {
 	if !v.Busy {
@@ -132,16 +132,18 @@
 }
 
 // forOneSided returns the endpoints that keep only the model that they hold, with another one, the scarcest first: the
-// one whose requests would fill the largest part of the places that it could have.
+// one whose requests would fill the largest part of the places that it could have. While no model is in need those are left out
+// that conversions cannot reach.
 func (p *Planner) forOneSided(v *View) []load {
 	known := p.capabilityOf(v)
 	scarcity := make(map[string]float64)
 	for _, m := range v.Service.Engine.Models {
 		scarcity[m.Name] = p.shadow(v, known, m, 0)
 	}
+	within, inNeed := p.withinReach(v), p.inNeed(v)
 	var out []load
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
-		if !p.oneSided(e) || v.down(e.ID) {
+		if !inNeed && !within[e.Domain] || !p.oneSided(e) || v.down(e.ID) {
 			continue
 		}
 		var lacks []route.Model
