Let a node that has not met its large fleet leave watching the store to those that have

Cause: a node that knows no more nodes than a small fleet has takes itself for a relay. In the first seconds of a fleet of 300, with processor time counted, proofs of 1.2 to 2.6 s reached such nodes over several hops; each thought itself one of a few relays whose turn it was, and listed everything (nineteen nodes in a trial that printed why). Change: in a large fleet, by who is registered, a node that hears no more than a small fleet is no relay for the store until ten seconds after its start.

--- a/internal/server/crowd.go
+++ b/internal/server/crowd.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"moorrun.dev/moorrun/internal/gossip"
 )
@@ -43,6 +44,17 @@
 	return c
 }
 
+// metWithin is within what the nodes of a large fleet that starts have met: on a fifth of a core some of 300 had heard of fewer
+// than a small fleet after five seconds.
+const metWithin = 10 * time.Second
+
+// relays reports whether a node that takes itself for a relay is one, as far as it can tell: each node does that knows no more
+// nodes than a small fleet has. One that has just started with a large fleet and has heard of so few has not met it yet. The
+// proofs that reach it then are old, and of 300 nodes that started nineteen listed everything for it.
+func (c *crowd) relays(live int, ran time.Duration) bool {
+	return c == nil || c.few || live > gossip.SmallFleet || ran > metWithin
+}
+
 // before returns how many of the nodes go before that one where one is enough.
 func before(self gossip.Identity, nodes []gossip.Identity) int {
 	count := 0
--- a/internal/server/crowd_test.go
+++ b/internal/server/crowd_test.go
@@ -93,3 +93,14 @@
 	qt.Check(t, wanting(leadAfter), qt.Equals, 1)
 	qt.Check(t, wanting(leadAfter+turns*turnWait), qt.Equals, large, qt.Commentf("none of those that take turns is there"))
 }
+
+// A node that has met few others takes itself for a relay. In a large fleet that starts it is not to watch the store for that.
+func TestNodeThatHasNotMetItsLargeFleetIsNoRelay(t *testing.T) {
+	large, small := crowdSeenBy(999, 1000, 50), crowdSeenBy(0, 9, 0)
+	qt.Check(t, large.relays(gossip.SmallFleet, time.Second), qt.IsFalse)
+	qt.Check(t, large.relays(gossip.SmallFleet+1, time.Second), qt.IsTrue)
+	qt.Check(t, large.relays(gossip.SmallFleet, metWithin+time.Second), qt.IsTrue, qt.Commentf("the others are gone"))
+	qt.Check(t, small.relays(8, time.Second), qt.IsTrue)
+	var unknown *crowd
+	qt.Check(t, unknown.relays(1, time.Second), qt.IsTrue, qt.Commentf("the store has not said who is registered"))
+}
--- a/internal/server/relayed.go
+++ b/internal/server/relayed.go
@@ -30,6 +30,12 @@
 	return relaying && now.Sub(r.since) >= relaysFor
 }
 
+// relays reports whether this node is one of those that watch the store for the others while nobody leads.
+func (n *Server) relays() bool {
+	now := clock.Now()
+	return n.gossip.Relaying() && n.crowd.Load().relays(len(n.gossip.Live(now)), now.Sub(n.started))
+}
+
 // keepsAll reports whether this node keeps all endpoints though it does not watch the store: as a relay it may have to lead
 // next, and knows then which have gone lately.
 func (n *Server) keepsAll() bool { return n.relayed.longEnough(n.gossip.Relaying(), clock.Now()) }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -126,7 +126,7 @@
 	n.follower = follow.NewFollower(n.platform.Objects, n.caller, s.VM, leads, n.gossip.Live, logger)
 	n.follower.KeepsAll, n.follower.Others = n.keepsAll, n.gossip.Known
 	n.follower.Beat = s.EndpointBeat()
-	n.follower.StartPatience, n.follower.Relaying = n.startPatience, n.gossip.Relaying
+	n.follower.StartPatience, n.follower.Relaying = n.startPatience, n.relays
 	if s.Evacuations {
 		n.follower.Also(keys.Evacuations)
 	}
