Fetch anew from the others when endpoints are dropped by the word of one

Cause: a node that fetches a copy whole drops endpoints that the other does not have though it has later changes. If the other had only not heard of one yet, whoever had told of it did not tell again, since it had not changed: a head dropped so was never listed again, and the node refused requests for as long as it ran. Change: when anything is dropped, what is fetched from other nodes is fetched from the beginning.

--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/infra"
@@ -86,13 +87,16 @@
 	}
 }
 
-// reconcile drops endpoints that another node does not have any more. While this one watches it knows better.
-func (f *Follower) reconcile(all reconciliation) {
+// reconcile drops endpoints that another node does not have any more. While this one watches it knows better. The other node may
+// only not have heard of one yet: what else has been fetched is fetched anew then, because whoever told of that endpoint would
+// not tell again of what has not changed, and a head that was dropped so was never listed again.
+func (f *Follower) reconcile(incarnation string, all reconciliation) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.watching {
-		f.Mirror.Forget(keys.Endpoints, all.lacks)
+	if f.watching || !f.Mirror.Forget(keys.Endpoints, all.lacks) {
+		return
 	}
+	maps.DeleteFunc(f.pulled, func(other string, _ pulled) bool { return other != incarnation })
 }
 
 // pull fetches from a node, reply by reply, what this one lacks of what it had when it sent its beat, and reports whether
@@ -117,7 +121,7 @@
 			continue
 		}
 		if sequence >= wanted && reconcile {
-			f.reconcile(all)
+			f.reconcile(p.Incarnation, all)
 		}
 		return sequence >= wanted
 	}
--- a/internal/follow/pull_test.go
+++ b/internal/follow/pull_test.go
@@ -106,3 +106,18 @@
 	at, _ = f.Listed()
 	qt.Check(t, at.IsZero(), qt.IsTrue, qt.Commentf("others may now drop what it had"))
 }
+
+// A node that has not heard yet of what another has told does not make that be lost for good: what is dropped by its word is
+// fetched again from the other, though that has had no change since.
+func TestEndpointThatAnotherNodeHasNotHeardOfYetIsFetchedAgain(t *testing.T) {
+	c := &copies{sequence: 2, everything: entries("head", "other")}
+	f := newTestFollower(c)
+	now := time.Now()
+	f.take(context.Background(), full("x", 2, now))
+	c.everything = entries("", "other")[1:]
+	f.take(context.Background(), full("late", 2, now.Add(time.Second)))
+	qt.Check(t, f.has(), qt.Equals, 1)
+	c.everything = entries("head", "other")
+	f.take(context.Background(), full("x", 2, now.Add(2*time.Second)))
+	qt.Check(t, f.has(), qt.Equals, 2)
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -116,8 +116,9 @@
 	return e
 }
 
-// Forget drops objects without keeping that they were removed: whoever has the same versions may tell them again.
-func (m *Mirror) Forget(prefix string, where func(o infra.Object) bool) {
+// Forget drops objects without keeping that they were removed: whoever has the same versions may tell them again. It reports
+// whether there were any.
+func (m *Mirror) Forget(prefix string, where func(o infra.Object) bool) bool {
 	forgot := false
 	for _, o := range m.List(prefix) {
 		if !where(o) {
@@ -134,6 +135,7 @@
 	if forgot {
 		m.tell()
 	}
+	return forgot
 }
 
 // Get returns the object under key unless it is absent or deleted.
