--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -36,16 +36,13 @@
 
 // callOnce sends the request once and reports whether it is to be sent again.
 func (f *flight) callOnce(ctx context.Context, place *picker.Place) bool {
-	f.sends++
-	f.gateway.meters.sends.Inc(1)
-	sent := clock.Now()
-	f.log("sent", false, "endpoint", place.Endpoint.ID, "send", f.sends)
+	sent := f.sending(place)
 	reply, err := f.exchange.Send(ctx, f.attempt(place, false))
 	if err != nil {
 		return f.callFailed(ctx, place, err)
 	}
 	defer reply.Close()
-	head, body, err := f.answer(ctx, reply, sent)
+	head, body, err := f.answer(ctx, place, reply, sent)
 	if err != nil {
 		return f.callFailed(ctx, place, err)
 	}
@@ -76,7 +73,7 @@
 }
 
 // answer waits for the whole answer, or only for a part of the time if another endpoint may be asked.
-func (f *flight) answer(ctx context.Context, reply Reply, sent time.Time) (Head, []byte, error) {
+func (f *flight) answer(ctx context.Context, place *picker.Place, reply Reply, sent time.Time) (Head, []byte, error) {
 	until := f.deadline
 	if hedge := sent.Add(time.Duration(hedgePart * float64(f.route.Objective))); f.route.MayRepeat() && f.ran+1 < f.route.MaxAttempts && hedge.Before(until) {
 		until = hedge
@@ -88,9 +85,13 @@
 		}
 		head, err = reply.Head(f.deadline)
 	}
-	if err != nil || head.NotRun {
+	if err != nil {
 		return head, nil, err
 	}
+	place.Said(head.Limit, sent, clock.Now())
+	if head.NotRun {
+		return head, nil, nil
+	}
 	body, err := reply.Body(f.deadline)
 	return head, body, err
 }
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -47,6 +47,19 @@
 	f.story.Decision(event, failure, pairs...)
 }
 
+// sending notes that the request is about to be sent and returns the time; pairs are logged beside the endpoint.
+func (f *flight) sending(place *picker.Place, pairs ...any) time.Time {
+	f.sends++
+	f.gateway.meters.sends.Inc(1)
+	pairs = append(pairs, "endpoint", place.Endpoint.ID, "send", f.sends)
+	if limit := place.Limit(); limit.Named {
+		f.gateway.meters.sendsLimited.Inc(1)
+		pairs = append(pairs, "limit", limit.PerSecond)
+	}
+	f.log("sent", false, pairs...)
+	return clock.Now()
+}
+
 // end ends the request's story. It is told whole of each request that the caller may complain of.
 func (f *flight) end() {
 	late := f.route != nil && f.delivery.late(f.request.Received, f.route)
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -12,6 +12,7 @@
 	refused          map[Reason]tally.Counter
 	broken           tally.Counter // answers broken off
 	sends, resends   tally.Counter
+	sendsLimited     tally.Counter // to endpoints that name a limit
 	stalls           tally.Counter
 	held             tally.Counter // refused because endpoints have ended under them
 	late             tally.Counter // answered, but not within the objectives
@@ -23,7 +24,7 @@
 	m := &meters{
 		answered: scope.Counter("requests_answered"), failed: scope.Counter("requests_failed_by_endpoint"),
 		refused: make(map[Reason]tally.Counter), broken: scope.Counter("answers_broken_off"),
-		sends: scope.Counter("sends"), resends: scope.Counter("resends"), stalls: scope.Counter("stalls"),
+		sends: scope.Counter("sends"), resends: scope.Counter("resends"), sendsLimited: scope.Counter("sends_limited"), stalls: scope.Counter("stalls"),
 		held:  scope.Counter("requests_held_back"),
 		late:  scope.Counter("requests_late"),
 		first: scope.Timer("first_event"), whole: scope.Timer("answer"), queued: scope.Timer("queue_wait"),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,11 +31,7 @@
 
 // streamOnce sends the request once, passes on what comes, and reports whether it is to be sent again.
 func (f *flight) streamOnce(ctx context.Context, place *picker.Place) bool {
-	f.sends++
-	f.gateway.meters.sends.Inc(1)
-	sent := clock.Now()
-	f.log("sent", false, "endpoint", place.Endpoint.ID, "group", place.Group, "send", f.sends, "resume_after", f.resumeAfter(),
-		"prompt_tokens", f.request.PromptTokens, "requests", place.Requests)
+	sent := f.sending(place, "group", place.Group, "resume_after", f.resumeAfter(), "prompt_tokens", f.request.PromptTokens, "requests", place.Requests)
 	reply, err := f.exchange.Send(ctx, f.attempt(place, true))
 	if err != nil {
 		return f.streamFailed(ctx, place, err)
@@ -43,6 +39,9 @@
 	defer reply.Close()
 	s := &streaming{flight: f, place: place, reply: reply, sent: sent, last: sent}
 	head, err := s.head(ctx)
+	if err == nil {
+		place.Said(head.Limit, sent, clock.Now())
+	}
 	switch {
 	case err != nil:
 		return f.streamFailed(ctx, place, err)
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/ratelimit"
 )
 
 const (
@@ -47,6 +48,14 @@
 	change(h)
 }
 
+// Said takes in what the answer to a request that was sent at sent says of the endpoint's limit.
+func (p *Place) Said(l ratelimit.Limit, sent, now time.Time) {
+	p.picker.options.Limits.Said(p.Endpoint.ID, l, sent, now)
+}
+
+// Limit returns the limit that the endpoint has named last.
+func (p *Place) Limit() ratelimit.Limit { return p.picker.options.Limits.Limit(p.Endpoint.ID) }
+
 // Failed notes that the endpoint failed the request or could not be reached.
 func (p *Place) Failed(unreachable bool, now time.Time) {
 	p.picker.mu.Lock()
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -12,6 +12,7 @@
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/ratelimit"
 )
 
 const (
@@ -33,6 +34,8 @@
 	// Doubted is called when a replica group has begun to stand still at this node; it must not block. Nil if nobody needs
 	// to be told.
 	Doubted func()
+	// Limits are the rate limits that endpoints name; nil for a table of the Picker's own.
+	Limits *ratelimit.Table
 	// Lost reports whether the leader has found a replica group to have lost a member; nil if nobody tells.
 	Lost func(group string, now time.Time) bool
 }
@@ -54,6 +57,9 @@
 
 // New returns a Picker.
 func New(o Options) *Picker {
+	if o.Limits == nil {
+		o.Limits = ratelimit.NewTable()
+	}
 	return &Picker{
 		options: o, health: make(map[string]*health), running: make(map[string]int), complete: make(map[string]bool),
 		demand: make(map[string]int), busy: make(map[string]int), arrivals: make(map[string]*arrivals),
--- /dev/null
+++ b/internal/server/rates.go
@@ -0,0 +1,12 @@
+package server
+
+import (
+	"github.com/go-kit/log/level"
+
+	"moorrun.dev/moorrun/internal/ratelimit"
+)
+
+// limitChanged logs that an endpoint names another limit than before, or none any more.
+func (n *Server) limitChanged(endpoint string, l ratelimit.Limit) {
+	_ = level.Info(n.logger).Log("msg", "endpoint limit", "endpoint", endpoint, "named", l.Named, "per_second", l.PerSecond)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -30,6 +30,7 @@
 	"moorrun.dev/moorrun/internal/metrics"
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/quarantine"
+	"moorrun.dev/moorrun/internal/ratelimit"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
 	"moorrun.dev/moorrun/internal/settings"
@@ -63,6 +64,7 @@
 	table      atomic.Pointer[route.Table]
 	keeper     *holder.Keeper
 	controller *formation.Controller
+	rates      *ratelimit.Table
 	picker     *picker.Picker
 	gateway    *gateway.Gateway
 	quarantine *quarantine.Table
@@ -134,8 +136,10 @@
 	n.gossip.CapacityOfRequest = capacityUnit * coresOfRequest / usedPart
 	n.gossip.OnSent = countBeats(n.scope)
 	n.rpc = gossip.NewServer(self.Incarnation, n.follower.Mirror, n.askFor)
+	n.rates = ratelimit.NewTable()
+	n.rates.Changed = n.limitChanged
 	n.picker = picker.New(picker.Options{
-		Zone: s.DataCentre, Directory: n.directory, Others: n.gossip.Others, Retiring: n.retiring, Lost: n.lost, Doubted: n.gossip.Kick,
+		Limits: n.rates, Zone: s.DataCentre, Directory: n.directory, Others: n.gossip.Others, Retiring: n.retiring, Lost: n.lost, Doubted: n.gossip.Kick,
 	})
 	ttl := s.LeaseTTL()
 	n.keeper = holder.NewKeeper(n.platform.Objects, leaseName, s.VM, ttl, ttl/leaseMarginPart, n.wantsLead, logger)
@@ -223,6 +227,7 @@
 	loop.Every(ctx, sweepEvery, func(now time.Time) {
 		n.calls.Sweep()
 		n.picker.Sweep(now)
+		n.rates.Sweep(now)
 		n.quarantine.Sweep(now)
 		n.inquiry.Sweep(now)
 	})
