A failing test: endpoints that name a rate limit get many times as much

The stand-in of the platform's workers can name a limit in its answers and keeps when requests reached it. With three nodes and a limit of 2 a second the head of a group gets 33 requests in four seconds and an endpoint that serves alone 183, where 17 are allowed with the margin.

--- a/internal/standin/estate/estate.go
+++ b/internal/standin/estate/estate.go
@@ -13,6 +13,7 @@
 	mu       sync.Mutex
 	workers  []*Worker
 	runs     []Run
+	arrivals map[string][]time.Time     // of requests, by worker
 	ready    map[string]map[string]bool // group → members that have been ready in it
 	breaches []string
 	ends     int // of workers, under deadly requests
@@ -20,7 +21,9 @@
 }
 
 // New starts an estate without workers.
-func New() *Estate { return &Estate{Store: NewStore(), ready: make(map[string]map[string]bool)} }
+func New() *Estate {
+	return &Estate{Store: NewStore(), arrivals: make(map[string][]time.Time), ready: make(map[string]map[string]bool)}
+}
 
 // Add starts a worker of a service.
 func (e *Estate) Add(service string) *Worker {
@@ -82,6 +85,19 @@
 	e.runs = append(e.runs, r)
 }
 
+func (e *Estate) arrived(worker string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arrivals[worker] = append(e.arrivals[worker], time.Now())
+}
+
+// Arrivals returns when requests have reached a worker, those included that it turned away.
+func (e *Estate) Arrivals(worker string) []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.arrivals[worker]...)
+}
+
 const (
 	// entryOutlives is how long the entry of a worker stands after it has ended without a word.
 	entryOutlives = 1500 * time.Millisecond
--- a/internal/standin/estate/worker.go
+++ b/internal/standin/estate/worker.go
@@ -58,7 +58,8 @@
 	dead     bool
 	draining bool
 	shedding bool
-	lose     int // answers to lose
+	lose     int    // answers to lose
+	limit    string // requests a second that it names in its answers; empty for none
 }
 
 type order struct {
@@ -165,10 +166,14 @@
 	body, _ := io.ReadAll(r.Body) // a server sees a caller leave only once the body is read
 	attempt := r.Header.Get("X-Moorrun-Attempt-Id")
 	rw.Header().Set("X-Moorrun-Attempt-Id", attempt)
+	w.estate.arrived(w.ID)
 	w.mu.Lock()
 	engine := w.group != nil || w.model != ""
 	open := w.group != nil && w.group.State == "open"
 	shedding := w.shedding
+	if w.limit != "" {
+		rw.Header().Set("Server-Limit", w.limit)
+	}
 	lost := w.lose > 0
 	if lost {
 		w.lose--
@@ -245,6 +250,9 @@
 // Shed makes the worker refuse what it is sent, as not run.
 func (w *Worker) Shed(on bool) { w.set(func() { w.shedding = on }) }
 
+// Limit makes the worker name a limit in its answers, in requests a second; empty for none. It still takes all that comes.
+func (w *Worker) Limit(perSecond string) { w.set(func() { w.limit = perSecond }) }
+
 // Lose makes the worker run the next n requests without ever answering.
 func (w *Worker) Lose(n int) { w.set(func() { w.lose = n }) }
 
--- a/test/gateway/fleet_test.go
+++ b/test/gateway/fleet_test.go
@@ -309,3 +309,14 @@
 	wg.Wait()
 	return results
 }
+
+// plain returns the workers that serve alone.
+func (f *fleet) plain() []*estate.Worker {
+	var out []*estate.Worker
+	for _, w := range f.estate.Workers() {
+		if w.Service == "plain" {
+			out = append(out, w)
+		}
+	}
+	return out
+}
