Give the sliding window of the retry budget a package of its own

A limit that all nodes keep together needs the same window. No behaviour changes; a random test holds the window between what is certainly covered and the whole span.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -4,11 +4,11 @@
 import (
 	"sync"
 	"time"
+
+	"moorrun.dev/moorrun/internal/window"
 )
 
 const (
-	// slices divide the window; the oldest is dropped as a whole.
-	slices = 20
 	// ratioPart, slackPart and busyPart keep a node below its share, because windows slide and nodes differ. Half of the slack
 	// that is used is divided among all nodes and half among those that have requests: in a fleet of 986 nodes callers use some
 	// forty, and a share of all left them less than one repeat in ten seconds beside the ratio. When callers move from some
@@ -36,25 +36,22 @@
 type Budget struct {
 	limits Limits
 	nodes  func() Nodes
-	start  time.Time // slices count from then on the steady clock
 
 	mu       sync.Mutex
-	slice    int64
-	requests [slices]int
-	repeats  [slices]int
+	requests window.Counter
+	repeats  window.Counter
 }
 
 // NewBudget returns a Budget whose windows count from start; nodes tells how many nodes share the slack.
 func NewBudget(limits Limits, nodes func() Nodes, start time.Time) *Budget {
-	return &Budget{limits: limits, nodes: nodes, start: start}
+	return &Budget{limits: limits, nodes: nodes, requests: window.NewCounter(limits.Window, start), repeats: window.NewCounter(limits.Window, start)}
 }
 
 // Request counts a request of a caller.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.advance(now)
-	b.requests[b.slice%slices]++
+	b.requests.Add(now)
 }
 
 // Take spends one repeat and reports whether there was one.
@@ -62,17 +59,11 @@
 	share := b.nodes().share()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.advance(now)
-	requests, repeats := 0, 0
-	for i := range slices {
-		requests += b.requests[i]
-		repeats += b.repeats[i]
-	}
-	allowed := ratioPart*b.limits.Ratio*float64(requests) + share*b.limits.Slack
-	if float64(repeats+1) > allowed {
+	allowed := ratioPart*b.limits.Ratio*float64(b.requests.Sum(now)) + share*b.limits.Slack
+	if float64(b.repeats.Sum(now)+1) > allowed {
 		return false
 	}
-	b.repeats[b.slice%slices]++
+	b.repeats.Add(now)
 	return true
 }
 
@@ -85,13 +76,3 @@
 	}
 	return share
 }
-
-// advance drops what has left the window.
-func (b *Budget) advance(now time.Time) {
-	slice := now.Sub(b.start).Nanoseconds() / int64(b.limits.Window/slices)
-	for at := max(b.slice+1, slice-slices+1); at <= slice; at++ {
-		b.requests[at%slices] = 0
-		b.repeats[at%slices] = 0
-	}
-	b.slice = max(b.slice, slice)
-}
--- /dev/null
+++ b/internal/window/counter_test.go
@@ -0,0 +1,48 @@
+package window_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"moorrun.dev/moorrun/internal/window"
+)
+
+const span = 2 * time.Second
+
+// The window holds all events of the part that is certainly covered and none that is older than the span.
+func TestSumIsOfTheWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		c := window.NewCounter(span, start)
+		var events []time.Time
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "pause")) * time.Millisecond)
+			c.Add(now)
+			events = append(events, now)
+		}
+		now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "rest")) * time.Millisecond)
+		least, most := 0, 0
+		for _, at := range events {
+			if now.Sub(at) < window.Covered(span) {
+				least++
+			}
+			if now.Sub(at) < span {
+				most++
+			}
+		}
+		if sum := c.Sum(now); sum < least || sum > most {
+			t.Fatalf("%d events, between %d and %d happened in the window", sum, least, most)
+		}
+	})
+}
+
+func TestNothingIsLeftAfterALongPause(t *testing.T) {
+	c := window.NewCounter(span, time.Unix(1000, 0))
+	c.Add(time.Unix(1000, 0))
+	qt.Check(t, c.Sum(time.Unix(1001, 0)), qt.Equals, 1)
+	qt.Check(t, c.Sum(time.Unix(5000, 0)), qt.Equals, 0)
+}
