Let all nodes together keep the rate limits that endpoints name

Seen: endpoints in need that named a limit of 1.9 and 2.1 requests a second got 24 and 23 in four seconds, as many as before; 16 and 18 are allowed. Cause: answers were passed on whole, but what an endpoint says of itself in them was never taken in; choice went by load alone. Class: a bound on a sum over all nodes that none of them keeps. Evidence: TestEndpointThatNamesALimitGetsNoMoreFromAllNodesTogether failed with 33 to 38 (head of a group) and 183 (alone) of 17 allowed, while the log of each node told that it knew the limit. A limit that each node kept alone would not do: nine nodes would send nine times as much. Mend: internal/ratelimit counts what each node sends, beats carry the counts of limited endpoints and their limits, and a node sends only while all counts leave room, by chance as to the part of what all want that the limit allows. What was sent before a limit was named counts.

--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -19,6 +19,7 @@
 	ProofAt     time.Time     // its copy of the store is current as of then; zero if unknown
 	Busy        int           // 1 if it has requests; of totals, how many nodes have
 	Loads       Loads         // requests it has at endpoints
+	Limits      RateLimits    // of endpoints
 	Suspects    map[string]time.Time
 	Retiring    []string // groups that the leader is about to end
 	Lost        []string // groups that the leader has found to have lost a member
--- a/internal/gossip/totals.go
+++ b/internal/gossip/totals.go
@@ -10,6 +10,7 @@
 type Totals struct {
 	Busy     int // nodes with requests
 	Loads    Loads
+	Limits   RateLimits
 	Suspects map[string]time.Time // groups that stand still, since when at the latest
 	Retiring []string             // groups that a leader is about to end
 	Lost     []string             // groups that a leader has found to have lost a member
@@ -18,7 +19,7 @@
 
 // NewTotals returns Totals of no node.
 func NewTotals() *Totals {
-	return &Totals{Loads: make(Loads), Suspects: make(map[string]time.Time), Demands: make(map[string]Demand)}
+	return &Totals{Loads: make(Loads), Limits: make(RateLimits), Suspects: make(map[string]time.Time), Demands: make(map[string]Demand)}
 }
 
 // Add counts in what a node has told.
@@ -27,6 +28,7 @@
 	for endpoint, n := range s.Loads {
 		t.Loads[endpoint] += n
 	}
+	t.Limits.add(s.Limits)
 	for group, at := range s.Suspects {
 		if at.After(t.Suspects[group]) {
 			t.Suspects[group] = at
@@ -55,12 +57,13 @@
 	t.Add(&s)
 }
 
-// without returns the totals less the loads and demands of one of the nodes that were counted in. Its doubts stay:
+// without returns the totals less the loads, sendings and demands of one of the nodes that were counted in. Its doubts stay:
 // it knows them anyway.
 func (t *Totals) without(s *Status) *Totals {
 	out := *t
 	out.Busy -= s.Busy
 	out.Loads, out.Demands = maps.Clone(t.Loads), maps.Clone(t.Demands)
+	out.Limits = t.Limits.less(s.Limits)
 	for endpoint, n := range s.Loads {
 		if out.Loads[endpoint] -= n; out.Loads[endpoint] <= 0 {
 			delete(out.Loads, endpoint)
@@ -74,6 +77,7 @@
 
 // over returns the status with the totals in place of the node's own loads and doubts.
 func (t *Totals) over(s Status) Status {
+	s.Limits = t.Limits
 	s.Busy, s.Loads, s.Suspects, s.Retiring, s.Lost, s.Demands = t.Busy, t.Loads, t.Suspects, t.Retiring, t.Lost, t.Demands
 	return s
 }
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -46,9 +46,8 @@
 }
 
 // candidates returns everything that may take the request, with its cost.
-func (p *Picker) candidates(w *Want, now time.Time) []candidate {
+func (p *Picker) candidates(w *Want, others *gossip.Totals, now time.Time) []candidate {
 	snapshot := p.options.Directory.Read()
-	others := p.options.Others(now)
 	if w.Model == "" {
 		return p.alone(w, snapshot, others, now)
 	}
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -115,6 +115,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s.Loads = make(gossip.Loads)
+	p.options.Limits.Learn(p.options.Others(now).Limits, now)
+	s.Limits = p.options.Limits.Report(now)
 	s.Suspects = make(map[string]time.Time)
 	for key, h := range p.health {
 		g := snapshot.Groups[key]
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -58,7 +58,7 @@
 // New returns a Picker.
 func New(o Options) *Picker {
 	if o.Limits == nil {
-		o.Limits = ratelimit.NewTable()
+		o.Limits = ratelimit.NewTable(clock.Now())
 	}
 	return &Picker{
 		options: o, health: make(map[string]*health), running: make(map[string]int), complete: make(map[string]bool),
@@ -118,19 +118,29 @@
 
 // try returns a place if there is one; with full set, also one in the queue of a full replica group.
 func (p *Picker) try(w *Want, now time.Time, full bool) (*Place, error) {
-	candidates := p.candidates(w, now)
+	others := p.options.Others(now)
+	p.options.Limits.Learn(others.Limits, now)
+	candidates := p.candidates(w, others, now)
 	if len(candidates) == 0 {
 		return nil, ErrNoEndpoint
 	}
 	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.full(w, full) })
-	if len(candidates) == 0 {
-		return nil, nil //nolint:nilnil // neither a place nor a failure: wait
+	for len(candidates) > 0 {
+		best := p.best(w, candidates)
+		if p.options.Limits.Admit(best.endpoint.ID, others.Limits, now) {
+			return p.take(w, &best, now), nil
+		}
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.endpoint == best.endpoint })
 	}
+	return nil, nil //nolint:nilnil // neither a place nor a failure: wait
+}
+
+// best returns the candidate of the least cost among those that the choice is made among.
+func (p *Picker) best(w *Want, candidates []candidate) candidate {
 	if w.Model != "" {
 		candidates = p.sample(candidates)
 	}
-	best := slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
-	return p.take(w, &best, now), nil
+	return slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 }
 
 func (p *Picker) take(w *Want, c *candidate, now time.Time) *Place {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -38,8 +38,8 @@
 	nodes  func() Nodes
 
 	mu       sync.Mutex
-	requests window.Counter
-	repeats  window.Counter
+	requests *window.Counter
+	repeats  *window.Counter
 }
 
 // NewBudget returns a Budget whose windows count from start; nodes tells how many nodes share the slack.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -136,7 +136,7 @@
 	n.gossip.CapacityOfRequest = capacityUnit * coresOfRequest / usedPart
 	n.gossip.OnSent = countBeats(n.scope)
 	n.rpc = gossip.NewServer(self.Incarnation, n.follower.Mirror, n.askFor)
-	n.rates = ratelimit.NewTable()
+	n.rates = ratelimit.NewTable(n.started)
 	n.rates.Changed = n.limitChanged
 	n.picker = picker.New(picker.Options{
 		Limits: n.rates, Zone: s.DataCentre, Directory: n.directory, Others: n.gossip.Others, Retiring: n.retiring, Lost: n.lost, Doubted: n.gossip.Kick,
--- a/internal/window/counter.go
+++ b/internal/window/counter.go
@@ -15,8 +15,8 @@
 }
 
 // NewCounter returns a Counter of that span; no time before start will be asked for.
-func NewCounter(span time.Duration, start time.Time) Counter {
-	return Counter{start: start, length: span / slices}
+func NewCounter(span time.Duration, start time.Time) *Counter {
+	return &Counter{start: start, length: span / slices}
 }
 
 // Covered returns how much of a span is certainly counted at any time.
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -40,6 +40,7 @@
 	{"groups", groupLosses},
 	{"roll", rollAndLeave},
 	{"platform", platformCalls},
+	{"limits", limits},
 }
 
 // harness builds the programs once and starts labs.
