--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -122,7 +122,13 @@
 
 // shed notes that an endpoint said it would not run the request.
 func (f *flight) shed(place *picker.Place, head Head) {
-	f.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", verdict.NotRun.String(), "status", head.Status)
+	pairs := []any{"endpoint", place.Endpoint.ID, "group", place.Group, "verdict", verdict.NotRun.String(), "status", head.Status}
+	if head.RetryAfter > 0 {
+		f.gateway.meters.pauses.Inc(1)
+		place.AskedToPause(head.RetryAfter, clock.Now())
+		pairs = append(pairs, "retry_after_ms", head.RetryAfter.Milliseconds())
+	}
+	f.log("failed", false, pairs...)
 }
 
 // notRun decides what follows an attempt that did not run.
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -56,8 +56,13 @@
 		f.gateway.meters.sendsLimited.Inc(1)
 		pairs = append(pairs, "limit", limit.PerSecond)
 	}
+	now := clock.Now()
+	if left := place.PauseLeft(now); left > 0 {
+		f.gateway.meters.sendsPaused.Inc(1)
+		pairs = append(pairs, "pause_left_ms", left.Milliseconds())
+	}
 	f.log("sent", false, pairs...)
-	return clock.Now()
+	return now
 }
 
 // end ends the request's story. It is told whole of each request that the caller may complain of.
--- a/internal/gateway/head.go
+++ b/internal/gateway/head.go
@@ -1,13 +1,18 @@
 package gateway
 
-import "moorrun.dev/moorrun/internal/ratelimit"
+import (
+	"time"
+
+	"moorrun.dev/moorrun/internal/ratelimit"
+)
 
 // Head is the beginning of an answer.
 type Head struct {
-	Status int
-	NotRun bool            // the endpoint says that it did not and will not run the request
-	Events bool            // the answer is a stream of events
-	Limit  ratelimit.Limit // that the endpoint names
+	Status     int
+	NotRun     bool            // the endpoint says that it did not and will not run the request
+	RetryAfter time.Duration   // with NotRun: the endpoint wants nothing from this node for so long; zero if it does not say
+	Events     bool            // the answer is a stream of events
+	Limit      ratelimit.Limit // that the endpoint names
 }
 
 // OK reports whether the status is a success.
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -13,6 +13,8 @@
 	broken           tally.Counter // answers broken off
 	sends, resends   tally.Counter
 	sendsLimited     tally.Counter // to endpoints that name a limit
+	sendsPaused      tally.Counter // to endpoints that have asked for a pause
+	pauses           tally.Counter // asked for
 	stalls           tally.Counter
 	held             tally.Counter // refused because endpoints have ended under them
 	late             tally.Counter // answered, but not within the objectives
@@ -24,10 +26,12 @@
 	m := &meters{
 		answered: scope.Counter("requests_answered"), failed: scope.Counter("requests_failed_by_endpoint"),
 		refused: make(map[Reason]tally.Counter), broken: scope.Counter("answers_broken_off"),
-		sends: scope.Counter("sends"), resends: scope.Counter("resends"), sendsLimited: scope.Counter("sends_limited"), stalls: scope.Counter("stalls"),
-		held:  scope.Counter("requests_held_back"),
-		late:  scope.Counter("requests_late"),
-		first: scope.Timer("first_event"), whole: scope.Timer("answer"), queued: scope.Timer("queue_wait"),
+		sends: scope.Counter("sends"), resends: scope.Counter("resends"), sendsLimited: scope.Counter("sends_limited"),
+		sendsPaused: scope.Counter("sends_paused"), pauses: scope.Counter("pauses_asked_for"),
+		stalls: scope.Counter("stalls"),
+		held:   scope.Counter("requests_held_back"),
+		late:   scope.Counter("requests_late"),
+		first:  scope.Timer("first_event"), whole: scope.Timer("answer"), queued: scope.Timer("queue_wait"),
 	}
 	for r := NoRoute; r <= TimedOut; r++ {
 		m.refused[r] = scope.Tagged(map[string]string{"reason": r.String()}).Counter("requests_refused")
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -52,6 +52,7 @@
 	demand   map[string]int       // waiting by model
 	busy     map[string]int       // running by model
 	arrivals map[string]*arrivals // by model
+	pauses   pauses
 	random   uint64
 }
 
@@ -62,7 +63,7 @@
 	}
 	return &Picker{
 		options: o, health: make(map[string]*health), running: make(map[string]int), complete: make(map[string]bool),
-		demand: make(map[string]int), busy: make(map[string]int), arrivals: make(map[string]*arrivals),
+		demand: make(map[string]int), busy: make(map[string]int), arrivals: make(map[string]*arrivals), pauses: make(pauses),
 	}
 }
 
@@ -185,6 +186,7 @@
 func (p *Picker) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.pauses.sweep(now)
 	for key, h := range p.health {
 		if h.running == 0 && now.Sub(h.touched) > forgetAfter {
 			delete(p.health, key)
