Failing tests: endpoints that ask for a pause are asked on

The stand-in of the platform's workers can refuse with Retry-After. With a pause of three seconds the head of a group gets 40 requests from one node within it, 2 allowed, and requests fail though other groups have room: their repeats are spent. An endpoint that serves alone does not get its share again within 20 s after it takes requests. Endpoints that all ask for a minute are asked by each further request. The node's log tells the pause at the refusal and what is left of it at each sending, so it is read and heeded in nothing: the first hypothesis. The second adds to it: the group's load is least.

--- a/internal/standin/estate/worker.go
+++ b/internal/standin/estate/worker.go
@@ -58,6 +58,7 @@
 	dead     bool
 	draining bool
 	shedding bool
+	pause    string // seconds that it names in Retry-After while it sheds; empty for none
 	lose     int    // answers to lose
 	limit    string // requests a second that it names in its answers; empty for none
 }
@@ -170,7 +171,7 @@
 	w.mu.Lock()
 	engine := w.group != nil || w.model != ""
 	open := w.group != nil && w.group.State == "open"
-	shedding := w.shedding
+	shedding, pause := w.shedding, w.pause
 	if w.limit != "" {
 		rw.Header().Set("Server-Limit", w.limit)
 	}
@@ -184,6 +185,9 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case shedding:
+		if pause != "" {
+			rw.Header().Set("Retry-After", pause)
+		}
 		rw.Header().Set("X-Moorrun-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -248,7 +252,10 @@
 func (w *Worker) Stall(on bool) { w.set(func() { w.stalled = on }) }
 
 // Shed makes the worker refuse what it is sent, as not run.
-func (w *Worker) Shed(on bool) { w.set(func() { w.shedding = on }) }
+func (w *Worker) Shed(on bool) { w.set(func() { w.shedding, w.pause = on, "" }) }
+
+// Pause makes the worker refuse what it is sent and ask whoever sent it for a pause, in seconds.
+func (w *Worker) Pause(seconds string) { w.set(func() { w.shedding, w.pause = true, seconds }) }
 
 // Limit makes the worker name a limit in its answers, in requests a second; empty for none. It still takes all that comes.
 func (w *Worker) Limit(perSecond string) { w.set(func() { w.limit = perSecond }) }
