Send nothing to endpoints that have asked this node for a pause

Seen: endpoints that refuse all requests with Retry-After 3 got up to 10 requests from one node in that time, 2 allowed; four of 22 heads took 31 to 57 sendings a second, budgets of repeats were spent and classes lost over a tenth of their requests. Cause: of a refusal only that the request did not run was taken in. The endpoint stayed a candidate, and as it refuses within a millisecond it had the least load of all and got more than its share. Class: word of an endpoint that is read by nobody, beside a measure of load that failing lowers. Evidence: TestEndpointThatAsksForAPauseGetsNothingMeanwhile failed with 40 requests of one node in a pause, and with failed requests while others had room; TestRequestIsRefusedAtOnceWhileAllEndpointsPause never came to rest. Mend: the node keeps the end of each pause and passes the endpoint over, also where nothing else is left. If all that could serve pause for longer than the request can wait it is refused at once, with the time. A refusal with a pause does not count as a failure, so the endpoint gets its share again. After: both tests pass.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -48,7 +48,6 @@
 	}
 	now := clock.Now()
 	if head.NotRun {
-		place.Failed(false, now)
 		f.shed(place, head)
 		return f.notRun(ctx, place)
 	}
@@ -120,13 +119,16 @@
 	return false
 }
 
-// shed notes that an endpoint said it would not run the request.
+// shed notes that an endpoint said it would not run the request. One that says how long it wants nothing has not failed: it gets
+// its share again afterwards.
 func (f *flight) shed(place *picker.Place, head Head) {
 	pairs := []any{"endpoint", place.Endpoint.ID, "group", place.Group, "verdict", verdict.NotRun.String(), "status", head.Status}
 	if head.RetryAfter > 0 {
 		f.gateway.meters.pauses.Inc(1)
 		place.AskedToPause(head.RetryAfter, clock.Now())
 		pairs = append(pairs, "retry_after_ms", head.RetryAfter.Milliseconds())
+	} else {
+		place.Failed(false, clock.Now())
 	}
 	f.log("failed", false, pairs...)
 }
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -154,12 +154,15 @@
 // noPlace refuses a request that found no place. Nothing that may have run is refused as not run.
 func (f *flight) noPlace(ctx context.Context, err error) {
 	var held *heldError
+	var paused *picker.PausedError
 	switch {
 	case f.ran > 0:
 		f.fail(ctx, "no place for another attempt: "+err.Error())
 	case errors.As(err, &held):
 		f.gateway.meters.held.Inc(1)
 		f.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: held.left})
+	case errors.As(err, &paused):
+		f.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: spread(paused.Left)})
 	default:
 		after := f.gateway.shortages.refused(f.service.Name+"/"+f.request.Model, clock.Now())
 		f.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: after})
--- a/internal/gateway/shortage.go
+++ b/internal/gateway/shortage.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -40,3 +41,11 @@
 	s.runs[of] = r
 	return min(max(now.Sub(r.first), leastComeBack), mostComeBack)
 }
+
+// spreadPart is the part of a wait by which callers that wait for the same moment come back apart from each other, at the most.
+const spreadPart = 0.25
+
+// spread returns the wait, or up to spreadPart more by chance.
+func spread(wait time.Duration) time.Duration {
+	return wait + time.Duration(spreadPart*rand.Float64()*float64(wait)) //nolint:gosec // any spread will do
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,7 +46,6 @@
 	case err != nil:
 		return f.streamFailed(ctx, place, err)
 	case head.NotRun:
-		place.Failed(false, clock.Now())
 		f.shed(place, head)
 		return f.notRun(ctx, place)
 	case !head.OK() || !head.Events:
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -29,13 +29,16 @@
 	group    string
 	load     int // requests of all nodes
 	cost     float64
-	limit    int // requests beyond which it gets no more; 0: none
-	avoid    int // 0, or more the less it is to be chosen as long as there are others
+	limit    int           // requests beyond which it gets no more; 0: none
+	avoid    int           // 0, or more the less it is to be chosen as long as there are others
+	pause    time.Duration // for which it wants nothing from this node
 }
 
 // full reports whether the candidate gets no more requests; with queue set, those that wait in its own queue count as well.
 func (c *candidate) full(w *Want, queue bool) bool {
 	switch {
+	case c.pause > 0:
+		return true
 	case c.limit == 0:
 		return false
 	case queue && c.limit == w.Slots:
@@ -63,7 +66,7 @@
 			continue
 		}
 		h := p.health[g.Name]
-		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(h, others, g.Head.ID), limit: w.Slots}
+		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(h, others, g.Head.ID), limit: w.Slots, pause: p.pauses.left(g.Head.ID, now)}
 		if w.ColdPerSecond > 0 && snapshot.Cold(g.Head, w.ColdFor, now) {
 			c.limit = min(c.limit, w.coldLimit())
 		}
--- a/internal/picker/pause.go
+++ b/internal/picker/pause.go
@@ -1,6 +1,35 @@
 package picker
 
-import "time"
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// PausedError is returned when each endpoint that serves what is wanted has asked for a pause that lasts longer than the request
+// can wait. The request has not been sent.
+type PausedError struct {
+	Left time.Duration // until the first pause ends
+}
+
+func (e *PausedError) Error() string {
+	return fmt.Sprintf("each endpoint that serves it wants nothing for %s", e.Left.Round(time.Millisecond))
+}
+
+func isPaused(err error) bool {
+	var paused *PausedError
+	return errors.As(err, &paused)
+}
+
+// leastPause returns the shortest pause, zero if there are no candidates.
+func leastPause(candidates []candidate) time.Duration {
+	if len(candidates) == 0 {
+		return 0
+	}
+	return slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.pause, b.pause) }).pause
+}
 
 // pauses tell until when endpoints want nothing from this node, by their IDs.
 type pauses map[string]time.Time
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -73,7 +73,7 @@
 	p.arrive(w, clock.Now())
 	if !p.someoneWaitsFor(w) {
 		place, err := p.try(w, clock.Now(), false)
-		if place != nil || err != nil && w.Patience <= 0 {
+		if place != nil || err != nil && (w.Patience <= 0 || isPaused(err)) {
 			p.mu.Unlock()
 			return place, err
 		}
@@ -125,6 +125,9 @@
 	if len(candidates) == 0 {
 		return nil, ErrNoEndpoint
 	}
+	if left := leastPause(candidates); left > w.Patience {
+		return nil, &PausedError{left}
+	}
 	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.full(w, full) })
 	for len(candidates) > 0 {
 		best := p.best(w, candidates)
