--- a/test/gateway/fleet_test.go
+++ b/test/gateway/fleet_test.go
@@ -320,3 +320,13 @@
 	}
 	return out
 }
+
+// kinds are the kinds of endpoints that requests are sent to: one of them, and how it may be reached.
+var kinds = []struct {
+	name string
+	pick func(f *fleet) *estate.Worker
+	ask  func(f *fleet, n *node) *result
+}{
+	{"head of a group", func(f *fleet) *estate.Worker { return f.estate.OpenHeads()[0] }, func(f *fleet, n *node) *result { return f.stream(n, "key-1") }},
+	{"alone", func(f *fleet) *estate.Worker { return f.plain()[0] }, func(f *fleet, n *node) *result { return f.call(n, "/once/x", "key-1") }},
+}
--- a/test/gateway/pause_test.go
+++ b/test/gateway/pause_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	"moorrun.dev/moorrun/internal/standin/estate"
 )
 
 const (
@@ -36,14 +34,7 @@
 
 // Guards against a node sending on to an endpoint that refuses with Retry-After, which then spends the budget of repeats.
 func TestEndpointThatAsksForAPauseGetsNothingMeanwhile(t *testing.T) {
-	for _, test := range []struct {
-		name string
-		pick func(f *fleet) *estate.Worker
-		ask  func(f *fleet, n *node) *result
-	}{
-		{"head of a group", func(f *fleet) *estate.Worker { return f.estate.OpenHeads()[0] }, func(f *fleet, n *node) *result { return f.stream(n, "key-1") }},
-		{"alone", func(f *fleet) *estate.Worker { return f.plain()[0] }, func(f *fleet, n *node) *result { return f.call(n, "/once/x", "key-1") }},
-	} {
+	for _, test := range kinds {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t)
