A failing test: endpoints whose answers say that they leave get more requests

The stand-in of the platform's workers tells in its answers that it leaves; one may do so without telling the store. Two seconds after a node has passed on such an answer 17 and 87 more requests reach it.

--- a/internal/standin/estate/worker.go
+++ b/internal/standin/estate/worker.go
@@ -57,6 +57,7 @@
 	stalled  bool
 	dead     bool
 	draining bool
+	leaving  bool // says so in its answers, whatever its entry tells
 	shedding bool
 	pause    string // seconds that it names in Retry-After while it sheds; empty for none
 	lose     int    // answers to lose
@@ -172,6 +173,9 @@
 	engine := w.group != nil || w.model != ""
 	open := w.group != nil && w.group.State == "open"
 	shedding, pause := w.shedding, w.pause
+	if w.leaving || w.draining {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	if w.limit != "" {
 		rw.Header().Set("Server-Limit", w.limit)
 	}
@@ -269,6 +273,9 @@
 	w.record()
 }
 
+// Leave makes the worker tell in its answers that it is about to leave, but not in its entry.
+func (w *Worker) Leave() { w.set(func() { w.leaving = true }) }
+
 func (w *Worker) set(change func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
