Send nothing more to endpoints whose answers say that they leave

Seen in our own test: two seconds after a node has passed on an answer that says its endpoint leaves, 17 (head of a group) and 87 (alone) more requests reach it. Cause: leaving was learned from the platform's list alone; some endpoints never write it there, and the store may be down.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return head, nil, err
 	}
-	place.Said(head.Limit, sent, clock.Now())
+	heed(place, head, sent)
 	if head.NotRun {
 		return head, nil, nil
 	}
@@ -95,6 +95,15 @@
 	return head, body, err
 }
 
+// heed takes in what the answer to a request that was sent at sent says of its endpoint.
+func heed(place *picker.Place, head Head, sent time.Time) {
+	now := clock.Now()
+	place.Said(head.Limit, sent, now)
+	if head.Leaving {
+		place.Leaving(now)
+	}
+}
+
 // errHedged means that the answer has not come in time and another endpoint is to be asked; the repeat is paid.
 var errHedged = errors.New("no answer in time to ask another endpoint")
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -40,7 +40,7 @@
 	s := &streaming{flight: f, place: place, reply: reply, sent: sent, last: sent}
 	head, err := s.head(ctx)
 	if err == nil {
-		place.Said(head.Limit, sent, clock.Now())
+		heed(place, head, sent)
 	}
 	switch {
 	case err != nil:
