Keep in the directory that an endpoint has said it leaves

What an answer says of leaving was kept by the picker alone. The directory now marks that life as draining, which all of these read.

--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -7,18 +7,23 @@
 	"time"
 )
 
-// goneFor is how long an endpoint that is no longer listed is remembered.
-const goneFor = 30 * time.Second
+const (
+	// goneFor is how long an endpoint that is no longer listed is remembered.
+	goneFor = 30 * time.Second
+	// leavingFor is how long it is remembered that an endpoint has said it leaves; it is gone long before.
+	leavingFor = 10 * time.Minute
+)
 
 // Directory is this node's copy of the platform's list of endpoints.
 type Directory struct {
 	mu      sync.Mutex
 	current atomic.Pointer[Snapshot]
+	leaving map[string]time.Time // lives that have said so themselves, and when
 }
 
 // NewDirectory returns an empty Directory of endpoints that write their entries that often.
 func NewDirectory(beat time.Duration) *Directory {
-	d := &Directory{}
+	d := &Directory{leaving: make(map[string]time.Time)}
 	d.current.Store(&Snapshot{
 		Endpoints: map[string]*Endpoint{}, Services: map[string][]*Endpoint{}, Groups: map[string]*Group{}, Gone: map[string]Gone{},
 		Returned: map[string]time.Time{}, beat: beat,
@@ -37,6 +42,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.apply(changed, removed, now)
+}
+
+// apply is Apply with the lock held.
+func (d *Directory) apply(changed []*Endpoint, removed []string, now time.Time) {
 	old := d.current.Load()
 	next := &Snapshot{
 		Endpoints: make(map[string]*Endpoint, len(old.Endpoints)+len(changed)),
@@ -60,6 +70,9 @@
 			delete(next.Endpoints, before.ID)
 		}
 		lives[Listed(e.ID)] = e
+		if _, told := d.leaving[e.ID]; told {
+			e.Draining = true
+		}
 		e.recall(old)
 		if e.ColdLeft > 0 {
 			e.Cold = now.Add(e.ColdLeft)
@@ -80,6 +93,25 @@
 	d.current.Store(next)
 }
 
+// Leaves notes that a life of an endpoint has said in an answer that it leaves. Its entry may tell so later, or not at all.
+func (d *Directory) Leaves(life string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, at := range d.leaving {
+		if now.Sub(at) > leavingFor {
+			delete(d.leaving, id)
+		}
+	}
+	if _, told := d.leaving[life]; told {
+		return
+	}
+	d.leaving[life] = now
+	if e := d.current.Load().Endpoints[life]; e != nil && !e.Draining {
+		draining := *e
+		d.apply([]*Endpoint{&draining}, nil, now)
+	}
+}
+
 // SetRoutingOnly says whether only those endpoints are listed that take requests.
 func (d *Directory) SetRoutingOnly(only bool) {
 	d.mu.Lock()
--- a/internal/endpoint/directory_test.go
+++ b/internal/endpoint/directory_test.go
@@ -97,3 +97,23 @@
 	qt.Check(t, endpoint.Listed(second.ID), qt.Equals, "i-1")
 	qt.Check(t, endpoint.Life("i-1", 0), qt.Equals, "i-1")
 }
+
+func TestEndpointThatSaysItLeavesDrainsWhateverItsEntryTells(t *testing.T) {
+	d := endpoint.NewDirectory(time.Second)
+	life := endpoint.Life("i-1", 100)
+	listed := func() *endpoint.Endpoint { return &endpoint.Endpoint{ID: life, Service: "s"} }
+	d.Apply([]*endpoint.Endpoint{listed()}, nil, origin)
+	before := d.Read()
+	d.Leaves(life, origin)
+	d.Leaves("i-unknown", origin)
+	qt.Check(t, d.Read().Endpoints[life].Draining, qt.IsTrue)
+	qt.Check(t, before.Endpoints[life].Draining, qt.IsFalse, qt.Commentf("a snapshot does not change"))
+	d.Apply([]*endpoint.Endpoint{listed()}, nil, origin.Add(time.Second))
+	qt.Check(t, d.Read().Endpoints[life].Draining, qt.IsTrue, qt.Commentf("its entry was written before"))
+	d.Apply(nil, []string{"i-1"}, origin.Add(2*time.Second))
+	d.Apply([]*endpoint.Endpoint{listed()}, nil, origin.Add(3*time.Second))
+	qt.Check(t, d.Read().Endpoints[life].Draining, qt.IsTrue, qt.Commentf("it was not listed for a while"))
+	next := endpoint.Life("i-1", 200)
+	d.Apply([]*endpoint.Endpoint{{ID: next, Service: "s"}}, nil, origin.Add(4*time.Second))
+	qt.Check(t, d.Read().Endpoints[next].Draining, qt.IsFalse, qt.Commentf("another life"))
+}
--- a/internal/picker/alone.go
+++ b/internal/picker/alone.go
@@ -20,7 +20,7 @@
 func (p *Picker) alone(w *Want, snapshot *endpoint.Snapshot, others *gossip.Totals, now time.Time) []candidate {
 	var out []candidate
 	for _, e := range snapshot.Services[w.Service] {
-		if p.leaves(e) || w.excludes(e.ID) || snapshot.Evacuated[e.Zone] {
+		if e.Draining || w.excludes(e.ID) || snapshot.Evacuated[e.Zone] {
 			continue
 		}
 		h := p.health[e.ID]
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -97,7 +97,7 @@
 // usable reports whether the head takes requests and every member has been ready at one time in this group. Where members are
 // not listed the leader's word counts for that: no group is opened otherwise.
 func (p *Picker) usable(s *endpoint.Snapshot, g *endpoint.Group, size int) bool {
-	if g.Head == nil || p.leaves(g.Head) || g.Head.Membership.State != endpoint.Open {
+	if g.Head == nil || g.Head.Draining || g.Head.Membership.State != endpoint.Open {
 		return false
 	}
 	if s.RoutingOnly {
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -53,6 +53,9 @@
 	p.picker.options.Limits.Said(p.Endpoint.ID, l, sent, now)
 }
 
+// Leaving notes that the endpoint has said in an answer that it leaves.
+func (p *Place) Leaving(now time.Time) { p.picker.options.Directory.Leaves(p.Endpoint.ID, now) }
+
 // Limit returns the limit that the endpoint has named last.
 func (p *Place) Limit() ratelimit.Limit { return p.picker.options.Limits.Limit(p.Endpoint.ID) }
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -53,7 +53,6 @@
 	busy     map[string]int       // running by model
 	arrivals map[string]*arrivals // by model
 	pauses   pauses
-	leaving  map[string]time.Time // endpoints that have said in an answer that they leave, and when
 	random   uint64
 }
 
@@ -65,7 +64,6 @@
 	return &Picker{
 		options: o, health: make(map[string]*health), running: make(map[string]int), complete: make(map[string]bool),
 		demand: make(map[string]int), busy: make(map[string]int), arrivals: make(map[string]*arrivals), pauses: make(pauses),
-		leaving: make(map[string]time.Time),
 	}
 }
 
@@ -192,7 +190,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pauses.sweep(now)
-	p.sweepLeaving(now)
 	for key, h := range p.health {
 		if h.running == 0 && now.Sub(h.touched) > forgetAfter {
 			delete(p.health, key)
--- a/internal/quarantine/inquiry_test.go
+++ b/internal/quarantine/inquiry_test.go
@@ -84,6 +84,10 @@
 			leaving.Draining = true
 			d.Directory.Apply([]*endpoint.Endpoint{&leaving}, nil, time.Now())
 		}, 0},
+		"it had said in an answer that it leaves": {func(d *domain) {
+			d.lose(quarantine.Ended, 0)
+			d.Directory.Leaves(d.list[0].ID, time.Now())
+		}, 0},
 		"it had left the list": {func(d *domain) {
 			d.lose(quarantine.Ended, 0)
 			d.Directory.Apply(nil, []string{d.list[0].ID}, time.Now())
