Avoid endpoints that refuse though they have room, longer each time

Where it names no time to come back, nothing kept it from being chosen. Change: it is passed over for 0.4 s, twice as long each further time up to 1.6 s, until it answers, as long as another can take the request. A full one is not: its load tells as much.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -137,7 +137,7 @@
 		place.AskedToPause(head.RetryAfter, clock.Now())
 		pairs = append(pairs, "retry_after_ms", head.RetryAfter.Milliseconds())
 	} else {
-		place.Failed(false, clock.Now())
+		place.Refused(clock.Now())
 	}
 	f.log("failed", false, pairs...)
 }
--- a/internal/picker/alone.go
+++ b/internal/picker/alone.go
@@ -12,7 +12,7 @@
 	failureCost = 20.0
 	// latencyUnit turns the mean latency of an endpoint that serves alone into requests.
 	latencyUnit = 40 * time.Millisecond
-	// suspectCost keeps requests from one that could not be reached, as long as anything else is there.
+	// suspectCost keeps requests from one that could not be reached or refuses, as long as anything else is there.
 	suspectCost = 1000.0
 )
 
@@ -35,7 +35,7 @@
 		if h != nil {
 			c.cost += failureCost*h.failures + float64(h.latency)/float64(latencyUnit)
 		}
-		if h != nil && h.suspected(now) {
+		if h != nil && (h.suspected(now) || h.refusing(now)) {
 			c.cost += suspectCost
 		}
 		out = append(out, c)
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -17,9 +17,11 @@
 	jitter = 0.5
 )
 
-// How much a group is to be avoided: one with a member that is about to leave, and more one that stands still.
+// How much a group is to be avoided: one with a member that is about to leave, more one that refuses requests, and most one that
+// stands still.
 const (
 	avoidLeaving = iota + 1
+	avoidRefusing
 	avoidSilent
 )
 
@@ -74,6 +76,8 @@
 		switch {
 		case doubted(g.Name, h, others, now) || h != nil && h.suspected(now):
 			c.avoid = avoidSilent
+		case h != nil && h.refusing(now):
+			c.avoid = avoidRefusing
 		case g.Draining():
 			c.avoid = avoidLeaving
 		}
--- a/internal/picker/health.go
+++ b/internal/picker/health.go
@@ -11,6 +11,11 @@
 	suspectAtMost = 12 * time.Second
 	// trustOwn is how long a sign of life of a group counts more than the doubts of other nodes.
 	trustOwn = 400 * time.Millisecond
+	// refusedFor is how long an endpoint that refused a request without naming a time is avoided; each further time it is
+	// avoided twice as long, up to refusedAtMost, until it answers one. It is tried anew so often that it soon has its share
+	// again, and seldom enough not to use up the budget of repeats.
+	refusedFor    = 400 * time.Millisecond
+	refusedAtMost = 1600 * time.Millisecond
 	// failedFor is how long an endpoint that refused a connection is avoided.
 	failedFor = time.Second
 )
@@ -25,6 +30,8 @@
 	suspect  time.Time     // stood still since; zero if not
 	avoid    time.Time     // until then
 	stood    int           // times in a row that it stood still
+	refusals int           // rounds of refusals in a row
+	refused  time.Time     // it is avoided for them until then
 	touched  time.Time
 }
 
@@ -44,6 +51,19 @@
 	h.stood++
 }
 
+// refuse avoids what refused a request for longer each time, until it answers one.
+func (h *health) refuse(now time.Time) {
+	if now.Before(h.refused) {
+		return // another request of the same trouble
+	}
+	h.refused = now.Add(min(refusedFor<<h.refusals, refusedAtMost))
+	if refusedFor<<h.refusals < refusedAtMost {
+		h.refusals++
+	}
+}
+
+func (h *health) refusing(now time.Time) bool { return now.Before(h.refused) }
+
 func (h *health) suspected(now time.Time) bool {
 	return !h.suspect.IsZero() && now.Before(h.avoid)
 }
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -43,8 +43,8 @@
 	defer p.picker.mu.Unlock()
 	h := p.picker.healthOf(p.key(), now)
 	h.progress = now
-	h.suspect = time.Time{}
-	h.stood = 0
+	h.suspect, h.refused = time.Time{}, time.Time{}
+	h.stood, h.refusals = 0, 0
 	change(h)
 }
 
@@ -75,6 +75,18 @@
 	}
 }
 
+// Refused notes that the endpoint refused the request without saying how long it wants nothing. One that was full is not avoided
+// for that: its load tells as much.
+func (p *Place) Refused(now time.Time) {
+	if slots := p.Endpoint.Slots; slots > 0 && p.Requests >= slots {
+		p.Failed(false, now)
+		return
+	}
+	p.picker.mu.Lock()
+	defer p.picker.mu.Unlock()
+	p.picker.healthOf(p.key(), now).refuse(now)
+}
+
 // Patience returns until when the next sign of life should come, for a request that got its last one (or was
 // sent) at since, and from when on the group is to be doubted. Any sign of life of the same group counts for a
 // request that has got nothing yet: its prompt waits its turn.
--- /dev/null
+++ b/internal/picker/refusing_test.go
@@ -0,0 +1,30 @@
+package picker_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+)
+
+func TestRefusingGroupIsAvoidedUntilItAnswers(t *testing.T) {
+	f := newFleet()
+	f.group("a", "near", endpoint.Open, endpoint.Ready)
+	f.group("b", "near", endpoint.Open, endpoint.Ready)
+	refusing := f.acquire(t, want())
+	now := time.Now().Add(time.Hour) // so that it is still avoided whenever this runs
+	refusing.Refused(now)
+	for range 4 {
+		qt.Check(t, f.acquire(t, want()).Group, qt.Not(qt.Equals), refusing.Group)
+	}
+	qt.Check(t, f.acquire(t, want()).Group, qt.Equals, refusing.Group, qt.Commentf("the other is full"))
+	refusing.First(time.Millisecond, now)
+	refusing.Release()
+	groups := map[string]bool{}
+	for range 3 {
+		groups[f.acquire(t, want()).Group] = true
+	}
+	qt.Check(t, groups[refusing.Group], qt.IsTrue, qt.Commentf("it has answered"))
+}
