Leave endpoints alone that ask for a pause at our own interface, too

A group that refuses was asked again by each request, as one of several or, with all refusing, until the budget of retries was gone. Engines and plain endpoints that answer 503 or 429 with Retry-After now get nothing from that node for so long, and calls that would wait beyond their deadline are refused at once as not run, with the time. The header is read in one place, httpcall, for both.

--- a/internal/entry/balancer.go
+++ b/internal/entry/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 	running  int
 	failures int
 	ejected  time.Time // until then
+	paused   time.Time // it wants nothing until then
 }
 
 func newBalancer() *balancer { return &balancer{endpoints: make(map[string]*endpointState)} }
@@ -52,7 +54,7 @@
 		}
 		s := b.state(e.Name)
 		switch {
-		case s.running >= places:
+		case s.running >= places, now.Before(s.paused):
 		case now.Before(s.ejected) || e.Name == avoid:
 			ejected = append(ejected, e)
 		default:
@@ -89,3 +91,26 @@
 		s.ejected = now.Add(time.Duration(math.Min(wait, float64(ejectMost))))
 	}
 }
+
+// pause leaves an endpoint alone until then, as it has asked for.
+func (b *balancer) pause(name string, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.state(name); until.After(s.paused) {
+		s.paused = until
+	}
+}
+
+// pauseLeft returns how long until the first pause ends, if all of the endpoints have asked for one, and else zero.
+func (b *balancer) pauseLeft(candidates []config.Endpoint, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var pauses []time.Duration
+	for _, e := range candidates {
+		pauses = append(pauses, max(0, b.state(e.Name).paused.Sub(now)))
+	}
+	if len(pauses) == 0 {
+		return 0
+	}
+	return slices.Min(pauses)
+}
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -72,6 +72,9 @@
 func (s *Server) attempts(c *call, model config.ModelOf, r completionRequest) *failure {
 	avoid := ""
 	for {
+		if left := s.Router.PauseLeft(model.Name, clock.Now()); left > c.left() {
+			return notRunYet("each replica group of the model wants nothing for a while", left)
+		}
 		a, f := s.place(c, admission.Request{
 			Model: model.Name, Workspace: c.workspace, Avoid: avoid, Priority: c.priority, Prefer: s.Router.Preferred(model.Name, r.Prompt, clock.Now()), PreferWait: routing.PreferWait(len(r.Prompt)),
 		})
@@ -82,7 +85,7 @@
 		if err == nil {
 			return s.pass(a, answer, r.Stream)
 		}
-		s.Router.Failed(a.target.Group, a.target.Birth)
+		s.failed(a, err)
 		a.place.Release(false)
 		avoid = a.target.Group
 		if c.left() <= 0 {
@@ -95,6 +98,26 @@
 	}
 }
 
+// failed notes that a group did not answer the request. One that says how long it wants nothing has not failed.
+func (s *Server) failed(a *attempt, err error) {
+	var refusal *refusalError
+	if errors.As(err, &refusal) && refusal.retryAfter > 0 {
+		s.Router.AskedToPause(a.target.Group, a.target.Birth, refusal.retryAfter)
+		return
+	}
+	s.Router.Failed(a.target.Group, a.target.Birth)
+}
+
+// refusalError is an engine's answer that it will not run the request.
+type refusalError struct {
+	status     int
+	retryAfter time.Duration // it wants nothing for so long; zero if it does not say
+}
+
+func (e *refusalError) Error() string {
+	return "the engine refused the request: status " + strconv.Itoa(e.status)
+}
+
 // place waits for a place on a usable group.
 func (s *Server) place(c *call, r admission.Request) (*attempt, *failure) {
 	since := clock.Now()
@@ -161,7 +184,7 @@
 	}
 	switch status := answer.Response.StatusCode(); {
 	case status == fasthttp.StatusConflict, status == fasthttp.StatusTooManyRequests, status == fasthttp.StatusServiceUnavailable:
-		return verdict.New(verdict.NotRun, errors.New("the engine refused the request: status "+strconv.Itoa(status)))
+		return verdict.New(verdict.NotRun, &refusalError{status, httpcall.RetryAfter(&answer.Response.Header)})
 	case status >= fasthttp.StatusInternalServerError:
 		return verdict.New(verdict.MayHaveRun, errors.New("the engine failed: status "+strconv.Itoa(status)))
 	default:
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -192,6 +192,9 @@
 		if e, ok := s.balance.take(candidates, avoid, clock.Now()); ok {
 			return e, nil
 		}
+		if left := s.balance.pauseLeft(candidates, clock.Now()); left > p.left() {
+			return config.Endpoint{}, notRunYet("each endpoint of the service wants nothing for a while", left)
+		}
 		if p.left() <= busyPause || len(candidates) == 0 {
 			return config.Endpoint{}, notRunYet("no endpoint of the service has a free place", time.Second)
 		}
@@ -221,9 +224,22 @@
 		return err
 	}
 	defer answer.Close() //nolint:errcheck // the answer is read whole
+	if pause := pauseOf(answer); pause > 0 {
+		s.balance.pause(endpoint.Name, clock.Now().Add(pause))
+	}
 	return s.passPlain(p, answer)
 }
 
+// pauseOf returns for how long an endpoint that turns a request away wants nothing more, zero if it does not say.
+func pauseOf(answer *httpcall.Answer) time.Duration {
+	switch answer.Response.StatusCode() {
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return httpcall.RetryAfter(&answer.Response.Header)
+	default:
+		return 0
+	}
+}
+
 // passPlain copies the answer to the caller, unless it names another request.
 func (s *Server) passPlain(p *plainCall, answer *httpcall.Answer) error {
 	p.mayHaveRun = true
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -19,6 +19,7 @@
 	mu       sync.Mutex
 	failures int             // in a row
 	ejected  time.Time       // until then
+	paused   time.Time       // it wants nothing until then
 	taken    allocator.Speed // sums since they were last taken
 }
 
@@ -33,6 +34,22 @@
 	}
 }
 
+// pause leaves the group alone until then, as it has asked for.
+func (h *health) pause(until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until.After(h.paused) {
+		h.paused = until
+	}
+}
+
+// pauseLeft returns how much longer the group wants nothing, zero if it takes requests.
+func (h *health) pauseLeft(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(0, h.paused.Sub(now))
+}
+
 func (h *health) succeed(firstToken, service time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -85,19 +85,23 @@
 }
 
 // Ejected implements admission.Chooser: groups that keep failing this node's requests are left alone for a
-// while, unless more than half of the model's groups do.
+// while, unless more than half of the model's groups do, and those that have asked for a pause in any case.
 func (r *Router) Ejected(model string, now time.Time) []allocator.Ref {
 	groups := r.read(now).byModel[model]
-	var out []allocator.Ref
+	var paused, failing []allocator.Ref
 	for _, t := range groups {
-		if r.of(t.Group, t.Birth).isEjected(now) {
-			out = append(out, allocator.Ref{Group: t.Group, Birth: t.Birth})
+		ref := allocator.Ref{Group: t.Group, Birth: t.Birth}
+		switch h := r.of(t.Group, t.Birth); {
+		case h.pauseLeft(now) > 0:
+			paused = append(paused, ref)
+		case h.isEjected(now):
+			failing = append(failing, ref)
 		}
 	}
-	if len(out)*2 > len(groups) {
-		return nil
+	if len(failing)*2 > len(groups)-len(paused) {
+		return paused
 	}
-	return out
+	return append(paused, failing...)
 }
 
 // TakeSpeeds implements admission.Chooser.
@@ -116,6 +120,29 @@
 // Failed notes that the group failed a request.
 func (r *Router) Failed(group string, birth int64) { r.of(group, birth).fail(clock.Now()) }
 
+// AskedToPause notes that the group wants nothing more from this node for that long.
+func (r *Router) AskedToPause(group string, birth int64, pause time.Duration) {
+	r.of(group, birth).pause(clock.Now().Add(pause))
+}
+
+// PauseLeft returns how long until the first pause ends, if all of the model's usable groups have asked for one, and else zero.
+func (r *Router) PauseLeft(model string, now time.Time) time.Duration {
+	least := time.Duration(0)
+	for _, t := range r.read(now).byModel[model] {
+		if !r.live(t, now) {
+			continue
+		}
+		left := r.of(t.Group, t.Birth).pauseLeft(now)
+		if left == 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 // Succeeded notes how long the group took to its first token and in all.
 func (r *Router) Succeeded(group string, birth int64, firstToken, service time.Duration) {
 	r.of(group, birth).succeed(firstToken, service)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -30,6 +30,7 @@
 	EngineOptions
 	Slowness  atomic.Int64 // factor on every time, 0 means 1
 	FailAll   atomic.Bool  // answers 500 to every completion
+	Pause     atomic.Int64 // seconds of Retry-After with which it refuses every completion; 0: it does not
 	CrossNext atomic.Bool  // the next completion is answered under another request's id
 	Runs      atomic.Int64 // completions begun
 	Tried     atomic.Int64 // completions asked for
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,8 @@
 	*Server
 	DelayMillis atomic.Int64 // before each answer, after the run
 	FailAll     atomic.Bool  // answers 500 to every call without running it
+	Pause       atomic.Int64 // seconds of Retry-After with which it refuses every call; 0: it does not
+	Refused     atomic.Int64 // calls refused so far
 	CutAfter    atomic.Int64 // that many next calls run and their answers are cut
 	Cuts        atomic.Int64 // answers cut so far
 
@@ -38,6 +41,12 @@
 		http.Error(w, "failing", http.StatusInternalServerError)
 		return
 	}
+	if pause := p.Pause.Load(); pause > 0 {
+		p.Refused.Add(1)
+		w.Header().Set("Retry-After", strconv.FormatInt(pause, 10))
+		http.Error(w, "come back later", http.StatusServiceUnavailable)
+		return
+	}
 	p.mu.Lock()
 	p.runs[r.Header.Get(MarkHeader)]++
 	p.mu.Unlock()
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -53,6 +54,11 @@
 		w.Header().Set("X-Request-Id", "another-request")
 		c.Prompt = "another prompt"
 	}
+	if pause := e.Pause.Load(); pause > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt(pause, 10))
+		http.Error(w, "come back later", http.StatusServiceUnavailable)
+		return
+	}
 	if status := e.begin(r); status != 0 {
 		http.Error(w, "not run", status)
 		return
