--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -20,8 +20,10 @@
 	CutAfter    atomic.Int64 // that many next calls run and their answers are cut
 	Cuts        atomic.Int64 // answers cut so far
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu      sync.Mutex
+	runs    map[string]int
+	running int
+	most    int // of running, ever
 }
 
 // MarkHeader names the call in Plain's count.
@@ -47,9 +49,8 @@
 		http.Error(w, "come back later", http.StatusServiceUnavailable)
 		return
 	}
-	p.mu.Lock()
-	p.runs[r.Header.Get(MarkHeader)]++
-	p.mu.Unlock()
+	p.begin(r.Header.Get(MarkHeader))
+	defer p.end()
 	time.Sleep(time.Duration(p.DelayMillis.Load()) * time.Millisecond)
 	if p.CutAfter.Load() > 0 {
 		p.CutAfter.Add(-1)
@@ -60,6 +61,27 @@
 	_, _ = fmt.Fprintf(w, "%s %s %d bytes for %s\n", r.Method, r.URL.Path, len(body), r.Header.Get(MarkHeader))
 }
 
+func (p *Plain) begin(mark string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs[mark]++
+	p.running++
+	p.most = max(p.most, p.running)
+}
+
+func (p *Plain) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running--
+}
+
+// MostAtOnce returns how many calls were running at a time at the most.
+func (p *Plain) MostAtOnce() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.most
+}
+
 // Runs returns how often the call of that mark has run.
 func (p *Plain) Runs(mark string) int {
 	p.mu.Lock()
