Tell the end of a rate limit for a while only; plainer names for what answers say

An endpoint that names no limit any more renewed the word of it with each answer, so beats told it for ever and the table never forgot it: 25 bytes in each beat of each busy node. TestEndOfALimitIsToldForAWhileOnly failed before. Names: a place is told SaidLimit and SaidLeaving, the directory MarkLeaving. docs/CAPACITY.md has what limits cost.

--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -93,8 +93,8 @@
 	d.current.Store(next)
 }
 
-// Leaves notes that a life of an endpoint has said in an answer that it leaves. Its entry may tell so later, or not at all.
-func (d *Directory) Leaves(life string, now time.Time) {
+// MarkLeaving notes that a life of an endpoint has said in an answer that it leaves. Its entry may tell so later, or not at all.
+func (d *Directory) MarkLeaving(life string, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, at := range d.leaving {
--- a/internal/endpoint/directory_test.go
+++ b/internal/endpoint/directory_test.go
@@ -104,8 +104,8 @@
 	listed := func() *endpoint.Endpoint { return &endpoint.Endpoint{ID: life, Service: "s"} }
 	d.Apply([]*endpoint.Endpoint{listed()}, nil, origin)
 	before := d.Read()
-	d.Leaves(life, origin)
-	d.Leaves("i-unknown", origin)
+	d.MarkLeaving(life, origin)
+	d.MarkLeaving("i-unknown", origin)
 	qt.Check(t, d.Read().Endpoints[life].Draining, qt.IsTrue)
 	qt.Check(t, before.Endpoints[life].Draining, qt.IsFalse, qt.Commentf("a snapshot does not change"))
 	d.Apply([]*endpoint.Endpoint{listed()}, nil, origin.Add(time.Second))
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -98,9 +98,9 @@
 // heed takes in what the answer to a request that was sent at sent says of its endpoint.
 func heed(place *picker.Place, head Head, sent time.Time) {
 	now := clock.Now()
-	place.Said(head.Limit, sent, now)
+	place.SaidLimit(head.Limit, sent, now)
 	if head.Leaving {
-		place.Leaving(now)
+		place.SaidLeaving(now)
 	}
 }
 
--- a/internal/gossip/rate_limit.go
+++ b/internal/gossip/rate_limit.go
@@ -13,7 +13,7 @@
 	PerSecond float64   // requests from all nodes together
 	AsOf      time.Time // the endpoint said so then
 	Recent    int       // requests sent to it lately by the nodes that this covers
-	Passed    int       // requests that they would have sent to it but for the limit
+	Passed    int       // requests that the limit kept from it
 }
 
 // RateLimits are the rate limits of endpoints.
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -87,11 +87,11 @@
 // told in the next round: while a fleet starts all of them change.
 func isNews(c *contact, b *gossippb.Beat) bool {
 	s := &c.peer.Status
-	return s.Leaving != b.Leaving || s.Serving != b.Serving || s.LeaderEpoch != b.LeaderEpoch || warns(s, b) || limits(s, b)
+	return s.Leaving != b.Leaving || s.Serving != b.Serving || s.LeaderEpoch != b.LeaderEpoch || warns(s, b) || changesLimits(s, b)
 }
 
-// limits reports whether a beat tells another rate limit of an endpoint than the one before.
-func limits(s *Status, b *gossippb.Beat) bool {
+// changesLimits reports whether a beat tells another rate limit of an endpoint than the one before.
+func changesLimits(s *Status, b *gossippb.Beat) bool {
 	return slices.ContainsFunc(b.RateLimits, func(l *gossippb.RateLimit) bool {
 		before, told := s.Limits[EndpointKey(l.Endpoint)]
 		return !told || before.Named != l.Named || before.PerSecond != l.PerSecond
--- a/internal/picker/leaving_test.go
+++ b/internal/picker/leaving_test.go
@@ -16,7 +16,7 @@
 	f := newFleet()
 	f.group("g", "near", endpoint.Open, endpoint.Ready)
 	place := f.acquire(t, want())
-	place.Leaving(time.Now())
+	place.SaidLeaving(time.Now())
 	place.Release()
 	_, err := f.picker.Acquire(context.Background(), want())
 	qt.Check(t, errors.Is(err, picker.ErrNoEndpoint), qt.IsTrue, qt.Commentf("%v", err))
@@ -29,7 +29,7 @@
 	}
 	f.directory.Apply([]*endpoint.Endpoint{alone(1)}, nil, time.Now())
 	w := &picker.Want{Service: "s"}
-	f.acquire(t, w).Leaving(time.Now())
+	f.acquire(t, w).SaidLeaving(time.Now())
 	_, err := f.picker.Acquire(context.Background(), w)
 	qt.Check(t, errors.Is(err, picker.ErrNoEndpoint), qt.IsTrue, qt.Commentf("%v", err))
 	f.directory.Apply([]*endpoint.Endpoint{alone(2)}, nil, time.Now())
--- a/internal/picker/limit_test.go
+++ b/internal/picker/limit_test.go
@@ -18,7 +18,7 @@
 	f.group("a", "near", endpoint.Open, endpoint.Ready)
 	f.group("b", "near", endpoint.Open, endpoint.Ready)
 	limited := f.acquire(t, want())
-	limited.Said(ratelimit.Limit{PerSecond: 0.1, Named: true}, time.Now(), time.Now())
+	limited.SaidLimit(ratelimit.Limit{PerSecond: 0.1, Named: true}, time.Now(), time.Now())
 	for range 4 + 2 { // its places and its queue
 		qt.Check(t, f.acquire(t, want()).Group, qt.Not(qt.Equals), limited.Group)
 	}
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -48,13 +48,15 @@
 	change(h)
 }
 
-// Said takes in what the answer to a request that was sent at sent says of the endpoint's limit.
-func (p *Place) Said(l ratelimit.Limit, sent, now time.Time) {
+// SaidLimit takes in what the answer to a request that was sent at sent says of the endpoint's limit.
+func (p *Place) SaidLimit(l ratelimit.Limit, sent, now time.Time) {
 	p.picker.options.Limits.Said(p.Endpoint.ID, l, sent, now)
 }
 
-// Leaving notes that the endpoint has said in an answer that it leaves.
-func (p *Place) Leaving(now time.Time) { p.picker.options.Directory.Leaves(p.Endpoint.ID, now) }
+// SaidLeaving notes that the endpoint has said in an answer that it leaves.
+func (p *Place) SaidLeaving(now time.Time) {
+	p.picker.options.Directory.MarkLeaving(p.Endpoint.ID, now)
+}
 
 // Limit returns the limit that the endpoint has named last.
 func (p *Place) Limit() ratelimit.Limit { return p.picker.options.Limits.Limit(p.Endpoint.ID) }
--- a/internal/quarantine/inquiry_test.go
+++ b/internal/quarantine/inquiry_test.go
@@ -86,7 +86,7 @@
 		}, 0},
 		"it had said in an answer that it leaves": {func(d *domain) {
 			d.lose(quarantine.Ended, 0)
-			d.Directory.Leaves(d.list[0].ID, time.Now())
+			d.Directory.MarkLeaving(d.list[0].ID, time.Now())
 		}, 0},
 		"it had left the list": {func(d *domain) {
 			d.lose(quarantine.Ended, 0)
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -49,7 +49,7 @@
 	since time.Time // it has named a limit since then
 	heard time.Time // this node has last had an answer of the endpoint; zero if it knows from others
 
-	passed *window.Counter // requests that were not sent there for the limit
+	passed *window.Counter // requests that the limit kept from it
 }
 
 // NewTable returns an empty Table; no time before start will be asked for.
@@ -60,17 +60,17 @@
 // Said takes in what an endpoint's answer says of its limit, for a request that was sent at sent. An answer to a request that
 // was sent before the limit was named does not lift it.
 func (t *Table) Said(endpoint string, l Limit, sent, now time.Time) {
-	if t.take(gossip.KeyOf(endpoint), l, sent, now) && t.Changed != nil {
+	if t.hear(gossip.KeyOf(endpoint), l, sent, now) && t.Changed != nil {
 		t.Changed(endpoint, l)
 	}
 }
 
-// take is Said without the call of Changed; it reports whether the limit is another one now.
-func (t *Table) take(key gossip.EndpointKey, l Limit, sent, now time.Time) bool {
+// hear is Said without the call of Changed; it reports whether the limit is another one now.
+func (t *Table) hear(key gossip.EndpointKey, l Limit, sent, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.limits[key]
-	if !l.Named && (e == nil || sent.Before(e.asOf)) {
+	if !l.Named && (e == nil || !e.limit.Named || sent.Before(e.asOf)) {
 		return false
 	}
 	changed := e == nil || e.limit != l
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -158,3 +158,15 @@
 	table.Said(endpoint, ratelimit.Limit{}, at(2), at(3))
 	qt.Check(t, table.Admit(endpoint, nil, at(3)), qt.IsTrue)
 }
+
+// Guards against beats that tell for ever of limits that have ended.
+func TestEndOfALimitIsToldForAWhileOnly(t *testing.T) {
+	table := ratelimit.NewTable(origin)
+	table.Said(endpoint, ratelimit.Limit{PerSecond: 2, Named: true}, at(0), at(0))
+	table.Said(endpoint, ratelimit.Limit{}, at(1), at(2))
+	qt.Check(t, table.Report(at(3)), qt.HasLen, 1)
+	for now := 3.0; now < 10; now++ {
+		table.Said(endpoint, ratelimit.Limit{}, at(now), at(now))
+	}
+	qt.Check(t, table.Report(at(10)), qt.HasLen, 0)
+}
