--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -19,7 +19,7 @@
 	fault := links[w.rand.IntN(len(links))]
 	engine := w.lab.Engines[w.engine()]
 	plain := w.lab.Plains[[]string{"receipts-1", "receipts-2"}[w.rand.IntN(2)]]
-	switch w.rand.IntN(13) {
+	switch w.rand.IntN(14) {
 	case 0:
 		node.Kill()
 		time.Sleep(length)
@@ -65,6 +65,10 @@
 		w.lab.CLI("drain", engine.VM)
 		time.Sleep(length)
 		w.lab.CLI("drain", engine.VM, "--undo")
+	case 12:
+		engine.Pause.Store(1)
+		time.Sleep(length)
+		engine.Pause.Store(0)
 	default: // two at once: a paused node, and the store out
 		node.Pause(true)
 		w.lab.Objects.Down.Store(true)
