Pass a rate limit on at once only if it is new to the relay

A relay took each beat that told of a limited endpoint for news if the beat before did not, so each request to one made every node of a small fleet send to all others out of turn, some twice a second and endpoint. It now compares with what is known from all other nodes. The new test failed before.

--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -61,7 +61,7 @@
 	}
 	held := n.takeQuarantine(c, b, same, asOf, now)
 	appeared := !c.fresh(now)
-	news := !appeared && isNews(c, b)
+	news := !appeared && (isNews(c, b) || n.changesLimits(b, now))
 	n.ownStale = n.ownStale || news && c.reports
 	n.changed = n.changed || !slices.Equal(c.rosters, b.Rosters)
 	c.takeFlags(b)
@@ -87,14 +87,18 @@
 // told in the next round: while a fleet starts all of them change.
 func isNews(c *contact, b *gossippb.Beat) bool {
 	s := &c.peer.Status
-	return s.Leaving != b.Leaving || s.Serving != b.Serving || s.LeaderEpoch != b.LeaderEpoch || warns(s, b) || changesLimits(s, b)
+	return s.Leaving != b.Leaving || s.Serving != b.Serving || s.LeaderEpoch != b.LeaderEpoch || warns(s, b)
 }
 
-// changesLimits reports whether a beat tells another rate limit of an endpoint than the one before.
-func changesLimits(s *Status, b *gossippb.Beat) bool {
+// changesLimits reports whether a beat tells another rate limit of an endpoint than what is known from all other nodes.
+func (n *Node) changesLimits(b *gossippb.Beat, now time.Time) bool {
+	if len(b.RateLimits) == 0 {
+		return false
+	}
+	known := n.othersNow(now).Limits
 	return slices.ContainsFunc(b.RateLimits, func(l *gossippb.RateLimit) bool {
-		before, told := s.Limits[EndpointKey(l.Endpoint)]
-		return !told || before.Named != l.Named || before.PerSecond != l.PerSecond
+		k := known[EndpointKey(l.Endpoint)]
+		return k.Named != l.Named || k.PerSecond != l.PerSecond
 	})
 }
 
--- a/internal/gossip/receive_test.go
+++ b/internal/gossip/receive_test.go
@@ -39,3 +39,35 @@
 	beat.Suspects, beat.Lost = nil, nil
 	qt.Check(t, heard(), qt.IsFalse, qt.Commentf("that it serves again can wait"))
 }
+
+// Guards against each request to a limited endpoint making every node of a small fleet send to all others out of turn.
+func TestRelayPassesOnAtOnceALimitThatIsNewButNotWhoSendsToTheEndpoint(t *testing.T) {
+	now := time.Now()
+	n := NewNode(Identity{VM: "a", GossipAddress: "127.0.0.1:1"}, nil, nil)
+	n.relaying = true
+	tick := uint64(0)
+	heard := func(address string, limits ...*gossippb.RateLimit) bool {
+		now = now.Add(Every)
+		c := n.add(address, now)
+		tick++
+		beat := &gossippb.Beat{Vm: address, Incarnation: "x", GossipAddress: address, Relay: true, Tick: tick, RateLimits: limits}
+		beat.Echo, _ = c.sending(now)
+		qt.Assert(t, n.take(beat, now), qt.IsNotNil)
+		select {
+		case <-n.kick:
+			return true
+		default:
+			return false
+		}
+	}
+	limit := func(perSecond float64, recent uint32) *gossippb.RateLimit {
+		return &gossippb.RateLimit{Endpoint: 7, Named: true, PerSecond: perSecond, Recent: recent}
+	}
+	heard("127.0.0.1:2")
+	heard("127.0.0.1:3")
+	qt.Check(t, heard("127.0.0.1:2", limit(2, 1)), qt.IsTrue, qt.Commentf("a new limit"))
+	qt.Check(t, heard("127.0.0.1:3", limit(2, 1)), qt.IsFalse, qt.Commentf("another node sends there"))
+	qt.Check(t, heard("127.0.0.1:2", limit(2, 3)), qt.IsFalse, qt.Commentf("more is sent there"))
+	qt.Check(t, heard("127.0.0.1:2", limit(1, 3)), qt.IsTrue, qt.Commentf("another limit"))
+	qt.Check(t, heard("127.0.0.1:3"), qt.IsFalse, qt.Commentf("one that sends nothing there any more"))
+}
