Reckon the turns before a node in one place

startPatience and yields both worked out how long the turns of the nodes last that go before this one.

--- a/internal/gossip/receive_test.go
+++ b/internal/gossip/receive_test.go
@@ -9,6 +9,16 @@
 	"moorrun.dev/moorrun/internal/gossip/gossippb"
 )
 
+// kicked reports whether the node is about to send out of turn.
+func (n *Node) kicked() bool {
+	select {
+	case <-n.kick:
+		return true
+	default:
+		return false
+	}
+}
+
 func TestRelayPassesOnAtOnceWhatANodeSaysButNotThatItHasAppeared(t *testing.T) {
 	// Each of 68 nodes that start together appears to every other; passed on at once that was 440 MB.
 	now := time.Now()
@@ -20,12 +30,7 @@
 		beat.Tick++
 		beat.Echo, _ = c.sending(now)
 		qt.Assert(t, n.take(beat, now), qt.IsNotNil)
-		select {
-		case <-n.kick:
-			return true
-		default:
-			return false
-		}
+		return n.kicked()
 	}
 	qt.Check(t, heard(), qt.IsFalse, qt.Commentf("it has appeared"))
 	qt.Check(t, heard(), qt.IsFalse, qt.Commentf("nothing is new"))
@@ -53,12 +58,7 @@
 		beat := &gossippb.Beat{Vm: address, Incarnation: "x", GossipAddress: address, Relay: true, Tick: tick, RateLimits: limits}
 		beat.Echo, _ = c.sending(now)
 		qt.Assert(t, n.take(beat, now), qt.IsNotNil)
-		select {
-		case <-n.kick:
-			return true
-		default:
-			return false
-		}
+		return n.kicked()
 	}
 	limit := func(perSecond float64, recent uint32) *gossippb.RateLimit {
 		return &gossippb.RateLimit{Endpoint: 7, Named: true, PerSecond: perSecond, Recent: recent}
--- a/internal/server/crowd.go
+++ b/internal/server/crowd.go
@@ -44,6 +44,14 @@
 	return c
 }
 
+// turnAfter returns how long the turns of the nodes last that go before this one.
+func (c *crowd) turnAfter() time.Duration {
+	if c == nil {
+		return 0
+	}
+	return time.Duration(c.sooner) * turnWait
+}
+
 // metWithin is within what the nodes of a large fleet that starts have met: on a fifth of a core some of 300 had heard of fewer
 // than a small fleet after five seconds.
 const metWithin = 10 * time.Second
--- a/internal/server/registration.go
+++ b/internal/server/registration.go
@@ -106,7 +106,7 @@
 	if c == nil || c.few {
 		return wait
 	}
-	wait += time.Duration(c.sooner) * turnWait
+	wait += c.turnAfter()
 	if c.larger {
 		wait += smallerWait
 	}
@@ -119,11 +119,7 @@
 // yields is how much later than it has this node counts as having started when a leader is chosen. Each node that wants to lead
 // reads the lease: all fifty large ones of 986 nodes made 128 calls until they had heard who led.
 func (n *Server) yields() time.Duration {
-	c := n.crowd.Load()
-	if c == nil {
-		return 0
-	}
-	return time.Duration(c.sooner) * turnWait
+	return n.crowd.Load().turnAfter()
 }
 
 // smaller reports whether this node has just started with a large fleet of which others have larger VMs.
