Heed what an answer says of its endpoint also where the answer is not passed on

A 503 with Retry-After that does not say that the request did not run ends as an error of the answer, and with the answer the pause was lost; so would a limit be, or that the endpoint leaves. The head now comes beside the error and is heeded in one place.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -84,24 +84,28 @@
 		}
 		head, err = reply.Head(f.deadline)
 	}
-	if err != nil {
+	f.heed(place, head, sent)
+	if err != nil || head.NotRun {
 		return head, nil, err
 	}
-	heed(place, head, sent)
-	if head.NotRun {
-		return head, nil, nil
-	}
 	body, err := reply.Body(f.deadline)
 	return head, body, err
 }
 
-// heed takes in what the answer to a request that was sent at sent says of its endpoint.
-func heed(place *picker.Place, head Head, sent time.Time) {
+// heed takes in what the answer to a request that was sent at sent says of its endpoint; nothing if none has come.
+func (f *flight) heed(place *picker.Place, head Head, sent time.Time) {
+	if head.Status == 0 {
+		return
+	}
 	now := clock.Now()
 	place.SaidLimit(head.Limit, sent, now)
 	if head.Leaving {
 		place.SaidLeaving(now)
 	}
+	if head.RetryAfter > 0 {
+		f.gateway.meters.pauses.Inc(1)
+		place.AskedToPause(head.RetryAfter, now)
+	}
 }
 
 // errHedged means that the answer has not come in time and another endpoint is to be asked; the repeat is paid.
@@ -133,8 +137,6 @@
 func (f *flight) shed(place *picker.Place, head Head) {
 	pairs := []any{"endpoint", place.Endpoint.ID, "group", place.Group, "verdict", verdict.NotRun.String(), "status", head.Status}
 	if head.RetryAfter > 0 {
-		f.gateway.meters.pauses.Inc(1)
-		place.AskedToPause(head.RetryAfter, clock.Now())
 		pairs = append(pairs, "retry_after_ms", head.RetryAfter.Milliseconds())
 	} else {
 		place.Refused(clock.Now())
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -5,7 +5,8 @@
 // Reply is the answer of an endpoint while it arrives.
 type Reply interface {
 	// Head waits for the status until then; ErrNotYet means that nothing has come by then, and Head may be
-	// called again. Other errors are *verdict.Error.
+	// called again. Other errors are *verdict.Error; the Head beside one holds what the endpoint says of itself, if an answer
+	// has come.
 	Head(until time.Time) (Head, error)
 	// Body reads a whole answer that is not a stream.
 	Body(until time.Time) ([]byte, error)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,9 +39,7 @@
 	defer reply.Close()
 	s := &streaming{flight: f, place: place, reply: reply, sent: sent, last: sent}
 	head, err := s.head(ctx)
-	if err == nil {
-		heed(place, head, sent)
-	}
+	f.heed(place, head, sent)
 	switch {
 	case err != nil:
 		return f.streamFailed(ctx, place, err)
