--- a/internal/entry/balancer.go
+++ b/internal/entry/balancer.go
@@ -28,7 +28,7 @@
 	running  int
 	failures int
 	ejected  time.Time // until then
-	paused   time.Time // it wants nothing until then
+	paused   time.Time // end of the pause that it has asked for
 }
 
 func newBalancer() *balancer { return &balancer{endpoints: make(map[string]*endpointState)} }
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -73,7 +73,7 @@
 	avoid := ""
 	for {
 		if left := s.Router.PauseLeft(model.Name, clock.Now()); left > c.left() {
-			return notRunYet("each replica group of the model wants nothing for a while", left)
+			return notRunYet("each replica group of the model has asked for a pause", left)
 		}
 		a, f := s.place(c, admission.Request{
 			Model: model.Name, Workspace: c.workspace, Avoid: avoid, Priority: c.priority, Prefer: s.Router.Preferred(model.Name, r.Prompt, clock.Now()), PreferWait: routing.PreferWait(len(r.Prompt)),
@@ -98,7 +98,7 @@
 	}
 }
 
-// failed notes that a group did not answer the request. One that says how long it wants nothing has not failed.
+// failed notes that a group did not answer the request. One that sends Retry-After has not failed.
 func (s *Server) failed(a *attempt, err error) {
 	var refusal *refusalError
 	if errors.As(err, &refusal) && refusal.retryAfter > 0 {
@@ -111,7 +111,7 @@
 // refusalError is an engine's answer that it will not run the request.
 type refusalError struct {
 	status     int
-	retryAfter time.Duration // it wants nothing for so long; zero if it does not say
+	retryAfter time.Duration // of Retry-After; zero if there is none
 }
 
 func (e *refusalError) Error() string {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -193,7 +193,7 @@
 			return e, nil
 		}
 		if left := s.balance.pauseLeft(candidates, clock.Now()); left > p.left() {
-			return config.Endpoint{}, notRunYet("each endpoint of the service wants nothing for a while", left)
+			return config.Endpoint{}, notRunYet("each endpoint of the service has asked for a pause", left)
 		}
 		if p.left() <= busyPause || len(candidates) == 0 {
 			return config.Endpoint{}, notRunYet("no endpoint of the service has a free place", time.Second)
@@ -230,7 +230,7 @@
 	return s.passPlain(p, answer)
 }
 
-// pauseOf returns for how long an endpoint that turns a request away wants nothing more, zero if it does not say.
+// pauseOf returns the Retry-After of an endpoint that refuses a request, zero if there is none.
 func pauseOf(answer *httpcall.Answer) time.Duration {
 	switch answer.Response.StatusCode() {
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -132,7 +132,7 @@
 	return false
 }
 
-// shed notes that an endpoint said it would not run the request. One that says how long it wants nothing has not failed: it gets
+// shed notes that an endpoint said it would not run the request. One that sends Retry-After has not failed: it gets
 // its share again afterwards.
 func (f *flight) shed(place *picker.Place, head Head) {
 	pairs := []any{"endpoint", place.Endpoint.ID, "group", place.Group, "verdict", verdict.NotRun.String(), "status", head.Status}
--- a/internal/gateway/head.go
+++ b/internal/gateway/head.go
@@ -10,7 +10,7 @@
 type Head struct {
 	Status     int
 	NotRun     bool            // the endpoint says that it did not and will not run the request
-	RetryAfter time.Duration   // of a refusal: the endpoint wants nothing from this node for so long; zero if it does not say
+	RetryAfter time.Duration   // of a refusal; zero if there is none
 	Leaving    bool            // the endpoint says that it is about to leave
 	Events     bool            // the answer is a stream of events
 	Limit      ratelimit.Limit // that the endpoint names
--- a/internal/httpcall/retry_after.go
+++ b/internal/httpcall/retry_after.go
@@ -11,7 +11,7 @@
 // mostRetryAfter bounds what Retry-After can ask for, so that a nonsensical number does not overflow.
 const mostRetryAfter = 24 * time.Hour
 
-// RetryAfter returns for how long the sender of a refusal wants nothing more: seconds, fractions included. It is zero if the
+// RetryAfter returns the header's value in a refusal: seconds, fractions included. It is zero if the
 // header is missing or holds anything else, such as a date, which clocks that differ can't settle.
 func RetryAfter(h *fasthttp.ResponseHeader) time.Duration {
 	seconds, err := strconv.ParseFloat(string(h.Peek(fasthttp.HeaderRetryAfter)), 64)
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -33,7 +33,7 @@
 	cost     float64
 	limit    int           // requests beyond which it gets no more; 0: none
 	avoid    int           // 0, or more the less it is to be chosen as long as there are others
-	pause    time.Duration // for which it wants nothing from this node
+	pause    time.Duration // that is left of what it has asked for
 }
 
 // full reports whether the candidate gets no more requests; with queue set, those that wait in its own queue count as well.
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// Refused notes that the endpoint refused the request without saying how long it wants nothing. One that was full is not avoided
+// Refused notes that the endpoint refused the request without Retry-After. One that was full is not avoided
 // for that: its load tells as much.
 func (p *Place) Refused(now time.Time) {
 	if slots := p.Endpoint.Slots; slots > 0 && p.Requests >= slots {
--- a/internal/picker/pause.go
+++ b/internal/picker/pause.go
@@ -15,7 +15,7 @@
 }
 
 func (e *PausedError) Error() string {
-	return fmt.Sprintf("each endpoint that serves it wants nothing for %s", e.Left.Round(time.Millisecond))
+	return fmt.Sprintf("each endpoint that serves it has asked for a pause, the shortest of %s", e.Left.Round(time.Millisecond))
 }
 
 func isPaused(err error) bool {
@@ -31,17 +31,17 @@
 	return slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.pause, b.pause) }).pause
 }
 
-// pauses tell until when endpoints want nothing from this node, by their IDs.
+// pauses are the ends of the pauses that endpoints have asked this node for, by their IDs.
 type pauses map[string]time.Time
 
-// ask notes that an endpoint wants nothing until then; an earlier word for longer holds on.
+// ask notes a pause until then; an earlier one that lasts longer holds on.
 func (p pauses) ask(endpoint string, until time.Time) {
 	if until.After(p[endpoint]) {
 		p[endpoint] = until
 	}
 }
 
-// left returns how much longer the endpoint wants nothing, zero if it takes requests.
+// left returns what is left of the endpoint's pause, zero if it has none.
 func (p pauses) left(endpoint string, now time.Time) time.Duration {
 	return max(0, p[endpoint].Sub(now))
 }
@@ -55,21 +55,21 @@
 	}
 }
 
-// AskedToPause notes that the endpoint wants nothing more from this node for that long.
+// AskedToPause notes that the endpoint has asked this node for a pause of that length.
 func (p *Place) AskedToPause(pause time.Duration, now time.Time) {
 	p.picker.mu.Lock()
 	defer p.picker.mu.Unlock()
 	p.picker.pauses.ask(p.Endpoint.ID, now.Add(pause))
 }
 
-// PauseLeft returns how much longer the endpoint wants nothing from this node.
+// PauseLeft returns what is left of the endpoint's pause.
 func (p *Place) PauseLeft(now time.Time) time.Duration {
 	p.picker.mu.Lock()
 	defer p.picker.mu.Unlock()
 	return p.picker.pauses.left(p.Endpoint.ID, now)
 }
 
-// Pausing returns how many endpoints want nothing from this node.
+// Pausing returns how many endpoints have asked this node for a pause that is not over.
 func (p *Picker) Pausing(now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -19,7 +19,7 @@
 	mu       sync.Mutex
 	failures int             // in a row
 	ejected  time.Time       // until then
-	paused   time.Time       // it wants nothing until then
+	paused   time.Time       // end of the pause that it has asked for
 	taken    allocator.Speed // sums since they were last taken
 }
 
@@ -43,7 +43,7 @@
 	}
 }
 
-// pauseLeft returns how much longer the group wants nothing, zero if it takes requests.
+// pauseLeft returns what is left of the group's pause, zero if it has none.
 func (h *health) pauseLeft(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -120,7 +120,7 @@
 // Failed notes that the group failed a request.
 func (r *Router) Failed(group string, birth int64) { r.of(group, birth).fail(clock.Now()) }
 
-// AskedToPause notes that the group wants nothing more from this node for that long.
+// AskedToPause notes that the group has asked this node for a pause of that length.
 func (r *Router) AskedToPause(group string, birth int64, pause time.Duration) {
 	r.of(group, birth).pause(clock.Now().Add(pause))
 }
--- a/test/gateway/pause_test.go
+++ b/test/gateway/pause_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// Guards against requests waiting for endpoints that all want nothing for a while, and against callers being told to come back
+// Guards against requests waiting for endpoints that all pause, and against callers being told to come back
 // before that.
 func TestRequestIsRefusedAtOnceWhileAllEndpointsPause(t *testing.T) {
 	f := newFleet(t)
