Wait in loops without timers that are overdue, at which the race detector crashes

Cause: a timer's channel that nobody waits at is not in the bubble's heap. Whoever comes back to it after its time runs the timer itself (runtime.(*timer).maybeRunChan), and in a synctest bubble all of these use the bubble's one context of the detector, on several threads at once. Every loop whose step takes longer than its interval does this, and many nodes do it at the same instant. 500 loops that are late together crash it in 5 of 5 runs within 0.1 s: SIGSEGV, or a failed check of the detector on its thread's state (TestManyLoopsThatAreLateTogether with the loop of before).

Change: loops wait anew for what is left (loop.SleepOr, loop.EveryOr) and never receive from an overdue timer. Four loops had timers of their own and use these now; two pauses use loop.Sleep.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -13,6 +13,7 @@
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/route"
 )
 
@@ -79,17 +80,8 @@
 
 // Run plans until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(stepEvery)
-	defer ticker.Stop()
-	for {
-		c.step(ctx, clock.Now())
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		case <-c.wake:
-		}
-	}
+	loop.EveryOr(ctx, stepEvery, c.wake, func(now time.Time) { c.step(ctx, now) })
+	return nil
 }
 
 // Leads returns the epoch of this node's lease, or 0.
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -16,6 +16,7 @@
 
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/gossip/gossippb"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/quarantine"
 )
 
@@ -162,19 +163,18 @@
 	defer stop()
 	done := make(chan struct{})
 	go func() { defer close(done); n.receive(ctx) }()
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-n.kick:
+	for due := clock.Now(); ctx.Err() == nil; {
+		if loop.SleepOr(ctx, clock.Until(due), n.kick) {
 			n.send(clock.Now(), true)
 			time.Sleep(kickPause)
-		case <-timer.C:
-			n.send(clock.Now(), false)
-			every := n.roundEvery()
-			timer.Reset(every + time.Duration(rand.Int64N(int64(every/10)))) //nolint:gosec // jitter
+			continue
 		}
+		if ctx.Err() != nil {
+			break
+		}
+		n.send(clock.Now(), false)
+		every := n.roundEvery()
+		due = clock.Now().Add(every + time.Duration(rand.Int64N(int64(every/10)))) //nolint:gosec // jitter
 	}
 	n.send(clock.Now(), true)
 	<-done
--- a/internal/loop/every.go
+++ b/internal/loop/every.go
@@ -11,14 +11,23 @@
 // Every calls step at once and then at each interval until ctx ends. A step that takes longer than the interval
 // delays the next; steps never run side by side.
 func Every(ctx context.Context, interval time.Duration, step func(now time.Time)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		step(clock.Now())
-		select {
-		case <-ctx.Done():
+	EveryOr(ctx, interval, nil, step)
+}
+
+// EveryOr is Every that also calls step whenever something arrives on wake.
+func EveryOr(ctx context.Context, interval time.Duration, wake <-chan struct{}, step func(now time.Time)) {
+	now := clock.Now()
+	due := now.Add(interval)
+	step(now)
+	for ctx.Err() == nil {
+		SleepOr(ctx, clock.Until(due), wake)
+		if ctx.Err() != nil {
 			return
-		case <-ticker.C:
 		}
+		now = clock.Now()
+		if late := now.Sub(due); late >= 0 {
+			due = due.Add(late - late%interval + interval)
+		}
+		step(now)
 	}
 }
--- /dev/null
+++ b/internal/loop/every_test.go
@@ -0,0 +1,85 @@
+package loop
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against the race detector's crash when many loops of one bubble are late at the same moment.
+func TestManyLoopsThatAreLateTogether(t *testing.T) {
+	const loops, steps = 500, 50
+	const interval = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		var all sync.WaitGroup
+		for range loops {
+			all.Go(func() {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				left := steps
+				Every(ctx, interval, func(time.Time) {
+					time.Sleep(2 * interval)
+					if left--; left == 0 {
+						cancel()
+					}
+				})
+			})
+		}
+		all.Wait()
+	})
+}
+
+func TestEveryKeepsToItsIntervals(t *testing.T) {
+	const interval = time.Second
+	for _, test := range []struct {
+		about string
+		takes []time.Duration // of each step
+		want  []time.Duration // when each step begins
+	}{
+		{"steps in time", []time.Duration{0, 500 * time.Millisecond, 0}, []time.Duration{0, interval, 2 * interval, 3 * interval}},
+		{"a late step delays the next only", []time.Duration{2500 * time.Millisecond, 0},
+			[]time.Duration{0, 2500 * time.Millisecond, 3 * interval, 4 * interval}},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				var began []time.Duration
+				Every(ctx, interval, func(time.Time) {
+					step := len(began)
+					began = append(began, time.Since(start))
+					if step < len(test.takes) {
+						time.Sleep(test.takes[step])
+					}
+					if len(began) == len(test.want) {
+						cancel()
+					}
+				})
+				qt.Check(t, began, qt.DeepEquals, test.want)
+			})
+		})
+	}
+}
+
+func TestEveryOrStepsAtOnceWhenWoken(t *testing.T) {
+	const interval = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		wake := make(chan struct{}, 1)
+		time.AfterFunc(300*time.Millisecond, func() { wake <- struct{}{} })
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var began []time.Duration
+		EveryOr(ctx, interval, wake, func(time.Time) {
+			if began = append(began, time.Since(start)); len(began) == 3 {
+				cancel()
+			}
+		})
+		qt.Check(t, began, qt.DeepEquals, []time.Duration{0, 300 * time.Millisecond, interval})
+	})
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -34,18 +34,14 @@
 	wait.InitialInterval = 200 * time.Millisecond
 	wait.MaxInterval = 10 * time.Second
 	registered := false
-	for !n.stopping.Load() {
+	for ctx.Err() == nil && !n.stopping.Load() {
 		pause := registeredEvery
 		if o, ok := n.fleet.Mirror.Get(key); registered && ok && o.Version > 0 {
 			wait.Reset()
 		} else if registered = n.putSelf(ctx, key, self); !registered {
 			pause = wait.NextBackOff()
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-time.After(pause):
-		}
+		loop.Sleep(ctx, pause)
 	}
 	return nil
 }
--- a/internal/peer/link_client.go
+++ b/internal/peer/link_client.go
@@ -10,6 +10,7 @@
 
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/freshness"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
 )
@@ -116,10 +117,8 @@
 }
 
 func (l *LinkClient) send(ctx context.Context) error {
-	heartbeat := time.NewTimer(l.fleet.Heartbeat)
-	defer heartbeat.Stop()
 	var sequence uint64
-	for {
+	for ctx.Err() == nil {
 		up, now := l.header()
 		up.Member = memberToWire(l.fleet.Members.Self(now), now)
 		var changed <-chan struct{}
@@ -130,28 +129,11 @@
 		if !l.near {
 			changed = nil // only relays of the own data centre need what this node observes
 		}
-		heartbeat.Reset(l.fleet.Heartbeat)
-		if err := pause(ctx, heartbeat.C, changed); err != nil {
-			return err
+		if loop.SleepOr(ctx, l.fleet.Heartbeat, changed) {
+			loop.Sleep(ctx, upGap)
 		}
 	}
-}
-
-// pause waits for the heartbeat, or for a change and a short gap after it.
-func pause(ctx context.Context, heartbeat <-chan time.Time, changed <-chan struct{}) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-heartbeat:
-		return nil
-	case <-changed:
-	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(upGap):
-		return nil
-	}
+	return ctx.Err()
 }
 
 // ObserverName names an observer: its VM and incarnation.
--- a/internal/peer/link_server.go
+++ b/internal/peer/link_server.go
@@ -8,6 +8,7 @@
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/evidence"
 	"moorrun.dev/moorrun/internal/freshness"
+	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
 )
@@ -63,27 +64,23 @@
 // run sends at each heartbeat, and sooner when the state has changed. Heartbeats of all links fall together, so
 // that a relay wakes once for them all.
 func (l *linkServer) run(ctx context.Context) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
 	due := clock.Now()
 	for {
 		changed := l.fleet.Mirror.Changed()
 		if l.fleet.Mirror.Sequence() != l.objects {
 			due = earliest(due, clock.Now().Add(upGap))
-			timer.Reset(clock.Until(due))
 			changed = nil
 		}
-		select {
-		case <-ctx.Done():
+		if loop.SleepOr(ctx, clock.Until(due), changed) {
+			continue
+		}
+		if ctx.Err() != nil {
 			return ctx.Err()
-		case <-changed:
-		case <-timer.C:
-			if err := l.send(); err != nil {
-				return err
-			}
-			due = clock.Now().Truncate(l.fleet.Heartbeat).Add(l.fleet.Heartbeat)
-			timer.Reset(clock.Until(due))
 		}
+		if err := l.send(); err != nil {
+			return err
+		}
+		due = clock.Now().Truncate(l.fleet.Heartbeat).Add(l.fleet.Heartbeat)
 	}
 }
 
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -169,17 +169,13 @@
 
 // keep runs the link again whenever it breaks.
 func (l *Links) keep(ctx context.Context, k *link) {
-	for {
+	for ctx.Err() == nil {
 		_ = peer.RunLink(ctx, l.fleet, k.address, k.near, func(at time.Time) {
 			l.mu.Lock()
 			k.upAt = at
 			l.mu.Unlock()
 		})
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(redialAfter):
-		}
+		loop.Sleep(ctx, redialAfter)
 	}
 }
 
--- a/test/fleet/store_test.go
+++ b/test/fleet/store_test.go
@@ -224,7 +224,8 @@
 	if err := h.enter(ctx, "watch", prefix, 1); err != nil {
 		return infra.Listing{}, err
 	}
-	ends := time.After(wait)
+	within, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	h.mu.Lock()
 	broken := h.broken
 	h.mu.Unlock()
@@ -234,12 +235,10 @@
 			return l, err
 		}
 		select {
-		case <-ctx.Done():
-			return infra.Listing{}, ctx.Err()
+		case <-within.Done():
+			return l, ctx.Err()
 		case <-broken:
 			return infra.Listing{}, errors.Join(infra.ErrUnavailable, errCut)
-		case <-ends:
-			return l, nil
 		case <-changed:
 		}
 	}
