Fetch again what a node did not need as long as it only routed

What callers saw: a node refused every request for a model for 20 s and longer, "no endpoint that serves it is left", beside four open groups. Seen in TestRequestThatEndsEndpointsIsSoonSentToNone, 3 of some 60 runs side by side; any node that turns from routing to relaying while groups form can meet it.

Cause: a node that only routes is told that it does not need an endpoint by a removal with the version of the entry itself. Once it keeps everything it fetches the whole copy, but does not take an entry of a version that it holds as removed. It then has the heads without the members, takes no group for whole, and nothing comes until a member changes.

Evidence: logs of two such runs with what each fetch brought: 10 entries, then heads only with the members removed, then the whole copy that brings nothing, then "full" with 4 endpoints listed and groups of one member.

Change: such a removal is a version older, as is one by the word of another node (mirror.dropped). What another node's word makes a node forget is logged.

TestNodeThatBecomesARelayHasAgainWhatItDidNotNeedForRouting has 1 endpoint of 2 before.

--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -4,6 +4,8 @@
 	"context"
 	"maps"
 
+	"github.com/go-kit/log/level"
+
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
@@ -93,9 +95,14 @@
 func (f *Follower) reconcile(incarnation string, all reconciliation) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.watching || !f.Mirror.Forget(keys.Endpoints, all.lacks) {
+	if f.watching {
+		return
+	}
+	forgotten := f.Mirror.Forget(keys.Endpoints, all.lacks)
+	if len(forgotten) == 0 {
 		return
 	}
+	_ = level.Info(f.logger).Log("msg", "endpoints forgotten", "by_word_of", incarnation, "keys", len(forgotten), "first", forgotten[0])
 	maps.DeleteFunc(f.pulled, func(other string, _ pulled) bool { return other != incarnation })
 }
 
--- a/internal/follow/pull_test.go
+++ b/internal/follow/pull_test.go
@@ -10,6 +10,7 @@
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/keys"
+	"moorrun.dev/moorrun/internal/mirror"
 )
 
 // copies gives all endpoints, or those that are needed for routing.
@@ -121,3 +122,44 @@
 	f.take(context.Background(), full("x", 2, now.Add(2*time.Second)))
 	qt.Check(t, f.has(), qt.Equals, 2)
 }
+
+// another is a node with a copy of its own.
+type another struct{ *mirror.Mirror }
+
+func (a another) Pull(_ context.Context, _, _ string, since uint64, routing bool) (uint64, []infra.Object, error) {
+	const bytes = 1 << 20
+	page := a.Page
+	if routing {
+		page = a.RoutingPage
+	}
+	objects, reached := page(since, bytes)
+	return reached, objects, nil
+}
+
+// put lists an object and says whether it is needed for routing.
+func (a another) put(o infra.Object, routing bool) {
+	a.Put(o)
+	a.Mark(o, routing)
+}
+
+// Guards against a node that has become a relay not having endpoints that it was told, while it only routed, not to need: it
+// took no replica group for whole then and refused its requests.
+func TestNodeThatBecomesARelayHasAgainWhatItDidNotNeedForRouting(t *testing.T) {
+	a := another{mirror.New()}
+	member, head := ordered(object("member", 1)), ordered(object("head", 2))
+	a.put(member, true) // it served alone, or so it was taken
+	f := newTestFollower(a)
+	f.KeepsAll = func() bool { return false }
+	now := time.Now()
+	f.take(context.Background(), full("x", a.Sequence(), now))
+	qt.Check(t, f.has(), qt.Equals, 1)
+	member.Version = 6
+	a.put(member, false)
+	a.put(head, true)
+	f.take(context.Background(), full("x", a.Sequence(), now.Add(time.Second)))
+	qt.Check(t, f.has(), qt.Equals, 1, qt.Commentf("the head is enough"))
+	f.KeepsAll = func() bool { return true }
+	f.take(context.Background(), full("x", a.Sequence(), now.Add(2*time.Second)))
+	qt.Check(t, f.Full(), qt.IsTrue)
+	qt.Check(t, f.has(), qt.Equals, 2)
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -116,10 +116,10 @@
 	return e
 }
 
-// Forget drops objects without keeping that they were removed: whoever has the same versions may tell them again. It reports
-// whether there were any.
-func (m *Mirror) Forget(prefix string, where func(o infra.Object) bool) bool {
-	forgot := false
+// Forget drops objects without keeping that they were removed: whoever has the same versions may tell them again. It returns
+// their keys.
+func (m *Mirror) Forget(prefix string, where func(o infra.Object) bool) []string {
+	var forgotten []string
 	for _, o := range m.List(prefix) {
 		if !where(o) {
 			continue
@@ -127,15 +127,21 @@
 		s := m.shard(o.Key)
 		s.mu.Lock()
 		if held := s.entries[o.Key]; held != nil && held.object.Version == o.Version {
-			s.entries[o.Key] = m.append(held, infra.Object{Key: o.Key, Version: o.Version - 1, Deleted: true})
-			forgot = true
+			s.entries[o.Key] = m.append(held, dropped(o))
+			forgotten = append(forgotten, o.Key)
 		}
 		s.mu.Unlock()
 	}
-	if forgot {
+	if len(forgotten) > 0 {
 		m.tell()
 	}
-	return forgot
+	return forgotten
+}
+
+// dropped stands for an object that a node does not keep though it is there. Its version is older, so that a node that is to
+// keep the object after all takes it from anyone who has it.
+func dropped(o infra.Object) infra.Object {
+	return infra.Object{Key: o.Key, Version: o.Version - 1, Deleted: true}
 }
 
 // Get returns the object under key unless it is absent or deleted.
--- a/internal/mirror/routing.go
+++ b/internal/mirror/routing.go
@@ -46,7 +46,7 @@
 	for e := m.after(sequence); e != nil && e.use != unknown; e = next(e) {
 		o := e.object
 		if e.use != forRouting {
-			o = infra.Object{Key: o.Key, Version: o.Version, Deleted: true}
+			o = dropped(o)
 		}
 		if e.routed {
 			if bytes -= len(o.Value); bytes < 0 && len(out) > 0 {
