Count what all nodes send to cold endpoints

Change: the rate is counted. For the first second a node keeps to an even part of it among the nodes that have requests; then it knows in beats what the others have sent and admits by that, as for limits that endpoints name (ratelimit.Cold, ratelimit.counts, gossip Beat.cold).

--- a/internal/gossip/convert.go
+++ b/internal/gossip/convert.go
@@ -24,7 +24,7 @@
 	if !s.ProofAt.IsZero() {
 		b.ProofAgeMs = max(1, roundUp(now.Sub(s.ProofAt)))
 	}
-	b.RateLimits = s.Limits.toWire(now)
+	b.RateLimits, b.Cold = s.Limits.toWire(now), s.Cold.toWire(now)
 	b.Busy = uint32(s.Busy) //nolint:gosec // never negative
 	for endpoint, n := range s.Loads {
 		b.LoadEndpoints = append(b.LoadEndpoints, uint32(endpoint))
@@ -69,7 +69,7 @@
 	for i, endpoint := range b.LoadEndpoints[:min(len(b.LoadEndpoints), len(b.LoadRequests))] {
 		p.Loads[EndpointKey(endpoint)] = int(b.LoadRequests[i])
 	}
-	p.Limits = rateLimitsFromWire(b.RateLimits, asOf)
+	p.Limits, p.Cold = rateLimitsFromWire(b.RateLimits, asOf), rateLimitsFromWire(b.Cold, asOf)
 	for _, s := range b.Suspects {
 		p.Suspects[s.Group] = asOf.Add(-millis(s.AgeMs))
 	}
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -20,6 +20,7 @@
 	Busy        int           // 1 if it has requests; of totals, how many nodes have
 	Loads       Loads         // requests it has at endpoints
 	Limits      RateLimits    // of endpoints
+	Cold        RateLimits    // what it has sent to cold endpoints; their limit is known to all
 	Suspects    map[string]time.Time
 	Retiring    []string // groups that the leader is about to end
 	Lost        []string // groups that the leader has found to have lost a member
--- a/internal/gossip/totals.go
+++ b/internal/gossip/totals.go
@@ -11,6 +11,7 @@
 	Busy     int // nodes with requests
 	Loads    Loads
 	Limits   RateLimits
+	Cold     RateLimits
 	Suspects map[string]time.Time // groups that stand still, since when at the latest
 	Retiring []string             // groups that a leader is about to end
 	Lost     []string             // groups that a leader has found to have lost a member
@@ -19,7 +20,7 @@
 
 // NewTotals returns Totals of no node.
 func NewTotals() *Totals {
-	return &Totals{Loads: make(Loads), Limits: make(RateLimits), Suspects: make(map[string]time.Time), Demands: make(map[string]Demand)}
+	return &Totals{Loads: make(Loads), Limits: make(RateLimits), Cold: make(RateLimits), Suspects: make(map[string]time.Time), Demands: make(map[string]Demand)}
 }
 
 // Add counts in what a node has told.
@@ -29,6 +30,7 @@
 		t.Loads[endpoint] += n
 	}
 	t.Limits.add(s.Limits)
+	t.Cold.add(s.Cold)
 	for group, at := range s.Suspects {
 		if at.After(t.Suspects[group]) {
 			t.Suspects[group] = at
@@ -63,7 +65,7 @@
 	out := *t
 	out.Busy -= s.Busy
 	out.Loads, out.Demands = maps.Clone(t.Loads), maps.Clone(t.Demands)
-	out.Limits = t.Limits.less(s.Limits)
+	out.Limits, out.Cold = t.Limits.less(s.Limits), t.Cold.less(s.Cold)
 	for endpoint, n := range s.Loads {
 		if out.Loads[endpoint] -= n; out.Loads[endpoint] <= 0 {
 			delete(out.Loads, endpoint)
@@ -77,7 +79,7 @@
 
 // over returns the status with the totals in place of the node's own loads and doubts.
 func (t *Totals) over(s Status) Status {
-	s.Limits = t.Limits
+	s.Limits, s.Cold = t.Limits, t.Cold
 	s.Busy, s.Loads, s.Suspects, s.Retiring, s.Lost, s.Demands = t.Busy, t.Loads, t.Suspects, t.Retiring, t.Lost, t.Demands
 	return s
 }
--- a/internal/picker/alone.go
+++ b/internal/picker/alone.go
@@ -27,7 +27,7 @@
 		c := candidate{endpoint: e, load: totalLoad(h, others, e.ID), pause: p.pauses.left(e.ID, now)}
 		c.cost = float64(c.load) + p.draw()*jitter
 		if w.ColdPerSecond > 0 && snapshot.Cold(e, w.ColdFor, now) {
-			c.limit = w.coldLimit()
+			c.limit, c.coldPerSecond = w.coldLimit(), w.ColdPerSecond
 		}
 		if p.elsewhere(e) {
 			c.cost += zoneCost
--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -34,6 +34,8 @@
 	limit    int           // requests beyond which it gets no more; 0: none
 	avoid    int           // 0, or more the less it is to be chosen as long as there are others
 	pause    time.Duration // that is left of what it has asked for
+
+	coldPerSecond float64 // requests it bears in a second; 0 if it is not cold
 }
 
 // full reports whether the candidate gets no more requests; with queue set, those that wait in its own queue count as well.
@@ -70,7 +72,7 @@
 		h := p.health[g.Name]
 		c := candidate{endpoint: g.Head, group: g.Name, load: totalLoad(h, others, g.Head.ID), limit: w.Slots, pause: p.pauses.left(g.Head.ID, now)}
 		if w.ColdPerSecond > 0 && snapshot.Cold(g.Head, w.ColdFor, now) {
-			c.limit = min(c.limit, w.coldLimit())
+			c.limit, c.coldPerSecond = min(c.limit, w.coldLimit()), w.ColdPerSecond
 		}
 		c.cost = float64(c.load) + p.draw()*jitter
 		switch {
--- /dev/null
+++ b/internal/picker/cold_test.go
@@ -0,0 +1,113 @@
+package picker_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/picker"
+)
+
+// coldFleet is nodes that send to one cold endpoint and hear each other late.
+type coldFleet struct {
+	pickers []*picker.Picker
+	late    int // beats
+	beats   [][]gossip.Status
+}
+
+func newColdFleet(nodes, late int) *coldFleet {
+	f := &coldFleet{late: late}
+	directory := endpoint.NewDirectory(time.Second)
+	directory.Apply([]*endpoint.Endpoint{{ID: "p", Service: "plain", Zone: "near", ColdLeft: time.Hour}}, nil, time.Now())
+	for i := range nodes {
+		f.pickers = append(f.pickers, picker.New(picker.Options{
+			Zone: "near", Directory: directory, Others: func(time.Time) *gossip.Totals { return f.others(i) },
+			Retiring: func(time.Time) map[string]bool { return nil },
+		}))
+	}
+	return f
+}
+
+func (f *coldFleet) others(node int) *gossip.Totals {
+	total := gossip.NewTotals()
+	if i := len(f.beats) - 1 - f.late; i >= 0 {
+		for other, s := range f.beats[i] {
+			if other != node {
+				total.Add(&s)
+			}
+		}
+	}
+	return total
+}
+
+func (f *coldFleet) beat() {
+	var statuses []gossip.Status
+	for _, p := range f.pickers {
+		s := gossip.Status{Busy: 1}
+		p.Report(&s, time.Now())
+		statuses = append(statuses, s)
+	}
+	f.beats = append(f.beats, statuses)
+}
+
+// Guards against a cold endpoint getting more requests in a second than it bears from all nodes together, however soon it answers.
+func TestAllNodesTogetherKeepToWhatAColdEndpointBears(t *testing.T) {
+	const (
+		perSecond = 18
+		allowed   = 1.5*perSecond + 5
+		pressure  = 120 // requests a second
+		step      = 5 * time.Millisecond
+		beat      = 100 * time.Millisecond
+		end       = 5 * time.Second
+	)
+	for _, test := range []struct {
+		about       string
+		nodes, late int
+		answers     time.Duration
+	}{
+		{"a few nodes, long answers", 6, 2, 800 * time.Millisecond},
+		{"many nodes, short answers", 24, 2, 100 * time.Millisecond},
+		{"many nodes that hear each other late", 60, 4, 150 * time.Millisecond},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(1, 2)) //nolint:gosec // repeats
+				f := newColdFleet(test.nodes, test.late)
+				want := &picker.Want{Service: "plain", ColdPerSecond: perSecond, ColdFor: time.Hour}
+				for range test.late + 1 {
+					f.beat()
+				}
+				var sent []time.Duration
+				for at := time.Duration(0); at < end; at += step {
+					if at%beat == 0 {
+						f.beat()
+					}
+					if random.Float64() < pressure*step.Seconds() {
+						if place, err := f.pickers[random.IntN(test.nodes)].Acquire(context.Background(), want); err == nil {
+							sent = append(sent, at)
+							time.AfterFunc(test.answers, place.Release)
+						}
+					}
+					time.Sleep(step)
+				}
+				time.Sleep(test.answers)
+				most := 0
+				for i, last := range sent {
+					first := i
+					for first > 0 && last-sent[first-1] < time.Second {
+						first--
+					}
+					most = max(most, i-first+1)
+				}
+				qt.Check(t, most <= allowed, qt.IsTrue, qt.Commentf("%d requests in a second, allowed %d", most, int(allowed)))
+				qt.Check(t, len(sent) >= perSecond*int(end.Seconds())/2, qt.IsTrue, qt.Commentf("%d requests in %s", len(sent), end))
+			})
+		})
+	}
+}
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -133,7 +133,7 @@
 	defer p.mu.Unlock()
 	s.Loads = make(gossip.Loads)
 	p.options.Limits.Learn(p.options.Others(now).Limits, now)
-	s.Limits = p.options.Limits.Report(now)
+	s.Limits, s.Cold = p.options.Limits.Report(now), p.cold.Report(now)
 	s.Suspects = make(map[string]time.Time)
 	for key, h := range p.health {
 		g := snapshot.Groups[key]
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -53,6 +53,7 @@
 	busy     map[string]int       // running by model
 	arrivals map[string]*arrivals // by model
 	pauses   pauses
+	cold     *ratelimit.Cold
 	random   uint64
 }
 
@@ -64,6 +65,7 @@
 	return &Picker{
 		options: o, health: make(map[string]*health), running: make(map[string]int), complete: make(map[string]bool),
 		demand: make(map[string]int), busy: make(map[string]int), arrivals: make(map[string]*arrivals), pauses: make(pauses),
+		cold: ratelimit.NewCold(clock.Now()),
 	}
 }
 
@@ -131,7 +133,7 @@
 	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.full(w, full) })
 	for len(candidates) > 0 {
 		best := p.best(w, candidates)
-		if p.options.Limits.Admit(best.endpoint.ID, others.Limits, now) {
+		if p.admit(&best, others, now) {
 			return p.take(w, &best, now), nil
 		}
 		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.endpoint == best.endpoint })
@@ -139,6 +141,14 @@
 	return nil, nil //nolint:nilnil // neither a place nor a failure: wait
 }
 
+// admit reports whether the chosen candidate may be sent one more request within its rate limits, and counts it.
+func (p *Picker) admit(c *candidate, others *gossip.Totals, now time.Time) bool {
+	if c.coldPerSecond > 0 && !p.cold.Admit(c.endpoint.ID, c.coldPerSecond, others, now) {
+		return false
+	}
+	return p.options.Limits.Admit(c.endpoint.ID, others.Limits, now)
+}
+
 // best returns the candidate of the least cost among those that the choice is made among.
 func (p *Picker) best(w *Want, candidates []candidate) candidate {
 	if w.Model != "" {
@@ -190,6 +200,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pauses.sweep(now)
+	p.cold.Sweep(now)
 	for key, h := range p.health {
 		if h.running == 0 && now.Sub(h.touched) > forgetAfter {
 			delete(p.health, key)
--- a/internal/picker/want.go
+++ b/internal/picker/want.go
@@ -43,9 +43,7 @@
 	return false
 }
 
-// coldSeconds is for how many seconds' requests a cold endpoint has room at once. What other nodes have sent there is known
-// some 0.2 s later, and a group that has just opened is the least loaded of all: with half a second's room 24 nodes sent 33
-// and 34 requests in a second where 32 are borne.
+// coldSeconds is for how many seconds' requests a cold endpoint has room at a time, so that its queue stays short if it is slow.
 const coldSeconds = 0.25
 
 // coldLimit is how many requests a cold endpoint may have.
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -117,8 +117,7 @@
 }
 
 // Admit reports whether a request may be sent to an endpoint that was chosen for it, and counts it. It may not if the endpoint's
-// limit is used up by what all nodes have sent. What the others send is known a moment later only; so that nodes do not all take
-// what is left at once, each admits by chance the part of its requests that the limit is of those of all nodes.
+// limit is used up by what all nodes have sent.
 func (t *Table) Admit(endpoint string, others gossip.RateLimits, now time.Time) bool {
 	key := gossip.KeyOf(endpoint)
 	t.mu.Lock()
@@ -136,10 +135,7 @@
 	if now.Sub(e.since) < settleFor {
 		return false
 	}
-	sent := t.sending(key).Sum(now)
-	wanted := 1 + sent + e.passed.Sum(now) + others.Recent + others.Passed
-	allowed := e.allowed()
-	return float64(1+sent+others.Recent) <= allowed && t.Draw()*float64(wanted) < allowed
+	return counts{t.sending(key), e.passed}.fit(e.allowed(), others, t.Draw(), now)
 }
 
 // allowed returns how many requests the limit allows in the window that is counted. One always is: only an answer tells that the
