Ask of a domain first those that are not known to have ended

What callers saw: a request that ends endpoints reached a fifth one where three ends and a copy on its way are meant to be the most.

Cause: two copies of the request at two nodes ended four endpoints of one domain within 5 ms. Each node asks three others of the domain, drawn by chance, whether it lives; those drawn were endpoints that the request had just ended, one of them at this very node. So the end was put down to the loss of the domain, and did not count (finding "its domain was lost", the domain's other endpoints alive).

Change: endpoints that the node knows to have ended are asked last. A domain that is really lost has nobody else that answers, so nothing changes there (the tests of lost domains pass as they are).

TestEndpointKnownToHaveEndedTellsNothingOfItsDomain fails before.

--- a/internal/quarantine/inquiry.go
+++ b/internal/quarantine/inquiry.go
@@ -174,7 +174,7 @@
 	if listed := snapshot.Endpoints[e.ID]; listed == nil || listed.Draining {
 		return wasLeaving
 	}
-	beside := besides(snapshot, e)
+	beside := q.besides(snapshot, e)
 	if len(beside) > 0 && !slices.ContainsFunc(beside, func(n *endpoint.Endpoint) bool { return q.ask(n) == Alive }) {
 		return withDomain
 	}
@@ -188,17 +188,30 @@
 }
 
 // besides draws some endpoints that are lost together with e if its fabric domain is, or if it is in none, its data centre.
-func besides(s *endpoint.Snapshot, e *endpoint.Endpoint) []*endpoint.Endpoint {
-	var out []*endpoint.Endpoint
+// Those that this node knows to have ended come last: of the domain they tell nothing new.
+func (q *Inquiry) besides(s *endpoint.Snapshot, e *endpoint.Endpoint) []*endpoint.Endpoint {
+	var out, ended []*endpoint.Endpoint
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	for _, other := range s.Endpoints {
 		together := other.Domain == e.Domain
 		if e.Domain == "" {
 			together = other.Zone == e.Zone
 		}
-		if together && other.ID != e.ID && !other.Draining {
+		switch {
+		case !together || other.ID == e.ID || other.Draining:
+		case q.open[lifeOf(other)] != nil:
+			ended = append(ended, other)
+		default:
 			out = append(out, other)
 		}
 	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	shuffle(out)
+	shuffle(ended)
+	out = append(out, ended...)
 	return out[:min(len(out), neighbours)]
 }
+
+func shuffle(list []*endpoint.Endpoint) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
--- a/internal/quarantine/inquiry_test.go
+++ b/internal/quarantine/inquiry_test.go
@@ -105,6 +105,22 @@
 	}
 }
 
+// Guards against taking the ends of endpoints under one request for the loss of their domain: of those beside one that has ended
+// some have ended as well, and this node knows of it.
+func TestEndpointKnownToHaveEndedTellsNothingOfItsDomain(t *testing.T) {
+	for range 100 { // whom it asks is a matter of chance
+		synctest.Test(t, func(t *testing.T) {
+			d := newDomain("d", 6)
+			d.lose(quarantine.Ended, 0)
+			d.Failed(d.list[0], deadly, false)
+			qt.Assert(t, d.endings(deadly), qt.Equals, 1)
+			d.lose(quarantine.Ended, 1, 2, 3)
+			d.Failed(d.list[1], deadly, true)
+			qt.Assert(t, d.endings(deadly), qt.Equals, 2)
+		})
+	}
+}
+
 // A whole domain is lost under callers that all ask for the same, three times over.
 func TestLossOfDomainsHoldsNobodyBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
