Allocate the places of plain endpoints as those of replica groups

What endpoints saw: at our own interface a plain endpoint that takes 16 calls at a time got up to 48 of three nodes (TestPlainEndpointGetsNoMoreCallsAtATimeThanItTakes, known red).

Cause: each node kept an endpoint's places by itself. The allocator that divides a model's places among nodes knew models only.

Change: a plain service has a pool like a model, its endpoints are groups of one (routing.Services, places.Server). Nodes of every region send to them, so the pool has one allocator for all regions, and a model one in each as before. Calls wait in the admission's queues instead of looking again every 5 ms; one that gets no place in time is refused as not run with 429 and when to come back. Failures and pauses of endpoints are kept as those of groups are, with the same rules (routing.leftAlone, leastPause), which were written twice.

The balancer is gone, and its test with it: TestEndpointsAreLeftAloneThatAskedForAPause holds the same of its successor.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,7 @@
 	domains       map[string]DomainOf
 	regions       map[string]string
 	services      map[serviceKey]*Service
+	endpoints     map[string]Endpoint
 }
 
 type serviceKey struct{ workspace, service string }
@@ -27,7 +28,7 @@
 		callers: make(map[string]string), operators: make(map[string]string),
 		models: make(map[string]ModelOf), shares: make(map[string]int),
 		domains: make(map[string]DomainOf), regions: make(map[string]string),
-		services: make(map[serviceKey]*Service),
+		services: make(map[serviceKey]*Service), endpoints: make(map[string]Endpoint),
 	}
 	for _, part := range set {
 		switch {
@@ -73,6 +74,9 @@
 	}
 	for i := range w.Services {
 		c.services[serviceKey{w.Name, w.Services[i].Name}] = &w.Services[i]
+		for _, e := range w.Services[i].Endpoints {
+			c.endpoints[e.Name] = e
+		}
 	}
 }
 
@@ -113,6 +117,12 @@
 	return s, ok
 }
 
+// Endpoint returns an endpoint of any plain service.
+func (c *Config) Endpoint(name string) (Endpoint, bool) {
+	e, ok := c.endpoints[name]
+	return e, ok
+}
+
 // Objective returns what a model or service of a workspace is held to.
 func (c *Config) Objective(workspace, service string) (Objective, bool) {
 	part, ok := c.Set[WorkspacePart(workspace)]
--- a/internal/config/endpoint.go
+++ b/internal/config/endpoint.go
@@ -9,3 +9,11 @@
 	Address string `json:"address"`
 	Places  int    `json:"places,omitempty"`
 }
+
+// AtOnce is how many calls the endpoint takes at a time.
+func (e Endpoint) AtOnce() int {
+	if e.Places == 0 {
+		return DefaultEndpointPlaces
+	}
+	return e.Places
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -47,14 +47,17 @@
 	Members   *membership.Table
 	Drains    *drains.Book
 	Router    *routing.Router
-	Admission *admission.Admission
-	Calls     *httpcall.Client
-	Engine    infra.Engine
-	Once      *once.Book
-	Burn      *burn.Recorder
-	Checker   *invariant.Checker
-	Scope     tally.Scope
-	Logger    log.Logger
+	Services  *routing.Services
+	Admission *admission.Admission // to places of replica groups
+	// ServiceAdmission is that to places of plain services' endpoints.
+	ServiceAdmission *admission.Admission
+	Calls            *httpcall.Client
+	Engine           infra.Engine
+	Once             *once.Book
+	Burn             *burn.Recorder
+	Checker          *invariant.Checker
+	Scope            tally.Scope
+	Logger           log.Logger
 	// AddressLifetime is how long a caller may keep the answer to which address to use.
 	AddressLifetime time.Duration
 }
@@ -63,7 +66,6 @@
 type Server struct {
 	Options
 	budget   *retryBudget
-	balance  *balancer
 	meters   meters
 	http     *fasthttp.Server
 	inflight atomic.Int64
@@ -76,7 +78,7 @@
 func New(o Options) *Server {
 	s := &Server{
 		Options: o, budget: newRetryBudget(),
-		balance: newBalancer(), meters: newMeters(o.Scope),
+		meters: newMeters(o.Scope),
 	}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, Name: "moorrun", MaxRequestBodySize: maxBody, ReadBufferSize: maxHeader,
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -10,19 +10,19 @@
 
 	"github.com/valyala/fasthttp"
 
+	"moorrun.dev/moorrun/internal/admission"
 	"moorrun.dev/moorrun/internal/burn"
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/invariant"
 	"moorrun.dev/moorrun/internal/once"
+	"moorrun.dev/moorrun/internal/routing"
 	"moorrun.dev/moorrun/internal/verdict"
 )
 
 const (
 	servicesPath = "/services/"
-	// busyPause is between two looks for an endpoint with a free place.
-	busyPause = 5 * time.Millisecond
 	// maxPlainBody is the largest answer of a plain endpoint.
 	maxPlainBody = 32 << 20
 )
@@ -155,16 +155,18 @@
 func (s *Server) run(p *plainCall) *failure {
 	avoid := ""
 	for {
-		endpoint, f := s.endpoint(p, avoid)
+		endpoint, place, f := s.endpoint(p, avoid)
 		if f != nil {
 			return f
 		}
 		err := s.sendPlain(p, endpoint)
-		s.balance.done(endpoint.Name, err == nil, clock.Now())
+		place.Release(err == nil)
 		if err == nil {
+			s.Services.Succeeded(endpoint.Name)
 			s.Burn.Record(p.workspace, p.name, burn.Outcome{Failed: p.ctx.Response.StatusCode() >= fasthttp.StatusInternalServerError, Latency: clock.Since(p.started)})
 			return nil
 		}
+		s.Services.Failed(endpoint.Name, clock.Now())
 		avoid = endpoint.Name
 		v := verdict.Of(err)
 		again := (v == verdict.NotRun || p.repeatable) && p.left() > 0 && s.budget.take()
@@ -179,26 +181,26 @@
 	}
 }
 
-// endpoint waits for an endpoint with a free place, among those that are not drained.
-func (s *Server) endpoint(p *plainCall, avoid string) (config.Endpoint, *failure) {
+// endpoint waits for a place at an endpoint, among those that are not drained.
+func (s *Server) endpoint(p *plainCall, avoid string) (config.Endpoint, *admission.Place, *failure) {
+	pool := routing.ServicePool(p.workspace, p.name)
 	for {
-		drained := s.Drains.Read()
-		var candidates []config.Endpoint
-		for _, e := range p.service.Endpoints {
-			if !drained.Has(e.Name) {
-				candidates = append(candidates, e)
-			}
+		if left := s.Services.PauseLeft(pool, clock.Now()); left > p.left() {
+			return config.Endpoint{}, nil, notRunYet("each endpoint of the service has asked for a pause", left)
 		}
-		if e, ok := s.balance.take(candidates, avoid, clock.Now()); ok {
-			return e, nil
+		if len(s.Services.Endpoints(pool)) == 0 {
+			return config.Endpoint{}, nil, notRunYet("the service has no endpoint in use", time.Second)
 		}
-		if left := s.balance.pauseLeft(candidates, clock.Now()); left > p.left() {
-			return config.Endpoint{}, notRunYet("each endpoint of the service has asked for a pause", left)
+		place, err := s.ServiceAdmission.Acquire(context.Background(), admission.Request{
+			Model: pool, Workspace: p.workspace, Avoid: avoid, Patience: p.left(),
+		})
+		if err != nil {
+			return config.Endpoint{}, nil, refused(err)
 		}
-		if p.left() <= busyPause || len(candidates) == 0 {
-			return config.Endpoint{}, notRunYet("no endpoint of the service has a free place", time.Second)
+		if e, ok := s.Services.Endpoint(place.Group); ok {
+			return e, place, nil
 		}
-		time.Sleep(busyPause)
+		place.Release(false) // it went out of use between
 	}
 }
 
@@ -225,7 +227,7 @@
 	}
 	defer answer.Close() //nolint:errcheck // the answer is read whole
 	if pause := pauseOf(answer); pause > 0 {
-		s.balance.pause(endpoint.Name, clock.Now().Add(pause))
+		s.Services.AskedToPause(endpoint.Name, clock.Now().Add(pause))
 	}
 	return s.passPlain(p, answer)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,10 +72,12 @@
 	observer  *observer.Observer
 	places    *places.Server
 	admission *admission.Admission
-	once      *once.Book
-	entry     *entry.Server
-	admin     *admin.Server
-	peers     *peer.Server
+	// serviceAdmission holds the requests that wait for plain services.
+	serviceAdmission *admission.Admission
+	once             *once.Book
+	entry            *entry.Server
+	admin            *admin.Server
+	peers            *peer.Server
 
 	listeners listeners
 	work      context.Context //nolint:containedctx // ends when the node stops, for work its parts start later
@@ -111,7 +113,8 @@
 		return dataCentre
 	})
 	n.observer = observer.New(n.fleet, engine, book, current, n.orphans, s.Poll(), s.Evidence())
-	n.places = places.NewServer(n.fleet.Members, router, current, checker)
+	services := routing.NewServices(n.drains, current)
+	n.places = places.NewServer(n.fleet.Members, router, services, current, checker)
 	n.peers = peer.NewServer(n.fleet, n.keeper, n.places)
 	var asker admission.Asker = places.NewAsker(n.fleet.Members, current, n.places, n.caller)
 	if s.PlacesPolicy == settings.PlacesSplit {
@@ -119,6 +122,7 @@
 	}
 	n.admission = admission.New(n.work, asker, router)
 	n.admission.LengthOnly = s.QueuePolicy == settings.QueueFIFO
+	n.serviceAdmission = admission.New(n.work, asker, services)
 	n.once = once.NewBook(time.Now)
 	losses := holder.NewLossMeter()
 	n.buildHolder(book, engine, current, checker, losses)
@@ -129,8 +133,8 @@
 		return config.Objective{}, false
 	})
 	n.entry = entry.New(entry.Options{
-		Current: current, Contact: n.fleet.Contact, Members: n.fleet.Members, Drains: n.drains, Router: router,
-		Admission: n.admission, Calls: n.calls, Engine: engine, Once: n.once, Burn: recorder, Checker: checker,
+		Current: current, Contact: n.fleet.Contact, Members: n.fleet.Members, Drains: n.drains, Router: router, Services: services,
+		Admission: n.admission, ServiceAdmission: n.serviceAdmission, Calls: n.calls, Engine: engine, Once: n.once, Burn: recorder, Checker: checker,
 		Scope: scope, Logger: logger, AddressLifetime: s.AddressLifetime(),
 	})
 	n.admin = admin.New(admin.Options{
@@ -218,6 +222,7 @@
 	g.Go(func() error { <-ctx.Done(); return n.shutdown() })
 	err := g.Wait()
 	n.admission.Wait()
+	n.serviceAdmission.Wait()
 	return errors.Join(err, n.caller.Close(), n.closer.Close())
 }
 
--- a/internal/places/server.go
+++ b/internal/places/server.go
@@ -1,9 +1,11 @@
 // Package places joins the allocators of package allocator to the nodes that ask them: one side answers
-// for the models that fall to this node, the other asks whoever a model falls to.
+// for the pools that fall to this node, the other asks whoever a pool falls to. A model has a pool in each region, a plain service
+// one for all, since nodes of every region send to its endpoints.
 package places
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -37,19 +39,26 @@
 
 // Server allocates the places of the models that fall to this node.
 type Server struct {
-	members *membership.Table
-	router  *routing.Router
-	current func() *config.Config
-	checker *invariant.Checker
+	members  *membership.Table
+	router   *routing.Router
+	services *routing.Services
+	current  func() *config.Config
+	checker  *invariant.Checker
+
+	mu       sync.Mutex
+	pools    map[string]*lockedPool
+	near     settled // nodes of this region
+	anywhere settled
+}
 
-	mu    sync.Mutex
-	pools map[string]*modelPool
-	live  string    // the region's live nodes, as last seen
-	since time.Time // when live last changed: whose turn it is has not changed since
+// settled tells since when the live nodes, and with them whose turn it is, have not changed.
+type settled struct {
+	live  string
+	since time.Time
 }
 
-// modelPool is one model's allocator under its own lock.
-type modelPool struct {
+// lockedPool is one allocator under its own lock.
+type lockedPool struct {
 	mu    sync.Mutex
 	pool  *allocator.Pool
 	asked time.Time
@@ -58,21 +67,29 @@
 }
 
 // NewServer returns a Server without pools.
-func NewServer(members *membership.Table, router *routing.Router, current func() *config.Config, checker *invariant.Checker) *Server {
-	return &Server{members: members, router: router, current: current, checker: checker, since: clock.Now(), pools: make(map[string]*modelPool)}
+func NewServer(members *membership.Table, router *routing.Router, services *routing.Services, current func() *config.Config, checker *invariant.Checker) *Server {
+	now := settled{since: clock.Now()}
+	return &Server{
+		members: members, router: router, services: services, current: current, checker: checker, pools: make(map[string]*lockedPool),
+		near: now, anywhere: now,
+	}
 }
 
-// ranked returns the nodes of this node's region in the order in which they allocate the model's places.
-func ranked(model string, members *membership.Table, c *config.Config, now time.Time) []membership.Member {
-	self := members.Self(now)
-	region := c.Region(self.DataCentre)
-	var near []membership.Member
+// ranked returns the nodes that use a pool in the order in which they allocate its places.
+func ranked(pool string, members *membership.Table, c *config.Config, now time.Time) []membership.Member {
+	return membership.Rank("places/"+pool, users(routing.IsServicePool(pool), members, c, now))
+}
+
+// users returns the nodes of all regions, or those of this node's.
+func users(anywhere bool, members *membership.Table, c *config.Config, now time.Time) []membership.Member {
+	region := c.Region(members.Self(now).DataCentre)
+	var out []membership.Member
 	for _, m := range members.Live(now) {
-		if c.Region(m.DataCentre) == region && !m.Draining {
-			near = append(near, m)
+		if !m.Draining && (anywhere || c.Region(m.DataCentre) == region) {
+			out = append(out, m)
 		}
 	}
-	return membership.Rank("places/"+model, near)
+	return out
 }
 
 // Demand implements peer.Allocator.
@@ -97,14 +114,22 @@
 }
 
 func (s *Server) review(c *config.Config, now time.Time) {
-	var live strings.Builder
-	for _, m := range ranked("", s.members, c, now) {
-		live.WriteString(m.VM + "/" + m.Incarnation + " ")
-	}
+	near, anywhere := users(false, s.members, c, now), users(true, s.members, c, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.live != live.String() {
-		s.live, s.since = live.String(), now
+	s.near.see(near, now)
+	s.anywhere.see(anywhere, now)
+}
+
+// see takes in which nodes are live.
+func (s *settled) see(nodes []membership.Member, now time.Time) {
+	names := make([]string, len(nodes))
+	for i, m := range nodes {
+		names[i] = m.VM + "/" + m.Incarnation
+	}
+	slices.Sort(names)
+	if live := strings.Join(names, " "); live != s.live {
+		s.live, s.since = live, now
 	}
 }
 
@@ -142,7 +167,7 @@
 }
 
 // check holds that no group has more places held than it has, for longer than a change may take to settle.
-func (s *Server) check(p *modelPool, now time.Time) {
+func (s *Server) check(p *lockedPool, now time.Time) {
 	id, held, places, over := p.pool.Overheld()
 	if !over {
 		p.over = time.Time{}
@@ -155,20 +180,30 @@
 	})
 }
 
-func (s *Server) groups(model string, now time.Time) []allocator.Group {
+func (s *Server) groups(pool string, now time.Time) []allocator.Group {
 	var out []allocator.Group
-	for _, t := range s.router.Groups(model, now) {
+	if routing.IsServicePool(pool) {
+		for _, e := range s.services.Endpoints(pool) {
+			out = append(out, allocator.Group{ID: e.Name, Places: e.AtOnce()})
+		}
+		return out
+	}
+	for _, t := range s.router.Groups(pool, now) {
 		out = append(out, allocator.Group{ID: t.Group, Birth: t.Birth, Places: t.Places})
 	}
 	return out
 }
 
-func (s *Server) pool(model string, now time.Time) *modelPool {
+func (s *Server) pool(model string, now time.Time) *lockedPool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p, ok := s.pools[model]
 	if !ok {
-		p = &modelPool{pool: allocator.NewPool(s.since)}
+		since := s.near.since
+		if routing.IsServicePool(model) {
+			since = s.anywhere.since
+		}
+		p = &lockedPool{pool: allocator.NewPool(since)}
 		s.pools[model] = p
 	}
 	for name, other := range s.pools {
@@ -179,7 +214,7 @@
 	return p
 }
 
-func (p *modelPool) idle(now time.Time) bool {
+func (p *lockedPool) idle(now time.Time) bool {
 	if !p.mu.TryLock() {
 		return false
 	}
@@ -193,6 +228,9 @@
 	defer s.mu.Unlock()
 	out := make(replica.Demand)
 	for model, p := range s.pools {
+		if routing.IsServicePool(model) {
+			continue
+		}
 		p.mu.Lock()
 		out[model] = p.pool.Waiting()
 		p.mu.Unlock()
--- a/internal/places/server_test.go
+++ b/internal/places/server_test.go
@@ -16,7 +16,7 @@
 	checker := invariant.NewChecker(log.NewNopLogger(), tally.NoopScope)
 	s := &Server{checker: checker}
 	now := time.Unix(1000, 0)
-	p := &modelPool{pool: allocator.NewPool(now)}
+	p := &lockedPool{pool: allocator.NewPool(now)}
 	p.pool.SetGroups([]allocator.Group{{ID: "g", Birth: 1, Places: 1}})
 	p.pool.Report(allocator.Report{VM: "n", Workspaces: []allocator.Demand{{
 		Workspace: "w", Running: []allocator.Places{{Group: "g", Birth: 1, Count: 2}},
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -87,21 +87,11 @@
 // Ejected implements admission.Chooser: groups that keep failing this node's requests are left alone for a
 // while, unless more than half of the model's groups do, and those that have asked for a pause in any case.
 func (r *Router) Ejected(model string, now time.Time) []allocator.Ref {
-	groups := r.read(now).byModel[model]
-	var paused, failing []allocator.Ref
-	for _, t := range groups {
-		ref := allocator.Ref{Group: t.Group, Birth: t.Birth}
-		switch h := r.of(t.Group, t.Birth); {
-		case h.pauseLeft(now) > 0:
-			paused = append(paused, ref)
-		case h.isEjected(now):
-			failing = append(failing, ref)
-		}
-	}
-	if len(failing)*2 > len(groups)-len(paused) {
-		return paused
+	var refs []allocator.Ref
+	for _, t := range r.read(now).byModel[model] {
+		refs = append(refs, allocator.Ref{Group: t.Group, Birth: t.Birth})
 	}
-	return append(paused, failing...)
+	return leftAlone(refs, func(ref allocator.Ref) *health { return r.of(ref.Group, ref.Birth) }, now)
 }
 
 // TakeSpeeds implements admission.Chooser.
@@ -127,20 +117,13 @@
 
 // PauseLeft returns how long until the first pause ends, if all of the model's usable groups have asked for one, and else zero.
 func (r *Router) PauseLeft(model string, now time.Time) time.Duration {
-	least := time.Duration(0)
+	var usable []*health
 	for _, t := range r.read(now).byModel[model] {
-		if !r.live(t, now) {
-			continue
-		}
-		left := r.of(t.Group, t.Birth).pauseLeft(now)
-		if left == 0 {
-			return 0
-		}
-		if least == 0 || left < least {
-			least = left
+		if r.live(t, now) {
+			usable = append(usable, r.of(t.Group, t.Birth))
 		}
 	}
-	return least
+	return leastPause(usable, now)
 }
 
 // Succeeded notes how long the group took to its first token and in all.
--- a/test/gateway/fleet_test.go
+++ b/test/gateway/fleet_test.go
@@ -67,14 +67,14 @@
 	mu     sync.Mutex
 }
 
-// hosts numbers loopback addresses: a port that is free at one of its own is not taken by anybody's outgoing
+// hosts numbers loopback addresses of this process: a port that is free at one of its own is not taken by anybody's outgoing
 // connection before the node listens there.
 var hosts atomic.Int32
 
 // freeAddresses returns addresses with ports of the kernel's choice, all at one loopback address.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	host := fmt.Sprintf("127.7.%d.1:0", hosts.Add(1))
+	host := fmt.Sprintf("127.%d.%d.1:0", 7+os.Getpid()%240, hosts.Add(1))
 	var out []string
 	for range n {
 		lis, err := net.Listen("tcp", host)
