--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -86,10 +86,14 @@
 	return text
 }
 
-// checkLogs fails the test when a process has found one of its own invariants breached, or has crashed.
+// checkLogs fails the test when a process has found one of its own invariants breached, or has crashed. The logs of a test that has
+// failed are shown whole.
 func (f *fleet) checkLogs(t *testing.T) {
 	for _, n := range f.nodes {
 		content, _ := os.ReadFile(n.Log)
+		if t.Failed() {
+			t.Logf("%s:\n%s", n.Settings.VM, content)
+		}
 		for _, line := range strings.Split(string(content), "\n") {
 			if strings.Contains(line, "invariant breached") || strings.Contains(line, "panic:") || strings.Contains(line, "DATA RACE") {
 				t.Errorf("%s: %s", n.Settings.VM, line)
