Ask for a lease that somebody else holds no more until it may have run out

Cause: while a fleet starts, nodes that do not hear yet who leads want to lead, and each reads the lease every 0.5 s though it sees a living holder each time.

Change: a node does not want to lead as long as the lease that it last saw is another's and may not have run out (lease.HeldElsewhere). It is told of the leader's death as soon as before, since a lease was never taken before it had run out. When the holder says in a beat that it does not hold it any more, as one that leaves does, the node goes on as before (lease.GivenUp).

--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -64,6 +64,20 @@
 	k.lease.Told(version, record, clock.Now())
 }
 
+// GivenUp takes in that a node has told that it does not hold the lease.
+func (k *Keeper) GivenUp(by string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lease.GivenUp(by)
+}
+
+// HeldElsewhere reports whether another node holds the lease as far as is known.
+func (k *Keeper) HeldElsewhere(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lease.HeldElsewhere(now)
+}
+
 // Run contends for the lease while this node should hold it, until ctx ends; then it is released.
 func (k *Keeper) Run(ctx context.Context) error {
 	held := false
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -20,6 +20,7 @@
 	untilBy  time.Time // held until, when epoch > 0
 	epoch    int64     // the epoch we hold or held
 	inflight map[string]time.Time
+	doubted  int64 // the version whose holder has told that it holds it no more
 }
 
 // New returns the view of a process that has not read the object yet.
@@ -116,6 +117,18 @@
 	l.epoch = 0
 }
 
+// HeldElsewhere reports whether the lease that was last seen is another process's, may not have run out, and has not been given up.
+func (l *Lease) HeldElsewhere(now time.Time) bool {
+	return l.known && l.record.Holder != l.self && l.doubted != l.version && !l.free(now)
+}
+
+// GivenUp takes in that a process has told another one that it does not hold the lease.
+func (l *Lease) GivenUp(by string) {
+	if l.record.Holder == by {
+		l.doubted = l.version
+	}
+}
+
 // Latest returns the version and record of the object as last seen.
 func (l *Lease) Latest() (int64, Record) { return l.version, l.record }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -192,3 +192,20 @@
 	qt.Assert(t, held, qt.IsTrue)
 	qt.Assert(t, epoch, qt.Equals, int64(2))
 }
+
+func TestHeldElsewhereUntilItHasRunOutOrItsHolderSaysOtherwise(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := lease.New("n0", ttl, margin)
+	qt.Check(t, l.HeldElsewhere(now), qt.IsFalse, qt.Commentf("nothing is known"))
+	l.Observed(7, lease.Record{Holder: "n1", Epoch: 3, TTLMillis: ttl.Milliseconds()}, now)
+	qt.Check(t, l.HeldElsewhere(now.Add(ttl+margin)), qt.IsTrue)
+	qt.Check(t, l.HeldElsewhere(now.Add(ttl+margin+time.Millisecond)), qt.IsFalse, qt.Commentf("it has run out"))
+	l.GivenUp("n2")
+	qt.Check(t, l.HeldElsewhere(now), qt.IsTrue, qt.Commentf("that one did not hold it"))
+	l.GivenUp("n1")
+	qt.Check(t, l.HeldElsewhere(now), qt.IsFalse)
+	l.Observed(8, lease.Record{Holder: "n1", Epoch: 3, TTLMillis: ttl.Milliseconds()}, now)
+	qt.Check(t, l.HeldElsewhere(now), qt.IsTrue, qt.Commentf("it has been renewed since"))
+	l.Observed(9, lease.Record{Epoch: 3}, now)
+	qt.Check(t, l.HeldElsewhere(now), qt.IsFalse, qt.Commentf("it was released"))
+}
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -68,12 +68,14 @@
 // ready reports whether this node takes new callers.
 func (n *Server) ready() bool { return !n.leaving.Load() && n.serving(clock.Now()) }
 
-// wantsLead reports whether this node should hold the leader's lease.
+// wantsLead reports whether this node should hold the leader's lease. While somebody else holds it there is nothing to ask the
+// store for, though the holder is not heard yet.
 func (n *Server) wantsLead() bool {
 	now := clock.Now()
 	leads := n.controller.Leads(now) > 0
 	able := !n.leaving.Load() && n.table.Load() != nil && (n.follower.StoreAnswers() || leads && n.listedLately(now))
-	return n.election.wants(now, able, n.gossip.Relaying() && !n.smaller(), leads, n.gossip.Live(now))
+	wants := n.election.wants(now, able, n.gossip.Relaying() && !n.smaller(), leads, n.gossip.Live(now))
+	return wants && (leads || !n.keeper.HeldElsewhere(now))
 }
 
 // listedLately reports whether a leader still knows enough to decide, though the store has not answered its last call. The store
@@ -86,7 +88,10 @@
 // heard takes in another node's beat.
 func (n *Server) heard(p *gossip.Peer) {
 	n.follower.Heard(p)
-	if p.LeaderEpoch > 0 && p.Lease.Version > 0 {
+	switch {
+	case p.LeaderEpoch == 0:
+		n.keeper.GivenUp(p.VM)
+	case p.Lease.Version > 0:
 		n.keeper.Told(p.Lease.Version, lease.Record{Holder: p.VM, Epoch: p.LeaderEpoch, TTLMillis: p.Lease.Term.Milliseconds()})
 	}
 	n.picker.Review()
