Write the tests' credentials in one step; name an empty token file

Cause: the lab wrote the file of the credential anew for each program, in place; one that started beside another could read it empty and sent no credential. TestTokenFileIsWholeAtAnyTime reads it empty within some tries before. It is renamed into its place now.

An operator with an empty token file was told of a header; moorrun now names the file and the mend (TestEmptyTokenFileIsNamed fails before).

--- a/internal/cmd/client.go
+++ b/internal/cmd/client.go
@@ -49,7 +49,9 @@
 	if err != nil {
 		return nil, exitcode.New(exitcode.Usage, "token file: %w", err)
 	}
-	c.token = strings.TrimSpace(string(token))
+	if c.token = strings.TrimSpace(string(token)); c.token == "" {
+		return nil, exitcode.New(exitcode.Usage, "token file: %s is empty; write the operator's credential into it", file)
+	}
 	return c, nil
 }
 
--- a/internal/lab/operator.go
+++ b/internal/lab/operator.go
@@ -34,15 +34,15 @@
 
 // CLIAt runs moorrun with a credential against certain administration addresses.
 func (l *Lab) CLIAt(token string, addresses []string, args ...string) Output {
-	file := filepath.Join(l.Dir, token+".token")
-	if err := os.WriteFile(file, []byte(token+"\n"), 0o600); err != nil {
+	file, err := l.tokenFile(token)
+	if err != nil {
 		return Output{Stderr: err.Error(), Code: -1}
 	}
 	k := exec.Command(filepath.Join(l.Bin, "moorrun"), args...) //nolint:gosec // our own program
 	k.Env = append(os.Environ(), "MOORRUN_NODES="+strings.Join(addresses, ","), "MOORRUN_TOKEN_FILE="+file)
 	var stdout, stderr bytes.Buffer
 	k.Stdout, k.Stderr = &stdout, &stderr
-	err := k.Run()
+	err = k.Run()
 	out := Output{Stdout: stdout.String(), Stderr: stderr.String()}
 	var exited *exec.ExitError
 	if errors.As(err, &exited) {
@@ -53,6 +53,20 @@
 	return out
 }
 
+// tokenFile writes a credential's file and returns its path. Another program may be reading it, so it is renamed into its place.
+func (l *Lab) tokenFile(token string) (string, error) {
+	file := filepath.Join(l.Dir, token+".token")
+	whole, err := os.CreateTemp(l.Dir, "token")
+	if err != nil {
+		return "", err
+	}
+	_, err = whole.WriteString(token + "\n")
+	if err := errors.Join(err, whole.Close()); err != nil {
+		return "", err
+	}
+	return file, os.Rename(whole.Name(), file)
+}
+
 // Status returns what the nodes say, asking one after the other.
 func (l *Lab) Status() (adminapi.Status, error) {
 	var s adminapi.Status
