--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,7 +18,6 @@
 	"moorrun.dev/moorrun/internal/admission"
 	"moorrun.dev/moorrun/internal/burn"
 	"moorrun.dev/moorrun/internal/config"
-	"moorrun.dev/moorrun/internal/drains"
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/infra"
 	"moorrun.dev/moorrun/internal/invariant"
@@ -45,7 +44,6 @@
 	Current   func() *config.Config
 	Contact   *peer.Contact
 	Members   *membership.Table
-	Drains    *drains.Book
 	Router    *routing.Router
 	Services  *routing.Services
 	Admission *admission.Admission // to places of replica groups
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,7 +133,7 @@
 		return config.Objective{}, false
 	})
 	n.entry = entry.New(entry.Options{
-		Current: current, Contact: n.fleet.Contact, Members: n.fleet.Members, Drains: n.drains, Router: router, Services: services,
+		Current: current, Contact: n.fleet.Contact, Members: n.fleet.Members, Router: router, Services: services,
 		Admission: n.admission, ServiceAdmission: n.serviceAdmission, Calls: n.calls, Engine: engine, Once: n.once, Burn: recorder, Checker: checker,
 		Scope: scope, Logger: logger, AddressLifetime: s.AddressLifetime(),
 	})
