Leave endpoints that do not answer out of plans, and give up plans with a silent member soon

Cause: of the survivors of a broken group another member is often dead. Change: a join without an answer counts as a failed probe and is followed by a probe; plans leave out endpoints whose last probe failed, and are abandoned 500 ms after an unanswered join if the member does not answer a probe either.

--- a/internal/formation/candidate.go
+++ b/internal/formation/candidate.go
@@ -106,9 +106,14 @@
 // fit returns the best members for a group of the model, or nil if there are too few. Members that evict no model come
 // first, then those that could serve no other model, then those ready soonest. While requests arrive, endpoints that
 // would first have to load the model from the weight store are not considered; before the first request, loads are fast.
+// Endpoints that did not answer their last probe or join are not considered either: one dead member keeps all others of
+// the plan from serving until it is abandoned, and other survivors of a broken group are often dead too.
 func (p *Planner) fit(v *View, free []*endpoint.Endpoint, m route.Model) []*endpoint.Endpoint {
 	var eligible []*endpoint.Endpoint
 	for _, e := range free {
+		if v.unansweredFor(e.ID) > 0 {
+			continue
+		}
 		if !v.Busy || e.HasLoaded(m.Name) || e.HasStaged(m.Name) && !p.isLoading(e) {
 			eligible = append(eligible, e)
 		}
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -228,19 +228,38 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.RecordOutcome(o, outcome, clock.Now())
-	if outcome != Unknown {
+	if o.Kind == Join && outcome == Unknown {
+		c.recordUnansweredJoin(o.Endpoint.ID, sent)
+	}
+	if o.Kind == Join || outcome != Unknown {
 		c.Wake()
 	}
 }
 
-// startProbe starts a probe of the endpoint. It does nothing if the endpoint is unknown or was found to be absent from its
-// address, if a probe of it is in progress or recent, or if the limit is reached.
-func (c *Controller) startProbe(ctx context.Context, snapshot *endpoint.Snapshot, id string, now time.Time) {
+// recordUnansweredJoin counts a join without an answer as a failed probe, and lets the next step probe the endpoint at once. The
+// endpoint may be dead, or may have accepted the join and lost the answer.
+func (c *Controller) recordUnansweredJoin(id string, sent time.Time) {
+	k := c.contactOf(id)
+	if k.LastAnswer.After(sent) {
+		return
+	}
+	k.recordFailure(sent)
+	k.lastProbe = time.Time{}
+}
+
+func (c *Controller) contactOf(id string) *contact {
 	k := c.contacts[id]
 	if k == nil {
 		k = &contact{}
 		c.contacts[id] = k
 	}
+	return k
+}
+
+// startProbe starts a probe of the endpoint. It does nothing if the endpoint is unknown or was found to be absent from its
+// address, if a probe of it is in progress or recent, or if the limit is reached.
+func (c *Controller) startProbe(ctx context.Context, snapshot *endpoint.Snapshot, id string, now time.Time) {
+	k := c.contactOf(id)
 	e := snapshot.Endpoints[id]
 	if gone, ok := snapshot.Gone[id]; ok && e == nil {
 		e = gone.Endpoint
--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/route"
@@ -254,3 +255,26 @@
 	c.publishGroups()
 	qt.Check(t, calls, qt.Equals, 1)
 }
+
+// joinLosingEngine answers probes but no joins.
+type joinLosingEngine struct{ probed chan string }
+
+func (e *joinLosingEngine) Probe(_ context.Context, x *endpoint.Endpoint) ProbeResult {
+	e.probed <- x.ID
+	return Answered
+}
+func (e *joinLosingEngine) Order(context.Context, Order) Outcome { return Unknown }
+
+// A dead member was found only when its plan had run out of time, because a join without an answer led to no probe.
+func TestUnansweredJoinIsFollowedByAProbe(t *testing.T) {
+	e := &joinLosingEngine{make(chan string, 8)}
+	c := newTestController(e, func(time.Time) (int64, time.Time, bool) { return 1, clock.Now().Add(time.Hour), true })
+	p := NewPlanner(1, clock.Now())
+	c.planners["lm"] = p
+	c.executeOrder(context.Background(), p, Order{Kind: Join, Endpoint: &endpoint.Endpoint{ID: "a"}, Group: "g"})
+	qt.Check(t, c.contacts["a"].FailedSince.IsZero(), qt.IsFalse)
+	c.mu.Lock()
+	c.startProbe(context.Background(), c.Directory.Read(), "a", clock.Now())
+	c.mu.Unlock()
+	qt.Check(t, <-e.probed, qt.Equals, "a")
+}
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -14,6 +14,9 @@
 	// openTimeout is how long a head that has accepted the order to open may take until it is listed as open: 300 ms by
 	// the published figures, plus joinGrace for the listing to arrive.
 	openTimeout = 300*time.Millisecond + joinGrace
+	// joinAnswerTimeout is how long after its join a member that answers neither the join nor a probe keeps the plan alive. A
+	// live endpoint answers within tens of milliseconds, or after some 200 ms if a packet was lost.
+	joinAnswerTimeout = 500 * time.Millisecond
 )
 
 // plan is a group whose members this tenure has ordered to join.
@@ -90,12 +93,16 @@
 	}
 	for _, m := range pl.members {
 		e, listed := v.Snapshot.Endpoints[m.ID]
+		unanswered := v.unansweredFor(m.ID)
+		if unanswered > 0 {
+			p.requestProbe(m.ID)
+		}
 		switch {
 		case !listed:
 			return "a member is no longer listed"
 		case e.Draining:
 			return "a member is leaving"
-		case v.isDown(m.ID):
+		case v.isDown(m.ID), !pl.joined[m.ID] && unanswered >= joinAnswerTimeout:
 			return "a member does not answer"
 		}
 	}
--- a/internal/formation/plan_test.go
+++ b/internal/formation/plan_test.go
@@ -56,3 +56,45 @@
 	s.plansAfter(openTimeout, p)
 	qt.Check(t, p.ended, qt.HasLen, 1)
 }
+
+// A plan with a dead member kept the other members from serving until its deadline, seconds later.
+func TestPlanWithASilentMemberIsAbandonedSoon(t *testing.T) {
+	s, p, joins := newPlannedGroup(t)
+	ordered := s.now
+	p.RecordOutcome(joins[0], Accepted, s.now)
+	p.RecordOutcome(joins[1], Unknown, s.now)
+	silent := joins[1].Endpoint.ID
+	step := func(d time.Duration) []string {
+		s.now = s.now.Add(d)
+		v := s.view()
+		v.Contacts = map[string]Contact{silent: {FailedSince: ordered}}
+		_, probe := p.Step(v)
+		return probe
+	}
+	probe := step(joinAnswerTimeout - time.Millisecond)
+	qt.Check(t, p.plans, qt.HasLen, 1, qt.Commentf("the answer may be late because of a lost packet"))
+	qt.Check(t, probe, qt.Contains, silent)
+	step(time.Millisecond)
+	qt.Check(t, p.plans, qt.HasLen, 0)
+}
+
+// Survivors of a broken group are often dead too. Three plans in a row, each with another dead survivor, kept a group of
+// sixteen from serving for eight seconds.
+func TestPlanLeavesOutEndpointsThatDidNotAnswer(t *testing.T) {
+	s := &fleetListing{demand: map[string]int{"big": 1, "small": 20}}
+	silent := s.add("d1", "small", "")
+	s.add("d1", "small", "")
+	p := s.newSettledPlanner()
+	v := s.view()
+	v.Contacts = map[string]Contact{silent.ID: {FailedSince: s.now}}
+	p.Step(v)
+	qt.Check(t, p.plans, qt.HasLen, 0, qt.Commentf("one of two endpoints did not answer its last probe"))
+	s.add("d1", "small", "")
+	v = s.view()
+	v.Contacts = map[string]Contact{silent.ID: {FailedSince: s.now}}
+	p.Step(v)
+	qt.Assert(t, p.plans, qt.HasLen, 1)
+	for _, pl := range p.plans {
+		qt.Check(t, slices.Contains(pl.memberIDs(), silent.ID), qt.IsFalse)
+	}
+}
--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -66,6 +66,15 @@
 	return c.Refused || v.Now.Sub(c.FailedSince) >= needed
 }
 
+// unansweredFor returns how long the endpoint has not answered; zero if it answered the last probe or was not probed.
+func (v *View) unansweredFor(id string) time.Duration {
+	c, ok := v.Contacts[id]
+	if !ok || c.FailedSince.IsZero() {
+		return 0
+	}
+	return max(v.Now.Sub(c.FailedSince), 1)
+}
+
 // isDead reports whether the endpoint has certainly ended.
 func (v *View) isDead(id string) bool {
 	if v.Snapshot.Gone[id].Restarted {
