Cut callers that accept nothing within half of the endpoints' stall time

Cause: a write deadline of 30 s over the whole answer let a caller that does not read hold its endpoint's response for 30 s, where endpoints abort after some seconds, and cut answers of more than 30 s to callers that read.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -180,6 +180,9 @@
 		}
 		handler.ServeHTTP(w, r)
 	}))
+	if n.listeners.caller != nil {
+		n.listeners.caller = n.platform.Listener(callers, n.listeners.caller)
+	}
 	registry := newHTTP(n.platform.Registry(n.addresses, n.settings.AddressLifetime()))
 	readiness := newHTTP(n.platform.Readiness(n.ready))
 	var g errgroup.Group
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -53,6 +53,10 @@
 	// for three intervals is removed.
 	EndpointBeatMS int `json:"endpoint_beat_ms,omitempty"`
 
+	// StallMS is the time after which endpoints abort a response that is not read. A caller that accepts nothing is cut
+	// within half of it.
+	StallMS int `json:"stall_ms,omitempty"`
+
 	GraceMS            int     `json:"grace_ms"` // from the stop signal until the process is killed
 	AddressLifetimeMS  int     `json:"address_lifetime_ms"`
 	RepeatRatio        float64 `json:"repeat_ratio"`
@@ -64,7 +68,7 @@
 	FailureLinesSecond float64 `json:"failure_lines_per_second,omitempty"`
 }
 
-var gatewayDefaults = Gateway{CredentialProofRequired: true, Capacity: 1, EndpointBeatMS: 1200, LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
+var gatewayDefaults = Gateway{CredentialProofRequired: true, Capacity: 1, EndpointBeatMS: 1200, StallMS: 5000, LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
 
 // ReadGateway reads and validates the file. The error lists all invalid fields.
 func ReadGateway(file string) (*Gateway, error) {
@@ -109,6 +113,9 @@
 // EndpointBeat returns the interval at which endpoints rewrite their entries.
 func (s *Gateway) EndpointBeat() time.Duration { return millis(s.EndpointBeatMS) }
 
+// Stall returns the time after which endpoints abort a response that is not read.
+func (s *Gateway) Stall() time.Duration { return millis(s.StallMS) }
+
 // Grace returns the time from the stop signal until the process is killed.
 func (s *Gateway) Grace() time.Duration { return millis(s.GraceMS) }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -46,3 +47,18 @@
 		}
 	})
 }
+
+const validGateway = `{"vm":"vm-1","data_centre":"z1","region":"r1","caller_address":"10.0.0.1:1","readiness_address":"10.0.0.1:2",
+"registry_address":"10.0.0.1:3","peer_address":"10.0.0.1:4","store_address":"10.0.0.1:5","credential_proof_ms":2000,"grace_ms":5000,
+"address_lifetime_ms":1000,"repeat_ratio":0.2,"repeat_slack":5,"repeat_window_ms":10000}`
+
+// Guards against a stall time that cuts every caller, or none.
+func TestStallTimeIsChecked(t *testing.T) {
+	s, err := settings.ParseGateway("s.json", []byte(validGateway))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.Stall(), qt.Equals, 5*time.Second)
+	for _, value := range []string{"0", "-1", "199", "600001", `"5s"`} {
+		_, err := settings.ParseGateway("s.json", []byte(strings.Replace(validGateway, `{`, `{"stall_ms":`+value+`,`, 1)))
+		qt.Check(t, err, qt.ErrorMatches, `(?s)s\.json: .*/stall_ms.*`, qt.Commentf(value))
+	}
+}
