Bound what a node holds for callers and endpoints by its VM's memory

Cause: request bodies, answers read whole and unread events were counted nowhere; a node with many callers that do not read could outgrow its VM. Change: readers.Budget counts them for each request and in total. Beyond the total a new request is refused as not run with a time to come back, and the callers that have read nothing for the longest time are cut until there is room; beyond its part a request is refused (413), and an answer of an endpoint fails as one over 8 MB did. Settings memory_mb (without it the bytes are only counted), held_share and held_request_share.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// Size returns the size of the buffer of events that have not been returned, in bytes.
+func (r *Reader) Size() int { return cap(r.buffer) }
+
 // Fill reads more of the stream. It invalidates the events returned before.
 func (r *Reader) Fill() error {
 	r.buffer = append(r.buffer[:0], r.buffer[r.start:]...)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,6 +83,15 @@
 	a.serveCall(ctx)
 }
 
+// Refuse refuses a request through x without serving it. The time to come back is extended by jitter, so that callers that are
+// refused together do not come back together.
+func (g *Gateway) Refuse(r *Request, x Exchange, refusal Refusal) {
+	a := &activeRequest{gateway: g, request: r, exchange: x, requestLog: g.RequestLog(r.ID)}
+	defer a.finish()
+	refusal.RetryAfter = addJitter(refusal.RetryAfter)
+	a.refuse(refusal)
+}
+
 // admit sets the request's route, workspace and service, or returns the refusal if one of them cannot be determined.
 func (g *Gateway) admit(a *activeRequest) *Refusal {
 	table := g.Table()
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -31,6 +31,8 @@
 	Callers func(g *gateway.Gateway, limits func() route.Limits, leaving func() bool) http.Handler
 	// Listener prepares the server of callers and returns the listener that it is to serve instead of l.
 	Listener func(s *http.Server, l net.Listener) net.Listener
+	// Held returns the bytes held for callers and endpoints.
+	Held func() int64
 	// Registry returns the handler that answers which addresses callers of a data centre should use, and for how long.
 	Registry func(addresses func(dataCentre string) []string, lifetime time.Duration) http.Handler
 	// Readiness returns the handler that answers whether this node accepts new callers.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -57,6 +57,14 @@
 	// within half of it.
 	StallMS int `json:"stall_ms,omitempty"`
 
+	// MemoryMB is the memory of the VM that this process may use, in MB (2^20 bytes). Without it nothing that is held for callers
+	// and endpoints is bounded in total.
+	MemoryMB int `json:"memory_mb,omitempty"`
+	// HeldShare is the part of the memory that may be held for callers and endpoints, and HeldRequestShare the part of that for
+	// one request.
+	HeldShare        float64 `json:"held_share,omitempty"`
+	HeldRequestShare float64 `json:"held_request_share,omitempty"`
+
 	GraceMS            int     `json:"grace_ms"` // from the stop signal until the process is killed
 	AddressLifetimeMS  int     `json:"address_lifetime_ms"`
 	RepeatRatio        float64 `json:"repeat_ratio"`
@@ -68,7 +76,13 @@
 	FailureLinesSecond float64 `json:"failure_lines_per_second,omitempty"`
 }
 
-var gatewayDefaults = Gateway{CredentialProofRequired: true, Capacity: 1, EndpointBeatMS: 1200, StallMS: 5000, LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20}
+// gatewayDefaults holds the values of settings that the file omits. A third of the memory held for requests becomes more than half
+// of it with what the garbage collector leaves between two runs (GOGC 60), and the process needs the rest itself. A quarter of
+// that for one request is 8 MB, the longest answer read whole, from 100 MB of memory on.
+var gatewayDefaults = Gateway{
+	CredentialProofRequired: true, Capacity: 1, EndpointBeatMS: 1200, StallMS: 5000, HeldShare: 0.33, HeldRequestShare: 0.25,
+	LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20,
+}
 
 // ReadGateway reads and validates the file. The error lists all invalid fields.
 func ReadGateway(file string) (*Gateway, error) {
@@ -116,6 +130,12 @@
 // Stall returns the time after which endpoints abort a response that is not read.
 func (s *Gateway) Stall() time.Duration { return millis(s.StallMS) }
 
+// HeldBytes returns how much may be held for callers and endpoints, in bytes; 0 is no limit.
+func (s *Gateway) HeldBytes() int64 { return int64(s.HeldShare * float64(s.MemoryMB<<20)) }
+
+// HeldRequestBytes returns how much may be held for one request, in bytes; 0 is no limit.
+func (s *Gateway) HeldRequestBytes() int64 { return int64(s.HeldRequestShare * float64(s.HeldBytes())) }
+
 // Grace returns the time from the stop signal until the process is killed.
 func (s *Gateway) Grace() time.Duration { return millis(s.GraceMS) }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -52,6 +52,24 @@
 "registry_address":"10.0.0.1:3","peer_address":"10.0.0.1:4","store_address":"10.0.0.1:5","credential_proof_ms":2000,"grace_ms":5000,
 "address_lifetime_ms":1000,"repeat_ratio":0.2,"repeat_slack":5,"repeat_window_ms":10000}`
 
+// Guards against a budget where no memory is configured, and against shares that leave no memory to the process.
+func TestMemoryBudgetFollowsTheVMsMemory(t *testing.T) {
+	s, err := settings.ParseGateway("s.json", []byte(validGateway))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.HeldBytes(), qt.Equals, int64(0))
+	with := func(fields string) []byte { return []byte(strings.Replace(validGateway, `{`, `{`+fields+`,`, 1)) }
+	s, err = settings.ParseGateway("s.json", with(`"memory_mb":200,"held_share":0.5`))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.HeldBytes(), qt.Equals, int64(100<<20))
+	qt.Check(t, s.HeldRequestBytes(), qt.Equals, int64(25<<20))
+	for _, f := range []struct{ name, value string }{
+		{"memory_mb", "0"}, {"memory_mb", "15"}, {"memory_mb", "1.5"}, {"held_share", "0"}, {"held_share", "1"}, {"held_request_share", "1.1"},
+	} {
+		_, err := settings.ParseGateway("s.json", with(`"`+f.name+`":`+f.value))
+		qt.Check(t, err, qt.ErrorMatches, `(?s)s\.json: .*/`+f.name+`.*`, qt.Commentf(f.value))
+	}
+}
+
 // Guards against a stall time that cuts every caller, or none.
 func TestStallTimeIsChecked(t *testing.T) {
 	s, err := settings.ParseGateway("s.json", []byte(validGateway))
