Metrics and a log line for callers that are cut because they do not read

Cause: a cut caller was not told apart from one that disconnected by itself, and what a node holds was not visible.

--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -9,6 +9,7 @@
 	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/quarantine"
+	"moorrun.dev/moorrun/internal/readers"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
 	"moorrun.dev/moorrun/internal/verdict"
@@ -88,6 +89,18 @@
 	a.exchange.Refuse(r)
 }
 
+// recordWriteError counts and logs a caller that was cut because it does not read. It ignores other errors, and nil. The line
+// is among those of a request that was unsuccessful, whose rate is limited.
+func (a *activeRequest) recordWriteError(err error) {
+	reason := readers.CutReason(err)
+	if reason == "" {
+		return
+	}
+	a.unsuccessful = true
+	a.gateway.metrics.callersCut[reason].Inc(1)
+	a.log("caller cut", true, "reason", reason, "route", a.route.Name, "workspace", a.workspace.Name, "last", a.lastID)
+}
+
 // acquire returns a place for the next attempt, unless the request is held back. It checks for that again after the wait for
 // the place.
 func (a *activeRequest) acquire(ctx context.Context) (*picker.Place, error) {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -65,6 +65,7 @@
 	}
 	err = a.exchange.WriteAnswer(reply, body)
 	a.delivery.record(now)
+	a.recordWriteError(err)
 	a.unsuccessful = err != nil || head.Status >= minServerErrorStatus
 	a.gateway.metrics.recordAnswer(head.Status, now.Sub(a.request.Received))
 	a.log("answered", err != nil, "endpoint", place.Endpoint.ID, "status", head.Status, "sends", a.sends,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -43,6 +43,7 @@
 	events   []string
 	refusal  *gateway.Refusal
 	aborted  bool
+	writeErr error // returned by WriteAnswer and WriteEvent
 }
 
 type reply struct {
@@ -61,15 +62,18 @@
 
 func (x *exchange) WriteAnswer(r gateway.Reply, body []byte) error {
 	x.status, x.body = r.(*reply).script.head.Status, string(body)
-	return nil
+	return x.writeErr
 }
 func (x *exchange) BeginStream(r gateway.Reply) error {
 	x.status = r.(*reply).script.head.Status
 	return nil
 }
-func (x *exchange) WriteEvent(e gateway.Event) error { x.events = append(x.events, e.ID); return nil }
-func (x *exchange) Refuse(r gateway.Refusal)         { x.refusal = &r }
-func (x *exchange) Abort()                           { x.aborted = true }
+func (x *exchange) WriteEvent(e gateway.Event) error {
+	x.events = append(x.events, e.ID)
+	return x.writeErr
+}
+func (x *exchange) Refuse(r gateway.Refusal) { x.refusal = &r }
+func (x *exchange) Abort()                   { x.aborted = true }
 
 // waitUntil sleeps until the given time and returns ErrNotYet.
 func waitUntil(until time.Time) error {
@@ -112,6 +116,7 @@
 type testGateway struct {
 	lost    bool // whether the leader reports every group as having lost a member
 	gateway *gateway.Gateway
+	scope   tally.TestScope
 	proof   time.Time
 	table   *route.Table
 	lastLog *requestLog // log of the last request
@@ -134,7 +139,7 @@
 }
 
 func newTestGateway() *testGateway {
-	s := &testGateway{proof: time.Now(), quarantine: quarantine.NewTable(), finding: quarantine.Alive}
+	s := &testGateway{scope: tally.NewTestScope("", nil), proof: time.Now(), quarantine: quarantine.NewTable(), finding: quarantine.Alive}
 	second := time.Second
 	s.table = route.NewTable(1, 1, []*route.Route{
 		{Name: "once", Host: "h", Prefix: "/once/", Kind: route.Once, Timeout: second, Objective: 100 * time.Millisecond, MaxAttempts: 1, Targets: targets("plain")},
@@ -159,7 +164,7 @@
 		Table: func() *route.Table { return s.table }, Proof: func() time.Time { return s.proof }, ProofLimit: 5 * time.Second,
 		Picker:     picker.New(picker.Options{Directory: d, Others: noOthers, Retiring: func(time.Time) map[string]bool { return nil }, Lost: func(string, time.Time) bool { return s.lost }}),
 		Quarantine: s.quarantine, Investigator: s.newInvestigator(d),
-		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() retry.Nodes { return retry.Nodes{All: 1, Busy: 1} }, RequestLog: s.newRequestLog, Scope: tally.NoopScope,
+		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() retry.Nodes { return retry.Nodes{All: 1, Busy: 1} }, RequestLog: s.newRequestLog, Scope: s.scope,
 	})
 	return s
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"moorrun.dev/moorrun/internal/readers"
 )
 
 // metrics counts requests by outcome and measures their times.
@@ -18,14 +20,15 @@
 	stalls             tally.Counter // streams that timed out
 	heldBack           tally.Counter // requests refused because endpoints have ended while they ran them
 	late               tally.Counter // answers that missed an objective
-	firstEvent, answer tally.Timer   // time to the first event of a stream, and to the end of an answer
-	placeWait          tally.Timer   // wait for a place
+	callersCut         map[readers.Reason]tally.Counter
+	firstEvent, answer tally.Timer // time to the first event of a stream, and to the end of an answer
+	placeWait          tally.Timer // wait for a place
 }
 
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{
 		answered: scope.Counter("requests_answered"), failed: scope.Counter("requests_failed_by_endpoint"),
-		refused: make(map[Reason]tally.Counter), cutOff: scope.Counter("answers_broken_off"),
+		refused: make(map[Reason]tally.Counter), callersCut: make(map[readers.Reason]tally.Counter), cutOff: scope.Counter("answers_broken_off"),
 		sends: scope.Counter("sends"), resends: scope.Counter("resends"), sendsLimited: scope.Counter("sends_limited"),
 		sendsPaused: scope.Counter("sends_paused"), pauses: scope.Counter("pauses_asked_for"),
 		stalls:     scope.Counter("stalls"),
@@ -33,6 +36,9 @@
 		late:       scope.Counter("requests_late"),
 		firstEvent: scope.Timer("first_event"), answer: scope.Timer("answer"), placeWait: scope.Timer("queue_wait"),
 	}
+	for _, r := range readers.Reasons {
+		m.callersCut[r] = scope.Tagged(map[string]string{"reason": string(r)}).Counter("callers_cut")
+	}
 	for r := NoRoute; r <= TimedOut; r++ {
 		m.refused[r] = scope.Tagged(map[string]string{"reason": r.String()}).Counter("requests_refused")
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,6 +51,7 @@
 	}
 	if !a.begun {
 		if err := a.exchange.BeginStream(reply); err != nil {
+			a.recordWriteError(err)
 			a.log("caller lost", false, "err", err)
 			return false
 		}
@@ -86,6 +87,7 @@
 		return false
 	}
 	err = a.exchange.WriteAnswer(reply, body)
+	a.recordWriteError(err)
 	a.gateway.metrics.recordAnswer(head.Status, clock.Since(a.request.Received))
 	a.unsuccessful = true
 	a.log("answered", true, "endpoint", place.Endpoint.ID, "status", head.Status, "sends", a.sends, "err", err)
@@ -211,6 +213,7 @@
 		}
 		s.recordEvent(clock.Now())
 		if err := s.active.exchange.WriteEvent(e); err != nil {
+			s.active.recordWriteError(err)
 			return errCallerGone
 		}
 		if e.ID != "" {
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -69,6 +69,7 @@
 		s.Gauge("requests_running").Update(float64(demand.Running))
 		s.Gauge("requests_waiting").Update(float64(demand.Waiting))
 		s.Gauge("groups_suspected").Update(float64(len(status.Suspects)))
+		s.Gauge("held_bytes").Update(float64(n.platform.Held()))
 		s.Gauge("goroutines").Update(float64(runtime.NumGoroutine()))
 	})
 	return nil
