--- a/internal/readers/stall.go
+++ b/internal/readers/stall.go
@@ -26,7 +26,7 @@
 	Interval time.Duration
 }
 
-// NewStall returns the Stall for endpoints with the given stall time.
+// NewStall returns the Stall for endpoints with the given stall time, which must be positive.
 func NewStall(stall time.Duration) Stall {
 	return Stall{Bound: stall * (parts/2 - 1) / parts, Interval: stall / parts}
 }
