window: sliding-window maximum, used by admission

Cause: the planner needs the peak of a model's demand; admission kept its own peak over two fixed windows, which held a value for one to two windows depending on when it fell. Result: go test -race of admission, window and entry passes.

--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -8,6 +8,7 @@
 
 	"moorrun.dev/moorrun/internal/allocator"
 	"moorrun.dev/moorrun/internal/clock"
+	"moorrun.dev/moorrun/internal/window"
 )
 
 const (
@@ -40,10 +41,10 @@
 	}
 }
 
-func (p *pool) queue(workspace string) *queue {
+func (p *pool) queue(workspace string, now time.Time) *queue {
 	q, ok := p.queues[workspace]
 	if !ok {
-		q = &queue{workspace: workspace, groups: make(map[groupKey]*groupPlaces)}
+		q = &queue{workspace: workspace, groups: make(map[groupKey]*groupPlaces), demand: window.NewMax[int](peakDemandSpan, now)}
 		q.waiting.Init()
 		p.queues[workspace] = q
 		p.arrivals[workspace] = &rate{}
@@ -55,10 +56,10 @@
 func (p *pool) enter(r Request, now time.Time) (*Place, *waiter, *Refusal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	q := p.queue(r.Workspace)
+	q := p.queue(r.Workspace, now)
 	q.lastArrival = now
 	p.arrivals[r.Workspace].add(now)
-	q.demand.add(q.waiting.Len()+q.running()+1, now)
+	q.demand.Add(q.waiting.Len()+q.running()+1, now)
 	w := &waiter{ready: make(chan *Place, 1), avoid: r.Avoid, prefer: r.Prefer, priority: r.Priority, maxWait: r.Timeout - q.meanHold}
 	if p.lengthOnly {
 		w.maxWait = r.Timeout
@@ -252,7 +253,7 @@
 				d.Running = append(d.Running, allocator.Places{Group: key.group, Birth: key.birth, Count: s.running})
 			}
 		}
-		d.Reserve = max(0, q.demand.value(now)-d.Waiting-q.running())
+		d.Reserve = max(0, q.demand.Value(now)-d.Waiting-q.running())
 		idle := now.Sub(q.lastArrival) > idleAfter
 		if !idle {
 			d.Spare = 1 + int(p.arrivals[name].value(now)*spareWindow.Seconds())
@@ -281,7 +282,7 @@
 		}
 	}
 	for _, w := range g.Workspaces {
-		q := p.queue(w.Workspace)
+		q := p.queue(w.Workspace, now)
 		for _, places := range w.Limits {
 			key := groupKey{places.Group, places.Birth}
 			s, ok := q.groups[key]
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -6,8 +6,12 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/allocator"
+	"moorrun.dev/moorrun/internal/window"
 )
 
+// peakDemandSpan is how long a workspace's highest demand is kept. All places of an idle workspace are lent after it.
+const peakDemandSpan = 1500 * time.Millisecond
+
 // queue holds the waiting requests of one workspace for one model, and its places.
 type queue struct {
 	workspace   string
@@ -16,7 +20,7 @@
 	rate        rate          // at which places become free
 	meanHold    time.Duration // moving average of how long a request keeps its place
 	lastArrival time.Time
-	demand      peak // peak number of requests waiting and running
+	demand      *window.Max[int] // peak number of requests waiting and running
 }
 
 // meanHoldRequests is the number of requests over which the holding time is averaged.
--- a/internal/window/counter.go
+++ b/internal/window/counter.go
@@ -1,4 +1,4 @@
-// Package window counts events in a sliding time window.
+// Package window counts events, and keeps the highest value, in a sliding time window.
 package window
 
 import "time"
