formation: conversions judge the donor by its peak demand

Cause: in the trough of a wave the pressure of both models is low, so the planner ended groups of one model for the other that the next peak needed; bringing them back takes a load of 12 to 16 s for every endpoint. Change: the planner keeps the highest number of groups needed by each model within the longest load time. A conversion is allowed if the donor stays within its limits at the peaks of both models, or if it does at present and keeps every group that its peak needs. The simulation can give loads, joins and remaining requests their time.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -48,7 +48,7 @@
 	p := NewPlanner(2, origin)
 	s.now = origin.Add(2 * firstLoadDelay)
 	for model, n := range s.demand {
-		p.demand[model] = float64(n)
+		p.demand.requests[model] = float64(n)
 	}
 	return p
 }
--- /dev/null
+++ b/internal/formation/conversion.go
@@ -0,0 +1,58 @@
+package formation
+
+import (
+	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/route"
+)
+
+const (
+	// conversionPressure is the pressure from which a model gets members of another model's groups.
+	conversionPressure = 0.55
+	// maxDonorPressure is the highest pressure that the model giving up groups may have afterwards.
+	maxDonorPressure = 0.8
+	// donorPressureRatio limits the pressure of the donor afterwards, as a fraction of the recipient's pressure. When both
+	// are under pressure, a group that switches back and forth serves neither for two seconds each time. The limit may be
+	// exceeded as long as the donor stays below the recipient's new pressure: where a group of sixteen has lost one
+	// member, the fifteen that are left can serve again with four endpoints of the other model.
+	donorPressureRatio = 0.75
+)
+
+// conversion is the end of some groups of one model, the donor, for a group of another, the recipient.
+type conversion struct {
+	recipient, donor               route.Model
+	groups                         []*endpoint.Group
+	recipientPresent, donorPresent pressures // by the need at present
+	recipientPeak, donorPeak       pressures // by the highest need within one load time
+}
+
+// pressures are the pressures of a model before and after a conversion.
+type pressures struct{ before, after float64 }
+
+// newConversion returns the conversion of the donor's groups. expected and have count endpoints by model, with and without
+// the conversions under way.
+func (p *Planner) newConversion(v *View, recipient, donor route.Model, groups []*endpoint.Group, expected, have map[string]int) *conversion {
+	removed := len(groups) * donor.Size
+	added := max(1, removed/recipient.Size) * recipient.Size
+	after := map[string]int{recipient.Name: expected[recipient.Name] + added, donor.Name: have[donor.Name] - removed}
+	compare := func(m route.Model, before map[string]int) (present, peak pressures) {
+		now, highest := p.demand.present(v.Service.Engine, m), p.demand.peak(v.Service.Engine, m, v.Now)
+		return pressures{pressureOf(now, m, before), pressureOf(now, m, after)}, pressures{pressureOf(highest, m, before), pressureOf(highest, m, after)}
+	}
+	c := &conversion{recipient: recipient, donor: donor, groups: groups}
+	c.recipientPresent, c.recipientPeak = compare(recipient, expected)
+	c.donorPresent, c.donorPeak = compare(donor, have)
+	return c
+}
+
+// allowed reports whether the recipient needs the groups and the donor can do without them. What a conversion gives up can
+// be restored only by a load, so the donor's peak within one load time counts: groups ended between two waves, while both
+// models had few requests, were missing 8 s later. Either the donor stays within its limit at the peaks of both models, or
+// it does at present and still has every group that its peak needs.
+func (c *conversion) allowed() bool {
+	return withinLimit(c.recipientPeak, c.donorPeak) || withinLimit(c.recipientPresent, c.donorPresent) && c.donorPeak.after <= 1
+}
+
+// withinLimit reports whether the recipient's pressure is high enough, and that of the donor low enough, for a conversion.
+func withinLimit(recipient, donor pressures) bool {
+	return recipient.before >= conversionPressure && donor.after <= min(maxDonorPressure, max(donorPressureRatio*recipient.before, recipient.after))
+}
--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -15,15 +15,6 @@
 	conversionInterval = 600 * time.Millisecond
 	// highPressure is the pressure from which a model gets free endpoints before a model that is not in need.
 	highPressure = 0.7
-	// maxDonorPressure is the highest pressure that the model giving up groups may have afterwards.
-	maxDonorPressure = 0.8
-	// conversionPressure is the pressure from which a model gets members of another model's groups. donorPressureRatio
-	// limits the pressure of that other model afterwards, as a fraction of the first model's pressure. When both are
-	// under pressure, a group that switches back and forth serves neither for two seconds each time. The limit may be
-	// exceeded as long as the donor stays below the recipient's new pressure: where a group of sixteen has lost one
-	// member, the fifteen that are left can serve again with four endpoints of the other model.
-	conversionPressure = 0.55
-	donorPressureRatio = 0.75
 	// reservationDuration is how long the free endpoints of a domain are reserved for the model that they were freed
 	// for.
 	reservationDuration = 5 * time.Second
@@ -43,19 +34,12 @@
 	}
 	recipient, donor := models[0], models[len(models)-1]
 	expected := p.withPendingConversions(v, have)
-	need := p.pressure(v, recipient, expected)
-	if need < conversionPressure {
-		return
-	}
 	chosen := p.groupsToConvert(v, free, recipient, donor)
 	if len(chosen) == 0 {
 		return
 	}
-	removed := len(chosen) * donor.Size
-	donorAfter := p.pressure(v, donor, map[string]int{donor.Name: have[donor.Name] - removed})
-	added := max(1, removed/recipient.Size) * recipient.Size
-	recipientAfter := p.pressure(v, recipient, map[string]int{recipient.Name: expected[recipient.Name] + added})
-	if donorAfter > min(maxDonorPressure, max(donorPressureRatio*need, recipientAfter)) {
+	c := p.newConversion(v, recipient, donor, chosen, expected, have)
+	if !p.allows(c) {
 		return
 	}
 	p.lastConversion = v.Now
--- a/internal/formation/domain_selection.go
+++ b/internal/formation/domain_selection.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -21,11 +20,11 @@
 // before a load ordered when the need arises has ended. Giving every endpoint of a large fleet a second model would
 // have no benefit.
 func convertibleEndpoints(e *route.Engine) int {
-	load, size := time.Duration(0), 0
+	size := 0
 	for _, m := range e.Models {
-		load, size = max(load, m.Load), max(size, m.Size)
+		size = max(size, m.Size)
 	}
-	return conversionMargin * int(load/conversionInterval) * size
+	return conversionMargin * int(longestLoad(e)/conversionInterval) * size
 }
 
 // domainSelection is the set of fabric domains whose members should have a second model.
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -44,8 +44,9 @@
 	lastConversion    time.Time              // when groups were last ended for another model
 	leaveOrdered      map[string]time.Time   // last order to leave sent to a free endpoint, by endpoint ID
 	reserved          map[string]reservation // by domain
-	demand            map[string]float64     // moving average of requests, by model
-	prefillGroups     map[string]float64     // least number of replica groups that can read a model's prompts in time, by model
+	demand            *demand
+	// allows reports whether a conversion may be carried out. It is a field so that a test can compare other rules.
+	allows func(*conversion) bool
 
 	endpointCount        int       // endpoints of the service at the last step
 	endpointCountChanged time.Time // when endpointCount last changed
@@ -61,7 +62,7 @@
 	return &Planner{
 		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement), commitments: newCommitments(),
 		ended: make(map[string]time.Time), lostAt: make(map[string]time.Time), firstSeen: make(map[string]time.Time), seenComplete: make(map[string]bool),
-		stagings: make(map[string]staging), surveyed: make(map[string]bool), toProbe: make(map[string]bool), demand: make(map[string]float64), prefillGroups: make(map[string]float64), reserved: make(map[string]reservation), leaveOrdered: make(map[string]time.Time),
+		stagings: make(map[string]staging), surveyed: make(map[string]bool), toProbe: make(map[string]bool), demand: newDemand(), reserved: make(map[string]reservation), leaveOrdered: make(map[string]time.Time), allows: (*conversion).allowed,
 	}
 }
 
@@ -90,7 +91,7 @@
 	if v.CurrentAt.Before(p.started) {
 		return nil, nil
 	}
-	p.updateDemand(v)
+	p.demand.update(v.Service.Engine, v.Demand, v.Mixes, v.Now)
 	p.advancePlans(v)
 	p.reviewGroups(v)
 	p.advanceRetirements(v)
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -32,6 +32,8 @@
 	maxEpoch        int64     // highest epoch of an accepted join
 	readyAt         time.Time // when the join in progress ends
 	firstUnanswered time.Time // first unanswered probe of the leader
+	loading         string    // model being loaded onto the host
+	loadedAt        time.Time // when that load ends
 }
 
 // pendingOrder is an order on its way to an endpoint.
@@ -46,6 +48,7 @@
 type simulation struct {
 	domainSize int // endpoints in a domain; 0 puts all into one domain
 	busy       bool
+	timed      bool // loads, joins and the end of requests take their time, not none
 	demand     map[string]int
 	now        time.Time
 	service    *route.Service
@@ -120,8 +123,16 @@
 			x.Revision++
 		}
 	case Stage:
-		x.Staged = []string{o.Model}
-		x.Revision++
+		switch {
+		case x.loading != "":
+			return Refused
+		case w.timed:
+			model, _ := w.service.Engine.Model(o.Model)
+			x.loading, x.loadedAt = o.Model, w.now.Add(model.Load)
+		default:
+			x.Staged = []string{o.Model}
+			x.Revision++
+		}
 	}
 	return Accepted
 }
@@ -139,8 +150,11 @@
 	w.members[key(o.Group, o.Epoch)] = o.Members
 	x.Membership = &endpoint.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, x.ID), State: endpoint.Joining}
 	x.Revision++
-	x.Models = []string{o.Model}
 	x.readyAt = w.now.Add(300 * time.Millisecond)
+	if model, _ := w.service.Engine.Model(o.Model); w.timed && !x.HasLoaded(o.Model) {
+		x.readyAt = w.now.Add(model.Warm)
+	}
+	x.Models = []string{o.Model}
 	return Accepted
 }
 
@@ -155,6 +169,10 @@
 func (w *simulation) advance(d time.Duration) {
 	w.now = w.now.Add(d)
 	for _, x := range w.endpoints {
+		if x.loading != "" && !w.now.Before(x.loadedAt) {
+			x.Staged, x.loading = []string{x.loading}, ""
+			x.Revision++
+		}
 		m := x.Membership
 		if x.up && m != nil && m.State == endpoint.Joining && !w.now.Before(x.readyAt) {
 			w.setState(x, endpoint.Ready)
@@ -206,6 +224,9 @@
 		if !x.up && x.Membership != nil {
 			v.SuspectGroups[x.Membership.Group] = true
 		}
+		if w.timed && x.Membership != nil && x.Membership.Rank == 0 {
+			v.Loads[id] = 1
+		}
 	}
 	return v
 }
--- a/internal/formation/summary.go
+++ b/internal/formation/summary.go
@@ -25,7 +25,7 @@
 			open++
 			load += v.Loads[g.Head.ID]
 		}
-		p.note("supply", "", "model", m.Name, "open", open, "requests", load, "endpoints", have[m.Name], "readers", p.prefillGroups[m.Name],
+		p.note("supply", "", "model", m.Name, "open", open, "requests", load, "endpoints", have[m.Name], "readers", p.demand.prefillGroups[m.Name],
 			"pressure", p.pressure(v, m, have))
 	}
 	free, cold := 0, 0
--- a/internal/formation/survey.go
+++ b/internal/formation/survey.go
@@ -32,16 +32,8 @@
 		}
 		p.surveyed[e.ID] = true
 		if c.Busy && (e.Membership == nil || e.Membership.State != endpoint.Joining) {
-			p.stagings[e.ID] = staging{since: v.Now, until: v.Now.Add(p.longestLoad(v) + stageGrace)}
+			p.stagings[e.ID] = staging{since: v.Now, until: v.Now.Add(longestLoad(v.Service.Engine) + stageGrace)}
 			p.note("found a model load started by an earlier leader", "", "endpoint", e.ID)
 		}
 	}
 }
-
-func (p *Planner) longestLoad(v *View) time.Duration {
-	longest := time.Duration(0)
-	for _, m := range v.Service.Engine.Models {
-		longest = max(longest, m.Load)
-	}
-	return longest
-}
