formation: nodes that may lead follow the demand; new leaders are careful

Cause: a new leader knew neither the average nor the peak of the demand, and could end groups in the trough of a wave that the next peak needed. The moving average also depended on the length of a step, which orders and probes shorten. Change: relays update the demand every 240 ms while they do not plan, and the planner of a new tenure takes it over. A node that is no relay forgets it. Until requests have been observed for one load time, a conversion is allowed only if twice the donor's present pressure stays within the limit. The average has a time constant of 1 s and starts at the first value.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -42,11 +42,12 @@
 	}
 }
 
-// newSettledPlanner returns a planner whose tenure is old enough to order loads and conversions and whose moving average
-// of the demand has settled.
+// newSettledPlanner returns a planner whose tenure is old enough to order loads and conversions, and which has observed the
+// demand for longer than a load.
 func (s *fleetListing) newSettledPlanner() *Planner {
 	p := NewPlanner(2, origin)
 	s.now = origin.Add(2 * firstLoadDelay)
+	p.demand.since, p.demand.updated = origin.Add(-time.Hour), s.now
 	for model, n := range s.demand {
 		p.demand.requests[model] = float64(n)
 	}
--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -11,8 +11,6 @@
 
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
-	"moorrun.dev/moorrun/internal/engine"
-	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/route"
 )
@@ -51,9 +49,11 @@
 	mu           sync.Mutex
 	epoch        int64               // of the last tenure
 	planners     map[string]*Planner // by service name
+	demands      map[string]*demand  // by service name; kept across tenures
 	contacts     map[string]*contact // by endpoint ID
 	activeProbes int                 // probes in progress
 	orderSlots   chan struct{}       // holds an element for each order in progress
+	followedAt   time.Time           // last update of demands while planning nothing
 	trafficSeen  bool                // some node has received a request
 	currentSince time.Time           // since when the list has been current without an outage of the store; zero if it is not current
 	wake         chan struct{}
@@ -68,7 +68,7 @@
 
 // NewController returns a Controller.
 func NewController(o Options) *Controller {
-	return &Controller{Options: o, planners: make(map[string]*Planner), contacts: make(map[string]*contact), orderSlots: make(chan struct{}, maxConcurrentOrders), wake: make(chan struct{}, 1)}
+	return &Controller{Options: o, planners: make(map[string]*Planner), demands: make(map[string]*demand), contacts: make(map[string]*contact), orderSlots: make(chan struct{}, maxConcurrentOrders), wake: make(chan struct{}, 1)}
 }
 
 // Wake triggers a step without waiting for the interval.
@@ -139,6 +139,7 @@
 	defer c.publishGroups()
 	c.trackListAge(now)
 	if !ok || table == nil || now.Sub(c.ListedAsOf()) > MaxListAge || until.Sub(now) < orderTimeout {
+		c.followDemand(table, ok, now)
 		return
 	}
 	for _, s := range table.Engines() {
@@ -146,6 +147,7 @@
 		if p == nil {
 			p = NewPlanner(epoch, now)
 			p.Note = c.logDecision
+			p.demand = c.demandOf(s.Name)
 			c.planners[s.Name] = p
 		}
 		v := c.view(s, now)
@@ -181,25 +183,18 @@
 func (c *Controller) view(s *route.Service, now time.Time) *View {
 	v := &View{
 		Now: now, CurrentAt: c.ListedAsOf(), CurrentSince: c.currentSince, WriteInterval: c.WriteInterval, Service: s, Snapshot: c.Directory.Read(), Contacts: make(map[string]Contact),
-		Loads: make(map[string]int), SuspectGroups: make(map[string]bool), Demand: make(map[string]int),
-		Mixes: make(map[string]engine.Mix),
+		Loads: make(map[string]int), SuspectGroups: make(map[string]bool),
 	}
 	for id, k := range c.contacts {
 		v.Contacts[id] = k.Contact
 	}
-	total := gossip.NewTotals()
-	total.AddTotals(c.PeerTotals(now))
-	own := c.OwnStatus(now)
-	total.Add(&own)
+	total := c.fleetTotals(now)
 	for id := range v.Snapshot.Endpoints {
 		if n := total.Loads.At(id); n > 0 {
 			v.Loads[id] = n
 		}
 	}
-	for model, d := range total.Demands {
-		v.Demand[model] = d.Running + d.Waiting
-		v.Mixes[model] = d.Mix
-	}
+	v.Demand, v.Mixes = demandByModel(total)
 	for group := range total.Suspects {
 		v.SuspectGroups[group] = true
 	}
--- a/internal/formation/conversion.go
+++ b/internal/formation/conversion.go
@@ -23,11 +23,14 @@
 	groups                         []*endpoint.Group
 	recipientPresent, donorPresent pressures // by the need at present
 	recipientPeak, donorPeak       pressures // by the highest need within one load time
+	peakKnown                      bool      // the requests have been observed for one load time
 }
 
 // pressures are the pressures of a model before and after a conversion.
 type pressures struct{ before, after float64 }
 
+func (p pressures) doubled() pressures { return pressures{2 * p.before, 2 * p.after} }
+
 // newConversion returns the conversion of the donor's groups. expected and have count endpoints by model, with and without
 // the conversions under way.
 func (p *Planner) newConversion(v *View, recipient, donor route.Model, groups []*endpoint.Group, expected, have map[string]int) *conversion {
@@ -38,7 +41,7 @@
 		now, highest := p.demand.present(v.Service.Engine, m), p.demand.peak(v.Service.Engine, m, v.Now)
 		return pressures{pressureOf(now, m, before), pressureOf(now, m, after)}, pressures{pressureOf(highest, m, before), pressureOf(highest, m, after)}
 	}
-	c := &conversion{recipient: recipient, donor: donor, groups: groups}
+	c := &conversion{recipient: recipient, donor: donor, groups: groups, peakKnown: p.demand.peakKnown(v.Now)}
 	c.recipientPresent, c.recipientPeak = compare(recipient, expected)
 	c.donorPresent, c.donorPeak = compare(donor, have)
 	return c
@@ -47,8 +50,12 @@
 // allowed reports whether the recipient needs the groups and the donor can do without them. What a conversion gives up can
 // be restored only by a load, so the donor's peak within one load time counts: groups ended between two waves, while both
 // models had few requests, were missing 8 s later. Either the donor stays within its limit at the peaks of both models, or
-// it does at present and still has every group that its peak needs.
+// it does at present and still has every group that its peak needs. A leader that does not know the peak yet assumes twice
+// the present pressure.
 func (c *conversion) allowed() bool {
+	if !c.peakKnown {
+		return withinLimit(c.recipientPresent, c.donorPresent.doubled())
+	}
 	return withinLimit(c.recipientPeak, c.donorPeak) || withinLimit(c.recipientPresent, c.donorPresent) && c.donorPeak.after <= 1
 }
 
--- a/internal/formation/demand.go
+++ b/internal/formation/demand.go
@@ -1,6 +1,8 @@
 package formation
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"moorrun.dev/moorrun/internal/engine"
@@ -9,8 +11,8 @@
 )
 
 const (
-	// demandSmoothing is the weight of one step's demand in the exponential moving average.
-	demandSmoothing = 0.06
+	// demandSmoothing is the time constant of the exponential moving average of the requests.
+	demandSmoothing = time.Second
 	// minDemand is the least demand assumed for every model, in requests.
 	minDemand = 2
 )
@@ -23,6 +25,8 @@
 	prefillGroups map[string]float64              // least number of replica groups that can read a model's prompts in time
 	peaks         map[string]*window.Max[float64] // of the groups needed
 	span          time.Duration                   // for which the peaks are kept
+	since         time.Time                       // of the first requests observed
+	updated       time.Time
 }
 
 func newDemand() *demand {
@@ -34,8 +38,16 @@
 	if span := longestLoad(e); d.peaks == nil || span != d.span {
 		d.span, d.peaks = span, make(map[string]*window.Max[float64])
 	}
+	weight := 1 - math.Exp(-now.Sub(d.updated).Seconds()/demandSmoothing.Seconds())
+	if d.since.IsZero() {
+		weight = 1 // the average starts at the first value
+		if slices.ContainsFunc(e.Models, func(m route.Model) bool { return requests[m.Name] > 0 }) {
+			d.since = now
+		}
+	}
+	d.updated = now
 	for _, m := range e.Models {
-		d.requests[m.Name] += demandSmoothing * (float64(requests[m.Name]) - d.requests[m.Name])
+		d.requests[m.Name] += weight * (float64(requests[m.Name]) - d.requests[m.Name])
 		d.prefillGroups[m.Name] = prefillGroupsNeeded(e, m, mixes[m.Name])
 		if d.peaks[m.Name] == nil {
 			d.peaks[m.Name] = window.NewMax[float64](d.span, now)
@@ -44,6 +56,11 @@
 	}
 }
 
+// peakKnown reports whether requests have been observed for as long as the peak is kept.
+func (d *demand) peakKnown(now time.Time) bool {
+	return !d.since.IsZero() && now.Sub(d.since) >= d.span
+}
+
 // present returns the number of groups that the model needs now: enough to give every request a slot, including waiting
 // ones, and to read the prompts within the objective.
 func (d *demand) present(e *route.Engine, m route.Model) float64 {
--- a/internal/formation/options.go
+++ b/internal/formation/options.go
@@ -25,6 +25,9 @@
 	PeerTotals  func(now time.Time) *gossip.Totals // loads and suspected groups of the other nodes
 	OwnStatus   func(now time.Time) gossip.Status  // loads and suspected groups of this node
 	Busy        func() bool                        // whether a caller has sent a request to this node
+	// MayLead reports whether this node receives the demand of the whole fleet and may become the leader. It then tracks
+	// the demand, so that it knows the peak when it starts to lead. It may be nil.
+	MayLead func() bool
 	// ReachableByPeers asks the other nodes whether they can reach the endpoint.
 	ReachableByPeers func(ctx context.Context, e *endpoint.Endpoint) bool
 	// OnGroupsAdded is called when Retiring or Lost have gained a group; it must not block. It may be nil.
