formation: log and metrics of conversions and of the groups needed

Cause: the log told that groups were ended for another model, but not by which pressures, so a wrong conversion could not be traced. Change: a line conversion with the pressures of both models before and after it, present and at the peak; needed and needed_peak in the line supply; the gauges groups_needed and groups_needed_peak by service and model. Result: go test -race of formation (39 s) and server (58 s) passes.

--- a/internal/formation/conversion.go
+++ b/internal/formation/conversion.go
@@ -63,3 +63,15 @@
 func withinLimit(recipient, donor pressures) bool {
 	return recipient.before >= conversionPressure && donor.after <= min(maxDonorPressure, max(donorPressureRatio*recipient.before, recipient.after))
 }
+
+func (p *Planner) noteConversion(c *conversion) {
+	names := make([]string, len(c.groups))
+	for i, g := range c.groups {
+		names[i] = g.Name
+	}
+	p.note("conversion", "", "recipient", c.recipient.Name, "donor", c.donor.Name, "groups", names, "domain", c.groups[0].Domain,
+		"recipient_before", c.recipientPresent.before, "recipient_after", c.recipientPresent.after,
+		"recipient_peak_before", c.recipientPeak.before, "recipient_peak_after", c.recipientPeak.after,
+		"donor_before", c.donorPresent.before, "donor_after", c.donorPresent.after,
+		"donor_peak_before", c.donorPeak.before, "donor_peak_after", c.donorPeak.after, "peak_known", c.peakKnown)
+}
--- /dev/null
+++ b/internal/formation/conversion_test.go
@@ -0,0 +1,32 @@
+package formation
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Without the pressures at the peak the log does not tell why groups were ended, or why they were missing later.
+func TestConversionIsLoggedWithItsPressures(t *testing.T) {
+	s := &fleetListing{demand: map[string]int{"big": 9, "small": 2}}
+	s.group("a", "d1", "big", "small", 3)
+	s.group("b", "d2", "small", "big", 2)
+	s.group("c", "d2", "small", "big", 2)
+	s.group("d", "d3", "small", "small", 2)
+	p := s.newSettledPlanner()
+	e := testService().Engine
+	p.demand.update(e, s.demand, nil, s.now)
+	p.demand.peaks["small"].Add(0.5, s.now)
+	logged := make(map[string]any)
+	p.Note = func(event, _ string, pairs ...any) {
+		for i := 0; event == "conversion" && i < len(pairs); i += 2 {
+			logged[pairs[i].(string)] = pairs[i+1]
+		}
+	}
+	p.Step(s.view())
+	qt.Check(t, logged, qt.DeepEquals, map[string]any{
+		"recipient": "big", "donor": "small", "groups": []string{"b", "c"}, "domain": "d2",
+		"recipient_before": 0.9, "recipient_after": 0.45, "recipient_peak_before": 0.9, "recipient_peak_after": 0.45,
+		"donor_before": 0.2 / 3, "donor_after": 0.2, "donor_peak_before": 0.5 / 3, "donor_peak_after": 0.5, "peak_known": true,
+	})
+}
--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -44,6 +44,7 @@
 	}
 	p.lastConversion = v.Now
 	p.reserved[chosen[0].Domain] = reservation{recipient.Name, v.Now.Add(reservationDuration)}
+	p.noteConversion(c)
 	for _, g := range chosen {
 		p.retire(v, g.Name, g.Epoch, g.Head, "model "+recipient.Name+" needs its members", drainTimeout)
 	}
--- a/internal/formation/follow_demand.go
+++ b/internal/formation/follow_demand.go
@@ -40,6 +40,34 @@
 	}
 }
 
+// GroupsNeeded is the number of replica groups that a model needs.
+type GroupsNeeded struct {
+	Service, Model string
+	Present, Peak  float64 // now, and at most within the longest load time of the service's models
+}
+
+// GroupsNeeded returns the groups needed by each model, zero where this node does not follow the demand.
+func (c *Controller) GroupsNeeded(now time.Time) []GroupsNeeded {
+	table := c.Table()
+	if table == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []GroupsNeeded
+	for _, s := range table.Engines() {
+		d := c.demands[s.Name]
+		for _, m := range s.Engine.Models {
+			n := GroupsNeeded{Service: s.Name, Model: m.Name}
+			if d != nil {
+				n.Present, n.Peak = d.present(s.Engine, m), d.peak(s.Engine, m, now)
+			}
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // fleetTotals returns the totals of all nodes.
 func (c *Controller) fleetTotals(now time.Time) *gossip.Totals {
 	total := gossip.NewTotals()
--- a/internal/formation/follow_demand_test.go
+++ b/internal/formation/follow_demand_test.go
@@ -51,3 +51,20 @@
 	c.step(context.Background(), origin.Add(stepInterval))
 	qt.Check(t, c.demands, qt.HasLen, 0)
 }
+
+// A gauge that keeps its last value after the node has stopped to follow the demand misleads operators.
+func TestGroupsNeededAreZeroWithoutDemand(t *testing.T) {
+	mayLead := true
+	c := newTestController(&fakeEngine{}, func(time.Time) (int64, time.Time, bool) { return 0, time.Time{}, false })
+	c.MayLead = func() bool { return mayLead }
+	c.PeerTotals = func(time.Time) *gossip.Totals {
+		total := gossip.NewTotals()
+		total.Demands["small"] = gossip.Demand{Running: 30, Waiting: 10}
+		return total
+	}
+	c.step(context.Background(), origin)
+	qt.Check(t, c.GroupsNeeded(origin), qt.DeepEquals, []GroupsNeeded{{"lm", "big", 0.2, 0.2}, {"lm", "small", 4, 4}})
+	mayLead = false
+	c.step(context.Background(), origin.Add(stepInterval))
+	qt.Check(t, c.GroupsNeeded(origin), qt.DeepEquals, []GroupsNeeded{{"lm", "big", 0, 0}, {"lm", "small", 0, 0}})
+}
--- a/internal/formation/summary.go
+++ b/internal/formation/summary.go
@@ -26,7 +26,7 @@
 			load += v.Loads[g.Head.ID]
 		}
 		p.note("supply", "", "model", m.Name, "open", open, "requests", load, "endpoints", have[m.Name], "readers", p.demand.prefillGroups[m.Name],
-			"pressure", p.pressure(v, m, have))
+			"pressure", p.pressure(v, m, have), "needed", p.demand.present(v.Service.Engine, m), "needed_peak", p.demand.peak(v.Service.Engine, m, v.Now))
 	}
 	free, cold := 0, 0
 	for _, list := range p.freeByDomain(v) {
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -69,6 +69,11 @@
 		s.Gauge("requests_running").Update(float64(demand.Running))
 		s.Gauge("requests_waiting").Update(float64(demand.Waiting))
 		s.Gauge("groups_suspected").Update(float64(len(status.Suspects)))
+		for _, needed := range n.controller.GroupsNeeded(now) {
+			tagged := s.Tagged(map[string]string{"service": needed.Service, "model": needed.Model})
+			tagged.Gauge("groups_needed").Update(needed.Present)
+			tagged.Gauge("groups_needed_peak").Update(needed.Peak)
+		}
 		s.Gauge("goroutines").Update(float64(runtime.NumGoroutine()))
 	})
 	return nil
