formation: the sum over models decides when both are short

Cause: when requests of both models wait, the pressure of the first model decided, although a group of sixteen endpoints serves as many requests as one of four. Change: if both models are short, a conversion in either direction is allowed only if fewer requests of both together lack a slot afterwards, counted over one load time without the time that the conversion takes, and if the donor keeps half of the groups that it needs.

--- a/internal/formation/conversion.go
+++ b/internal/formation/conversion.go
@@ -1,6 +1,8 @@
 package formation
 
 import (
+	"time"
+
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/route"
 )
@@ -15,6 +17,9 @@
 	// exceeded as long as the donor stays below the recipient's new pressure: where a group of sixteen has lost one
 	// member, the fifteen that are left can serve again with four endpoints of the other model.
 	donorPressureRatio = 0.75
+	// maxShortDonorPressure is the highest pressure that a donor may have afterwards while both models are short: it keeps
+	// half of the groups that it needs.
+	maxShortDonorPressure = 2
 )
 
 // conversion is the end of some groups of one model, the donor, for a group of another, the recipient.
@@ -24,6 +29,9 @@
 	recipientPresent, donorPresent pressures // by the need at present
 	recipientPeak, donorPeak       pressures // by the highest need within one load time
 	peakKnown                      bool      // the requests have been observed for one load time
+	recipientRequests              float64   // running and waiting requests of the recipient
+	donorRequests                  float64   // the same of the donor
+	idleFraction                   float64   // part of one load time for which the endpoints serve neither model
 }
 
 // pressures are the pressures of a model before and after a conversion.
@@ -42,6 +50,10 @@
 		return pressures{pressureOf(now, m, before), pressureOf(now, m, after)}, pressures{pressureOf(highest, m, before), pressureOf(highest, m, after)}
 	}
 	c := &conversion{recipient: recipient, donor: donor, groups: groups, peakKnown: p.demand.peakKnown(v.Now)}
+	c.recipientRequests, c.donorRequests = p.demand.requests[recipient.Name], p.demand.requests[donor.Name]
+	if load := longestLoad(v.Service.Engine); load > 0 {
+		c.idleFraction = min(1, conversionTime(recipient).Seconds()/load.Seconds())
+	}
 	c.recipientPresent, c.recipientPeak = compare(recipient, expected)
 	c.donorPresent, c.donorPeak = compare(donor, have)
 	return c
@@ -53,12 +65,38 @@
 // it does at present and still has every group that its peak needs. A leader that does not know the peak yet assumes twice
 // the present pressure.
 func (c *conversion) allowed() bool {
+	if c.bothShort() {
+		return c.servesMore()
+	}
 	if !c.peakKnown {
 		return withinLimit(c.recipientPresent, c.donorPresent.doubled())
 	}
 	return withinLimit(c.recipientPeak, c.donorPeak) || withinLimit(c.recipientPresent, c.donorPresent) && c.donorPeak.after <= 1
 }
 
+// conversionTime is the time that ending a group and forming one of the model from its members may take.
+func conversionTime(m route.Model) time.Duration { return drainTimeout + m.Warm + joinGrace }
+
+// bothShort reports whether requests of both models cannot be served in time.
+func (c *conversion) bothShort() bool {
+	return c.recipientPresent.before > 1 && c.donorPresent.before > 1
+}
+
+// servesMore reports whether fewer requests of both models together cannot be served in time after the conversion. The
+// gain is counted for one load time, in which the conversion cannot be reversed, without the time that it takes. The donor
+// keeps half of the groups that it needs, so that none of its requests starve.
+func (c *conversion) servesMore() bool {
+	if c.donorPresent.after > maxShortDonorPressure {
+		return false
+	}
+	gain := c.recipientRequests * (unserved(c.recipientPresent.before) - unserved(c.recipientPresent.after))
+	loss := c.donorRequests * (unserved(c.donorPresent.after) - unserved(c.donorPresent.before))
+	return gain*(1-c.idleFraction) > loss
+}
+
+// unserved returns the fraction of a model's requests that cannot be served in time at that pressure.
+func unserved(pressure float64) float64 { return 1 - 1/max(1, pressure) }
+
 // withinLimit reports whether the recipient's pressure is high enough, and that of the donor low enough, for a conversion.
 func withinLimit(recipient, donor pressures) bool {
 	return recipient.before >= conversionPressure && donor.after <= min(maxDonorPressure, max(donorPressureRatio*recipient.before, recipient.after))
--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -32,21 +32,40 @@
 	if len(models) < 2 || !v.Busy || v.Now.Sub(p.lastConversion) < conversionInterval || v.Now.Sub(p.started) < firstLoadDelay {
 		return
 	}
-	recipient, donor := models[0], models[len(models)-1]
 	expected := p.withPendingConversions(v, have)
-	chosen := p.groupsToConvert(v, free, recipient, donor)
-	if len(chosen) == 0 {
+	first, last := models[0], models[len(models)-1]
+	if c := p.findConversion(v, free, first, last, expected, have); c != nil {
+		p.carryOut(v, c)
 		return
 	}
-	c := p.newConversion(v, recipient, donor, chosen, expected, have)
-	if !p.allows(c) {
+	if p.pressure(v, last, have) <= 1 {
 		return
 	}
+	// Both are short, and the members of one group of the model most in need may serve more requests of the other.
+	if c := p.findConversion(v, free, last, first, expected, have); c != nil && c.bothShort() {
+		p.carryOut(v, c)
+	}
+}
+
+// findConversion returns an allowed conversion from the donor to the recipient, or nil.
+func (p *Planner) findConversion(v *View, free map[string][]*endpoint.Endpoint, recipient, donor route.Model, expected, have map[string]int) *conversion {
+	chosen := p.groupsToConvert(v, free, recipient, donor)
+	if len(chosen) == 0 {
+		return nil
+	}
+	if c := p.newConversion(v, recipient, donor, chosen, expected, have); p.allows(c) {
+		return c
+	}
+	return nil
+}
+
+// carryOut ends the donor's groups and reserves their members for the recipient.
+func (p *Planner) carryOut(v *View, c *conversion) {
 	p.lastConversion = v.Now
-	p.reserved[chosen[0].Domain] = reservation{recipient.Name, v.Now.Add(reservationDuration)}
+	p.reserved[c.groups[0].Domain] = reservation{c.recipient.Name, v.Now.Add(reservationDuration)}
 	p.noteConversion(c)
-	for _, g := range chosen {
-		p.retire(v, g.Name, g.Epoch, g.Head, "model "+recipient.Name+" needs its members", drainTimeout)
+	for _, g := range c.groups {
+		p.retire(v, g.Name, g.Epoch, g.Head, "model "+c.recipient.Name+" needs its members", drainTimeout)
 	}
 }
 
