--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -15,15 +15,6 @@
 	conversionInterval = 600 * time.Millisecond
 	// highPressure is the pressure from which a model gets free endpoints before a model that is not in need.
 	highPressure = 0.7
-	// maxDonorPressure is the highest pressure that the model giving up groups may have afterwards.
-	maxDonorPressure = 0.8
-	// conversionPressure is the pressure from which a model gets members of another model's groups. donorPressureRatio
-	// limits the pressure of that other model afterwards, as a fraction of the first model's pressure. When both are
-	// under pressure, a group that switches back and forth serves neither for two seconds each time. The limit may be
-	// exceeded as long as the donor stays below the recipient's new pressure: where a group of sixteen has lost one
-	// member, the fifteen that are left can serve again with four endpoints of the other model.
-	conversionPressure = 0.55
-	donorPressureRatio = 0.75
 	// reservationDuration is how long the free endpoints of a domain are reserved for the model that they were freed
 	// for.
 	reservationDuration = 5 * time.Second
@@ -41,27 +32,40 @@
 	if len(models) < 2 || !v.Busy || v.Now.Sub(p.lastConversion) < conversionInterval || v.Now.Sub(p.started) < firstLoadDelay {
 		return
 	}
-	recipient, donor := models[0], models[len(models)-1]
 	expected := p.withPendingConversions(v, have)
-	need := p.pressure(v, recipient, expected)
-	if need < conversionPressure {
+	first, last := models[0], models[len(models)-1]
+	if c := p.findConversion(v, free, first, last, expected, have); c != nil {
+		p.carryOut(v, c)
 		return
 	}
+	if p.pressure(v, last, have) <= 1 {
+		return
+	}
+	// Both are short, and the members of one group of the model most in need may serve more requests of the other.
+	if c := p.findConversion(v, free, last, first, expected, have); c != nil && c.bothShort() {
+		p.carryOut(v, c)
+	}
+}
+
+// findConversion returns an allowed conversion from the donor to the recipient, or nil.
+func (p *Planner) findConversion(v *View, free map[string][]*endpoint.Endpoint, recipient, donor route.Model, expected, have map[string]int) *conversion {
 	chosen := p.groupsToConvert(v, free, recipient, donor)
 	if len(chosen) == 0 {
-		return
+		return nil
 	}
-	removed := len(chosen) * donor.Size
-	donorAfter := p.pressure(v, donor, map[string]int{donor.Name: have[donor.Name] - removed})
-	added := max(1, removed/recipient.Size) * recipient.Size
-	recipientAfter := p.pressure(v, recipient, map[string]int{recipient.Name: expected[recipient.Name] + added})
-	if donorAfter > min(maxDonorPressure, max(donorPressureRatio*need, recipientAfter)) {
-		return
+	if c := p.newConversion(v, recipient, donor, chosen, expected, have); p.allows(c) {
+		return c
 	}
+	return nil
+}
+
+// carryOut ends the donor's groups and reserves their members for the recipient.
+func (p *Planner) carryOut(v *View, c *conversion) {
 	p.lastConversion = v.Now
-	p.reserved[chosen[0].Domain] = reservation{recipient.Name, v.Now.Add(reservationDuration)}
-	for _, g := range chosen {
-		p.retire(v, g.Name, g.Epoch, g.Head, "model "+recipient.Name+" needs its members", drainTimeout)
+	p.reserved[c.groups[0].Domain] = reservation{c.recipient.Name, v.Now.Add(reservationDuration)}
+	p.noteConversion(c)
+	for _, g := range c.groups {
+		p.retire(v, g.Name, g.Epoch, g.Head, "model "+c.recipient.Name+" needs its members", drainTimeout)
 	}
 }
 
