formation: leave a reserve of concurrent loads to urgent ones

Cause: second models used all LoadsAtOnce, so a replacement or the first model of an added endpoint waited for a slot.

Change: each load is urgent or speculative. Speculative loads leave free what urgent loads use or, if that is more, the number of urgent loads expected within one load time: the larger of the losses and the added empty endpoints of the last load time, at least one group of the smallest model, and half of the limit until a load time has been observed. Loads of an earlier leader count as speculative. A first model is urgent while a model is in need, below the expected losses, or after half a load.

--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -41,6 +41,9 @@
 	stagings          map[string]staging     // by endpoint ID
 	surveyed          map[string]bool        // endpoints that have answered whether they carry out a load for an earlier leader
 	loadStarts        []time.Time            // loads ordered during this tenure
+	loadRates         loadRates              // recent losses and added empty endpoints
+	urgentLoadWaits   bool                   // the last step could not order an urgent load because of a limit
+	reserve           func(*View) int        // concurrent loads that speculative loads leave to urgent ones
 	lastConversion    time.Time              // when groups were last ended for another model
 	leaveOrdered      map[string]time.Time   // last order to leave sent to a free endpoint, by endpoint ID
 	reserved          map[string]reservation // by domain
@@ -58,11 +61,14 @@
 
 // NewPlanner returns a Planner for a tenure, whose number must be higher than that of any earlier leader.
 func NewPlanner(tenure int64, now time.Time) *Planner {
-	return &Planner{
+	p := &Planner{
 		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement), commitments: newCommitments(),
 		ended: make(map[string]time.Time), lostAt: make(map[string]time.Time), firstSeen: make(map[string]time.Time), seenComplete: make(map[string]bool),
 		stagings: make(map[string]staging), surveyed: make(map[string]bool), toProbe: make(map[string]bool), demand: make(map[string]float64), prefillGroups: make(map[string]float64), reserved: make(map[string]reservation), leaveOrdered: make(map[string]time.Time),
+		loadRates: newLoadRates(),
 	}
+	p.reserve = p.expectedReserve
+	return p
 }
 
 func (p *Planner) note(event, group string, pairs ...any) {
@@ -143,7 +149,7 @@
 	case Stage:
 		switch {
 		case outcome == Refused: // the endpoint is loading something else
-			p.stagings[o.Endpoint.ID] = staging{since: now, until: p.stagings[o.Endpoint.ID].until}
+			p.stagings[o.Endpoint.ID] = staging{since: now, until: p.stagings[o.Endpoint.ID].until, speculative: p.stagings[o.Endpoint.ID].speculative}
 		case outcome.Declined():
 			delete(p.stagings, o.Endpoint.ID)
 		}
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -32,6 +32,8 @@
 	maxEpoch        int64     // highest epoch of an accepted join
 	readyAt         time.Time // when the join in progress ends
 	firstUnanswered time.Time // first unanswered probe of the leader
+	loading         string    // model of the load in progress
+	loadedAt        time.Time // when that load ends
 }
 
 // pendingOrder is an order on its way to an endpoint.
@@ -46,6 +48,7 @@
 type simulation struct {
 	domainSize int // endpoints in a domain; 0 puts all into one domain
 	busy       bool
+	timedLoads bool // loads take their time while requests arrive, and endpoints report them when probed
 	demand     map[string]int
 	now        time.Time
 	service    *route.Service
@@ -120,12 +123,24 @@
 			x.Revision++
 		}
 	case Stage:
+		if w.timedLoads && w.busy {
+			return w.startLoad(x, o.Model)
+		}
 		x.Staged = []string{o.Model}
 		x.Revision++
 	}
 	return Accepted
 }
 
+func (w *simulation) startLoad(x *fakeEndpoint, model string) Outcome {
+	if x.loading != "" {
+		return Refused
+	}
+	m, _ := w.service.Engine.Model(model)
+	x.loading, x.loadedAt = model, w.now.Add(m.Load)
+	return Accepted
+}
+
 func (w *simulation) join(x *fakeEndpoint, o Order) Outcome {
 	if o.Epoch < x.maxEpoch {
 		return Refused
@@ -139,8 +154,11 @@
 	w.members[key(o.Group, o.Epoch)] = o.Members
 	x.Membership = &endpoint.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, x.ID), State: endpoint.Joining}
 	x.Revision++
-	x.Models = []string{o.Model}
 	x.readyAt = w.now.Add(300 * time.Millisecond)
+	if m, _ := w.service.Engine.Model(o.Model); w.timedLoads && !x.HasLoaded(o.Model) {
+		x.readyAt = w.now.Add(m.Warm)
+	}
+	x.Models = []string{o.Model}
 	return Accepted
 }
 
@@ -155,6 +173,10 @@
 func (w *simulation) advance(d time.Duration) {
 	w.now = w.now.Add(d)
 	for _, x := range w.endpoints {
+		if x.up && x.loading != "" && !w.now.Before(x.loadedAt) {
+			x.Staged, x.loading = []string{x.loading}, ""
+			x.Revision++
+		}
 		m := x.Membership
 		if x.up && m != nil && m.State == endpoint.Joining && !w.now.Before(x.readyAt) {
 			w.setState(x, endpoint.Ready)
@@ -196,6 +218,9 @@
 	snapshot := w.history[at]
 	v := &View{Now: w.now, CurrentSince: origin.Add(-time.Hour), CurrentAt: w.now.Add(-time.Duration(len(w.history)-1-at) * tick), Service: w.service, Snapshot: snapshot, Contacts: make(map[string]Contact), Loads: make(map[string]int), SuspectGroups: make(map[string]bool), Demand: w.demand, Busy: w.busy}
 	for id, x := range w.endpoints {
+		if w.timedLoads && x.up {
+			v.Contacts[id] = Contact{LastAnswer: w.now, Busy: x.loading != ""}
+		}
 		if !x.firstUnanswered.IsZero() {
 			contact := Contact{FailedSince: x.firstUnanswered}
 			if !x.up {
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -23,6 +23,8 @@
 	model string    // empty if unknown, because an earlier leader ordered it
 	since time.Time // when it was ordered or found to be in progress
 	until time.Time // when it should have ended
+	// speculative is set for a load that serves no present need, and for one whose purpose is unknown.
+	speculative bool
 }
 
 // stageModels loads models onto hosts. Before the first request it stages a first model for free endpoints without one,
@@ -36,21 +38,23 @@
 		return
 	}
 	p.survey(v)
+	p.loadRates.observe(v, p.longestLoad(v))
 	running := p.updateStagings(v)
+	p.urgentLoadWaits = false
 	for _, c := range p.shortfalls(v) {
 		for _, e := range c.loadable[:c.missing] {
-			if _, busy := p.stagings[e.ID]; !busy && !p.stageIfAllowed(v, &running, e, c.model) {
+			if _, busy := p.stagings[e.ID]; !busy && !p.stageIfAllowed(v, &running, stageTarget{endpoint: e, model: c.model}) {
 				return
 			}
 		}
 	}
 	for _, l := range p.coldTargets(v) {
-		if !p.stageIfAllowed(v, &running, l.endpoint, l.model) {
+		if !p.stageIfAllowed(v, &running, l) {
 			return
 		}
 	}
 	for _, l := range p.secondModelTargets(v) {
-		if !p.stageIfAllowed(v, &running, l.endpoint, l.model) {
+		if !p.stageIfAllowed(v, &running, l) {
 			return
 		}
 	}
@@ -58,8 +62,9 @@
 
 // stageTarget is an endpoint and a model that could be staged on its host.
 type stageTarget struct {
-	endpoint *endpoint.Endpoint
-	model    route.Model
+	endpoint    *endpoint.Endpoint
+	model       route.Model
+	speculative bool // serves no present need
 }
 
 // isLoading reports whether a model is being loaded onto the endpoint's host. A join that uses a staged model waits for
@@ -69,8 +74,9 @@
 	return busy
 }
 
-// updateStagings removes the loads that have ended and returns how many are in progress.
-func (p *Planner) updateStagings(v *View) int {
+// updateStagings removes the loads that have ended and returns those in progress.
+func (p *Planner) updateStagings(v *View) loadsInProgress {
+	var running loadsInProgress
 	for id, s := range p.stagings {
 		e := v.Snapshot.Endpoints[id]
 		if e == nil || e.HasStaged(s.model) || v.Now.After(s.until) {
@@ -78,6 +84,7 @@
 			continue
 		}
 		if s.model != "" {
+			running.add(s.speculative)
 			continue
 		}
 		c := v.Contacts[id]
@@ -85,24 +92,26 @@
 			delete(p.stagings, id)
 			continue
 		}
+		running.add(s.speculative)
 		if v.Now.Sub(c.LastAnswer) > surveyRetryInterval {
 			p.requestProbe(id)
 		}
 	}
-	return len(p.stagings)
+	return running
 }
 
 // stageIfAllowed stages the model and returns true, or returns false if a limit on loads is reached.
-func (p *Planner) stageIfAllowed(v *View, running *int, e *endpoint.Endpoint, m route.Model) bool {
-	if *running >= max(1, v.Service.Engine.LoadsAtOnce) || !p.loadAllowed(v) {
+func (p *Planner) stageIfAllowed(v *View, running *loadsInProgress, l stageTarget) bool {
+	if !running.allows(l.speculative, v.Service.Engine.LoadsAtOnce, p.reserve(v)) || !p.loadAllowed(v) {
+		p.urgentLoadWaits = !l.speculative
 		return false
 	}
-	p.stageModel(v, e, m)
-	*running++
+	p.stageModel(v, l)
+	running.add(l.speculative)
 	return true
 }
 
-// coldTargets returns the free endpoints without any model, each with the model that loads fastest.
+// coldTargets returns the free endpoints without any model, each with the model that loads fastest, urgent loads first.
 func (p *Planner) coldTargets(v *View) []stageTarget {
 	var soonest route.Model
 	for _, m := range v.Service.Engine.Models {
@@ -110,13 +119,25 @@
 			soonest = m
 		}
 	}
-	var out []stageTarget
+	var cold []*endpoint.Endpoint
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
 		if p.isCold(v, e) {
-			out = append(out, stageTarget{e, soonest})
+			cold = append(cold, e)
 		}
 	}
-	return out
+	if len(cold) == 0 {
+		return nil // what follows visits every endpoint
+	}
+	var urgent, speculative []stageTarget
+	needed := p.newSpareNeed(v)
+	for _, e := range cold {
+		if needed.take(e.Domain) || p.hasWaited(v, e) {
+			urgent = append(urgent, stageTarget{endpoint: e, model: soonest})
+			continue
+		}
+		speculative = append(speculative, stageTarget{endpoint: e, model: soonest, speculative: true})
+	}
+	return append(urgent, speculative...)
 }
 
 // isCold reports whether the endpoint is free, has no model and is being given none.
@@ -156,7 +177,8 @@
 		if len(lacks) == 0 {
 			continue
 		}
-		out = append(out, stageTarget{e, slices.MaxFunc(lacks, func(a, b route.Model) int { return cmp.Compare(scarcity[a.Name], scarcity[b.Name]) })})
+		scarcest := slices.MaxFunc(lacks, func(a, b route.Model) int { return cmp.Compare(scarcity[a.Name], scarcity[b.Name]) })
+		out = append(out, stageTarget{endpoint: e, model: scarcest, speculative: true})
 	}
 	slices.SortStableFunc(out, func(a, b stageTarget) int { return cmp.Compare(scarcity[b.model.Name], scarcity[a.model.Name]) })
 	return out
@@ -172,10 +194,11 @@
 	return false
 }
 
-func (p *Planner) stageModel(v *View, e *endpoint.Endpoint, m route.Model) {
-	p.stagings[e.ID] = staging{m.Name, v.Now, v.Now.Add(m.Load + stageGrace)}
+func (p *Planner) stageModel(v *View, l stageTarget) {
+	e, m := l.endpoint, l.model
+	p.stagings[e.ID] = staging{model: m.Name, since: v.Now, until: v.Now.Add(m.Load + stageGrace), speculative: l.speculative}
 	p.loadStarts = append(p.loadStarts, v.Now)
-	p.note("model staged", "", "endpoint", e.ID, "model", m.Name)
+	p.note("model staged", "", "endpoint", e.ID, "model", m.Name, "speculative", l.speculative)
 	p.addOrder(Order{Kind: Stage, Endpoint: e, Model: m.Name})
 }
 
