formation: rank loads by service gained per second; first model by need

Cause: all loads that complete a group came before every first model, and an empty endpoint always got the model that loads fastest.

Change: completions and urgent first models are ordered by the service that they gain for each second of loading. A first model is that of the group which the domain can complete with the highest rank, otherwise that with the highest pressure, and a spare if no model is in need. A first model that has waited for half of the longest load comes first. The reserve also follows the urgent loads ordered within the last load time, because an endpoint added may now need two.

--- a/internal/formation/load_rates.go
+++ b/internal/formation/load_rates.go
@@ -15,6 +15,7 @@
 	down       map[string]bool      // endpoints whose loss has been counted
 	added      []time.Time          // empty endpoints added within the last load time
 	lost       []time.Time          // endpoints lost within the last load time
+	ordered    []time.Time          // urgent loads ordered within the last load time
 }
 
 func newLoadRates() loadRates {
@@ -50,6 +51,7 @@
 	r.forget(v)
 	r.added = dropBefore(r.added, v.Now.Add(-window))
 	r.lost = dropBefore(r.lost, v.Now.Add(-window))
+	r.ordered = dropBefore(r.ordered, v.Now.Add(-window))
 }
 
 func (r *loadRates) observeLoss(v *View, id string, first bool) {
@@ -88,9 +90,10 @@
 
 // expected returns the number of urgent loads to expect within the window, which is one load time. A lost endpoint needs
 // one load for its replacement and an added empty endpoint needs one for its first model, and a load of the latter kind
-// often is the former: their sum would count these loads twice.
+// often is the former: their sum would count these loads twice. Where an event has needed more than one load, the number
+// of urgent loads ordered is higher and counts instead.
 func (r *loadRates) expected(now time.Time, window time.Duration) int {
-	return r.scale(max(len(r.added), len(r.lost)), now, window)
+	return r.scale(max(len(r.added), len(r.lost), len(r.ordered)), now, window)
 }
 
 // expectedLosses returns the number of endpoints that are expected to be lost within the window.
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -44,6 +44,7 @@
 	loadRates         loadRates              // recent losses and added empty endpoints
 	urgentLoadWaits   bool                   // the last step could not order an urgent load because of a limit
 	reserve           func(*View) int        // concurrent loads that speculative loads leave to urgent ones
+	firstModel        firstModelRule         // selects the first model of an empty endpoint
 	lastConversion    time.Time              // when groups were last ended for another model
 	leaveOrdered      map[string]time.Time   // last order to leave sent to a free endpoint, by endpoint ID
 	reserved          map[string]reservation // by domain
@@ -67,7 +68,7 @@
 		stagings: make(map[string]staging), surveyed: make(map[string]bool), toProbe: make(map[string]bool), demand: make(map[string]float64), prefillGroups: make(map[string]float64), reserved: make(map[string]reservation), leaveOrdered: make(map[string]time.Time),
 		loadRates: newLoadRates(),
 	}
-	p.reserve = p.expectedReserve
+	p.reserve, p.firstModel = p.expectedReserve, (*firstModelChoice).mostLacked
 	return p
 }
 
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -28,9 +28,9 @@
 }
 
 // stageModels loads models onto hosts. Before the first request it stages a first model for free endpoints without one,
-// and a second model for the endpoints that conversions can use, so that they can soon serve either. Later it stages what
-// a domain lacks for a group of a model in need, then a first model for free endpoints without one, and then a second
-// model for endpoints that have only one.
+// and a second model for the endpoints that conversions can use, so that they can soon serve either. Later it stages by
+// rank what a domain lacks for a group of a model in need and urgent first models, then the other first models, and then
+// a second model for endpoints that have only one.
 func (p *Planner) stageModels(v *View) {
 	if !v.Busy {
 		p.updateStagings(v)
@@ -41,14 +41,14 @@
 	p.loadRates.observe(v, p.longestLoad(v))
 	running := p.updateStagings(v)
 	p.urgentLoadWaits = false
-	for _, c := range p.shortfalls(v) {
-		for _, e := range c.loadable[:c.missing] {
-			if _, busy := p.stagings[e.ID]; !busy && !p.stageIfAllowed(v, &running, stageTarget{endpoint: e, model: c.model}) {
-				return
-			}
+	short := p.shortfalls(v)
+	urgent, speculative := p.firstModels(v, short)
+	for _, l := range sortByRank(append(completionLoads(short), urgent...)) {
+		if !p.isLoading(l.endpoint) && !p.stageIfAllowed(v, &running, l) {
+			return
 		}
 	}
-	for _, l := range p.coldTargets(v) {
+	for _, l := range speculative {
 		if !p.stageIfAllowed(v, &running, l) {
 			return
 		}
@@ -64,7 +64,8 @@
 type stageTarget struct {
 	endpoint    *endpoint.Endpoint
 	model       route.Model
-	speculative bool // serves no present need
+	speculative bool    // serves no present need
+	rank        float64 // service gained per second of loading; only compared among urgent loads
 }
 
 // isLoading reports whether a model is being loaded onto the endpoint's host. A join that uses a staged model waits for
@@ -108,36 +109,10 @@
 	}
 	p.stageModel(v, l)
 	running.add(l.speculative)
-	return true
-}
-
-// coldTargets returns the free endpoints without any model, each with the model that loads fastest, urgent loads first.
-func (p *Planner) coldTargets(v *View) []stageTarget {
-	var soonest route.Model
-	for _, m := range v.Service.Engine.Models {
-		if soonest.Name == "" || m.Load < soonest.Load {
-			soonest = m
-		}
+	if !l.speculative {
+		p.loadRates.ordered = append(p.loadRates.ordered, v.Now)
 	}
-	var cold []*endpoint.Endpoint
-	for _, e := range v.Snapshot.Services[v.Service.Name] {
-		if p.isCold(v, e) {
-			cold = append(cold, e)
-		}
-	}
-	if len(cold) == 0 {
-		return nil // what follows visits every endpoint
-	}
-	var urgent, speculative []stageTarget
-	needed := p.newSpareNeed(v)
-	for _, e := range cold {
-		if needed.take(e.Domain) || p.hasWaited(v, e) {
-			urgent = append(urgent, stageTarget{endpoint: e, model: soonest})
-			continue
-		}
-		speculative = append(speculative, stageTarget{endpoint: e, model: soonest, speculative: true})
-	}
-	return append(urgent, speculative...)
+	return true
 }
 
 // isCold reports whether the endpoint is free, has no model and is being given none.
@@ -180,7 +155,9 @@
 		scarcest := slices.MaxFunc(lacks, func(a, b route.Model) int { return cmp.Compare(scarcity[a.Name], scarcity[b.Name]) })
 		out = append(out, stageTarget{endpoint: e, model: scarcest, speculative: true})
 	}
-	slices.SortStableFunc(out, func(a, b stageTarget) int { return cmp.Compare(scarcity[b.model.Name], scarcity[a.model.Name]) })
+	slices.SortStableFunc(out, func(a, b stageTarget) int {
+		return cmp.Compare(scarcity[b.model.Name], scarcity[a.model.Name])
+	})
 	return out
 }
 
