formation: count free endpoints by reason

Cause: 29 to 47 of 217 endpoints were free while requests waited, and the log only told that they were free.

Change: each listed endpoint in no group and no plan has one reason. The line "endpoints" of the log and the metric endpoints_free have the counts; the key "cold" becomes "empty". "free" now includes unreachable endpoints. "withheld" is added to the reasons of the design page: the domain has the members for a group of a model in need, which the planner does not form for its cost to other models. The line also tells the speculative loads, the reserve and whether an urgent load waits.

moorrun status shows the endpoints of plain services only, not those of replica groups, so it is unchanged.

Tests: each reason; a detector of free endpoints that could serve a model in need and are in no plan, itself tested on planted cases, runs after each step of the hard load (three steps of tolerance, since one step orders the loads of one group per model and domain). The waves of the simulation no longer restart with each run.

--- a/internal/formation/hard_load_test.go
+++ b/internal/formation/hard_load_test.go
@@ -32,6 +32,7 @@
 	urgentWaiting        time.Duration // time with an urgent load that a limit kept waiting
 	blockingSeconds      float64       // speculative loads in progress during that time, times its length
 	startedBesideWaiting int           // steps that started a speculative load while an urgent one waited
+	afterStep            func()        // called after each step of the planner, before its orders arrive; may be nil
 	withoutLosses        bool          // empty endpoints are added and no members are lost
 	overloaded           time.Duration // time in which a model had more requests than places
 	freeOverloaded       time.Duration // sum over the free endpoints of that time
@@ -114,7 +115,7 @@
 	for h.now.Sub(start) < d {
 		h.advance(tick)
 		h.history = h.history[len(h.history)-1:]
-		wave := 1 + 0.5*math.Sin(2*math.Pi*h.now.Sub(start).Seconds()/15)
+		wave := 1 + 0.5*math.Sin(2*math.Pi*h.now.Sub(origin).Seconds()/15)
 		for model, mean := range h.mean {
 			h.demand[model] = int(mean * wave)
 		}
@@ -127,6 +128,9 @@
 		if h.planner.urgentLoadWaits && h.speculative > before {
 			h.startedBesideWaiting++
 		}
+		if h.afterStep != nil {
+			h.afterStep()
+		}
 		h.deliver()
 		h.measure()
 	}
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -51,9 +51,10 @@
 	demand            map[string]float64     // moving average of requests, by model
 	prefillGroups     map[string]float64     // least number of replica groups that can read a model's prompts in time, by model
 
-	endpointCount        int       // endpoints of the service at the last step
-	endpointCountChanged time.Time // when endpointCount last changed
-	lastSummary          time.Time // when the last summary was logged
+	endpointCount        int                // endpoints of the service at the last step
+	endpointCountChanged time.Time          // when endpointCount last changed
+	lastSummary          time.Time          // when the last summary was logged
+	freeCounts           map[FreeReason]int // free endpoints at the last summary
 	orders               []Order
 	toProbe              map[string]bool
 	// Note is called with each decision; pairs are alternating keys and values.
