formation: fewer passes over the fleet for first models

Cause: with empty endpoints listed, a step of the leader counted members and spares of every domain and the models in need once more for each use; at 9,102 endpoints with 1,700 empty ones it took 20 to 21 ms, 10.6 ms before the ranking.

Change: members and spares are counted only when a spare is selected, and the need for spares only when no model lacks the empty endpoints.

--- a/internal/formation/first_model.go
+++ b/internal/formation/first_model.go
@@ -21,8 +21,11 @@
 	if len(cold) == 0 {
 		return nil, nil // what follows visits every endpoint
 	}
-	choice := p.newFirstModelChoice(v, short)
-	needed := p.newSpareNeed(v)
+	choice := p.newFirstModelChoice(short)
+	needed := spareNeed{unlimited: true}
+	if len(short) == 0 { // no model is in need, because each that is lacks the empty endpoints
+		needed = p.newSpareNeed(v)
+	}
 	for _, e := range cold {
 		l := p.firstModel(&choice, v, e)
 		switch waited := p.hasWaited(v, e); {
@@ -44,12 +47,13 @@
 
 // firstModelChoice selects first models for the empty endpoints of each domain.
 type firstModelChoice struct {
-	short           map[string][]shortfall // by domain
-	members, spares map[string]map[string]int
+	planner         *Planner
+	short           map[string][]shortfall    // by domain
+	members, spares map[string]map[string]int // by domain and model; nil until a spare is selected
 }
 
-func (p *Planner) newFirstModelChoice(v *View, short []shortfall) firstModelChoice {
-	c := firstModelChoice{short: make(map[string][]shortfall), members: p.membersByDomain(v), spares: p.sparesByDomain(v)}
+func (p *Planner) newFirstModelChoice(short []shortfall) firstModelChoice {
+	c := firstModelChoice{planner: p, short: make(map[string][]shortfall)}
 	for _, s := range short {
 		c.short[s.domain] = append(c.short[s.domain], s)
 	}
@@ -102,6 +106,9 @@
 
 // spare returns the model for one more spare of the domain, which is the fastest to load if the domain has no groups.
 func (c *firstModelChoice) spare(v *View, domain string) route.Model {
+	if c.members == nil { // the counts visit every endpoint and plan
+		c.members, c.spares = c.planner.membersByDomain(v), c.planner.sparesByDomain(v)
+	}
 	m, found := spareModel(v, c.members[domain], c.spares[domain])
 	if !found {
 		m = fastestToLoad(v.Service.Engine)
--- a/internal/formation/first_model_test.go
+++ b/internal/formation/first_model_test.go
@@ -39,7 +39,7 @@
 	first := s.add("d2", "", "")
 	p := s.newSettledPlanner()
 	v := s.view()
-	choice := p.newFirstModelChoice(v, p.shortfalls(v))
+	choice := p.newFirstModelChoice(p.shortfalls(v))
 	qt.Check(t, choice.mostLacked(v, first).model.Name, qt.Equals, "big")
 }
 
@@ -51,7 +51,7 @@
 		only := s.add("d2", "", "")
 		p := s.newSettledPlanner()
 		v := s.view()
-		choice := p.newFirstModelChoice(v, p.shortfalls(v))
+		choice := p.newFirstModelChoice(p.shortfalls(v))
 		qt.Check(t, choice.mostLacked(v, only).model.Name, qt.Equals, model)
 	}
 }
--- a/internal/formation/spare_need.go
+++ b/internal/formation/spare_need.go
@@ -12,13 +12,10 @@
 	missing   map[string]int // spares below the expected losses, by domain
 }
 
-// newSpareNeed returns the need for spares: while no model is in need, as many in each domain as losses are expected there
+// newSpareNeed returns the need for spares while no model is in need: as many in each domain as losses are expected there
 // within one load time, because a spare loaded after a loss comes one load time late. Spares with any model count, also
 // those that are still loading.
 func (p *Planner) newSpareNeed(v *View) spareNeed {
-	if p.anyModelInNeed(v) {
-		return spareNeed{unlimited: true}
-	}
 	listed, spares := make(map[string]int), make(map[string]int)
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
 		listed[e.Domain]++
