--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -41,10 +41,6 @@
 	stagings          map[string]staging     // by endpoint ID
 	surveyed          map[string]bool        // endpoints that have answered whether they carry out a load for an earlier leader
 	loadStarts        []time.Time            // loads ordered during this tenure
-	loadRates         loadRates              // recent losses and added empty endpoints
-	urgentLoadWaits   bool                   // the last step could not order an urgent load because of a limit
-	reserve           func(*View) int        // concurrent loads that speculative loads leave to urgent ones
-	firstModel        firstModelRule         // selects the first model of an empty endpoint
 	lastConversion    time.Time              // when groups were last ended for another model
 	leaveOrdered      map[string]time.Time   // last order to leave sent to a free endpoint, by endpoint ID
 	reserved          map[string]reservation // by domain
@@ -52,10 +48,9 @@
 	// allows reports whether a conversion may be carried out. It is a field so that a test can compare other rules.
 	allows func(*conversion) bool
 
-	endpointCount        int                // endpoints of the service at the last step
-	endpointCountChanged time.Time          // when endpointCount last changed
-	lastSummary          time.Time          // when the last summary was logged
-	freeCounts           map[FreeReason]int // free endpoints at the last summary
+	endpointCount        int       // endpoints of the service at the last step
+	endpointCountChanged time.Time // when endpointCount last changed
+	lastSummary          time.Time // when the last summary was logged
 	orders               []Order
 	toProbe              map[string]bool
 	// Note is called with each decision; pairs are alternating keys and values.
@@ -64,14 +59,11 @@
 
 // NewPlanner returns a Planner for a tenure, whose number must be higher than that of any earlier leader.
 func NewPlanner(tenure int64, now time.Time) *Planner {
-	p := &Planner{
+	return &Planner{
 		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement), commitments: newCommitments(),
 		ended: make(map[string]time.Time), lostAt: make(map[string]time.Time), firstSeen: make(map[string]time.Time), seenComplete: make(map[string]bool),
 		stagings: make(map[string]staging), surveyed: make(map[string]bool), toProbe: make(map[string]bool), demand: newDemand(), reserved: make(map[string]reservation), leaveOrdered: make(map[string]time.Time), allows: (*conversion).allowed,
-		loadRates: newLoadRates(),
 	}
-	p.reserve, p.firstModel = p.expectedReserve, (*firstModelChoice).mostLacked
-	return p
 }
 
 func (p *Planner) note(event, group string, pairs ...any) {
@@ -152,7 +144,7 @@
 	case Stage:
 		switch {
 		case outcome == Refused: // the endpoint is loading something else
-			p.stagings[o.Endpoint.ID] = staging{since: now, until: p.stagings[o.Endpoint.ID].until, speculative: p.stagings[o.Endpoint.ID].speculative}
+			p.stagings[o.Endpoint.ID] = staging{since: now, until: p.stagings[o.Endpoint.ID].until}
 		case outcome.Declined():
 			delete(p.stagings, o.Endpoint.ID)
 		}
--- a/internal/formation/shortfall.go
+++ b/internal/formation/shortfall.go
@@ -8,30 +8,18 @@
 	"moorrun.dev/moorrun/internal/route"
 )
 
-// maxPressureWeight limits the pressure by which the rank of a shortfall is multiplied.
+// maxPressureWeight limits the pressure by which the cost of a shortfall is divided.
 const maxPressureWeight = 3
 
-// shortfall is what a domain lacks for one more group of a model in need.
+// shortfall is what a domain lacks for one more group of a model.
 type shortfall struct {
 	model    route.Model
-	domain   string
-	pressure float64
 	missing  int                  // number of endpoints that still have to load the model
 	loadable []*endpoint.Endpoint // free endpoints that could load the model, those with the fewest models first
-	rank     float64              // service gained per second of loading
+	cost     float64              // seconds of loading, divided by the pressure of the model
 }
 
-// completable reports whether the domain has all the endpoints that the group lacks.
-func (s *shortfall) completable() bool { return s.missing <= len(s.loadable) }
-
-// completionRank returns the service that a group gains for each second of loading: the pressure of its model, which is
-// limited by maxPressureWeight, divided by the time of the loads that the group still lacks. The group serves only after
-// the last of them.
-func completionRank(m route.Model, pressure float64, missing int) float64 {
-	return min(pressure, maxPressureWeight) / (float64(max(1, missing)) * max(m.Load.Seconds(), 0.001))
-}
-
-// shortfalls returns what the domains lack for one more group of each model in need, the highest rank first.
+// shortfalls returns what the domains lack for one more group of each model in need, the cheapest first.
 func (p *Planner) shortfalls(v *View) []shortfall {
 	have := p.assignedEndpoints(v)
 	domains := p.endpointsByDomain(v)
@@ -41,16 +29,16 @@
 		if need < lowPressure {
 			continue
 		}
-		for domain, list := range domains {
+		for _, list := range domains {
 			c := p.domainShortfall(v, m, list)
-			c.domain, c.pressure, c.rank = domain, need, completionRank(m, need, c.missing)
-			if len(c.loadable) > 0 {
+			c.cost = float64(c.missing) * m.Load.Seconds() / min(need, maxPressureWeight)
+			if c.missing <= len(c.loadable) {
 				out = append(out, c)
 			}
 		}
 	}
 	slices.SortFunc(out, func(a, b shortfall) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.loadable[0].ID, b.loadable[0].ID))
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.loadable[0].ID, b.loadable[0].ID))
 	})
 	return out
 }
@@ -84,23 +72,3 @@
 	}
 	return out
 }
-
-// completionLoads returns the loads that complete the shortfalls which the domains can complete.
-func completionLoads(short []shortfall) []stageTarget {
-	var out []stageTarget
-	for _, s := range short {
-		if !s.completable() {
-			continue
-		}
-		for _, e := range s.loadable[:s.missing] {
-			out = append(out, stageTarget{endpoint: e, model: s.model, rank: s.rank})
-		}
-	}
-	return out
-}
-
-// sortByRank sorts the loads by the service gained per second of loading, the highest first.
-func sortByRank(loads []stageTarget) []stageTarget {
-	slices.SortStableFunc(loads, func(a, b stageTarget) int { return cmp.Compare(b.rank, a.rank) })
-	return loads
-}
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -32,7 +32,7 @@
 	maxEpoch        int64     // highest epoch of an accepted join
 	readyAt         time.Time // when the join in progress ends
 	firstUnanswered time.Time // first unanswered probe of the leader
-	loading         string    // model of the load in progress
+	loading         string    // model being loaded onto the host
 	loadedAt        time.Time // when that load ends
 }
 
@@ -48,7 +48,7 @@
 type simulation struct {
 	domainSize int // endpoints in a domain; 0 puts all into one domain
 	busy       bool
-	timed      bool // loads, joins and the end of requests take their time, and endpoints report loads when probed
+	timed      bool // loads, joins and the end of requests take their time, not none
 	demand     map[string]int
 	now        time.Time
 	service    *route.Service
@@ -123,24 +123,20 @@
 			x.Revision++
 		}
 	case Stage:
-		if w.timed && w.busy {
-			return w.startLoad(x, o.Model)
+		switch {
+		case x.loading != "":
+			return Refused
+		case w.timed:
+			model, _ := w.service.Engine.Model(o.Model)
+			x.loading, x.loadedAt = o.Model, w.now.Add(model.Load)
+		default:
+			x.Staged = []string{o.Model}
+			x.Revision++
 		}
-		x.Staged = []string{o.Model}
-		x.Revision++
 	}
 	return Accepted
 }
 
-func (w *simulation) startLoad(x *fakeEndpoint, model string) Outcome {
-	if x.loading != "" {
-		return Refused
-	}
-	m, _ := w.service.Engine.Model(model)
-	x.loading, x.loadedAt = model, w.now.Add(m.Load)
-	return Accepted
-}
-
 func (w *simulation) join(x *fakeEndpoint, o Order) Outcome {
 	if o.Epoch < x.maxEpoch {
 		return Refused
@@ -155,8 +151,8 @@
 	x.Membership = &endpoint.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, x.ID), State: endpoint.Joining}
 	x.Revision++
 	x.readyAt = w.now.Add(300 * time.Millisecond)
-	if m, _ := w.service.Engine.Model(o.Model); w.timed && !x.HasLoaded(o.Model) {
-		x.readyAt = w.now.Add(m.Warm)
+	if model, _ := w.service.Engine.Model(o.Model); w.timed && !x.HasLoaded(o.Model) {
+		x.readyAt = w.now.Add(model.Warm)
 	}
 	x.Models = []string{o.Model}
 	return Accepted
@@ -173,7 +169,7 @@
 func (w *simulation) advance(d time.Duration) {
 	w.now = w.now.Add(d)
 	for _, x := range w.endpoints {
-		if x.up && x.loading != "" && !w.now.Before(x.loadedAt) {
+		if x.loading != "" && !w.now.Before(x.loadedAt) {
 			x.Staged, x.loading = []string{x.loading}, ""
 			x.Revision++
 		}
@@ -218,9 +214,6 @@
 	snapshot := w.history[at]
 	v := &View{Now: w.now, CurrentSince: origin.Add(-time.Hour), CurrentAt: w.now.Add(-time.Duration(len(w.history)-1-at) * tick), Service: w.service, Snapshot: snapshot, Contacts: make(map[string]Contact), Loads: make(map[string]int), SuspectGroups: make(map[string]bool), Demand: w.demand, Busy: w.busy}
 	for id, x := range w.endpoints {
-		if w.timed && x.up {
-			v.Contacts[id] = Contact{LastAnswer: w.now, Busy: x.loading != ""}
-		}
 		if !x.firstUnanswered.IsZero() {
 			contact := Contact{FailedSince: x.firstUnanswered}
 			if !x.up {
--- a/internal/formation/spare.go
+++ b/internal/formation/spare.go
@@ -16,7 +16,7 @@
 		}
 		for _, m := range v.Service.Engine.Models {
 			if !e.HasLoaded(m.Name) {
-				p.stageModel(v, stageTarget{endpoint: e, model: m, speculative: true})
+				p.stageModel(v, e, m)
 				break
 			}
 		}
@@ -37,7 +37,7 @@
 	members, spares := p.membersByDomain(v), p.sparesByDomain(v)
 	for _, e := range cold {
 		if m, found := spareModel(v, members[e.Domain], spares[e.Domain]); found {
-			p.stageModel(v, stageTarget{endpoint: e, model: m})
+			p.stageModel(v, e, m)
 			addCount(spares, e.Domain, m.Name, 1)
 		}
 	}
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -23,14 +23,12 @@
 	model string    // empty if unknown, because an earlier leader ordered it
 	since time.Time // when it was ordered or found to be in progress
 	until time.Time // when it should have ended
-	// speculative is set for a load that serves no present need, and for one whose purpose is unknown.
-	speculative bool
 }
 
 // stageModels loads models onto hosts. Before the first request it stages a first model for free endpoints without one,
-// and a second model for the endpoints that conversions can use, so that they can soon serve either. Later it stages by
-// rank what a domain lacks for a group of a model in need and urgent first models, then the other first models, and then
-// a second model for endpoints that have only one.
+// and a second model for the endpoints that conversions can use, so that they can soon serve either. Later it stages what
+// a domain lacks for a group of a model in need, then a first model for free endpoints without one, and then a second
+// model for endpoints that have only one.
 func (p *Planner) stageModels(v *View) {
 	if !v.Busy {
 		p.updateStagings(v)
@@ -38,23 +36,21 @@
 		return
 	}
 	p.survey(v)
-	p.loadRates.observe(v, longestLoad(v.Service.Engine))
 	running := p.updateStagings(v)
-	p.urgentLoadWaits = false
-	short := p.shortfalls(v)
-	urgent, speculative := p.firstModels(v, short)
-	for _, l := range sortByRank(append(completionLoads(short), urgent...)) {
-		if !p.isLoading(l.endpoint) && !p.stageIfAllowed(v, &running, l) {
-			return
+	for _, c := range p.shortfalls(v) {
+		for _, e := range c.loadable[:c.missing] {
+			if _, busy := p.stagings[e.ID]; !busy && !p.stageIfAllowed(v, &running, e, c.model) {
+				return
+			}
 		}
 	}
-	for _, l := range speculative {
-		if !p.stageIfAllowed(v, &running, l) {
+	for _, l := range p.coldTargets(v) {
+		if !p.stageIfAllowed(v, &running, l.endpoint, l.model) {
 			return
 		}
 	}
 	for _, l := range p.secondModelTargets(v) {
-		if !p.stageIfAllowed(v, &running, l) {
+		if !p.stageIfAllowed(v, &running, l.endpoint, l.model) {
 			return
 		}
 	}
@@ -62,10 +58,8 @@
 
 // stageTarget is an endpoint and a model that could be staged on its host.
 type stageTarget struct {
-	endpoint    *endpoint.Endpoint
-	model       route.Model
-	speculative bool    // serves no present need
-	rank        float64 // service gained per second of loading; only compared among urgent loads
+	endpoint *endpoint.Endpoint
+	model    route.Model
 }
 
 // isLoading reports whether a model is being loaded onto the endpoint's host. A join that uses a staged model waits for
@@ -75,9 +69,8 @@
 	return busy
 }
 
-// updateStagings removes the loads that have ended and returns those in progress.
-func (p *Planner) updateStagings(v *View) loadsInProgress {
-	var running loadsInProgress
+// updateStagings removes the loads that have ended and returns how many are in progress.
+func (p *Planner) updateStagings(v *View) int {
 	for id, s := range p.stagings {
 		e := v.Snapshot.Endpoints[id]
 		if e == nil || e.HasStaged(s.model) || v.Now.After(s.until) {
@@ -85,7 +78,6 @@
 			continue
 		}
 		if s.model != "" {
-			running.add(s.speculative)
 			continue
 		}
 		c := v.Contacts[id]
@@ -93,28 +85,40 @@
 			delete(p.stagings, id)
 			continue
 		}
-		running.add(s.speculative)
 		if v.Now.Sub(c.LastAnswer) > surveyRetryInterval {
 			p.requestProbe(id)
 		}
 	}
-	return running
+	return len(p.stagings)
 }
 
 // stageIfAllowed stages the model and returns true, or returns false if a limit on loads is reached.
-func (p *Planner) stageIfAllowed(v *View, running *loadsInProgress, l stageTarget) bool {
-	if !running.allows(l.speculative, v.Service.Engine.LoadsAtOnce, p.reserve(v)) || !p.loadAllowed(v) {
-		p.urgentLoadWaits = !l.speculative
+func (p *Planner) stageIfAllowed(v *View, running *int, e *endpoint.Endpoint, m route.Model) bool {
+	if *running >= max(1, v.Service.Engine.LoadsAtOnce) || !p.loadAllowed(v) {
 		return false
 	}
-	p.stageModel(v, l)
-	running.add(l.speculative)
-	if !l.speculative {
-		p.loadRates.ordered = append(p.loadRates.ordered, v.Now)
-	}
+	p.stageModel(v, e, m)
+	*running++
 	return true
 }
 
+// coldTargets returns the free endpoints without any model, each with the model that loads fastest.
+func (p *Planner) coldTargets(v *View) []stageTarget {
+	var soonest route.Model
+	for _, m := range v.Service.Engine.Models {
+		if soonest.Name == "" || m.Load < soonest.Load {
+			soonest = m
+		}
+	}
+	var out []stageTarget
+	for _, e := range v.Snapshot.Services[v.Service.Name] {
+		if p.isCold(v, e) {
+			out = append(out, stageTarget{e, soonest})
+		}
+	}
+	return out
+}
+
 // isCold reports whether the endpoint is free, has no model and is being given none.
 func (p *Planner) isCold(v *View, e *endpoint.Endpoint) bool {
 	return len(e.Models)+len(e.Staged) == 0 && !p.isLoading(e) && p.isFree(v, e)
@@ -152,12 +156,9 @@
 		if len(lacks) == 0 {
 			continue
 		}
-		scarcest := slices.MaxFunc(lacks, func(a, b route.Model) int { return cmp.Compare(scarcity[a.Name], scarcity[b.Name]) })
-		out = append(out, stageTarget{endpoint: e, model: scarcest, speculative: true})
+		out = append(out, stageTarget{e, slices.MaxFunc(lacks, func(a, b route.Model) int { return cmp.Compare(scarcity[a.Name], scarcity[b.Name]) })})
 	}
-	slices.SortStableFunc(out, func(a, b stageTarget) int {
-		return cmp.Compare(scarcity[b.model.Name], scarcity[a.model.Name])
-	})
+	slices.SortStableFunc(out, func(a, b stageTarget) int { return cmp.Compare(scarcity[b.model.Name], scarcity[a.model.Name]) })
 	return out
 }
 
@@ -171,11 +172,10 @@
 	return false
 }
 
-func (p *Planner) stageModel(v *View, l stageTarget) {
-	e, m := l.endpoint, l.model
-	p.stagings[e.ID] = staging{model: m.Name, since: v.Now, until: v.Now.Add(m.Load + stageGrace), speculative: l.speculative}
+func (p *Planner) stageModel(v *View, e *endpoint.Endpoint, m route.Model) {
+	p.stagings[e.ID] = staging{m.Name, v.Now, v.Now.Add(m.Load + stageGrace)}
 	p.loadStarts = append(p.loadStarts, v.Now)
-	p.note("model staged", "", "endpoint", e.ID, "model", m.Name, "speculative", l.speculative)
+	p.note("model staged", "", "endpoint", e.ID, "model", m.Name)
 	p.addOrder(Order{Kind: Stage, Endpoint: e, Model: m.Name})
 }
 
--- a/internal/formation/stage_test.go
+++ b/internal/formation/stage_test.go
@@ -44,19 +44,14 @@
 	s.group("c", "d2", "small", "", 2)
 	s.group("d", "d2", "big", "", 3)
 	s.group("e", "d3", "big", "small", 3)
-	view := func() *View {
-		v := s.view()
-		v.Service.Engine.LoadsAtOnce = 5 // so that three speculative loads leave a reserve for one group of small
-		return v
-	}
-	sent, _ := s.newSettledPlanner().Step(view())
+	sent, _ := s.newSettledPlanner().Step(s.view())
 	staged := modelsByEndpoint(sent, Stage)
 	qt.Assert(t, staged, qt.HasLen, 3, qt.Commentf("as many as may start within a second"))
 	for id, model := range staged {
 		qt.Check(t, model, qt.Equals, "small", qt.Commentf(id))
 	}
 	s.demand = map[string]int{"big": 6, "small": 3}
-	sent, _ = s.newSettledPlanner().Step(view())
+	sent, _ = s.newSettledPlanner().Step(s.view())
 	for id, model := range modelsByEndpoint(sent, Stage) {
 		qt.Check(t, model, qt.Equals, "big", qt.Commentf(id))
 	}
--- a/internal/formation/survivors_test.go
+++ b/internal/formation/survivors_test.go
@@ -27,7 +27,7 @@
 		p, v := s.newSettledPlanner(), s.view()
 		v.Service = waveService()
 		if loadLeft > 0 {
-			p.stagings[sixteenth.ID] = staging{model: "big", since: s.now, until: s.now.Add(loadLeft + stageGrace)}
+			p.stagings[sixteenth.ID] = staging{"big", s.now, s.now.Add(loadLeft + stageGrace)}
 		}
 		sent, _ := p.Step(v)
 		count := 0
