formation: count free endpoints by reason

Cause: 29 to 47 of 217 endpoints were free while requests waited, and the log only told that they were free.

Change: each listed endpoint in no group and no plan has one reason. The line "endpoints" of the log and the metric endpoints_free have the counts; the key "cold" becomes "empty". "free" now includes unreachable endpoints.

moorrun status shows the endpoints of plain services only, not those of replica groups, so it is unchanged.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -100,6 +100,23 @@
 // Lost returns the groups that this tenure recently found to have lost a member.
 func (c *Controller) Lost() []string { return loadNames(&c.lost) }
 
+// FreeEndpoints returns the number of free endpoints of all services by reason, as of the last summary, or nil if this
+// node does not hold the leader lease.
+func (c *Controller) FreeEndpoints(now time.Time) map[FreeReason]int {
+	if c.Leads(now) == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[FreeReason]int)
+	for _, p := range c.planners {
+		for r, n := range p.freeCounts {
+			out[r] += n
+		}
+	}
+	return out
+}
+
 func loadNames(list *atomic.Pointer[[]string]) []string {
 	if names := list.Load(); names != nil {
 		return *names
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -48,9 +48,10 @@
 	// allows reports whether a conversion may be carried out. It is a field so that a test can compare other rules.
 	allows func(*conversion) bool
 
-	endpointCount        int       // endpoints of the service at the last step
-	endpointCountChanged time.Time // when endpointCount last changed
-	lastSummary          time.Time // when the last summary was logged
+	endpointCount        int                // endpoints of the service at the last step
+	endpointCountChanged time.Time          // when endpointCount last changed
+	lastSummary          time.Time          // when the last summary was logged
+	freeCounts           map[FreeReason]int // free endpoints at the last summary
 	orders               []Order
 	toProbe              map[string]bool
 	// Note is called with each decision; pairs are alternating keys and values.
--- a/internal/formation/summary.go
+++ b/internal/formation/summary.go
@@ -28,15 +28,12 @@
 		p.note("supply", "", "model", m.Name, "open", open, "requests", load, "endpoints", have[m.Name], "readers", p.demand.prefillGroups[m.Name],
 			"pressure", p.pressure(v, m, have), "needed", p.demand.present(v.Service.Engine, m), "needed_peak", p.demand.peak(v.Service.Engine, m, v.Now))
 	}
-	free, cold := 0, 0
-	for _, list := range p.freeByDomain(v) {
-		for _, e := range list {
-			free++
-			if len(e.Models)+len(e.Staged) == 0 {
-				cold++
-			}
-		}
+	p.freeCounts = p.freeReasons(v)
+	pairs := []any{"listed", len(v.Snapshot.Services[v.Service.Name])}
+	free := 0
+	for _, r := range FreeReasons {
+		free += p.freeCounts[r]
+		pairs = append(pairs, string(r), p.freeCounts[r])
 	}
-	p.note("endpoints", "", "listed", len(v.Snapshot.Services[v.Service.Name]), "free", free, "cold", cold,
-		"plans", len(p.plans), "retiring", len(p.retiring), "staging", len(p.stagings))
+	p.note("endpoints", "", append(pairs, "free", free, "plans", len(p.plans), "retiring", len(p.retiring), "staging", len(p.stagings))...)
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"moorrun.dev/moorrun/internal/endpoint"
+	"moorrun.dev/moorrun/internal/formation"
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
@@ -64,6 +65,10 @@
 		s.Gauge("endpoints_pausing").Update(float64(n.picker.Pausing(now)))
 		s.Gauge("endpoints_limited").Update(float64(n.rates.CountNamed()))
 		s.Gauge("endpoints").Update(float64(len(snapshot.Endpoints)))
+		free := n.controller.FreeEndpoints(now)
+		for _, r := range formation.FreeReasons {
+			s.Tagged(map[string]string{"reason": string(r)}).Gauge("endpoints_free").Update(float64(free[r]))
+		}
 		status := n.ownStatus(now)
 		demand := gossip.SumDemands(status.Demands)
 		s.Gauge("requests_running").Update(float64(demand.Running))
