--- a/internal/formation/form.go
+++ b/internal/formation/form.go
@@ -32,7 +32,6 @@
 	}
 	p.clearStaleMembers(v, free)
 	p.convert(v, free, have)
-	p.formOfSurvivors(v, free, have)
 }
 
 // clearStaleMembers orders endpoints that stay free to leave groups that have ended. A later leader has no record that
