formation: conversions by the requests served at present and at the peak

Cause: by the present need groups were ended in the trough of a wave that the next peak needed; with the donor held to its peak the model with large groups stayed short while survivors of its groups were idle. Change: a conversion must stay within today's limits at present and serve a larger part of both models' requests in sum, as the mean of the present and of the peak within one load time, less the time that it takes. Parts of the requests count and not their number. A fleet that is followed from before its first request knows its peak.

--- a/internal/formation/conversion.go
+++ b/internal/formation/conversion.go
@@ -17,9 +17,9 @@
 	// exceeded as long as the donor stays below the recipient's new pressure: where a group of sixteen has lost one
 	// member, the fifteen that are left can serve again with four endpoints of the other model.
 	donorPressureRatio = 0.75
-	// maxShortDonorPressure is the highest pressure that a donor may have afterwards while both models are short: it keeps
-	// half of the groups that it needs.
-	maxShortDonorPressure = 2
+	// minBenefitTimes is the least number of times the duration of a conversion for which its benefit must last, where loads are
+	// short.
+	minBenefitTimes = 3
 )
 
 // conversion is the end of some groups of one model, the donor, for a group of another, the recipient.
@@ -29,9 +29,7 @@
 	recipientPresent, donorPresent pressures // by the need at present
 	recipientPeak, donorPeak       pressures // by the highest need within one load time
 	peakKnown                      bool      // the requests have been observed for one load time
-	recipientRequests              float64   // running and waiting requests of the recipient
-	donorRequests                  float64   // the same of the donor
-	idleFraction                   float64   // part of one load time for which the endpoints serve neither model
+	idleFraction                   float64   // part of the time that it lasts at least for which the endpoints serve neither model
 }
 
 // pressures are the pressures of a model before and after a conversion.
@@ -39,6 +37,9 @@
 
 func (p pressures) doubled() pressures { return pressures{2 * p.before, 2 * p.after} }
 
+// relief returns by how much the part of the requests that are not served in time falls.
+func (p pressures) relief() float64 { return serviceLoss(p.before) - serviceLoss(p.after) }
+
 // newConversion returns the conversion of the donor's groups. expected and have count endpoints by model, with and without
 // the conversions under way.
 func (p *Planner) newConversion(v *View, recipient, donor route.Model, groups []*endpoint.Group, expected, have map[string]int) *conversion {
@@ -50,53 +51,37 @@
 		return pressures{pressureOf(now, m, before), pressureOf(now, m, after)}, pressures{pressureOf(highest, m, before), pressureOf(highest, m, after)}
 	}
 	c := &conversion{recipient: recipient, donor: donor, groups: groups, peakKnown: p.demand.peakKnown(v.Now)}
-	c.recipientRequests, c.donorRequests = p.demand.requests[recipient.Name], p.demand.requests[donor.Name]
-	if load := longestLoad(v.Service.Engine); load > 0 {
-		c.idleFraction = min(1, conversionTime(recipient).Seconds()/load.Seconds())
-	}
+	duration := conversionTime(recipient)
+	c.idleFraction = duration.Seconds() / max(longestLoad(v.Service.Engine), minBenefitTimes*duration).Seconds()
 	c.recipientPresent, c.recipientPeak = compare(recipient, expected)
 	c.donorPresent, c.donorPeak = compare(donor, have)
 	return c
 }
 
-// allowed reports whether the recipient needs the groups and the donor can do without them. What a conversion gives up can
-// be restored only by a load, so the donor's peak within one load time counts: groups ended between two waves, while both
-// models had few requests, were missing 8 s later. Either the donor stays within its limit at the peaks of both models, or
-// it does at present and still has every group that its peak needs. A leader that does not know the peak yet assumes twice
-// the present pressure.
+// allowed reports whether the recipient needs the groups and the donor can do without them, now and at the next peak. What a
+// conversion gives up can be restored only by a load, so the peak within one load time counts as much as the present: groups
+// ended between two waves, while both models had few requests, were missing 8 s later. A leader that does not know the peak
+// yet assumes twice the donor's present pressure.
 func (c *conversion) allowed() bool {
-	if c.bothShort() {
-		return c.servesMore()
-	}
 	if !c.peakKnown {
 		return withinLimit(c.recipientPresent, c.donorPresent.doubled())
 	}
-	return withinLimit(c.recipientPeak, c.donorPeak) || withinLimit(c.recipientPresent, c.donorPresent) && c.donorPeak.after <= 1
+	return withinLimit(c.recipientPresent, c.donorPresent) && c.netGain() > 0
 }
 
 // conversionTime is the time that ending a group and forming one of the model from its members may take.
 func conversionTime(m route.Model) time.Duration { return drainTimeout + m.Warm + joinGrace }
 
-// bothShort reports whether requests of both models cannot be served in time.
-func (c *conversion) bothShort() bool {
-	return c.recipientPresent.before > 1 && c.donorPresent.before > 1
+// netGain returns the part of a model's requests that the conversion serves in time in addition, less the part that it costs
+// the donor: the mean of that at the present need of both models and at their peaks. Parts of the models' requests are compared
+// and not numbers of requests, which would give every group to the model with the shorter requests. The recipient gains
+// nothing while its groups form.
+func (c *conversion) netGain() float64 {
+	gain := c.recipientPresent.relief() + c.recipientPeak.relief()
+	cost := -c.donorPresent.relief() - c.donorPeak.relief()
+	return (gain*(1-c.idleFraction) - cost) / 2
 }
 
-// servesMore reports whether fewer requests of both models together cannot be served in time after the conversion. The
-// gain is counted for one load time, in which the conversion cannot be reversed, without the time that it takes. The donor
-// keeps half of the groups that it needs, so that none of its requests starve.
-func (c *conversion) servesMore() bool {
-	if c.donorPresent.after > maxShortDonorPressure {
-		return false
-	}
-	gain := c.recipientRequests * (unserved(c.recipientPresent.before) - unserved(c.recipientPresent.after))
-	loss := c.donorRequests * (unserved(c.donorPresent.after) - unserved(c.donorPresent.before))
-	return gain*(1-c.idleFraction) > loss
-}
-
-// unserved returns the fraction of a model's requests that cannot be served in time at that pressure.
-func unserved(pressure float64) float64 { return 1 - 1/max(1, pressure) }
-
 // withinLimit reports whether the recipient's pressure is high enough, and that of the donor low enough, for a conversion.
 func withinLimit(recipient, donor pressures) bool {
 	return recipient.before >= conversionPressure && donor.after <= min(maxDonorPressure, max(donorPressureRatio*recipient.before, recipient.after))
@@ -111,5 +96,5 @@
 		"recipient_before", c.recipientPresent.before, "recipient_after", c.recipientPresent.after,
 		"recipient_peak_before", c.recipientPeak.before, "recipient_peak_after", c.recipientPeak.after,
 		"donor_before", c.donorPresent.before, "donor_after", c.donorPresent.after,
-		"donor_peak_before", c.donorPeak.before, "donor_peak_after", c.donorPeak.after, "peak_known", c.peakKnown)
+		"donor_peak_before", c.donorPeak.before, "donor_peak_after", c.donorPeak.after, "peak_known", c.peakKnown, "net_gain", c.netGain())
 }
--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -33,16 +33,7 @@
 		return
 	}
 	expected := p.withPendingConversions(v, have)
-	first, last := models[0], models[len(models)-1]
-	if c := p.findConversion(v, free, first, last, expected, have); c != nil {
-		p.carryOut(v, c)
-		return
-	}
-	if p.pressure(v, last, have) <= 1 {
-		return
-	}
-	// Both are short, and the members of one group of the model most in need may serve more requests of the other.
-	if c := p.findConversion(v, free, last, first, expected, have); c != nil && c.bothShort() {
+	if c := p.findConversion(v, free, models[0], models[len(models)-1], expected, have); c != nil {
 		p.carryOut(v, c)
 	}
 }
--- a/internal/formation/demand.go
+++ b/internal/formation/demand.go
@@ -25,7 +25,8 @@
 	prefillGroups map[string]float64              // least number of replica groups that can read a model's prompts in time
 	peaks         map[string]*window.Max[float64] // of the groups needed
 	span          time.Duration                   // for which the peaks are kept
-	since         time.Time                       // of the first requests observed
+	since         time.Time                       // of the first observation
+	fromStart     bool                            // there were no requests at the first observation, so that all of them have been observed
 	updated       time.Time
 }
 
@@ -41,9 +42,8 @@
 	weight := 1 - math.Exp(-now.Sub(d.updated).Seconds()/demandSmoothing.Seconds())
 	if d.since.IsZero() {
 		weight = 1 // the average starts at the first value
-		if slices.ContainsFunc(e.Models, func(m route.Model) bool { return requests[m.Name] > 0 }) {
-			d.since = now
-		}
+		d.since = now
+		d.fromStart = !slices.ContainsFunc(e.Models, func(m route.Model) bool { return requests[m.Name] > 0 })
 	}
 	d.updated = now
 	for _, m := range e.Models {
@@ -56,9 +56,9 @@
 	}
 }
 
-// peakKnown reports whether requests have been observed for as long as the peak is kept.
+// peakKnown reports whether requests have been observed since the first one, or for as long as the peak is kept.
 func (d *demand) peakKnown(now time.Time) bool {
-	return !d.since.IsZero() && now.Sub(d.since) >= d.span
+	return d.fromStart || !d.since.IsZero() && now.Sub(d.since) >= d.span
 }
 
 // present returns the number of groups that the model needs now: enough to give every request a slot, including waiting
