--- a/internal/engine/model.go
+++ b/internal/engine/model.go
@@ -23,6 +23,10 @@
 	Figures Figures
 	Pace    float64 // factor on all times; 0 means 1
 	Writers float64 // requests that the group writes at the same time
+	// Slots, Passes and Context describe the requests for FirstEventAt and GapAt. Each is zero if unknown.
+	Slots   int     // most requests that the group runs at once
+	Passes  float64 // mean number of passes that write a request
+	Context float64 // mean context of a request that is being written, in tokens
 }
 
 func (m *Model) pace() float64 {
