picker: count what other nodes have probably sent since their reports

Change: a choice adds to a group's cost this node's sends there within reportAge, times the other busy nodes. Whether a group is full is still decided by the known count alone.

--- a/internal/picker/health.go
+++ b/internal/picker/health.go
@@ -32,6 +32,7 @@
 	stalls       int           // consecutive stalls
 	refusals     int           // consecutive doublings of the refusal back-off
 	refusedUntil time.Time     // end of the back-off after a refusal
+	recentSends  recentSends
 	lastUsed     time.Time
 }
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -3,7 +3,6 @@
 package picker
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -54,6 +53,7 @@
 	pauses             pauses
 	cold               *ratelimit.ColdLimiter
 	randomState        uint64
+	ignoreUnreported   bool // choose by the reported loads alone; for comparison in tests
 }
 
 // New returns a Picker.
@@ -132,7 +132,7 @@
 	}
 	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.full(w, useQueue) })
 	for len(candidates) > 0 {
-		best := p.best(w, candidates)
+		best := p.best(w, candidates, others, now)
 		if p.admit(&best, others, now) {
 			return p.reserve(w, &best, now), nil
 		}
@@ -149,18 +149,11 @@
 	return p.options.Limits.Admit(c.endpoint.ID, others.Limits, now)
 }
 
-// best returns the cheapest candidate: for replica groups the cheapest of a random sample, otherwise the cheapest of all.
-func (p *Picker) best(w *Requirements, candidates []candidate) candidate {
-	if w.Model != "" {
-		candidates = p.sample(candidates)
-	}
-	return slices.MinFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
-}
-
 func (p *Picker) reserve(w *Requirements, c *candidate, now time.Time) *Place {
 	place := &Place{Endpoint: c.endpoint, Group: c.group, Requests: c.load, picker: p, workspace: w.Workspace, model: w.Model}
 	h := p.healthOf(place.key(), now)
 	h.running++
+	h.recentSends.add(now)
 	p.runningByWorkspace[w.Workspace]++
 	p.runningByModel[w.Model]++
 	return place
