picker, gossip: count unread prompt tokens per group (not sent in beats yet)

Cause: nodes count requests, not prompt tokens that have not been read, and the first event of a request comes after these. Change: picker counts the tokens of a prompt at its group from the choice until the first event, the failure, the refusal or the release, and puts them into the status; Totals sum them. A status without them stays unknown, not zero.

--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -19,6 +19,7 @@
 	ProofAt     time.Time            // when its copy of the store was last known to be current; zero if unknown
 	Busy        int                  // 1 if it has requests; in totals, the number of nodes that have
 	Loads       Loads                // its requests at endpoints
+	Unread      Unread               // its unread prompt tokens at endpoints; not sent in beats yet
 	Limits      RateLimits           // announced by endpoints
 	Cold        RateLimits           // its request counts at recently started endpoints, whose limit is in the configuration
 	Suspects    map[string]time.Time // replica groups that have stalled, with the time of the last sign of progress
--- a/internal/gossip/totals.go
+++ b/internal/gossip/totals.go
@@ -10,6 +10,7 @@
 type Totals struct {
 	Busy     int // number of nodes with requests
 	Loads    Loads
+	Unread   Unread // nil if no node reports it
 	Limits   RateLimits
 	Cold     RateLimits           // request counts at recently started endpoints
 	Suspects map[string]time.Time // replica groups that have stalled, with the latest time that any node reports for each
@@ -29,6 +30,7 @@
 	for endpoint, n := range s.Loads {
 		t.Loads[endpoint] += n
 	}
+	t.Unread = t.Unread.plus(s.Unread)
 	t.Limits.add(s.Limits)
 	t.Cold.add(s.Cold)
 	for group, at := range s.Suspects {
@@ -65,6 +67,7 @@
 	out := *t
 	out.Busy -= s.Busy
 	out.Loads, out.Demands = maps.Clone(t.Loads), maps.Clone(t.Demands)
+	out.Unread = t.Unread.minus(s.Unread)
 	out.Limits, out.Cold = t.Limits.minus(s.Limits), t.Cold.minus(s.Cold)
 	for endpoint, n := range s.Loads {
 		if out.Loads[endpoint] -= n; out.Loads[endpoint] <= 0 {
@@ -79,7 +82,7 @@
 
 // applyTo returns the status with the totals in place of the node's own values.
 func (t *Totals) applyTo(s Status) Status {
-	s.Limits, s.Cold = t.Limits, t.Cold
+	s.Limits, s.Cold, s.Unread = t.Limits, t.Cold, t.Unread
 	s.Busy, s.Loads, s.Suspects, s.Retiring, s.Lost, s.Demands = t.Busy, t.Loads, t.Suspects, t.Retiring, t.Lost, t.Demands
 	return s
 }
--- a/internal/picker/health.go
+++ b/internal/picker/health.go
@@ -23,6 +23,7 @@
 // health is what this node has observed of a replica group or of a standalone endpoint.
 type health struct {
 	running      int           // requests of this node
+	unread       unread        // of those
 	lastProgress time.Time     // arrival of the last event or answer
 	meanGap      time.Duration // moving average between two events
 	meanLatency  time.Duration // moving average until the first event or the answer
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -27,6 +27,7 @@
 // RecordFirstEvent records that the first event, or the whole answer, arrived latency after the request was sent.
 func (p *Place) RecordFirstEvent(latency time.Duration, now time.Time) {
 	p.update(now, func(h *health) {
+		p.clearUnread(h)
 		h.meanLatency = movingAverage(h.meanLatency, latency)
 		h.failureRate -= smoothing * h.failureRate
 	})
@@ -66,6 +67,7 @@
 	p.picker.mu.Lock()
 	defer p.picker.mu.Unlock()
 	h := p.picker.healthOf(p.key(), now)
+	p.clearUnread(h)
 	h.failureRate += smoothing * (1 - h.failureRate)
 	switch {
 	case !unreachable:
@@ -86,7 +88,9 @@
 	}
 	p.picker.mu.Lock()
 	defer p.picker.mu.Unlock()
-	p.picker.healthOf(p.key(), now).backOffRefusal(now)
+	h := p.picker.healthOf(p.key(), now)
+	p.clearUnread(h)
+	h.backOffRefusal(now)
 }
 
 // StallDeadlines returns when the group is to be suspected and when the stream times out, for a request whose last event came
@@ -131,7 +135,7 @@
 	snapshot := p.options.Directory.Read()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s.Loads = make(gossip.Loads)
+	s.Loads, s.Unread = make(gossip.Loads), make(gossip.Unread)
 	p.options.Limits.MergeReports(p.options.Others(now).Limits, now)
 	s.Limits, s.Cold = p.options.Limits.Report(now), p.cold.Report(now)
 	s.Suspects = make(map[string]time.Time)
@@ -141,6 +145,9 @@
 			switch {
 			case g != nil && g.Head != nil:
 				s.Loads[gossip.KeyOf(g.Head.ID)] = h.running
+				if tokens := int(h.unread.tokens); tokens > 0 {
+					s.Unread[gossip.KeyOf(g.Head.ID)] = tokens
+				}
 			case snapshot.Endpoints[key] != nil:
 				s.Loads[gossip.KeyOf(key)] = h.running
 			}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -154,6 +154,8 @@
 	h := p.healthOf(place.key(), now)
 	h.running++
 	h.recentSends.add(now)
+	place.unreadTokens = p.promptTokens(w, now)
+	h.unread.add(place.unreadTokens)
 	p.runningByWorkspace[w.Workspace]++
 	p.runningByModel[w.Model]++
 	return place
@@ -163,7 +165,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
-	p.healthOf(place.key(), now).running--
+	h := p.healthOf(place.key(), now)
+	h.running--
+	place.clearUnread(h)
 	p.runningByModel[place.model]--
 	if p.runningByWorkspace[place.workspace]--; p.runningByWorkspace[place.workspace] <= 0 {
 		delete(p.runningByWorkspace, place.workspace)
--- a/internal/picker/place.go
+++ b/internal/picker/place.go
@@ -12,10 +12,12 @@
 	Group    string // empty for a standalone endpoint
 	Requests int    // known running requests there at the time of the choice
 
-	picker      *Picker
-	workspace   string
-	model       string
-	releaseOnce sync.Once
+	picker    *Picker
+	workspace string
+	// unreadTokens is the length of the prompt until it is known to have been read or not to be read; then 0.
+	unreadTokens float64
+	model        string
+	releaseOnce  sync.Once
 }
 
 // Release frees the place. Further calls have no effect.
