queueing: order of waiting requests by rank, share, lateness and arrival

Cause: the picker's queue orders by rank, running requests and arrival only. Under a lasting overload the less urgent ranks get nothing, requests that are late already take places from those that could be in time, and a request that has failed at a group keeps that group's free place from all requests behind it. Change: package queueing decides the order, and picker uses it. Late requests come after those that can be in time and get one place in four; among late ones the rank with the smallest served share is first. A request with excluded groups that finds no place no longer holds up the others, and a request that arrives while others wait takes a free place at once if it is first. Requirements have the workspace's weight and InTimeWait; nothing sets them yet, so lateness begins at MaxWait and weights are 1.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -12,6 +12,7 @@
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/queueing"
 	"moorrun.dev/moorrun/internal/ratelimit"
 )
 
@@ -48,6 +49,7 @@
 	runningByWorkspace map[string]int
 	wasComplete        map[string]bool // groups whose members have all been ready at the same time
 	waiting            []*waiter
+	orders             map[kind]*queueing.Order
 	waitingByModel     map[string]int
 	runningByModel     map[string]int
 	arrivals           map[string]*arrivals // arrival rates by model
@@ -63,7 +65,7 @@
 	}
 	return &Picker{
 		options: o, health: make(map[string]*health), runningByWorkspace: make(map[string]int), wasComplete: make(map[string]bool),
-		waitingByModel: make(map[string]int), runningByModel: make(map[string]int), arrivals: make(map[string]*arrivals), pauses: make(pauses),
+		orders: make(map[kind]*queueing.Order), waitingByModel: make(map[string]int), runningByModel: make(map[string]int), arrivals: make(map[string]*arrivals), pauses: make(pauses),
 		cold: ratelimit.NewColdLimiter(clock.Now()),
 	}
 }
@@ -71,15 +73,17 @@
 // Acquire returns a place for the request. It waits for one for up to w.MaxWait.
 func (p *Picker) Acquire(ctx context.Context, w *Requirements) (*Place, error) {
 	p.mu.Lock()
-	p.recordArrival(w, clock.Now())
-	if !p.hasWaiterFor(w) {
-		place, err := p.tryAcquire(w, clock.Now(), false)
+	now := clock.Now()
+	p.recordArrival(w, now)
+	if len(p.waitingOf(w.kind())) == 0 {
+		place, err := p.tryAcquire(w, now, false)
 		if place != nil || err != nil && (w.MaxWait <= 0 || isPaused(err)) {
 			p.mu.Unlock()
 			return place, err
 		}
 	}
-	q := p.enqueue(w)
+	q := p.enqueue(w, now)
+	p.grantKind(w.kind(), now) // a place may have come free, as by other nodes' requests, since the others began to wait
 	p.mu.Unlock()
 	timer := time.NewTimer(w.MaxWait)
 	defer timer.Stop()
@@ -107,8 +111,10 @@
 	return place, err
 }
 
-// recordArrival counts a request in its model's arrival rates. Requests without a model are not counted.
+// recordArrival counts a request in the order of its kind and in its model's arrival rates. Requests without a model are not
+// counted in the rates.
 func (p *Picker) recordArrival(w *Requirements, now time.Time) {
+	p.order(w.kind()).Arrive(w.Priority)
 	if w.Model == "" {
 		return
 	}
@@ -161,6 +167,7 @@
 	place := &Place{Endpoint: c.endpoint, Group: c.group, Requests: c.load, picker: p, workspace: w.Workspace, model: w.Model}
 	h := p.healthOf(place.key(), now)
 	h.running++
+	p.order(w.kind()).Serve(w.Priority)
 	p.runningByWorkspace[w.Workspace]++
 	p.runningByModel[w.Model]++
 	return place
--- a/internal/picker/queue.go
+++ b/internal/picker/queue.go
@@ -4,23 +4,32 @@
 	"slices"
 	"time"
 
-	"moorrun.dev/moorrun/internal/clock"
+	"moorrun.dev/moorrun/internal/queueing"
 )
 
 // waiter is a request that waits for a place.
 type waiter struct {
 	requirements *Requirements
-	arrived      time.Time
+	entry        queueing.Entry
 	granted      chan *Place
 }
 
-func (p *Picker) enqueue(w *Requirements) *waiter {
-	q := &waiter{requirements: w, arrived: clock.Now(), granted: make(chan *Place, 1)}
+func (p *Picker) enqueue(w *Requirements, now time.Time) *waiter {
+	q := &waiter{requirements: w, entry: entryOf(w, now), granted: make(chan *Place, 1)}
 	p.waiting = append(p.waiting, q)
 	p.waitingByModel[w.Model]++
 	return q
 }
 
+// entryOf returns the request's entry in the order.
+func entryOf(w *Requirements, now time.Time) queueing.Entry {
+	inTime := w.InTimeWait
+	if inTime <= 0 {
+		inTime = w.MaxWait
+	}
+	return queueing.Entry{Rank: w.Priority, Workspace: w.Workspace, Weight: w.Weight, InTimeUntil: now.Add(inTime), Arrived: now}
+}
+
 func (p *Picker) dequeue(q *waiter) {
 	if i := slices.Index(p.waiting, q); i >= 0 {
 		p.waiting = slices.Delete(p.waiting, i, i+1)
@@ -28,41 +37,64 @@
 	}
 }
 
-// hasWaiterFor reports whether a request for the same service and model, at least as urgent, is already waiting.
-func (p *Picker) hasWaiterFor(w *Requirements) bool {
+// kind identifies requests that compete for the same places.
+type kind struct{ service, model string }
+
+func (w *Requirements) kind() kind { return kind{w.Service, w.Model} }
+
+// order returns the order of the requests of a kind.
+func (p *Picker) order(k kind) *queueing.Order {
+	o, ok := p.orders[k]
+	if !ok {
+		o = &queueing.Order{}
+		p.orders[k] = o
+	}
+	return o
+}
+
+// waitingOf returns the waiting requests of a kind.
+func (p *Picker) waitingOf(k kind) []*waiter {
+	var out []*waiter
 	for _, q := range p.waiting {
-		if q.requirements.Service == w.Service && q.requirements.Model == w.Model && q.requirements.Priority <= w.Priority {
-			return true
+		if q.requirements.kind() == k {
+			out = append(out, q)
 		}
 	}
-	return false
+	return out
 }
 
-// grant gives free places to waiting requests: the most urgent first, then those of the workspace with the fewest running
-// requests, then those that have waited longest.
+// grant gives free places to waiting requests of all kinds.
 func (p *Picker) grant(now time.Time) {
-	if len(p.waiting) == 0 {
-		return
-	}
-	order := slices.Clone(p.waiting)
-	slices.SortStableFunc(order, func(a, b *waiter) int {
-		if a.requirements.Priority != b.requirements.Priority {
-			return a.requirements.Priority - b.requirements.Priority
-		}
-		return p.runningByWorkspace[a.requirements.Workspace] - p.runningByWorkspace[b.requirements.Workspace]
-	})
-	full := make(map[string]bool)
-	for _, q := range order {
-		kind := q.requirements.Service + "/" + q.requirements.Model
-		if full[kind] {
-			continue
+	done := make(map[kind]bool)
+	for _, q := range slices.Clone(p.waiting) {
+		if k := q.requirements.kind(); !done[k] {
+			done[k] = true
+			p.grantKind(k, now)
 		}
+	}
+}
+
+// grantKind gives free places to waiting requests of a kind, in their order. A request that has failed at some groups may find no
+// place where another request finds one, so it does not hold up the others.
+func (p *Picker) grantKind(k kind, now time.Time) {
+	order, waiters := p.order(k), p.waitingOf(k)
+	entries := make([]*queueing.Entry, len(waiters))
+	for i, q := range waiters {
+		entries[i] = &q.entry
+	}
+	running := func(workspace string) int { return p.runningByWorkspace[workspace] }
+	for len(waiters) > 0 {
+		i := order.Next(entries, running, now)
+		q := waiters[i]
 		place, _ := p.tryAcquire(q.requirements, now, false)
-		if place == nil {
-			full[kind] = true
-			continue
+		if place == nil && len(q.requirements.Exclude) == 0 {
+			return
+		}
+		if place != nil {
+			order.Take(entries, i, now)
+			p.dequeue(q)
+			q.granted <- place
 		}
-		p.dequeue(q)
-		q.granted <- place
+		waiters, entries = slices.Delete(waiters, i, i+1), slices.Delete(entries, i, i+1)
 	}
 }
--- a/internal/picker/requirements.go
+++ b/internal/picker/requirements.go
@@ -30,8 +30,10 @@
 	ColdPerSecond float64
 	Priority      int // 0 is the most urgent
 	Workspace     string
+	Weight        float64       // of the workspace, relative to the other ones; 0 means 1
 	Exclude       []string      // groups and endpoints that have failed the request
 	MaxWait       time.Duration // longest wait for a place
+	InTimeWait    time.Duration // longest wait after which the request can still be in time; 0 means MaxWait
 }
 
 func (w *Requirements) excludes(key string) bool {
