queueing: appointments spread refused callers over the releases

Cause: all callers that a node refuses within a moment get the same Retry-After, as long as the shortage has lasted, and come back together. Change: a refusal for lack of a place gives the caller the next time at which a place is expected, from this node's rate of releases of the kind, behind the waiting requests and all callers that were given a time before; at most a third of the caller's remaining time. Callers for whom no place is expected by then are spread evenly up to that time. A caller that comes back at its time, known by the fingerprint of its request, comes before new ones; one that comes early counts as new. Without recent releases, and without a usable group, the previous rule stays; it has moved here from gateway. admission's pool takes its expected wait and Retry-After from the same type and its rate from this package. A caller that comes back at another node counts as new there, so it has no precedence.

--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -1,13 +1,13 @@
 package admission
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"moorrun.dev/moorrun/internal/allocator"
 	"moorrun.dev/moorrun/internal/clock"
+	"moorrun.dev/moorrun/internal/queueing"
 )
 
 const (
@@ -30,13 +30,13 @@
 	grant     uint64
 	expires   time.Time // when the current grant expires
 	reportNow chan struct{}
-	arrivals  map[string]*rate
+	arrivals  map[string]*queueing.Rate
 }
 
 func newPool(model string, chooser Chooser) *pool {
 	return &pool{
 		model: model, chooser: chooser, queues: make(map[string]*queue),
-		reportNow: make(chan struct{}, 1), arrivals: make(map[string]*rate),
+		reportNow: make(chan struct{}, 1), arrivals: make(map[string]*queueing.Rate),
 	}
 }
 
@@ -46,7 +46,7 @@
 		q = &queue{workspace: workspace, groups: make(map[groupKey]*groupPlaces)}
 		q.waiting.Init()
 		p.queues[workspace] = q
-		p.arrivals[workspace] = &rate{}
+		p.arrivals[workspace] = &queueing.Rate{}
 	}
 	return q
 }
@@ -57,7 +57,7 @@
 	defer p.mu.Unlock()
 	q := p.queue(r.Workspace)
 	q.lastArrival = now
-	p.arrivals[r.Workspace].add(now)
+	p.arrivals[r.Workspace].Add(now)
 	q.demand.add(q.waiting.Len()+q.running()+1, now)
 	w := &waiter{ready: make(chan *Place, 1), avoid: r.Avoid, prefer: r.Prefer, priority: r.Priority, maxWait: r.Timeout - q.meanHold}
 	if p.lengthOnly {
@@ -106,33 +106,24 @@
 func (p *pool) refuse(q *queue, timeout time.Duration, now time.Time) *Refusal {
 	expected := q.expectedWait(now)
 	if q.waiting.Len() >= maxQueued {
-		return &Refusal{"the queue is full", expected}
+		return &Refusal{"the queue is full", q.comeBackAfter(expected, timeout, now)}
 	}
 	if p.lengthOnly {
 		return nil
 	}
 	if expected+q.meanHold > timeout {
-		return &Refusal{"the expected wait is longer than the request's deadline", max(0, expected+q.meanHold-timeout) + retryAfter}
+		return &Refusal{"the expected wait is longer than the request's deadline", q.comeBackAfter(max(0, expected+q.meanHold-timeout)+retryAfter, timeout, now)}
 	}
 	return nil
 }
 
 // expectedWait estimates how long a request that joins the queue now will wait, from the recent rate at which
-// places became free.
+// places became free. It is 0 if the rate is not known: the request then waits up to its deadline.
 func (q *queue) expectedWait(now time.Time) time.Duration {
-	if q.waiting.Len() == 0 {
-		return 0
-	}
-	perSecond := q.rate.value(now)
-	if perSecond <= 0 {
-		return 0 // no recent releases to estimate from: the request waits up to its deadline
-	}
-	seconds := float64(q.waiting.Len()) / perSecond
-	return time.Duration(math.Min(seconds, maxExpectedWait.Seconds()) * float64(time.Second))
+	wait, _ := q.appointments.ExpectedWait(q.waiting.Len(), now)
+	return wait
 }
 
-const maxExpectedWait = time.Hour
-
 // take starts a request on the least loaded group of which the workspace has a free place. The group to avoid is
 // used only if there is no other.
 func (p *pool) take(q *queue, avoid string, now time.Time) *Place {
@@ -190,7 +181,7 @@
 	defer p.mu.Unlock()
 	place.groupPlaces.running--
 	if ok {
-		place.queue.rate.add(now)
+		place.queue.appointments.Release(now)
 		place.queue.recordHold(now.Sub(place.taken))
 	}
 	if place.groupPlaces.running == 0 && place.groupPlaces.limit == 0 {
@@ -255,7 +246,7 @@
 		d.Reserve = max(0, q.demand.value(now)-d.Waiting-q.running())
 		idle := now.Sub(q.lastArrival) > idleAfter
 		if !idle {
-			d.Spare = 1 + int(p.arrivals[name].value(now)*spareWindow.Seconds())
+			d.Spare = 1 + int(p.arrivals[name].PerSecond(now)*spareWindow.Seconds())
 		}
 		waiting = waiting || d.Waiting > 0
 		busy = busy || !idle || len(d.Running) > 0 || d.Waiting > 0
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -6,17 +6,28 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/allocator"
+	"moorrun.dev/moorrun/internal/queueing"
 )
 
 // queue holds the waiting requests of one workspace for one model, and its places.
 type queue struct {
-	workspace   string
-	waiting     list.List // of *waiter, by priority and then by arrival
-	groups      map[groupKey]*groupPlaces
-	rate        rate          // at which places become free
-	meanHold    time.Duration // moving average of how long a request keeps its place
-	lastArrival time.Time
-	demand      peak // peak number of requests waiting and running
+	workspace    string
+	waiting      list.List // of *waiter, by priority and then by arrival
+	groups       map[groupKey]*groupPlaces
+	appointments queueing.Appointments // from the rate at which places become free
+	meanHold     time.Duration         // moving average of how long a request keeps its place
+	lastArrival  time.Time
+	demand       peak // peak number of requests waiting and running
+}
+
+// comeBackAfter returns the wait that a refusal of a request with the given remaining time suggests; fallback if nothing is known of
+// when places become free.
+func (q *queue) comeBackAfter(fallback, remaining time.Duration, now time.Time) time.Duration {
+	after, known := q.appointments.Give(0, q.waiting.Len(), now.Add(remaining), now)
+	if !known {
+		return fallback
+	}
+	return after
 }
 
 // meanHoldRequests is the number of requests over which the holding time is averaged.
--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -37,6 +37,9 @@
 	begun    bool     // the head of a stream has been passed on to the caller
 	lastID   string   // ID of the last event passed on
 
+	requirements *picker.Requirements // of the last attempt; nil before the first
+	appointed    bool                 // the caller came back at the time it was given
+
 	requestLog   RequestLog
 	delivery     delivery
 	unsuccessful bool // failed, refused or cut off
@@ -124,6 +127,11 @@
 		w.MaxWait = a.route.GapObjective / 2
 	}
 	began := clock.Now()
+	if a.requirements == nil {
+		a.appointed = a.gateway.Picker.KeepAppointment(w, uint64(a.fingerprint), began)
+	}
+	w.Appointed = a.appointed
+	a.requirements = w
 	place, err := a.gateway.Picker.Acquire(ctx, w)
 	a.gateway.metrics.placeWait.Record(clock.Since(began))
 	return place, err
@@ -165,8 +173,7 @@
 	case errors.As(err, &paused):
 		a.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: addJitter(paused.Remaining)})
 	default:
-		after := a.gateway.shortages.recordRefusal(a.service.Name+"/"+a.request.Model, clock.Now())
-		a.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: after})
+		a.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: a.comeBackAfter(err)})
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/clock"
+	"moorrun.dev/moorrun/internal/queueing"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
 )
@@ -32,7 +33,7 @@
 	started time.Time
 	metrics *metrics
 
-	shortages shortages
+	shortages queueing.Shortages
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // retry budgets by service
@@ -87,7 +88,7 @@
 func (g *Gateway) admit(a *activeRequest) *Refusal {
 	table := g.Table()
 	if table == nil {
-		return &Refusal{Reason: NotRun, Detail: "no configuration is known yet", RetryAfter: g.shortages.recordRefusal(configurationShortage, a.request.Received)}
+		return &Refusal{Reason: NotRun, Detail: "no configuration is known yet", RetryAfter: g.shortages.RecordRefusal(configurationShortage, a.request.Received)}
 	}
 	a.table = table
 	age := clock.Since(g.Proof())
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -50,6 +50,7 @@
 	wasComplete        map[string]bool // groups whose members have all been ready at the same time
 	waiting            []*waiter
 	orders             map[kind]*queueing.Order
+	appointments       map[kind]*queueing.Appointments
 	waitingByModel     map[string]int
 	runningByModel     map[string]int
 	arrivals           map[string]*arrivals // arrival rates by model
@@ -65,7 +66,7 @@
 	}
 	return &Picker{
 		options: o, health: make(map[string]*health), runningByWorkspace: make(map[string]int), wasComplete: make(map[string]bool),
-		orders: make(map[kind]*queueing.Order), waitingByModel: make(map[string]int), runningByModel: make(map[string]int), arrivals: make(map[string]*arrivals), pauses: make(pauses),
+		orders: make(map[kind]*queueing.Order), appointments: make(map[kind]*queueing.Appointments), waitingByModel: make(map[string]int), runningByModel: make(map[string]int), arrivals: make(map[string]*arrivals), pauses: make(pauses),
 		cold: ratelimit.NewColdLimiter(clock.Now()),
 	}
 }
@@ -164,7 +165,7 @@
 }
 
 func (p *Picker) reserve(w *Requirements, c *candidate, now time.Time) *Place {
-	place := &Place{Endpoint: c.endpoint, Group: c.group, Requests: c.load, picker: p, workspace: w.Workspace, model: w.Model}
+	place := &Place{Endpoint: c.endpoint, Group: c.group, Requests: c.load, picker: p, workspace: w.Workspace, model: w.Model, kind: w.kind()}
 	h := p.healthOf(place.key(), now)
 	h.running++
 	p.order(w.kind()).Serve(w.Priority)
@@ -179,6 +180,7 @@
 	now := clock.Now()
 	p.healthOf(place.key(), now).running--
 	p.runningByModel[place.model]--
+	p.appointmentsOf(place.kind).Release(now)
 	if p.runningByWorkspace[place.workspace]--; p.runningByWorkspace[place.workspace] <= 0 {
 		delete(p.runningByWorkspace, place.workspace)
 	}
@@ -208,6 +210,9 @@
 	defer p.mu.Unlock()
 	p.pauses.sweep(now)
 	p.cold.Sweep(now)
+	for _, a := range p.appointments {
+		a.Sweep(now)
+	}
 	for key, h := range p.health {
 		if h.running == 0 && now.Sub(h.lastUsed) > healthRetention {
 			delete(p.health, key)
--- a/internal/picker/place.go
+++ b/internal/picker/place.go
@@ -15,6 +15,7 @@
 	picker      *Picker
 	workspace   string
 	model       string
+	kind        kind
 	releaseOnce sync.Once
 }
 
--- a/internal/picker/queue.go
+++ b/internal/picker/queue.go
@@ -27,7 +27,7 @@
 	if inTime <= 0 {
 		inTime = w.MaxWait
 	}
-	return queueing.Entry{Rank: w.Priority, Workspace: w.Workspace, Weight: w.Weight, InTimeUntil: now.Add(inTime), Arrived: now}
+	return queueing.Entry{Rank: w.Priority, Workspace: w.Workspace, Weight: w.Weight, Appointed: w.Appointed, InTimeUntil: now.Add(inTime), Arrived: now}
 }
 
 func (p *Picker) dequeue(q *waiter) {
--- a/internal/picker/queue_test.go
+++ b/internal/picker/queue_test.go
@@ -65,3 +65,22 @@
 	held[1].Release()
 	<-lateGot
 }
+
+// Guards against refused callers that are told the same time, and against a returning caller that the picker does not recognise.
+func TestRefusedCallersGetAppointments(t *testing.T) {
+	f := newFleet()
+	f.group("a", "near", endpoint.Open, endpoint.Ready)
+	now := time.Now()
+	_, known := f.picker.Appoint(requirements(), 1, now.Add(time.Minute), now)
+	qt.Check(t, known, qt.IsFalse, qt.Commentf("no place has come free"))
+	for range 20 {
+		f.acquire(t, requirements()).Release()
+	}
+	now = time.Now()
+	first, known := f.picker.Appoint(requirements(), 1, now.Add(time.Minute), now)
+	qt.Check(t, known, qt.IsTrue)
+	second, _ := f.picker.Appoint(requirements(), 2, now.Add(time.Minute), now)
+	qt.Check(t, second > first, qt.IsTrue, qt.Commentf("%s and %s", first, second))
+	qt.Check(t, f.picker.KeepAppointment(requirements(), 1, now), qt.IsFalse)
+	qt.Check(t, f.picker.KeepAppointment(requirements(), 1, now.Add(first)), qt.IsTrue)
+}
--- a/internal/picker/requirements.go
+++ b/internal/picker/requirements.go
@@ -33,6 +33,7 @@
 	Weight        float64       // of the workspace, relative to the other ones; 0 means 1
 	Exclude       []string      // groups and endpoints that have failed the request
 	MaxWait       time.Duration // longest wait for a place
+	Appointed     bool          // the caller came back at the time it was given
 	InTimeWait    time.Duration // longest wait after which the request can still be in time; 0 means MaxWait
 }
 
--- a/internal/admission/rate.go
+++ b/internal/queueing/rate.go
@@ -1,12 +1,12 @@
-package admission
+package queueing
 
 import (
 	"math"
 	"time"
 )
 
-// rate is an exponentially weighted rate of events.
-type rate struct {
+// Rate is an exponentially weighted rate of events. The zero value is ready for use.
+type Rate struct {
 	perSecond float64
 	last      time.Time
 }
@@ -14,12 +14,13 @@
 // rateWindow is the time constant of the exponential decay.
 const rateWindow = 2 * time.Second
 
-func (r *rate) add(now time.Time) {
+// Add counts one event.
+func (r *Rate) Add(now time.Time) {
 	r.decay(now)
 	r.perSecond += 1 / rateWindow.Seconds()
 }
 
-func (r *rate) decay(now time.Time) {
+func (r *Rate) decay(now time.Time) {
 	if r.last.IsZero() {
 		r.last = now
 		return
@@ -29,7 +30,8 @@
 	r.perSecond *= math.Exp(-passed.Seconds() / rateWindow.Seconds())
 }
 
-func (r *rate) value(now time.Time) float64 {
+// PerSecond returns the rate decayed to now.
+func (r *Rate) PerSecond(now time.Time) float64 {
 	r.decay(now)
 	return r.perSecond
 }
--- a/internal/gateway/shortage.go
+++ b/internal/queueing/shortage.go
@@ -1,7 +1,6 @@
-package gateway
+package queueing
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -16,9 +15,10 @@
 	maxRefusalGap = 500 * time.Millisecond
 )
 
-// shortages tracks how long each kind of shortage has caused refusals. A shortage of unknown length is likely to last as long
-// again as it has lasted so far, so that time is the Retry-After of a refused caller.
-type shortages struct {
+// Shortages tracks how long each kind of shortage has caused refusals. A shortage of unknown length is likely to last as long
+// again as it has lasted so far, so that time is the Retry-After of a refused caller. It is the
+// rule where the rate at which places become free is not known, as without any usable group. The zero value is ready for use.
+type Shortages struct {
 	mu   sync.Mutex
 	runs map[string]refusalSeries // by kind of shortage
 }
@@ -26,8 +26,8 @@
 // refusalSeries holds the times of the first and the last of a series of refusals with no gap longer than maxRefusalGap.
 type refusalSeries struct{ first, last time.Time }
 
-// recordRefusal records a refusal because of the named shortage and returns its Retry-After.
-func (s *shortages) recordRefusal(shortage string, now time.Time) time.Duration {
+// RecordRefusal records a refusal because of the named shortage and returns its Retry-After.
+func (s *Shortages) RecordRefusal(shortage string, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.runs == nil {
@@ -41,12 +41,3 @@
 	s.runs[shortage] = r
 	return min(max(now.Sub(r.first), minRetryAfter), maxRetryAfter)
 }
-
-// retryJitter is the largest fraction of a wait that is added at random, so that callers that wait for the same moment do not
-// all retry at once.
-const retryJitter = 0.25
-
-// addJitter returns wait extended by a random part of up to retryJitter of it.
-func addJitter(wait time.Duration) time.Duration {
-	return wait + time.Duration(retryJitter*rand.Float64()*float64(wait)) //nolint:gosec // jitter need not be unpredictable
-}
