picker: wait only for a turn that is predicted in time

Cause: a request without a place waits a fifth of its objective whether or not its turn can come in that time, and is refused after it although its turn may be near. Change: where the engine's figures, the objective and the rate of releases are known, a first attempt waits if it is predicted to be first within the time after which its first event can still be in time, and is refused at once otherwise, with its appointment. Elsewhere, for repeated attempts and for streams that have begun, the wait is as before. Free places are granted once more before a refusal. A place in the queue of a full group is taken only if no request waits that could be in time. A request that can no longer be in time waits only if its class (rank and size of prompt) has been served less than a quarter as often as the average; such requests get one place in four. admission's refusal at the end of a wait takes its Retry-After from the appointments too.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -68,7 +68,7 @@
 			return nil, ctx.Err()
 		case <-timer.C:
 			p.abandon(r.Workspace, w)
-			return nil, &Refusal{"no place came free within the request's deadline", retryAfter}
+			return nil, p.expired(r.Workspace, r.Timeout-w.maxWait, clock.Now())
 		}
 	}
 }
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -117,6 +117,13 @@
 	return nil
 }
 
+// expired returns the refusal of a request that has waited as long as it could and has the given time left.
+func (p *pool) expired(workspace string, remaining time.Duration, now time.Time) *Refusal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &Refusal{"no place came free within the request's deadline", p.queue(workspace).comeBackAfter(retryAfter, remaining, now)}
+}
+
 // expectedWait estimates how long a request that joins the queue now will wait, from the recent rate at which
 // places became free. It is 0 if the rate is not known: the request then waits up to its deadline.
 func (q *queue) expectedWait(now time.Time) time.Duration {
--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -123,8 +123,11 @@
 		w.PromptTokens, w.Objective = a.request.PromptTokens, a.route.Objective
 		w.Engine = engine.Model{Figures: e.Figures, Pace: model.Pace}
 	}
-	if a.begun {
+	switch {
+	case a.begun:
 		w.MaxWait = a.route.GapObjective / 2
+	case a.sends == 0 && w.Objective > 0 && w.Engine.Figures.Known(): // a request that may have run cannot be refused to come back later
+		w.InTimeWait, w.LateWait = a.inTimeWait(w), lateWait(clock.Until(a.deadline))
 	}
 	began := clock.Now()
 	if a.requirements == nil {
--- a/internal/gateway/come_back.go
+++ b/internal/gateway/come_back.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/clock"
+	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/picker"
 )
 
@@ -21,6 +22,19 @@
 	return a.gateway.shortages.RecordRefusal(a.service.Name+"/"+a.request.Model, now)
 }
 
+// inTimeWait returns the longest wait for a place after which the first event can still arrive within the objective: what is left of
+// it beyond the first event at a group that reads no other prompt. It is positive, as 0 would mean that it is unknown.
+func (a *activeRequest) inTimeWait(w *picker.Requirements) time.Duration {
+	model := w.Engine
+	model.Writers = float64(w.Slots)
+	fastest := model.FirstEvent(float64(w.PromptTokens), engine.Mix{})
+	return max(1, w.Objective-fastest-clock.Since(a.request.Received))
+}
+
+// lateWait returns the longest wait of a request that can no longer be in time. A caller that is refused comes back within a third of
+// its remaining time, so a wait of that length costs it nothing.
+func lateWait(remaining time.Duration) time.Duration { return max(0, remaining/3) }
+
 // retryJitter is the largest fraction of a wait that is added at random, so that callers that wait for the same moment do not
 // all retry at once.
 const retryJitter = 0.25
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -85,37 +85,23 @@
 	}
 	q := p.enqueue(w, now)
 	p.grantKind(w.kind(), now) // a place may have come free, as by other nodes' requests, since the others began to wait
-	p.mu.Unlock()
-	timer := time.NewTimer(w.MaxWait)
-	defer timer.Stop()
-	select {
-	case place := <-q.granted:
-		return place, nil
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dequeue(q)
-	select {
-	case place := <-q.granted:
-		return place, nil
-	default:
-	}
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
+	if len(q.granted) > 0 {
+		p.mu.Unlock()
+		return <-q.granted, nil
 	}
-	place, err := p.tryAcquire(w, clock.Now(), true)
-	if place == nil && err == nil {
-		err = ErrNoPlace
+	wait := p.longestWait(q, now)
+	if wait <= 0 {
+		defer p.mu.Unlock()
+		return p.refuseOrQueue(q, now)
 	}
-	return place, err
+	p.mu.Unlock()
+	return p.await(ctx, q, wait)
 }
 
 // recordArrival counts a request in the order of its kind and in its model's arrival rates. Requests without a model are not
 // counted in the rates.
 func (p *Picker) recordArrival(w *Requirements, now time.Time) {
-	p.order(w.kind()).Arrive(w.Priority)
+	p.order(w.kind()).Arrive(w.class())
 	if w.Model == "" {
 		return
 	}
@@ -168,7 +154,7 @@
 	place := &Place{Endpoint: c.endpoint, Group: c.group, Requests: c.load, picker: p, workspace: w.Workspace, model: w.Model, kind: w.kind()}
 	h := p.healthOf(place.key(), now)
 	h.running++
-	p.order(w.kind()).Serve(w.Priority)
+	p.order(w.kind()).Serve(w.class())
 	p.runningByWorkspace[w.Workspace]++
 	p.runningByModel[w.Model]++
 	return place
--- a/internal/picker/queue.go
+++ b/internal/picker/queue.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -12,6 +13,7 @@
 	requirements *Requirements
 	entry        queueing.Entry
 	granted      chan *Place
+	waitsLate    bool // waits although it can no longer be in time
 }
 
 func (p *Picker) enqueue(w *Requirements, now time.Time) *waiter {
@@ -27,7 +29,7 @@
 	if inTime <= 0 {
 		inTime = w.MaxWait
 	}
-	return queueing.Entry{Rank: w.Priority, Workspace: w.Workspace, Weight: w.Weight, Appointed: w.Appointed, InTimeUntil: now.Add(inTime), Arrived: now}
+	return queueing.Entry{Class: w.class(), Workspace: w.Workspace, Weight: w.Weight, Appointed: w.Appointed, InTimeUntil: now.Add(inTime), Arrived: now}
 }
 
 func (p *Picker) dequeue(q *waiter) {
@@ -42,6 +44,11 @@
 
 func (w *Requirements) kind() kind { return kind{w.Service, w.Model} }
 
+// class returns the request's class. Prompts of a class differ in length by less than a factor of two.
+func (w *Requirements) class() queueing.Class {
+	return queueing.Class{Rank: w.Priority, Size: bits.Len(uint(max(0, w.PromptTokens)))}
+}
+
 // order returns the order of the requests of a kind.
 func (p *Picker) order(k kind) *queueing.Order {
 	o, ok := p.orders[k]
@@ -78,13 +85,9 @@
 // place where another request finds one, so it does not hold up the others.
 func (p *Picker) grantKind(k kind, now time.Time) {
 	order, waiters := p.order(k), p.waitingOf(k)
-	entries := make([]*queueing.Entry, len(waiters))
-	for i, q := range waiters {
-		entries[i] = &q.entry
-	}
-	running := func(workspace string) int { return p.runningByWorkspace[workspace] }
+	entries := entriesOf(waiters)
 	for len(waiters) > 0 {
-		i := order.Next(entries, running, now)
+		i := order.Next(entries, p.runningOf, now)
 		q := waiters[i]
 		place, _ := p.tryAcquire(q.requirements, now, false)
 		if place == nil && len(q.requirements.Exclude) == 0 {
@@ -98,3 +101,14 @@
 		waiters, entries = slices.Delete(waiters, i, i+1), slices.Delete(entries, i, i+1)
 	}
 }
+
+func entriesOf(waiters []*waiter) []*queueing.Entry {
+	out := make([]*queueing.Entry, len(waiters))
+	for i, q := range waiters {
+		out[i] = &q.entry
+	}
+	return out
+}
+
+// runningOf returns this node's running requests of a workspace.
+func (p *Picker) runningOf(workspace string) int { return p.runningByWorkspace[workspace] }
--- a/internal/picker/requirements.go
+++ b/internal/picker/requirements.go
@@ -32,9 +32,11 @@
 	Workspace     string
 	Weight        float64       // of the workspace, relative to the other ones; 0 means 1
 	Exclude       []string      // groups and endpoints that have failed the request
-	MaxWait       time.Duration // longest wait for a place
+	MaxWait       time.Duration // longest wait for a place where InTimeWait does not apply
 	Appointed     bool          // the caller came back at the time it was given
-	InTimeWait    time.Duration // longest wait after which the request can still be in time; 0 means MaxWait
+	// InTimeWait is the longest wait after which the request can still be in time; 0 if unknown. LateWait is the longest wait of a
+	// request that can no longer be in time, and 0 if it should not wait.
+	InTimeWait, LateWait time.Duration
 }
 
 func (w *Requirements) excludes(key string) bool {
--- /dev/null
+++ b/internal/picker/wait.go
@@ -0,0 +1,105 @@
+package picker
+
+import (
+	"context"
+	"time"
+
+	"moorrun.dev/moorrun/internal/clock"
+)
+
+// longestWait returns how long a waiting request may wait from now on, 0 if it is to be refused. It waits only if its turn is
+// predicted in time, and then until it can no longer be in time. Where nothing is known of its objective, or of when places become
+// free, and where no group is left, it waits for up to MaxWait.
+func (p *Picker) longestWait(q *waiter, now time.Time) time.Duration {
+	w := q.requirements
+	if w.InTimeWait <= 0 || !p.appointmentsOf(w.kind()).Known(now) || len(p.candidates(w, p.options.Others(now), now)) == 0 {
+		return w.MaxWait
+	}
+	if p.expectedTurn(q, now) > w.InTimeWait {
+		return p.lateWait(q, now)
+	}
+	return w.InTimeWait
+}
+
+// lateWait returns how long a request that cannot be in time may wait, 0 if it is to be refused. Only requests of a class that starves
+// wait for one of the places for late requests: others would take these places, which requests in time could use, for an answer of
+// little value.
+func (p *Picker) lateWait(q *waiter, now time.Time) time.Duration {
+	w := q.requirements
+	if q.waitsLate || w.LateWait <= 0 || !p.order(w.kind()).Starves(w.class()) {
+		return 0
+	}
+	q.entry.InTimeUntil = now.Add(-1)
+	if p.expectedTurn(q, now) > w.LateWait {
+		return 0
+	}
+	q.waitsLate = true
+	return w.LateWait
+}
+
+// expectedTurn returns after what time the request is expected to be first. If that is in time, it may get the next place in time:
+// refusing requests that are first but whose place is expected just too late left 40 % more refused twice at ten places/s.
+func (p *Picker) expectedTurn(q *waiter, now time.Time) time.Duration {
+	k := q.requirements.kind()
+	ahead := p.order(k).Ahead(entriesOf(p.waitingOf(k)), &q.entry, p.runningOf, now)
+	wait, _ := p.appointmentsOf(k).ExpectedWait(ahead, now)
+	return wait
+}
+
+// await waits for a place to be granted, and ends the wait when longestWait and lateWait allow no more.
+func (p *Picker) await(ctx context.Context, q *waiter, wait time.Duration) (*Place, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case place := <-q.granted:
+			return place, nil
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		place, wait, err := p.expire(ctx, q)
+		if wait <= 0 {
+			return place, err
+		}
+		timer.Reset(wait)
+	}
+}
+
+// expire handles the end of a wait: it returns a place, how long to wait further, or an error.
+func (p *Picker) expire(ctx context.Context, q *waiter) (*Place, time.Duration, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	if ctx.Err() == nil {
+		p.grantKind(q.requirements.kind(), now)
+	}
+	if len(q.granted) > 0 {
+		return <-q.granted, 0, nil
+	}
+	if ctx.Err() != nil {
+		p.dequeue(q)
+		return nil, 0, ctx.Err()
+	}
+	if wait := p.lateWait(q, now); wait > 0 {
+		return nil, wait, nil
+	}
+	place, err := p.refuseOrQueue(q, now)
+	return place, 0, err
+}
+
+// refuseOrQueue ends the wait of a request: it returns a place in the queue of a full group, or an error. Such a place is taken
+// only if no request waits that could be in time, which would otherwise get the group's next place.
+func (p *Picker) refuseOrQueue(q *waiter, now time.Time) (*Place, error) {
+	p.dequeue(q)
+	w := q.requirements
+	for _, other := range p.waitingOf(w.kind()) {
+		if w.InTimeWait > 0 && !other.entry.Late(now) {
+			return nil, ErrNoPlace
+		}
+	}
+	place, err := p.tryAcquire(w, now, true)
+	if place == nil && err == nil {
+		err = ErrNoPlace
+	}
+	return place, err
+}
--- a/internal/queueing/appointments_test.go
+++ b/internal/queueing/appointments_test.go
@@ -117,12 +117,17 @@
 }
 
 // retries counts the requests of simulateRetries.
-type retries struct{ requests, refused, secondServed, refusedTwice int }
+type retries struct {
+	requests, refused, secondServed, refusedTwice int
+	untilRefused                                  time.Duration // total wait before the first refusal
+}
 
 // simulateRetries serves callers at places that become free releases times a second. For 4 s 1.4 times as many requests arrive, before and
-// after that 0.8 times. A request waits for up to 40 ms, and its caller retries once.
-func simulateRetries(rule retryRule, releases float64, seed uint64) retries {
-	const hold, wait, timeout = time.Second, 40 * time.Millisecond, 5 * time.Second
+// after that 0.8 times. A request waits for up to wait, with predict set only if it is predicted to be first in that time, and its caller
+// retries once.
+func simulateRetries(rule retryRule, wait time.Duration, predict bool, releases float64, seed uint64) retries {
+	const hold, timeout = time.Second, 5 * time.Second
+	var observed Appointments
 	random := rand.New(rand.NewPCG(seed, 0))
 	type caller struct {
 		id                uint64
@@ -139,6 +144,7 @@
 		for len(ends) > 0 && !ends[0].After(now) {
 			ends = ends[1:]
 			rule.release(now)
+			observed.Release(now)
 		}
 		load := 0.8
 		if since := now.Sub(start); since >= 6*time.Second && since < 10*time.Second {
@@ -172,8 +178,18 @@
 			ends = append(ends, now.Add(time.Duration((0.5+random.Float64())*float64(hold))))
 			slices.SortFunc(ends, time.Time.Compare)
 		}
+		waiting := slices.Clone(queue)
 		queue = slices.DeleteFunc(queue, func(c *caller) bool {
-			if !now.After(c.entry.InTimeUntil) {
+			hopeless := false
+			if predict && c.entry.Arrived.Equal(now) {
+				entries := make([]*Entry, len(waiting))
+				for i, other := range waiting {
+					entries[i] = &other.entry
+				}
+				turn, known := observed.ExpectedWait(order.Ahead(entries, &c.entry, idle, now), now)
+				hopeless = known && turn > wait
+			}
+			if !hopeless && !now.After(c.entry.InTimeUntil) {
 				return false
 			}
 			if c.second {
@@ -181,7 +197,8 @@
 				return true
 			}
 			out.refused++
-			c.second, c.comesAt = true, now.Add(rule.comeBack(c.id, len(queue), c.deadline, now))
+			out.untilRefused += now.Sub(c.entry.Arrived)
+			c.second, c.comesAt = true, now.Add(rule.comeBack(c.id, len(waiting), c.deadline, now))
 			away = append(away, c)
 			return true
 		})
@@ -196,7 +213,7 @@
 		var appointed, plain, shortage, last retries
 		for seed := range uint64(10) {
 			for rule, sum := range map[retryRule]*retries{&byAppointment{}: &appointed, &withoutPrecedence{}: &plain, &byShortage{}: &shortage, &latest{}: &last} {
-				r := simulateRetries(rule, releases, seed)
+				r := simulateRetries(rule, 40*time.Millisecond, false, releases, seed)
 				sum.requests, sum.refused = sum.requests+r.requests, sum.refused+r.refused
 				sum.secondServed, sum.refusedTwice = sum.secondServed+r.secondServed, sum.refusedTwice+r.refusedTwice
 			}
@@ -210,3 +227,29 @@
 		qt.Check(t, appointed.refusedTwice < shortage.refusedTwice, qt.IsTrue)
 	}
 }
+
+// Compares waiting only for a turn that is predicted in time with the fixed wait before this package and with a wait as long as the request
+// can be in time.
+func TestRequestsAreRefusedEarlyByPrediction(t *testing.T) {
+	const inTime = 130 * time.Millisecond // an objective of 200 ms, less 70 ms at the group
+	for _, releases := range []float64{10, 100} {
+		sum := func(wait time.Duration, predict bool) (out retries) {
+			for seed := range uint64(10) {
+				r := simulateRetries(&byAppointment{}, wait, predict, releases, seed)
+				out.requests, out.refused, out.refusedTwice = out.requests+r.requests, out.refused+r.refused, out.refusedTwice+r.refusedTwice
+				out.secondServed, out.untilRefused = out.secondServed+r.secondServed, out.untilRefused+r.untilRefused
+			}
+			return out
+		}
+		fixed, always, predicted := sum(40*time.Millisecond, false), sum(inTime, false), sum(inTime, true)
+		t.Logf("%.0f releases/s:", releases)
+		mean := func(r retries) time.Duration { return r.untilRefused / time.Duration(r.refused) }
+		for name, r := range map[string]retries{"fixed wait": fixed, "as long as in time": always, "if predicted in time": predicted} {
+			t.Logf("  %s: refused once %d, twice %d of %d; second tries that succeed %.3f; first refusal after %s",
+				name, r.refused, r.refusedTwice, r.requests, float64(r.secondServed)/float64(r.refused), mean(r))
+		}
+		qt.Check(t, predicted.refusedTwice < fixed.refusedTwice, qt.IsTrue)
+		qt.Check(t, mean(predicted) < mean(always)*2/3, qt.IsTrue)
+		qt.Check(t, predicted.refusedTwice < always.refusedTwice*11/10, qt.IsTrue)
+	}
+}
--- a/internal/queueing/order_test.go
+++ b/internal/queueing/order_test.go
@@ -19,8 +19,8 @@
 type chooser interface {
 	Next(waiting []*Entry, running func(string) int, now time.Time) int
 	Take(waiting []*Entry, i int, now time.Time)
-	Arrive(rank int)
-	Serve(rank int)
+	Arrive(Class)
+	Serve(Class)
 }
 
 // source is a stream of equal requests of a simulation.
@@ -31,6 +31,7 @@
 	perSecond float64
 	inTime    time.Duration // wait after which the request is late
 	patience  time.Duration // wait after which the caller leaves
+	size      int
 }
 
 // outcome counts the requests of a source.
@@ -68,9 +69,9 @@
 		}
 		for _, s := range sources {
 			if random.Float64() < s.perSecond/1000 {
-				queue = append(queue, &waiting{Entry{Rank: s.rank, Workspace: s.workspace, InTimeUntil: now.Add(s.inTime), Arrived: now}, s})
+				queue = append(queue, &waiting{Entry{Class: Class{Rank: s.rank, Size: s.size}, Workspace: s.workspace, InTimeUntil: now.Add(s.inTime), Arrived: now}, s})
 				out[s.name].requests++
-				c.Arrive(s.rank)
+				c.Arrive(Class{s.rank, s.size})
 			}
 		}
 		queue = slices.DeleteFunc(queue, func(w *waiting) bool { return now.Sub(w.entry.Arrived) > w.source.patience })
@@ -82,8 +83,8 @@
 			i := c.Next(entries, func(w string) int { return running[w] }, now)
 			c.Take(entries, i, now)
 			w := queue[i]
-			c.Serve(w.source.rank)
-			if w.entry.late(now) {
+			c.Serve(w.entry.Class)
+			if w.entry.Late(now) {
 				out[w.source.name].late++
 			} else {
 				out[w.source.name].inTime++
@@ -111,14 +112,14 @@
 type lexicographic struct{ Order }
 
 func (l *lexicographic) Next(waiting []*Entry, running func(string) int, now time.Time) int {
-	if i := l.Order.Next(waiting, running, now); waiting[i].late(now) {
+	if i := l.Order.Next(waiting, running, now); waiting[i].Late(now) {
 		return i
 	}
 	return minIndex(waiting, func(a, b *Entry) int {
 		late := 0
-		if a.late(now) != b.late(now) {
+		if a.Late(now) != b.Late(now) {
 			late = 1
-			if b.late(now) {
+			if b.Late(now) {
 				late = -1
 			}
 		}
@@ -149,11 +150,11 @@
 func TestNothingStarves(t *testing.T) {
 	patience := 2 * time.Second
 	sources := []source{
-		{"urgent", 0, "a", 30, 150 * time.Millisecond, patience},
-		{"urgent, long prompts", 0, "b", 6, 20 * time.Millisecond, patience},
-		{"notes", 1, "b", 6, 200 * time.Millisecond, patience},
-		{"digests", 2, "c", 3, 600 * time.Millisecond, patience},
-		{"digests, long prompts", 2, "d", 3, 50 * time.Millisecond, patience},
+		{"urgent", 0, "a", 30, 150 * time.Millisecond, patience, 3},
+		{"urgent, long prompts", 0, "b", 6, 20 * time.Millisecond, patience, 3},
+		{"notes", 1, "b", 6, 200 * time.Millisecond, patience, 0},
+		{"digests", 2, "c", 3, 600 * time.Millisecond, patience, 0},
+		{"digests, long prompts", 2, "d", 3, 50 * time.Millisecond, patience, 3},
 	}
 	for _, places := range []int{6, 12, 24} {
 		o := simulate(&Order{}, sources, places, time.Second, 30*time.Second)
@@ -174,9 +175,9 @@
 func TestMoreRequestsAreInTimeThanByOtherOrders(t *testing.T) {
 	patience := 2 * time.Second
 	sources := []source{
-		{"urgent", 0, "a", 40, 100 * time.Millisecond, patience},
-		{"notes", 1, "b", 10, 300 * time.Millisecond, patience},
-		{"digests", 1, "c", 10, 300 * time.Millisecond, patience},
+		{"urgent", 0, "a", 40, 100 * time.Millisecond, patience, 0},
+		{"notes", 1, "b", 10, 300 * time.Millisecond, patience, 0},
+		{"digests", 1, "c", 10, 300 * time.Millisecond, patience, 0},
 	}
 	inTime := func(c chooser) float64 {
 		n, all := 0, 0
@@ -198,7 +199,7 @@
 		var waiting []*Entry
 		for range rapid.IntRange(40, 80).Draw(t, "waiting") {
 			e := &Entry{
-				Rank: rapid.IntRange(0, 2).Draw(t, "rank"), Workspace: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"),
+				Class: Class{Rank: rapid.IntRange(0, 2).Draw(t, "rank")}, Workspace: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"),
 				InTimeUntil: now.Add(time.Second), Arrived: start.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "arrived")) * time.Millisecond),
 			}
 			if rapid.Bool().Draw(t, "late") {
@@ -209,11 +210,11 @@
 		running := map[string]int{}
 		late, both := 0, 0
 		for len(waiting) > 0 {
-			lateWaiting := slices.ContainsFunc(waiting, func(e *Entry) bool { return e.late(now) })
-			inTimeWaiting := slices.ContainsFunc(waiting, func(e *Entry) bool { return !e.late(now) })
+			lateWaiting := slices.ContainsFunc(waiting, func(e *Entry) bool { return e.Late(now) })
+			inTimeWaiting := slices.ContainsFunc(waiting, func(e *Entry) bool { return !e.Late(now) })
 			i := o.Next(waiting, func(w string) int { return running[w] }, now)
 			if lateWaiting && inTimeWaiting {
-				if both++; waiting[i].late(now) {
+				if both++; waiting[i].Late(now) {
 					late++
 				}
 				if late != both/placesPerLate {
@@ -221,7 +222,7 @@
 				}
 			}
 			o.Take(waiting, i, now)
-			o.Serve(waiting[i].Rank)
+			o.Serve(waiting[i].Class)
 			running[waiting[i].Workspace]++
 			waiting = slices.Delete(waiting, i, i+1)
 		}
@@ -240,3 +241,34 @@
 	heavy, light := &Entry{Workspace: "heavy", Weight: 2, Arrived: start.Add(time.Second)}, &Entry{Workspace: "light", Arrived: start}
 	qt.Check(t, o.Next([]*Entry{light, heavy}, busy, start), qt.Equals, 1, qt.Commentf("1.5 running requests for each unit of weight come before 2"))
 }
+
+// Guards against a wait that is predicted too short, because of requests that come first, or too long, because of those that come after.
+func TestAheadIsTheNumberOfPlacesGivenBefore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start.Add(time.Minute)
+		var o Order
+		var waiting []*Entry
+		for i := range rapid.IntRange(1, 30).Draw(t, "waiting") {
+			e := &Entry{Class: Class{Rank: rapid.IntRange(0, 2).Draw(t, "rank")}, InTimeUntil: now.Add(time.Second), Arrived: start.Add(time.Duration(i))}
+			if rapid.Bool().Draw(t, "late") {
+				e.InTimeUntil = start
+			}
+			waiting = append(waiting, e)
+		}
+		idle := func(string) int { return 0 }
+		e := rapid.SampledFrom(waiting).Draw(t, "entry")
+		predicted, given := o.Ahead(waiting, e, idle, now), 0
+		for {
+			i := o.Next(waiting, idle, now)
+			if waiting[i] == e {
+				break
+			}
+			o.Take(waiting, i, now)
+			waiting = slices.Delete(waiting, i, i+1)
+			given++
+		}
+		if predicted != given {
+			t.Fatalf("%d places given before, %d predicted", given, predicted)
+		}
+	})
+}
