picker: limit the requests of a group by their objectives

Cause: groups are filled up to their slots, though at many running requests the first event takes longer than the objective. Change: with the option Predict, a first attempt takes a place only where its first event and the gaps of the requests there are predicted within the objectives. Beyond that it waits if it is predicted to be first in time. At the end of its wait, or at once if its turn is too late or the rate of releases is not known, it takes a free slot unless a request waits that could be in time. A long prompt that finds no such place does not hold up shorter ones. Repeated attempts and streams that have begun use all slots. Nothing sets Predict yet: engine.FirstEventAt and GapAt are not in this tree, so deployments are served as before. Result: tests with a stand-in for the prediction. Not compared with the limit by slots, as a stand-in's figures would decide the outcome.

--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -120,7 +120,7 @@
 			return nil, errNoModel
 		}
 		w.Model, w.Slots, w.Size = model.Name, e.Slots, model.Size
-		w.PromptTokens, w.Objective = a.request.PromptTokens, a.route.Objective
+		w.PromptTokens, w.Objective, w.GapObjective, w.Received = a.request.PromptTokens, a.route.Objective, a.route.GapObjective, a.request.Received
 		w.Engine = engine.Model{Figures: e.Figures, Pace: model.Pace}
 	}
 	switch {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -38,6 +38,8 @@
 	Limits *ratelimit.Table
 	// Lost reports whether the leader has found that a replica group has lost a member. It may be nil.
 	Lost func(group string, now time.Time) bool
+	// Predict limits the requests of a group by their objectives. Without it, only the slots limit them.
+	Predict Predict
 }
 
 // Picker chooses an endpoint for each request and counts the requests of this node that run there.
@@ -77,7 +79,7 @@
 	now := clock.Now()
 	p.recordArrival(w, now)
 	if len(p.waitingOf(w.kind())) == 0 {
-		place, err := p.tryAcquire(w, now, false)
+		place, err := p.tryAcquire(w, now, withinObjective)
 		if place != nil || err != nil && (w.MaxWait <= 0 || isPaused(err)) {
 			p.mu.Unlock()
 			return place, err
@@ -89,6 +91,10 @@
 		p.mu.Unlock()
 		return <-q.granted, nil
 	}
+	if place := p.takeUnpredicted(q, now); place != nil {
+		p.mu.Unlock()
+		return place, nil
+	}
 	wait := p.longestWait(q, now)
 	if wait <= 0 {
 		defer p.mu.Unlock()
@@ -111,9 +117,9 @@
 	p.arrivals[w.Model].add(w, now)
 }
 
-// tryAcquire returns a place if one is free, and neither a place nor an error if the request has to wait. With useQueue set it
-// also takes a place in the queue of a full replica group.
-func (p *Picker) tryAcquire(w *Requirements, now time.Time, useQueue bool) (*Place, error) {
+// tryAcquire returns a place if one is free, and neither a place nor an error if the request has to wait. how bounds the
+// requests of a replica group.
+func (p *Picker) tryAcquire(w *Requirements, now time.Time, how fill) (*Place, error) {
 	others := p.options.Others(now)
 	p.options.Limits.MergeReports(others.Limits, now)
 	candidates := p.candidates(w, others, now)
@@ -123,7 +129,9 @@
 	if left := shortestPause(candidates); left > w.MaxWait {
 		return nil, &PausedError{left}
 	}
-	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.full(w, useQueue) })
+	candidates = slices.DeleteFunc(candidates, func(c candidate) bool {
+		return c.full(w, how == groupQueue) || how == withinObjective && p.beyondObjective(w, &c, now)
+	})
 	for len(candidates) > 0 {
 		best := p.best(w, candidates)
 		if p.admit(&best, others, now) {
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -23,7 +23,9 @@
 	picker       *picker.Picker
 }
 
-func newFleet() *fleet {
+func newFleet() *fleet { return newFleetWith(nil) }
+
+func newFleetWith(predict picker.Predict) *fleet {
 	f := &fleet{directory: endpoint.NewDirectory(time.Second), retiring: map[string]bool{}}
 	f.picker = picker.New(picker.Options{
 		DataCentre: "near", Directory: f.directory,
@@ -36,6 +38,7 @@
 		},
 		Retiring: func(time.Time) map[string]bool { return f.retiring },
 		OnStall:  func() { f.stallReports++ },
+		Predict:  predict,
 	})
 	return f
 }
--- a/internal/picker/queue.go
+++ b/internal/picker/queue.go
@@ -81,16 +81,21 @@
 	}
 }
 
-// grantKind gives free places to waiting requests of a kind, in their order. A request that has failed at some groups may find no
-// place where another request finds one, so it does not hold up the others.
+// grantKind gives free places to waiting requests of a kind, in their order. A request that has failed at some groups, or whose
+// objectives would be missed, may find no place where another request finds one, so it does not hold up the others.
 func (p *Picker) grantKind(k kind, now time.Time) {
 	order, waiters := p.order(k), p.waitingOf(k)
 	entries := entriesOf(waiters)
+	skippedInTime := false // a request that could be in time found no place at which it would be
 	for len(waiters) > 0 {
 		i := order.Next(entries, p.runningOf, now)
 		q := waiters[i]
-		place, _ := p.tryAcquire(q.requirements, now, false)
-		if place == nil && len(q.requirements.Exclude) == 0 {
+		how := withinObjective
+		if q.entry.Late(now) && !skippedInTime {
+			how = allSlots
+		}
+		place, _ := p.tryAcquire(q.requirements, now, how)
+		if place == nil && len(q.requirements.Exclude) == 0 && !p.fitsAnother(q.requirements) {
 			return
 		}
 		if place != nil {
@@ -98,10 +103,14 @@
 			p.dequeue(q)
 			q.granted <- place
 		}
+		skippedInTime = skippedInTime || place == nil && !q.entry.Late(now)
 		waiters, entries = slices.Delete(waiters, i, i+1), slices.Delete(entries, i, i+1)
 	}
 }
 
+// fitsAnother reports whether another request may find a place where this one has found none that meets its objectives.
+func (p *Picker) fitsAnother(w *Requirements) bool { return p.options.Predict != nil && w.limited() }
+
 func entriesOf(waiters []*waiter) []*queueing.Entry {
 	out := make([]*queueing.Entry, len(waiters))
 	for i, q := range waiters {
--- a/internal/picker/requirements.go
+++ b/internal/picker/requirements.go
@@ -23,7 +23,9 @@
 	// Each is zero if unknown.
 	PromptTokens int
 	Objective    time.Duration
-	Engine       engine.Model // performance model of a group that runs Model; zero if unknown
+	GapObjective time.Duration // longest gap between two events; 0 if unknown
+	Received     time.Time     // from which Objective counts; zero if unknown
+	Engine       engine.Model  // performance model of a group that runs Model; zero if unknown
 	// ColdFor is how long an endpoint of the service is cold after its start. ColdPerSecond is the rate of requests per second
 	// that a cold endpoint can take; zero if it is not limited.
 	ColdFor       time.Duration
--- a/internal/picker/wait.go
+++ b/internal/picker/wait.go
@@ -87,19 +87,45 @@
 	return place, 0, err
 }
 
-// refuseOrQueue ends the wait of a request: it returns a place in the queue of a full group, or an error. Such a place is taken
-// only if no request waits that could be in time, which would otherwise get the group's next place.
+// refuseOrQueue ends the wait of a request: it returns a place at which its objectives may be missed, if necessary in
+// the queue of a full group, or an error. Such a place is taken only if no request waits that could be in time, which would
+// otherwise get the next place.
 func (p *Picker) refuseOrQueue(q *waiter, now time.Time) (*Place, error) {
 	p.dequeue(q)
 	w := q.requirements
-	for _, other := range p.waitingOf(w.kind()) {
-		if w.InTimeWait > 0 && !other.entry.Late(now) {
-			return nil, ErrNoPlace
-		}
+	if w.InTimeWait > 0 && p.othersInTime(q, now) {
+		return nil, ErrNoPlace
+	}
+	if place, _ := p.tryAcquire(w, now, allSlots); place != nil {
+		return place, nil
 	}
-	place, err := p.tryAcquire(w, now, true)
+	place, err := p.tryAcquire(w, now, groupQueue)
 	if place == nil && err == nil {
 		err = ErrNoPlace
 	}
 	return place, err
 }
+
+// othersInTime reports whether another request of the same kind waits that could be in time.
+func (p *Picker) othersInTime(q *waiter, now time.Time) bool {
+	for _, other := range p.waitingOf(q.requirements.kind()) {
+		if other != q && !other.entry.Late(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// takeUnpredicted returns a place at which the request's objectives may be missed, if it is not known whether a better one will
+// become free. It returns nil if there is none, or if another request waits that could be in time.
+func (p *Picker) takeUnpredicted(q *waiter, now time.Time) *Place {
+	w := q.requirements
+	if !p.fitsAnother(w) || p.appointmentsOf(w.kind()).Known(now) || p.othersInTime(q, now) {
+		return nil
+	}
+	place, _ := p.tryAcquire(w, now, allSlots)
+	if place != nil {
+		p.dequeue(q)
+	}
+	return place
+}
--- a/internal/picker/wait_test.go
+++ b/internal/picker/wait_test.go
@@ -17,9 +17,7 @@
 func fullFleet(t *testing.T) (*fleet, []*picker.Place) {
 	f := newFleet()
 	f.group("a", "near", endpoint.Open, endpoint.Ready)
-	for range 20 {
-		f.acquire(t, requirements()).Release()
-	}
+	f.useTwenty(t)
 	var held []*picker.Place
 	for range 4 {
 		held = append(held, f.acquire(t, requirements()))
