gateway: metrics of places and appointments, log lines of an overload

Cause: metrics do not tell which kinds are refused a place and why, nor whether refused callers come back when told, and the log does not tell when a model is overloaded. Change: places_admitted by kind (route), places_refused by kind and reason, places_waiting by service and model during an overload, appointments_kept and _missed. One log line when overload of a model begins, with the waiting requests and the rate of releases, and one when it ends, with its length and the requests refused.

--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -95,9 +95,11 @@
 // the place.
 func (a *activeRequest) acquire(ctx context.Context) (*picker.Place, error) {
 	if err := a.heldBack(); err != nil {
+		a.gateway.metrics.recordPlace(a.route.Name, err)
 		return nil, err
 	}
 	place, err := a.awaitPlace(ctx)
+	a.gateway.metrics.recordPlace(a.route.Name, err)
 	if err != nil {
 		return nil, err
 	}
@@ -135,6 +137,9 @@
 	}
 	w.Appointed = a.appointed
 	a.requirements = w
+	if a.appointed && a.sends == 0 {
+		a.gateway.metrics.kept.Inc(1)
+	}
 	place, err := a.gateway.Picker.Acquire(ctx, w)
 	a.gateway.metrics.placeWait.Record(clock.Since(began))
 	return place, err
--- a/internal/gateway/come_back.go
+++ b/internal/gateway/come_back.go
@@ -14,12 +14,17 @@
 // which places become free is known, and otherwise as long as the shortage has lasted.
 func (a *activeRequest) comeBackAfter(err error) time.Duration {
 	now := clock.Now()
+	after, known := time.Duration(0), false
 	if errors.Is(err, picker.ErrNoPlace) {
-		if after, known := a.gateway.Picker.Appoint(a.requirements, uint64(a.fingerprint), a.deadline, now); known {
-			return after
-		}
+		after, known = a.gateway.Picker.Appoint(a.requirements, uint64(a.fingerprint), a.deadline, now)
 	}
-	return a.gateway.shortages.RecordRefusal(a.service.Name+"/"+a.request.Model, now)
+	if !known {
+		after = a.gateway.shortages.RecordRefusal(a.service.Name+"/"+a.request.Model, now)
+	}
+	if errors.Is(err, picker.ErrNoPlace) || errors.Is(err, picker.ErrNoEndpoint) {
+		a.gateway.recordOverload(servedModel{a.service.Name, a.requirements.Model}, after, now)
+	}
+	return after
 }
 
 // inTimeWait returns the longest wait for a place after which the first event can still arrive within the objective: what is left of
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	metrics *metrics
 
 	shortages queueing.Shortages
+	overloads overloads
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // retry budgets by service
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,8 @@
 	late               tally.Counter // answers that missed an objective
 	firstEvent, answer tally.Timer   // time to the first event of a stream, and to the end of an answer
 	placeWait          tally.Timer   // wait for a place
+	kept, missed       tally.Counter // appointments whose callers came back at their time, and those that did not
+	scope              tally.Scope
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -32,6 +34,7 @@
 		heldBack:   scope.Counter("requests_held_back"),
 		late:       scope.Counter("requests_late"),
 		firstEvent: scope.Timer("first_event"), answer: scope.Timer("answer"), placeWait: scope.Timer("queue_wait"),
+		kept: scope.Counter("appointments_kept"), missed: scope.Counter("appointments_missed"), scope: scope,
 	}
 	for r := NoRoute; r <= TimedOut; r++ {
 		m.refused[r] = scope.Tagged(map[string]string{"reason": r.String()}).Counter("requests_refused")
@@ -48,3 +51,17 @@
 	}
 	m.answered.Inc(1)
 }
+
+// recordPlace counts a request of a kind, the name of its route, that got a place or was refused one with err.
+func (m *metrics) recordPlace(kind string, err error) {
+	if err == nil {
+		m.scope.Tagged(map[string]string{"kind": kind}).Counter("places_admitted").Inc(1)
+		return
+	}
+	m.scope.Tagged(map[string]string{"kind": kind, "reason": placeReason(err)}).Counter("places_refused").Inc(1)
+}
+
+// setWaiting sets the number of requests that wait for a place of a model.
+func (m *metrics) setWaiting(served servedModel, n int) {
+	m.scope.Tagged(map[string]string{"service": served.service, "model": served.model}).Gauge("places_waiting").Update(float64(n))
+}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
 	"moorrun.dev/moorrun/internal/picker"
@@ -27,6 +28,7 @@
 	Nodes        func() retry.Nodes
 	RequestLog   func(id string) RequestLog // returns the log of a new request
 	Scope        tally.Scope
+	Logger       log.Logger // receives when an overload begins and ends; may be nil
 }
 
 // RequestLog is the log of one request, with an entry for each decision on it.
--- a/internal/picker/appointment.go
+++ b/internal/picker/appointment.go
@@ -31,3 +31,20 @@
 	defer p.mu.Unlock()
 	return p.appointmentsOf(w.kind()).Keep(id, now)
 }
+
+// TakeMissedAppointments returns how many appointments have become void since the last call because their callers did not keep them.
+func (p *Picker) TakeMissedAppointments() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := p.missedAppointments
+	p.missedAppointments = 0
+	return n
+}
+
+// Queue returns the number of requests that wait for a place of a model, and the rate at which its places become free at this node.
+func (p *Picker) Queue(service, model string, now time.Time) (waiting int, perSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k := kind{service, model}
+	return len(p.waitingOf(k)), p.appointmentsOf(k).PerSecond(now)
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -53,6 +53,7 @@
 	waiting            []*waiter
 	orders             map[kind]*queueing.Order
 	appointments       map[kind]*queueing.Appointments
+	missedAppointments int // since TakeMissedAppointments
 	waitingByModel     map[string]int
 	runningByModel     map[string]int
 	arrivals           map[string]*arrivals // arrival rates by model
@@ -205,7 +206,7 @@
 	p.pauses.sweep(now)
 	p.cold.Sweep(now)
 	for _, a := range p.appointments {
-		a.Sweep(now)
+		p.missedAppointments += a.Sweep(now)
 	}
 	for key, h := range p.health {
 		if h.running == 0 && now.Sub(h.lastUsed) > healthRetention {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -155,7 +155,7 @@
 		Picker:        n.picker, Quarantine: n.quarantine, Investigator: n.investigator, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
 		Nodes:      n.nodeCounts,
 		RequestLog: func(id string) gateway.RequestLog { return decisions.Request(id) },
-		Scope:      n.scope,
+		Scope:      n.scope, Logger: logger,
 	})
 	return n
 }
@@ -227,6 +227,7 @@
 	loop.Every(ctx, sweepInterval, func(now time.Time) {
 		n.calls.Sweep()
 		n.picker.Sweep(now)
+		n.gateway.Sweep(now)
 		n.rates.Sweep(now)
 		n.quarantine.Sweep(now)
 		n.investigator.Sweep(now)
