picker: let the first waiter use the queue of a full group in time

Cause: a request whose turn is predicted in time waited until it could no longer be in time before it looked for a place in the queue of a full group; before the prediction it looked after a fifth of its objective. Change: such a request, if it is first in the order, looks for one after each MaxWait and otherwise waits on. A test no longer changes the other nodes' loads while a request waits, which was a data race.

--- a/internal/picker/queue.go
+++ b/internal/picker/queue.go
@@ -13,6 +13,7 @@
 	requirements *Requirements
 	entry        queueing.Entry
 	granted      chan *Place
+	predicted    bool // waits for a turn that is predicted in time
 	waitsLate    bool // waits although it can no longer be in time
 }
 
--- a/internal/picker/wait.go
+++ b/internal/picker/wait.go
@@ -18,7 +18,35 @@
 	if p.expectedTurn(q, now) > w.InTimeWait {
 		return p.lateWait(q, now)
 	}
-	return w.InTimeWait
+	q.predicted = true
+	return p.nextCheck(q, now)
+}
+
+// nextCheck returns how long a request whose turn is predicted in time waits until it looks for a place in the queue of a full
+// group: MaxWait each time, as where nothing is predicted, until it can no longer be in time. It is 0 from then on.
+func (p *Picker) nextCheck(q *waiter, now time.Time) time.Duration {
+	left := q.entry.InTimeUntil.Sub(now)
+	if !q.predicted || left <= 0 {
+		return 0
+	}
+	if q.requirements.MaxWait > 0 {
+		return min(left, q.requirements.MaxWait)
+	}
+	return left
+}
+
+// queueInTime returns a place in the queue of a full group for a request that could be in time, if it is the first in the order. Such
+// a place is often as near as the next free one at this node. Where groups are limited by objectives, a full group is beyond them.
+func (p *Picker) queueInTime(q *waiter, now time.Time) *Place {
+	k := q.requirements.kind()
+	if p.fitsAnother(q.requirements) || p.order(k).Ahead(entriesOf(p.waitingOf(k)), &q.entry, p.runningOf, now) > 0 {
+		return nil
+	}
+	place, _ := p.tryAcquire(q.requirements, now, groupQueue)
+	if place != nil {
+		p.dequeue(q)
+	}
+	return place
 }
 
 // lateWait returns how long a request that cannot be in time may wait, 0 if it is to be refused. Only requests of a class that starves
@@ -80,6 +108,13 @@
 		p.dequeue(q)
 		return nil, 0, ctx.Err()
 	}
+	if wait := p.nextCheck(q, now); wait > 0 {
+		place := p.queueInTime(q, now)
+		if place != nil {
+			wait = 0
+		}
+		return place, wait, nil
+	}
 	if wait := p.lateWait(q, now); wait > 0 {
 		return nil, wait, nil
 	}
--- a/internal/picker/wait_test.go
+++ b/internal/picker/wait_test.go
@@ -44,14 +44,28 @@
 // Guards against requests that are refused although their turn comes in time.
 func TestRequestWhoseTurnIsInTimeWaits(t *testing.T) {
 	f, held := fullFleet(t)
-	f.peers = nil
 	w := requirements()
 	w.MaxWait, w.InTimeWait = time.Millisecond, time.Minute
 	got := acquireAsync(f, w, 1)
-	held[0].Release()
+	time.Sleep(10 * time.Millisecond)
+	qt.Check(t, waiting(f), qt.Equals, 1, qt.Commentf("it waits beyond MaxWait"))
+	for _, place := range held { // the other nodes keep two places
+		place.Release()
+	}
 	qt.Check(t, (<-got).Group, qt.Equals, "a")
 }
 
+// Guards against a request that waits at its node until it is late, while a place in the queue of a full group is free.
+func TestFirstWaiterUsesTheQueueOfAFullGroup(t *testing.T) {
+	f, _ := fullFleet(t)
+	f.peers = nil
+	w := requirements()
+	w.MaxWait, w.InTimeWait = time.Millisecond, time.Minute
+	began := time.Now()
+	qt.Check(t, f.acquire(t, w).Group, qt.Equals, "a")
+	qt.Check(t, time.Since(began) < 10*time.Second, qt.IsTrue)
+}
+
 // Guards against refusals while places are free: by a prediction, and when a place becomes free unnoticed during the wait.
 func TestNoRefusalWhilePlacesAreFree(t *testing.T) {
 	f, held := fullFleet(t)
@@ -80,7 +94,10 @@
 		qt.Assert(t, errors.Is(err, picker.ErrNoPlace), qt.IsTrue, qt.Commentf("%v", err))
 	}
 	got := acquireAsync(f, w, 1)
-	f.peers = nil
-	held[0].Release()
+	time.Sleep(10 * time.Millisecond)
+	qt.Check(t, waiting(f), qt.Equals, 1, qt.Commentf("it waits beyond InTimeWait"))
+	for _, place := range held { // the other nodes keep two places
+		place.Release()
+	}
 	<-got
 }
