picker: do not count the places of requests that did not run as releases

Cause: an endpoint that refuses because it is full returns the request's place at once, which raised the rate of releases that appointments and waits are predicted from, although no place had become free. Change: the gateway records that an attempt did not run, and the release of its place is not counted. Result: a test; not measured on a load.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -150,6 +150,7 @@
 
 // afterNotRun handles an attempt that did not run. It reports whether to send the request again, and refuses it otherwise.
 func (a *activeRequest) afterNotRun(ctx context.Context, place *picker.Place) bool {
+	place.RecordNotRun()
 	if ctx.Err() == nil && a.mayResend(verdict.NotRun) {
 		a.log("resend", false, "endpoint", place.Endpoint.ID, "verdict", verdict.NotRun.String())
 		return true
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -175,7 +175,9 @@
 	now := clock.Now()
 	p.healthOf(place.key(), now).running--
 	p.runningByModel[place.model]--
-	p.appointmentsOf(place.kind).Release(now)
+	if !place.notRun {
+		p.appointmentsOf(place.kind).Release(now)
+	}
 	if p.runningByWorkspace[place.workspace]--; p.runningByWorkspace[place.workspace] <= 0 {
 		delete(p.runningByWorkspace, place.workspace)
 	}
--- a/internal/picker/queue_test.go
+++ b/internal/picker/queue_test.go
@@ -84,3 +84,17 @@
 	qt.Check(t, f.picker.KeepAppointment(requirements(), 1, now), qt.IsFalse)
 	qt.Check(t, f.picker.KeepAppointment(requirements(), 1, now.Add(first)), qt.IsTrue)
 }
+
+// Guards against appointments that count on the places of an endpoint that refuses its requests because it is full.
+func TestPlacesThatDidNotRunAreNoReleases(t *testing.T) {
+	f := newFleet()
+	f.group("a", "near", endpoint.Open, endpoint.Ready)
+	for range 20 {
+		place := f.acquire(t, requirements())
+		place.RecordNotRun()
+		place.Release()
+	}
+	now := time.Now()
+	_, known := f.picker.Appoint(requirements(), 1, now.Add(time.Minute), now)
+	qt.Check(t, known, qt.IsFalse)
+}
