admission: test that refused callers are spread over the releases

Cause: the pool's Retry-After comes from the appointments of package queueing, which only that package's own tests covered. Change: a test at the pool.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -110,3 +110,26 @@
 	held.Release(true)
 	acquire(t, a, Request{}).Release(true)
 }
+
+// Guards against refused callers that are all told the same time although it is known when places become free, and against times beyond
+// what their deadline allows.
+func TestRefusedCallersAreSpreadOverTheReleases(t *testing.T) {
+	a := newAdmission(t, allocator.Places{Group: "g", Birth: 1, Count: 1})
+	for range 20 {
+		acquire(t, a, Request{}).Release(true)
+	}
+	held := acquire(t, a, Request{})
+	p := a.pool("m")
+	p.mu.Lock()
+	p.queues["w"].meanHold = time.Hour // as if requests kept their places for an hour on average
+	p.mu.Unlock()
+	last := time.Duration(0)
+	for range 5 {
+		_, err := a.Acquire(context.Background(), Request{Model: "m", Workspace: "w", Timeout: time.Minute})
+		var refusal *Refusal
+		qt.Assert(t, errors.As(err, &refusal), qt.IsTrue)
+		qt.Check(t, refusal.RetryAfter > last && refusal.RetryAfter <= 20*time.Second, qt.IsTrue, qt.Commentf("%s after %s", refusal.RetryAfter, last))
+		last = refusal.RetryAfter
+	}
+	held.Release(true)
+}
