--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -1,13 +1,13 @@
 package admission
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"moorrun.dev/moorrun/internal/allocator"
 	"moorrun.dev/moorrun/internal/clock"
+	"moorrun.dev/moorrun/internal/queueing"
 	"moorrun.dev/moorrun/internal/window"
 )
 
@@ -31,13 +31,13 @@
 	grant     uint64
 	expires   time.Time // when the current grant expires
 	reportNow chan struct{}
-	arrivals  map[string]*rate
+	arrivals  map[string]*queueing.Rate
 }
 
 func newPool(model string, chooser Chooser) *pool {
 	return &pool{
 		model: model, chooser: chooser, queues: make(map[string]*queue),
-		reportNow: make(chan struct{}, 1), arrivals: make(map[string]*rate),
+		reportNow: make(chan struct{}, 1), arrivals: make(map[string]*queueing.Rate),
 	}
 }
 
@@ -47,7 +47,7 @@
 		q = &queue{workspace: workspace, groups: make(map[groupKey]*groupPlaces), demand: window.NewMax[int](peakDemandSpan, now)}
 		q.waiting.Init()
 		p.queues[workspace] = q
-		p.arrivals[workspace] = &rate{}
+		p.arrivals[workspace] = &queueing.Rate{}
 	}
 	return q
 }
@@ -58,7 +58,7 @@
 	defer p.mu.Unlock()
 	q := p.queue(r.Workspace, now)
 	q.lastArrival = now
-	p.arrivals[r.Workspace].add(now)
+	p.arrivals[r.Workspace].Add(now)
 	q.demand.Add(q.waiting.Len()+q.running()+1, now)
 	w := &waiter{ready: make(chan *Place, 1), avoid: r.Avoid, prefer: r.Prefer, priority: r.Priority, maxWait: r.Timeout - q.meanHold}
 	if p.lengthOnly {
@@ -107,33 +107,31 @@
 func (p *pool) refuse(q *queue, timeout time.Duration, now time.Time) *Refusal {
 	expected := q.expectedWait(now)
 	if q.waiting.Len() >= maxQueued {
-		return &Refusal{"the queue is full", expected}
+		return &Refusal{"the queue is full", q.comeBackAfter(expected, timeout, now)}
 	}
 	if p.lengthOnly {
 		return nil
 	}
 	if expected+q.meanHold > timeout {
-		return &Refusal{"the expected wait is longer than the request's deadline", max(0, expected+q.meanHold-timeout) + retryAfter}
+		return &Refusal{"the expected wait is longer than the request's deadline", q.comeBackAfter(max(0, expected+q.meanHold-timeout)+retryAfter, timeout, now)}
 	}
 	return nil
 }
 
+// expired returns the refusal of a request that has waited as long as it could and has the given time left.
+func (p *pool) expired(workspace string, remaining time.Duration, now time.Time) *Refusal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &Refusal{"no place came free within the request's deadline", p.queue(workspace, now).comeBackAfter(retryAfter, remaining, now)}
+}
+
 // expectedWait estimates how long a request that joins the queue now will wait, from the recent rate at which
-// places became free.
+// places became free. It is 0 if the rate is not known: the request then waits up to its deadline.
 func (q *queue) expectedWait(now time.Time) time.Duration {
-	if q.waiting.Len() == 0 {
-		return 0
-	}
-	perSecond := q.rate.value(now)
-	if perSecond <= 0 {
-		return 0 // no recent releases to estimate from: the request waits up to its deadline
-	}
-	seconds := float64(q.waiting.Len()) / perSecond
-	return time.Duration(math.Min(seconds, maxExpectedWait.Seconds()) * float64(time.Second))
+	wait, _ := q.appointments.ExpectedWait(q.waiting.Len(), now)
+	return wait
 }
 
-const maxExpectedWait = time.Hour
-
 // take starts a request on the least loaded group of which the workspace has a free place. The group to avoid is
 // used only if there is no other.
 func (p *pool) take(q *queue, avoid string, now time.Time) *Place {
@@ -191,7 +189,7 @@
 	defer p.mu.Unlock()
 	place.groupPlaces.running--
 	if ok {
-		place.queue.rate.add(now)
+		place.queue.appointments.Release(now)
 		place.queue.recordHold(now.Sub(place.taken))
 	}
 	if place.groupPlaces.running == 0 && place.groupPlaces.limit == 0 {
@@ -256,7 +254,7 @@
 		d.Reserve = max(0, q.demand.Value(now)-d.Waiting-q.running())
 		idle := now.Sub(q.lastArrival) > idleAfter
 		if !idle {
-			d.Spare = 1 + int(p.arrivals[name].value(now)*spareWindow.Seconds())
+			d.Spare = 1 + int(p.arrivals[name].PerSecond(now)*spareWindow.Seconds())
 		}
 		waiting = waiting || d.Waiting > 0
 		busy = busy || !idle || len(d.Running) > 0 || d.Waiting > 0
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -14,7 +14,7 @@
 	p := newPool("m", fixedAllocator{})
 	q := p.queue("w", now)
 	q.lastArrival = now
-	p.arrivals["w"].add(now)
+	p.arrivals["w"].Add(now)
 	q.demand.Add(3, now)
 	reserve := func(after time.Duration) int {
 		r, _, _ := p.report(now.Add(after))
--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -38,6 +38,9 @@
 	begun    bool     // the head of a stream has been passed on to the caller
 	lastID   string   // ID of the last event passed on
 
+	requirements *picker.Requirements // of the last attempt; nil before the first
+	appointed    bool                 // the caller came back at the time it was given
+
 	requestLog   RequestLog
 	delivery     delivery
 	unsuccessful bool // failed, refused or cut off
@@ -105,9 +108,11 @@
 // the place.
 func (a *activeRequest) acquire(ctx context.Context) (*picker.Place, error) {
 	if err := a.heldBack(); err != nil {
+		a.gateway.metrics.recordPlace(a.route.Name, err)
 		return nil, err
 	}
 	place, err := a.awaitPlace(ctx)
+	a.gateway.metrics.recordPlace(a.route.Name, err)
 	if err != nil {
 		return nil, err
 	}
@@ -130,13 +135,24 @@
 			return nil, errNoModel
 		}
 		w.Model, w.Slots, w.Size = model.Name, e.Slots, model.Size
-		w.PromptTokens, w.Objective = a.request.PromptTokens, a.route.Objective
+		w.PromptTokens, w.Objective, w.GapObjective, w.Received = a.request.PromptTokens, a.route.Objective, a.route.GapObjective, a.request.Received
 		w.Engine = engine.Model{Figures: e.Figures, Pace: model.Pace}
 	}
-	if a.begun {
+	switch {
+	case a.begun:
 		w.MaxWait = a.route.GapObjective / 2
+	case a.sends == 0 && w.Objective > 0 && w.Engine.Figures.Known(): // a request that may have run cannot be refused to come back later
+		w.InTimeWait, w.LateWait = a.inTimeWait(w), lateWait(clock.Until(a.deadline))
 	}
 	began := clock.Now()
+	if a.requirements == nil {
+		a.appointed = a.gateway.Picker.KeepAppointment(w, uint64(a.fingerprint), began)
+	}
+	w.Appointed = a.appointed
+	a.requirements = w
+	if a.appointed && a.sends == 0 {
+		a.gateway.metrics.kept.Inc(1)
+	}
 	place, err := a.gateway.Picker.Acquire(ctx, w)
 	a.gateway.metrics.placeWait.Record(clock.Since(began))
 	return place, err
@@ -178,8 +194,7 @@
 	case errors.As(err, &paused):
 		a.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: addJitter(paused.Remaining)})
 	default:
-		after := a.gateway.shortages.recordRefusal(a.service.Name+"/"+a.request.Model, clock.Now())
-		a.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: after})
+		a.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: a.comeBackAfter(err)})
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,8 +21,10 @@
 	heldBack           tally.Counter // requests refused because endpoints have ended while they ran them
 	late               tally.Counter // answers that missed an objective
 	callersCut         map[readers.Reason]tally.Counter
-	firstEvent, answer tally.Timer // time to the first event of a stream, and to the end of an answer
-	placeWait          tally.Timer // wait for a place
+	firstEvent, answer tally.Timer   // time to the first event of a stream, and to the end of an answer
+	placeWait          tally.Timer   // wait for a place
+	kept, missed       tally.Counter // appointments whose callers came back at their time, and those that did not
+	scope              tally.Scope
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -35,6 +37,7 @@
 		heldBack:   scope.Counter("requests_held_back"),
 		late:       scope.Counter("requests_late"),
 		firstEvent: scope.Timer("first_event"), answer: scope.Timer("answer"), placeWait: scope.Timer("queue_wait"),
+		kept: scope.Counter("appointments_kept"), missed: scope.Counter("appointments_missed"), scope: scope,
 	}
 	for _, r := range readers.Reasons {
 		m.callersCut[r] = scope.Tagged(map[string]string{"reason": string(r)}).Counter("callers_cut")
@@ -54,3 +57,17 @@
 	}
 	m.answered.Inc(1)
 }
+
+// recordPlace counts a request of a kind, the name of its route, that got a place or was refused one with err.
+func (m *metrics) recordPlace(kind string, err error) {
+	if err == nil {
+		m.scope.Tagged(map[string]string{"kind": kind}).Counter("places_admitted").Inc(1)
+		return
+	}
+	m.scope.Tagged(map[string]string{"kind": kind, "reason": placeReason(err)}).Counter("places_refused").Inc(1)
+}
+
+// setWaiting sets the number of requests that wait for a place of a model.
+func (m *metrics) setWaiting(served servedModel, n int) {
+	m.scope.Tagged(map[string]string{"service": served.service, "model": served.model}).Gauge("places_waiting").Update(float64(n))
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -12,6 +12,7 @@
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/queueing"
 	"moorrun.dev/moorrun/internal/ratelimit"
 )
 
@@ -37,6 +38,8 @@
 	Limits *ratelimit.Table
 	// Lost reports whether the leader has found that a replica group has lost a member. It may be nil.
 	Lost func(group string, now time.Time) bool
+	// Predict limits the requests of a group by their objectives. Without it, only the slots limit them.
+	Predict Predict
 }
 
 // Picker chooses an endpoint for each request and counts the requests of this node that run there.
@@ -48,6 +51,9 @@
 	runningByWorkspace map[string]int
 	wasComplete        map[string]bool // groups whose members have all been ready at the same time
 	waiting            []*waiter
+	orders             map[kind]*queueing.Order
+	appointments       map[kind]*queueing.Appointments
+	missedAppointments int // since TakeMissedAppointments
 	waitingByModel     map[string]int
 	runningByModel     map[string]int
 	arrivals           map[string]*arrivals // arrival rates by model
@@ -63,7 +69,7 @@
 	}
 	return &Picker{
 		options: o, health: make(map[string]*health), runningByWorkspace: make(map[string]int), wasComplete: make(map[string]bool),
-		waitingByModel: make(map[string]int), runningByModel: make(map[string]int), arrivals: make(map[string]*arrivals), pauses: make(pauses),
+		orders: make(map[kind]*queueing.Order), appointments: make(map[kind]*queueing.Appointments), waitingByModel: make(map[string]int), runningByModel: make(map[string]int), arrivals: make(map[string]*arrivals), pauses: make(pauses),
 		cold: ratelimit.NewColdLimiter(clock.Now()),
 	}
 }
@@ -71,44 +77,38 @@
 // Acquire returns a place for the request. It waits for one for up to w.MaxWait.
 func (p *Picker) Acquire(ctx context.Context, w *Requirements) (*Place, error) {
 	p.mu.Lock()
-	p.recordArrival(w, clock.Now())
-	if !p.hasWaiterFor(w) {
-		place, err := p.tryAcquire(w, clock.Now(), false)
+	now := clock.Now()
+	p.recordArrival(w, now)
+	if len(p.waitingOf(w.kind())) == 0 {
+		place, err := p.tryAcquire(w, now, withinObjective)
 		if place != nil || err != nil && (w.MaxWait <= 0 || isPaused(err)) {
 			p.mu.Unlock()
 			return place, err
 		}
 	}
-	q := p.enqueue(w)
-	p.mu.Unlock()
-	timer := time.NewTimer(w.MaxWait)
-	defer timer.Stop()
-	select {
-	case place := <-q.granted:
-		return place, nil
-	case <-timer.C:
-	case <-ctx.Done():
+	q := p.enqueue(w, now)
+	p.grantKind(w.kind(), now) // a place may have come free, as by other nodes' requests, since the others began to wait
+	if len(q.granted) > 0 {
+		p.mu.Unlock()
+		return <-q.granted, nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dequeue(q)
-	select {
-	case place := <-q.granted:
+	if place := p.takeUnpredicted(q, now); place != nil {
+		p.mu.Unlock()
 		return place, nil
-	default:
 	}
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
+	wait := p.longestWait(q, now)
+	if wait <= 0 {
+		defer p.mu.Unlock()
+		return p.refuseOrQueue(q, now)
 	}
-	place, err := p.tryAcquire(w, clock.Now(), true)
-	if place == nil && err == nil {
-		err = ErrNoPlace
-	}
-	return place, err
+	p.mu.Unlock()
+	return p.await(ctx, q, wait)
 }
 
-// recordArrival counts a request in its model's arrival rates. Requests without a model are not counted.
+// recordArrival counts a request in the order of its kind and in its model's arrival rates. Requests without a model are not
+// counted in the rates.
 func (p *Picker) recordArrival(w *Requirements, now time.Time) {
+	p.order(w.kind()).Arrive(w.class())
 	if w.Model == "" {
 		return
 	}
@@ -118,9 +118,9 @@
 	p.arrivals[w.Model].add(w, now)
 }
 
-// tryAcquire returns a place if one is free, and neither a place nor an error if the request has to wait. With useQueue set it
-// also takes a place in the queue of a full replica group.
-func (p *Picker) tryAcquire(w *Requirements, now time.Time, useQueue bool) (*Place, error) {
+// tryAcquire returns a place if one is free, and neither a place nor an error if the request has to wait. how bounds the
+// requests of a replica group.
+func (p *Picker) tryAcquire(w *Requirements, now time.Time, how fill) (*Place, error) {
 	others := p.options.Others(now)
 	p.options.Limits.MergeReports(others.Limits, now)
 	candidates := p.candidates(w, others, now)
@@ -130,7 +130,9 @@
 	if left := shortestPause(candidates); left > w.MaxWait {
 		return nil, &PausedError{left}
 	}
-	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.full(w, useQueue) })
+	candidates = slices.DeleteFunc(candidates, func(c candidate) bool {
+		return c.full(w, how == groupQueue) || how == withinObjective && p.beyondObjective(w, &c, now)
+	})
 	for len(candidates) > 0 {
 		best := p.best(w, candidates)
 		if p.admit(&best, others, now) {
@@ -158,9 +160,10 @@
 }
 
 func (p *Picker) reserve(w *Requirements, c *candidate, now time.Time) *Place {
-	place := &Place{Endpoint: c.endpoint, Group: c.group, Requests: c.load, picker: p, workspace: w.Workspace, model: w.Model}
+	place := &Place{Endpoint: c.endpoint, Group: c.group, Requests: c.load, picker: p, workspace: w.Workspace, model: w.Model, kind: w.kind()}
 	h := p.healthOf(place.key(), now)
 	h.running++
+	p.order(w.kind()).Serve(w.class())
 	p.runningByWorkspace[w.Workspace]++
 	p.runningByModel[w.Model]++
 	return place
@@ -172,6 +175,9 @@
 	now := clock.Now()
 	p.healthOf(place.key(), now).running--
 	p.runningByModel[place.model]--
+	if !place.notRun {
+		p.appointmentsOf(place.kind).Release(now)
+	}
 	if p.runningByWorkspace[place.workspace]--; p.runningByWorkspace[place.workspace] <= 0 {
 		delete(p.runningByWorkspace, place.workspace)
 	}
@@ -201,6 +207,9 @@
 	defer p.mu.Unlock()
 	p.pauses.sweep(now)
 	p.cold.Sweep(now)
+	for _, a := range p.appointments {
+		p.missedAppointments += a.Sweep(now)
+	}
 	for key, h := range p.health {
 		if h.running == 0 && now.Sub(h.lastUsed) > healthRetention {
 			delete(p.health, key)
--- a/internal/picker/requirements.go
+++ b/internal/picker/requirements.go
@@ -23,15 +23,22 @@
 	// Each is zero if unknown.
 	PromptTokens int
 	Objective    time.Duration
-	Engine       engine.Model // performance model of a group that runs Model; zero if unknown
+	GapObjective time.Duration // longest gap between two events; 0 if unknown
+	Received     time.Time     // from which Objective counts; zero if unknown
+	Engine       engine.Model  // performance model of a group that runs Model; zero if unknown
 	// ColdFor is how long an endpoint of the service is cold after its start. ColdPerSecond is the rate of requests per second
 	// that a cold endpoint can take; zero if it is not limited.
 	ColdFor       time.Duration
 	ColdPerSecond float64
 	Priority      int // 0 is the most urgent
 	Workspace     string
+	Weight        float64       // of the workspace, relative to the other ones; 0 means 1
 	Exclude       []string      // groups and endpoints that have failed the request
-	MaxWait       time.Duration // longest wait for a place
+	MaxWait       time.Duration // longest wait for a place where InTimeWait does not apply
+	Appointed     bool          // the caller came back at the time it was given
+	// InTimeWait is the longest wait after which the request can still be in time; 0 if unknown. LateWait is the longest wait of a
+	// request that can no longer be in time, and 0 if it should not wait.
+	InTimeWait, LateWait time.Duration
 }
 
 func (w *Requirements) excludes(key string) bool {
