Tell an endpoint that ended from a node that lost its path

Change: after a failed connection to an endpoint the node dials up to three others; if none accepts, it logs that it reaches no endpoint and sets the gauge moorrun_isolated. No decision uses it yet.

--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -31,6 +31,9 @@
 type Client struct {
 	// DialTimeout bounds the dialing of a new connection. It must not change after the first call.
 	DialTimeout time.Duration
+	// DialEndpoint opens the connections of calls with Options.Endpoint; nil connects to the address itself. It must not change
+	// after the first call.
+	DialEndpoint func(ctx context.Context, address string) (net.Conn, error)
 
 	shards [shardCount]shard
 }
@@ -61,7 +64,7 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	a, err := c.start(ctx, address, request, o.Fresh, deadline)
+	a, err := c.start(ctx, address, request, o, deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -78,7 +81,7 @@
 // Start sends request to address and returns without waiting for the response, for which Await and Receive are called later.
 // Options.Timeout bounds the sending. A non-nil error is a *verdict.Error.
 func (c *Client) Start(ctx context.Context, address string, request *fasthttp.Request, o Options) (*Answer, error) {
-	a, err := c.start(ctx, address, request, o.Fresh, time.Now().Add(o.Timeout))
+	a, err := c.start(ctx, address, request, o, time.Now().Add(o.Timeout))
 	if err != nil {
 		return nil, err
 	}
@@ -86,8 +89,8 @@
 	return a, nil
 }
 
-func (c *Client) start(ctx context.Context, address string, request *fasthttp.Request, fresh bool, deadline time.Time) (*Answer, error) {
-	k, err := c.connect(ctx, address, fresh, deadline)
+func (c *Client) start(ctx context.Context, address string, request *fasthttp.Request, o Options, deadline time.Time) (*Answer, error) {
+	k, err := c.connect(ctx, address, o, deadline)
 	if err != nil {
 		return nil, verdict.New(verdict.NotRun, Error.Wrap(err))
 	}
@@ -134,11 +137,11 @@
 	return nil
 }
 
-func (c *Client) connect(ctx context.Context, address string, fresh bool, deadline time.Time) (*conn, error) {
+func (c *Client) connect(ctx context.Context, address string, o Options, deadline time.Time) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	if !fresh {
+	if !o.Fresh {
 		if k := c.take(address); k != nil {
 			return k, nil
 		}
@@ -147,14 +150,23 @@
 	if wait <= 0 {
 		return nil, context.DeadlineExceeded
 	}
-	d := net.Dialer{Timeout: wait}
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := c.dial(ctx, address, o.Endpoint, wait)
 	if err != nil {
 		return nil, err
 	}
 	return newConn(raw, address), nil
 }
 
+func (c *Client) dial(ctx context.Context, address string, endpoint bool, timeout time.Duration) (net.Conn, error) {
+	if endpoint && c.DialEndpoint != nil {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return c.DialEndpoint(ctx, address)
+	}
+	d := net.Dialer{Timeout: timeout}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 func (c *Client) take(address string) *conn {
 	now := time.Now()
 	for {
--- a/internal/httpcall/options.go
+++ b/internal/httpcall/options.go
@@ -6,6 +6,8 @@
 type Options struct {
 	// Timeout bounds the whole call, or only the time up to the response's header if Stream is set.
 	Timeout time.Duration
+	// Endpoint means that the address is that of an endpoint, to which Client.DialEndpoint connects.
+	Endpoint bool
 	// Fresh dials a new connection. If an idle one was closed by the peer, it would be unclear whether the request has run.
 	Fresh bool
 	// Stream leaves the body on the connection, to be read with Answer.Read.
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -47,6 +47,7 @@
 	loop.Every(ctx, metricsInterval, func(now time.Time) {
 		s.Gauge("configuration_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Accepted)).Seconds())
 		s.Gauge("endpoints_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Endpoints)).Seconds())
+		s.Gauge("isolated").Update(boolGauge(n.reach.Isolated()))
 		s.Gauge("peers_live").Update(float64(len(n.gossip.Live(now))))
 		s.Gauge("quarantine_held").Update(float64(len(n.quarantine.Holds(now))))
 		s.Gauge("leader_epoch").Update(float64(n.controller.Leads(now)))
@@ -84,3 +85,11 @@
 	})
 	return nil
 }
+
+// boolGauge returns the value of a gauge that is 1 while a condition holds.
+func boolGauge(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -31,6 +31,7 @@
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/quarantine"
 	"moorrun.dev/moorrun/internal/ratelimit"
+	"moorrun.dev/moorrun/internal/reach"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
 	"moorrun.dev/moorrun/internal/settings"
@@ -57,6 +58,7 @@
 	started  time.Time
 
 	calls               *httpcall.Client
+	reach               *reach.Monitor
 	peerCaller          *gossip.Caller
 	gossip              *gossip.Node
 	follower            *follow.Follower
@@ -113,6 +115,7 @@
 	n.calls.DialTimeout = dialTimeout
 	n.reporter = metrics.NewReporter()
 	n.scope, n.closeScope = newScope(n.reporter, s.DataCentre)
+	n.setUpReach()
 	n.startJitter = rand.Float64() //nolint:gosec // spreads queries over time, not security relevant
 	n.platform = newPlatform(s, n.calls)
 	self := gossip.Identity{
--- a/internal/server/transport.go
+++ b/internal/server/transport.go
@@ -1,9 +1,11 @@
 package server
 
 import (
+	"context"
 	"net"
 
 	"moorrun.dev/moorrun/internal/gossip"
+	"moorrun.dev/moorrun/internal/reach"
 	"moorrun.dev/moorrun/internal/settings"
 )
 
@@ -12,6 +14,7 @@
 	Datagrams gossip.Conn
 	Calls     net.Listener // accepts the calls of other nodes
 	Dial      gossip.Dial  // connects to other nodes' listeners
+	Endpoints reach.Dial   // connects to endpoints
 }
 
 // listenToNodes opens the TCP and UDP sockets for other nodes.
@@ -28,5 +31,11 @@
 	if err != nil {
 		return Transport{}, err
 	}
-	return Transport{Datagrams: datagrams, Calls: calls, Dial: gossip.DialTCP}, nil
+	return Transport{Datagrams: datagrams, Calls: calls, Dial: gossip.DialTCP, Endpoints: dialTCP}, nil
+}
+
+// dialTCP connects to an endpoint; ctx bounds the time.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
 }
