--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 
 	"moorrun.dev/moorrun/internal/clock"
@@ -18,7 +19,7 @@
 	switch {
 	case err == nil:
 		d.Monitor.Connected(clock.Now())
-	case context.Cause(ctx) != context.Canceled:
+	case !errors.Is(ctx.Err(), context.Canceled):
 		d.Monitor.Failed(address)
 	}
 	return c, err
--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -2,15 +2,14 @@
 
 import (
 	"net"
-
-	"moorrun.dev/moorrun/internal/settings"
 )
 
 // listeners are the sockets for callers and for operation and monitoring of the process; nil where no address is set.
 type listeners struct{ caller, registry, readiness, metrics net.Listener }
 
-// listen opens all sockets except those for other nodes.
-func listen(s *settings.Gateway) (out listeners, err error) {
+// Listen opens all sockets except those for other nodes. It must be called before Run.
+func (n *Server) Listen() error {
+	s, out := n.settings, &n.listeners
 	for _, l := range []struct {
 		address string
 		to      *net.Listener
@@ -20,9 +19,11 @@
 		if l.address == "" {
 			continue
 		}
-		if *l.to, err = net.Listen("tcp", l.address); err != nil {
-			return out, err
+		lis, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return err
 		}
+		*l.to = lis
 	}
-	return out, nil
+	return nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -93,20 +93,16 @@
 
 // New opens the process's sockets and creates its parts; Run starts them.
 func New(s *settings.Gateway, newPlatform NewPlatform, logger log.Logger) (*Server, error) {
-	l, err := listen(s)
-	if err != nil {
-		return nil, err
-	}
-	t, err := listenToNodes(s)
+	t, err := ListenToNodes(s)
 	if err != nil {
 		return nil, err
 	}
 	n := NewWithTransport(t, s, newPlatform, logger)
-	n.listeners = l
-	return n, nil
+	return n, n.Listen()
 }
 
-// NewWithTransport creates a process that communicates with other nodes over t and has no sockets for callers.
+// NewWithTransport creates a process that communicates with other nodes and endpoints over t. It has no sockets for
+// callers until Listen is called.
 func NewWithTransport(t Transport, s *settings.Gateway, newPlatform NewPlatform, logger log.Logger) *Server {
 	n := &Server{
 		settings: s, logger: logger, started: clock.Now(), transport: t, calls: httpcall.NewClient(), directory: endpoint.NewDirectory(s.EndpointBeat()),
--- a/internal/server/transport.go
+++ b/internal/server/transport.go
@@ -9,7 +9,7 @@
 	"moorrun.dev/moorrun/internal/settings"
 )
 
-// Transport is what a node communicates with other nodes over.
+// Transport is what a node communicates with other nodes and with endpoints over.
 type Transport struct {
 	Datagrams gossip.Conn
 	Calls     net.Listener // accepts the calls of other nodes
@@ -17,8 +17,8 @@
 	Endpoints reach.Dial   // connects to endpoints
 }
 
-// listenToNodes opens the TCP and UDP sockets for other nodes.
-func listenToNodes(s *settings.Gateway) (Transport, error) {
+// ListenToNodes opens the TCP and UDP sockets for other nodes.
+func ListenToNodes(s *settings.Gateway) (Transport, error) {
 	calls, err := net.Listen("tcp", s.PeerAddress)
 	if err != nil {
 		return Transport{}, err
--- a/internal/standin/estate/platform.go
+++ b/internal/standin/estate/platform.go
@@ -130,6 +130,12 @@
 	p.everReady[group][id] = true
 }
 
+func (p *Platform) recordBreach(breach string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.breaches = append(p.breaches, breach)
+}
+
 // checkOpening records a breach if a member of the opening group has never been ready in it.
 func (p *Platform) checkOpening(group string, members []string) {
 	p.mu.Lock()
--- a/internal/standin/estate/worker.go
+++ b/internal/standin/estate/worker.go
@@ -117,10 +117,36 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	w.checkJoin(o)
 	rw.WriteHeader(w.applyOrder(o))
 	w.writeEntry()
 }
 
+// checkJoin records a breach if a join takes the worker out of a group whose head still serves.
+func (w *Worker) checkJoin(o order) {
+	w.mu.Lock()
+	current, members := w.group, w.members
+	w.mu.Unlock()
+	if o.Op != "join" || current == nil || current.Name == o.Group || len(members) == 0 {
+		return
+	}
+	for _, head := range w.platform.OpenHeads() {
+		if head.ID == members[0] && head.GroupName() == current.Name {
+			w.platform.recordBreach(fmt.Sprintf("worker %s joins group %s while the head %s of its group %s is open", w.ID, o.Group, head.ID, current.Name))
+		}
+	}
+}
+
+// GroupName returns the name of the worker's group, or "".
+func (w *Worker) GroupName() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.group == nil {
+		return ""
+	}
+	return w.group.Name
+}
+
 // applyOrder carries out an order and returns the status of the response.
 func (w *Worker) applyOrder(o order) int {
 	w.mu.Lock()
@@ -298,3 +324,6 @@
 	defer w.mu.Unlock()
 	return !w.dead && w.group != nil && w.group.State == "open"
 }
+
+// Address returns the address at which the worker listens.
+func (w *Worker) Address() string { return w.server.Listener.Addr().String() }
