Connect to endpoints through another node when the own path is broken

Callers saw: at VMs that had lost their paths to endpoints 0 to 43 % of the first tries were served, with 503 for the rest. Cause: a VM that could not connect to an endpoint tried others over the same broken path. Class: one observer's failure counts as the failure of what it observes. Change: a direct connection that fails, or takes over 0.1 s, is made through up to three other nodes, which pass the bytes on unchanged: what may have run is known as before, and a request is sent once. The path is used again as soon as a connection of its own succeeds. A node that reaches no endpoint tells the others; it carries nothing for them, reports no groups as stalled and does not stand for leader. A refused connection counts as proof that nothing listens only if another node that reaches other endpoints was refused as well. Orders and probes of the leader use the same connections.

--- a/internal/gossip/caller.go
+++ b/internal/gossip/caller.go
@@ -73,13 +73,19 @@
 	return reply.Sequence, objectsFromWire(objects), nil
 }
 
-// Probe asks the node at address to contact an endpoint and reports whether that endpoint answered.
-func (c *Caller) Probe(ctx context.Context, address, id, endpointAddress string) (bool, error) {
+// ProbeResult is what another node found out about an endpoint.
+type ProbeResult struct {
+	Answered bool // the endpoint answered
+	Isolated bool // the node reaches no other endpoint either, so that the lack of an answer says nothing
+}
+
+// Probe asks the node at address to contact an endpoint.
+func (c *Caller) Probe(ctx context.Context, address, id, endpointAddress string) (ProbeResult, error) {
 	reply, err := c.client(ctx, address).Probe(ctx, &gossippb.ProbeRequest{Id: id, Address: endpointAddress})
 	if err != nil {
-		return false, err
+		return ProbeResult{}, err
 	}
-	return reply.Answered, nil
+	return ProbeResult{Answered: reply.Answered, Isolated: reply.Isolated}, nil
 }
 
 // Close closes the pooled connections.
--- a/internal/gossip/convert.go
+++ b/internal/gossip/convert.go
@@ -15,7 +15,7 @@
 	b := &gossippb.Beat{
 		Vm: self.VM, Incarnation: self.Incarnation, Zone: self.DataCentre, CallerAddress: self.CallerAddress,
 		GossipAddress: self.GossipAddress, PeerAddress: self.PeerAddress,
-		Leaving: s.Leaving, Serving: s.Serving, Watching: s.Watching, Eligible: s.Eligible, LeaderEpoch: s.LeaderEpoch, Sequence: s.Sequence,
+		Leaving: s.Leaving, Serving: s.Serving, Watching: s.Watching, Eligible: s.Eligible, Isolated: s.Isolated, LeaderEpoch: s.LeaderEpoch, Sequence: s.Sequence,
 		RoutingSequence: s.Routing, Full: s.Full,
 		LeaseVersion: s.Lease.Version, LeaseTtlMs: uint32(s.Lease.Term / time.Millisecond), //nolint:gosec // terms are short
 		Retiring: s.Retiring, Lost: s.Lost, Relay: s.Relay, Idle: s.Idle, Capacity: self.Capacity, UptimeMs: uint32(s.Uptime / time.Millisecond), //nolint:gosec // 49 days fit
@@ -56,7 +56,7 @@
 			GossipAddress: b.GossipAddress, PeerAddress: b.PeerAddress, Capacity: b.Capacity,
 		},
 		Status: Status{
-			Leaving: b.Leaving, Serving: b.Serving, Watching: b.Watching, Eligible: b.Eligible, LeaderEpoch: b.LeaderEpoch, Sequence: b.Sequence,
+			Leaving: b.Leaving, Serving: b.Serving, Watching: b.Watching, Eligible: b.Eligible, Isolated: b.Isolated, LeaderEpoch: b.LeaderEpoch, Sequence: b.Sequence,
 			Routing: b.RoutingSequence, Full: b.Full,
 			Lease: Lease{b.LeaseVersion, fromMillis(b.LeaseTtlMs)}, Retiring: b.Retiring, Lost: b.Lost, Relay: b.Relay, Idle: b.Idle, Busy: int(b.Busy), Uptime: fromMillis(b.UptimeMs), Loads: make(Loads, len(b.LoadEndpoints)),
 			Suspects: make(map[string]time.Time, len(b.Suspects)), Demands: make(map[string]Demand, len(b.Demands)),
--- a/internal/gossip/node_test.go
+++ b/internal/gossip/node_test.go
@@ -85,7 +85,7 @@
 func TestStatusSurvivesTheWire(t *testing.T) {
 	now := time.Now()
 	s := Status{
-		Leaving: true, Serving: true, Watching: true, Eligible: true, LeaderEpoch: 7, Lease: Lease{12, 1500 * time.Millisecond}, Uptime: 5 * time.Second, Sequence: 9,
+		Leaving: true, Serving: true, Watching: true, Eligible: true, Isolated: true, LeaderEpoch: 7, Lease: Lease{12, 1500 * time.Millisecond}, Uptime: 5 * time.Second, Sequence: 9,
 		ProofAt: now.Add(-40 * time.Millisecond), Loads: Loads{KeyOf("a"): 3},
 		Limits: RateLimits{KeyOf("a"): {Named: true, PerSecond: 1.9, AsOf: now.Add(-20 * time.Millisecond), Recent: 7, Withheld: 2}},
 		Cold:   RateLimits{KeyOf("b"): {AsOf: now.Add(-10 * time.Millisecond), Recent: 5, Withheld: 1}}, Retiring: []string{"g"}, Lost: []string{"h"},
@@ -103,7 +103,9 @@
 	qt.Assert(t, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := NewServer("x", m, func(_ context.Context, id, _ string) bool { return id == "up" })
+	s := NewServer("x", m, func(_ context.Context, id, _ string) ProbeResult {
+		return ProbeResult{Answered: id == "up", Isolated: id != "up"}
+	})
 	go func() { _ = s.Serve(ctx, lis) }()
 	c := NewCaller(DialTCP)
 	defer c.Close() //nolint:errcheck // the test is over
@@ -117,8 +119,12 @@
 	qt.Check(t, objects, qt.DeepEquals, []infra.Object{{Key: "b", Version: 2, Deleted: true}})
 	_, _, err = c.Pull(ctx, address, "another life", 0, false)
 	qt.Check(t, err, qt.IsNotNil)
-	up, err := c.Probe(ctx, address, "up", "")
-	qt.Check(t, up && err == nil, qt.IsTrue)
+	found, err := c.Probe(ctx, address, "up", "")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, found, qt.Equals, ProbeResult{Answered: true})
+	found, err = c.Probe(ctx, address, "down", "")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, found, qt.Equals, ProbeResult{Isolated: true})
 }
 
 func FuzzTake(f *testing.F) {
--- a/internal/gossip/partial_view.go
+++ b/internal/gossip/partial_view.go
@@ -81,5 +81,5 @@
 // a node of the view leaves, starts or stops serving or has another leader epoch, or a node outside the view leads.
 func (v *partialView) isOutdatedBy(p *Peer) bool {
 	listed, known := v.statuses[p.VM]
-	return known && (listed.Leaving != p.Leaving || listed.Serving != p.Serving || listed.LeaderEpoch != p.LeaderEpoch) || !known && p.LeaderEpoch > 0
+	return known && (listed.Leaving != p.Leaving || listed.Serving != p.Serving || listed.Isolated != p.Isolated || listed.LeaderEpoch != p.LeaderEpoch) || !known && p.LeaderEpoch > 0
 }
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -89,7 +89,7 @@
 // wait for the next regular round, because all of them change while a fleet starts.
 func hasUrgentChange(c *contact, b *gossippb.Beat) bool {
 	s := &c.peer.Status
-	return s.Leaving != b.Leaving || s.Serving != b.Serving || s.LeaderEpoch != b.LeaderEpoch || namesNewUnusableGroup(s, b)
+	return s.Leaving != b.Leaving || s.Serving != b.Serving || s.Isolated != b.Isolated || s.LeaderEpoch != b.LeaderEpoch || namesNewUnusableGroup(s, b)
 }
 
 // changesRateLimits reports whether a beat carries a rate limit that differs from the one known for the endpoint from all
--- a/internal/gossip/roster.go
+++ b/internal/gossip/roster.go
@@ -36,7 +36,7 @@
 func rosterEntry(p *Peer) *gossippb.Beat {
 	s := p.Status
 	return toWire(p.Identity, Status{
-		Leaving: s.Leaving, Serving: s.Serving, Eligible: s.Eligible, LeaderEpoch: s.LeaderEpoch, Uptime: s.Uptime,
+		Leaving: s.Leaving, Serving: s.Serving, Eligible: s.Eligible, Isolated: s.Isolated, LeaderEpoch: s.LeaderEpoch, Uptime: s.Uptime,
 	}, time.Time{})
 }
 
--- a/internal/gossip/server.go
+++ b/internal/gossip/server.go
@@ -20,12 +20,12 @@
 type Server struct {
 	incarnation string
 	mirror      *mirror.Mirror
-	probe       func(ctx context.Context, id, address string) bool
+	probe       func(ctx context.Context, id, address string) ProbeResult
 	compressor  compressor
 }
 
-// NewServer returns a Server that serves the objects of m; probe contacts an endpoint and reports whether it answered.
-func NewServer(incarnation string, m *mirror.Mirror, probe func(ctx context.Context, id, address string) bool) *Server {
+// NewServer returns a Server that serves the objects of m; probe contacts an endpoint.
+func NewServer(incarnation string, m *mirror.Mirror, probe func(ctx context.Context, id, address string) ProbeResult) *Server {
 	return &Server{incarnation: incarnation, mirror: m, probe: probe}
 }
 
@@ -58,7 +58,8 @@
 
 // Probe implements the drpc method of that name: it reports whether an endpoint answers this node.
 func (s *Server) Probe(ctx context.Context, request *gossippb.ProbeRequest) (*gossippb.ProbeReply, error) {
-	return &gossippb.ProbeReply{Answered: s.probe(ctx, request.Id, request.Address)}, nil
+	found := s.probe(ctx, request.Id, request.Address)
+	return &gossippb.ProbeReply{Answered: found.Answered, Isolated: found.Isolated}, nil
 }
 
 func objectsFromWire(list []*gossippb.Object) []infra.Object {
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -7,6 +7,7 @@
 	Leaving     bool                 // it is shutting down and accepts no new callers
 	Serving     bool                 // it can serve callers
 	Eligible    bool                 // it may become the leader
+	Isolated    bool                 // it cannot connect to any endpoint itself
 	LeaderEpoch int64                // epoch of its leadership; 0 if it does not lead
 	Lease       Lease                // its leader's lease, while it leads
 	Uptime      time.Duration        // how long it has run, less its delay in the elections of a large fleet
--- a/internal/httpcall/answer.go
+++ b/internal/httpcall/answer.go
@@ -74,7 +74,7 @@
 		return nil
 	}
 	if c.reused && !a.received && time.Since(a.sent) >= silentTimeout {
-		a.client.drop(c.address)
+		a.client.Drop(c.address)
 	}
 	return c.Close()
 }
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -204,8 +204,8 @@
 	s.idle[k.address] = append(s.idle[k.address], k)
 }
 
-// drop closes the idle connections to an address.
-func (c *Client) drop(address string) {
+// Drop closes the idle connections to an address.
+func (c *Client) Drop(address string) {
 	s := c.shard(address)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -215,7 +215,7 @@
 	delete(s.idle, address)
 }
 
-// Sweep closes connections that have been idle longer than maxIdleTime. It should be called periodically.
+// Sweep closes connections that have been idle longer than maxIdleTime or are not to be reused. It should be called periodically.
 func (c *Client) Sweep() {
 	now := time.Now()
 	for i := range c.shards {
@@ -229,7 +229,7 @@
 	for address, list := range s.idle {
 		kept := list[:0]
 		for _, k := range list {
-			if now.Sub(k.idleSince) > maxIdleTime {
+			if !k.keepable(now) {
 				_ = k.Close()
 				continue
 			}
--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -21,9 +21,16 @@
 	return &conn{Conn: c, address: address, reader: bufio.NewReader(c), writer: bufio.NewWriter(c)}
 }
 
+// keepable reports whether the connection may stay in the pool. What Client.DialEndpoint returns may say that it is not to be
+// reused.
+func (c *conn) keepable(now time.Time) bool {
+	limited, ok := c.Conn.(interface{ Reusable() bool })
+	return now.Sub(c.idleSince) <= maxIdleTime && (!ok || limited.Reusable())
+}
+
 // usable reports whether the idle connection is still open with nothing unread on it.
 func (c *conn) usable(now time.Time) bool {
-	if now.Sub(c.idleSince) > maxIdleTime || c.reader.Buffered() > 0 {
+	if !c.keepable(now) || c.reader.Buffered() > 0 {
 		return false
 	}
 	sys, ok := c.Conn.(syscall.Conn)
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -19,7 +19,7 @@
 )
 
 // leave announces that this node is leaving, so that no new callers are sent to it, later stops accepting requests, and waits
-// for running requests to finish.
+// for running requests to finish, also those that other nodes send through this one.
 func (n *Server) leave(callers *http.Server) {
 	since := clock.Now()
 	n.leaving.Store(true)
@@ -32,4 +32,5 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		_ = level.Warn(n.logger).Log("msg", "grace period ended before all requests had finished", "err", err)
 	}
+	n.tunnels.Wait(ctx)
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -48,6 +48,8 @@
 		s.Gauge("configuration_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Accepted)).Seconds())
 		s.Gauge("endpoints_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Endpoints)).Seconds())
 		s.Gauge("isolated").Update(boolGauge(n.reach.Isolated()))
+		s.Gauge("endpoints_detoured").Update(float64(n.dialer.Detours()))
+		s.Gauge("tunnels_open").Update(float64(n.tunnels.Open()))
 		s.Gauge("peers_live").Update(float64(len(n.gossip.Live(now))))
 		s.Gauge("quarantine_held").Update(float64(len(n.quarantine.Holds(now))))
 		s.Gauge("leader_epoch").Update(float64(n.controller.Leads(now)))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -35,6 +35,7 @@
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
 	"moorrun.dev/moorrun/internal/settings"
+	"moorrun.dev/moorrun/internal/tunnel"
 )
 
 const (
@@ -59,6 +60,8 @@
 
 	calls               *httpcall.Client
 	reach               *reach.Monitor
+	dialer              *reach.Dialer
+	tunnels             *tunnel.Server
 	peerCaller          *gossip.Caller
 	gossip              *gossip.Node
 	follower            *follow.Follower
@@ -196,7 +199,10 @@
 			g.Go(func() error { return ignoreServerClosed(l.server.Serve(l.on)) })
 		}
 	}
-	g.Go(func() error { _ = n.rpc.Serve(work, n.transport.Calls); return nil })
+	tunnels, calls, split := tunnel.Split(n.transport.Calls)
+	g.Go(func() error { _ = split(work); return nil })
+	g.Go(func() error { return n.tunnels.Serve(work, tunnels) })
+	g.Go(func() error { _ = n.rpc.Serve(work, calls); return nil })
 	for _, run := range []func(context.Context) error{
 		n.gossip.Run, n.follower.Run, n.keeper.Run, n.controller.Run, n.applyChanges, n.register, n.sweep, n.updateGauges, n.monitorProof, n.holdSyncer.Run,
 	} {
@@ -228,6 +234,7 @@
 func (n *Server) sweep(ctx context.Context) error {
 	loop.Every(ctx, sweepInterval, func(now time.Time) {
 		n.calls.Sweep()
+		n.dialer.Sweep(now)
 		n.picker.Sweep(now)
 		n.rates.Sweep(now)
 		n.quarantine.Sweep(now)
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -29,7 +29,8 @@
 	s := n.ownStatus(now)
 	s.Leaving = n.leaving.Load()
 	s.Serving = n.serving(now)
-	s.Eligible = !s.Leaving && n.follower.StoreAnswers() && n.gossip.Relaying()
+	s.Isolated = n.reach.Isolated()
+	s.Eligible = !s.Leaving && !s.Isolated && n.follower.StoreAnswers() && n.gossip.Relaying()
 	if s.Idle = n.traffic.idle(now); !s.Idle {
 		s.Busy = 1
 	}
@@ -50,6 +51,9 @@
 func (n *Server) ownStatus(now time.Time) gossip.Status {
 	var s gossip.Status
 	n.picker.Report(&s, now)
+	if n.reach.Isolated() {
+		clear(s.Suspects) // what stands still here may go on at every other node
+	}
 	return s
 }
 
@@ -115,11 +119,16 @@
 	return slices.Contains(n.controller.Lost(), group) || slices.Contains(n.gossip.Others(now).Lost, group)
 }
 
-// probeForPeer asks an endpoint on behalf of another node whether it is alive.
-func (n *Server) probeForPeer(ctx context.Context, id, address string) bool {
+// probeForPeer asks an endpoint on behalf of another node whether it is alive. It does not use the paths of other nodes.
+func (n *Server) probeForPeer(ctx context.Context, id, address string) gossip.ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return n.platform.Engine.Probe(ctx, &endpoint.Endpoint{ID: id, Address: address}).Heard()
+	c, err := n.reach.Dial(ctx, address)
+	if err != nil {
+		return gossip.ProbeResult{Isolated: !n.reach.ReachesOthers(ctx, address)}
+	}
+	_ = c.Close()
+	return gossip.ProbeResult{Answered: n.platform.Engine.Probe(ctx, &endpoint.Endpoint{ID: id, Address: address}).Heard()}
 }
 
 // heardByOthers asks up to maxProbeNodes other nodes, chosen at random, whether an endpoint answers them. An endpoint in a data
@@ -138,9 +147,9 @@
 	answers := make(chan bool, len(asked))
 	for _, p := range asked {
 		g.Go(func() error {
-			answered, err := n.peerCaller.Probe(ctx, p.PeerAddress, e.ID, e.Address)
+			found, err := n.peerCaller.Probe(ctx, p.PeerAddress, e.ID, e.Address)
 			select {
-			case answers <- answered && err == nil:
+			case answers <- found.Answered && err == nil:
 			default:
 			}
 			return nil
--- /dev/null
+++ b/internal/tunnel/dial.go
@@ -0,0 +1,61 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"moorrun.dev/moorrun/internal/clock"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("tunnel")
+
+// ErrRefused means that the other node reaches other endpoints and found nothing listening at this one's address.
+var ErrRefused = errors.New("the endpoint refuses the connection of the other node as well")
+
+// replyMargin is the part of the time for the whole attempt that is left for the way between the nodes: one part in replyMargin.
+const replyMargin = 5
+
+// Dial connects to the endpoint at address through the node at peer. ctx must have a deadline.
+func Dial(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), peer, address string) (net.Conn, error) {
+	deadline, _ := ctx.Deadline()
+	c, err := dial(ctx, peer)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	err = open(c, address, clock.Until(deadline))
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func open(c net.Conn, address string, timeout time.Duration) error {
+	if _, err := c.Write([]byte(Prefix)); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := writeMessage(c, request{Address: address, Timeout: timeout - timeout/replyMargin}); err != nil {
+		return Error.Wrap(err)
+	}
+	var answer reply
+	if err := readMessage(c, &answer); err != nil {
+		return Error.Wrap(err)
+	}
+	switch answer.Result {
+	case connected:
+		return nil
+	case refused:
+		return ErrRefused
+	default:
+		return Error.New("the other node did not reach %s", address)
+	}
+}
--- /dev/null
+++ b/internal/tunnel/splice.go
@@ -0,0 +1,56 @@
+package tunnel
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	bufferSize = 8 << 10
+	// lingerTime is how long the node on whose behalf the tunnel is open may take to close it once the endpoint has finished.
+	lingerTime = 5 * time.Second
+)
+
+// splice passes bytes between a node and an endpoint until one of them closes its connection. An end of the endpoint's answer
+// arrives as an end, and a broken connection as a broken one: the length of an answer may be told by its end alone.
+func splice(node, endpoint net.Conn) {
+	var both sync.WaitGroup
+	both.Go(func() {
+		_, _ = copyBytes(endpoint, node)
+		_ = endpoint.Close() // a node that closes has given the request up
+	})
+	both.Go(func() {
+		if _, err := copyBytes(node, endpoint); err != nil {
+			reset(node)
+			return
+		}
+		closeWrite(node)
+		_ = node.SetReadDeadline(time.Now().Add(lingerTime))
+	})
+	both.Wait()
+}
+
+// copyBytes copies until from ends. It hides the types of the connections: io.Copy would use system calls that need a pipe for
+// each direction.
+func copyBytes(to io.Writer, from io.Reader) (int64, error) {
+	return io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, bufferSize))
+}
+
+// closeWrite ends what the other side reads, and closes a connection that cannot do that alone.
+func closeWrite(c net.Conn) {
+	half, ok := c.(interface{ CloseWrite() error })
+	if !ok || errors.Is(half.CloseWrite(), errors.ErrUnsupported) {
+		_ = c.Close()
+	}
+}
+
+// reset breaks a connection, so that the other side does not take it for one that ended.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
