Count an endpoint as ended only on the evidence of other nodes too

Cause: a refused connection counted as proof that the endpoint had ended, though only the leader's path, or that of half of the nodes, was broken. A lack of answers counted likewise, whatever other nodes had heard. Class: one observer's failure counts as the failure of what it observes. Change: a probe that is refused or not answered counts only if other nodes were asked that reach other endpoints, and none of them reaches this one. If one does, the endpoint counts as having answered; if none could tell, the probe says nothing. Quarantine asks the same before it holds an ending against a request.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -286,7 +286,7 @@
 
 func (c *Controller) runProbe(ctx context.Context, e *endpoint.Endpoint, k *contact) {
 	sent := clock.Now()
-	answer, unheard := c.probeWithPeers(ctx, e)
+	answer, evidence := c.probeWithPeers(ctx, e)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k.probing = false
@@ -295,12 +295,11 @@
 	switch answer {
 	case Answered, AnsweredBusy:
 		k.Contact = Contact{LastAnswer: sent, Busy: answer == AnsweredBusy}
-	case Absent:
+	case Replaced:
 		k.Refused = true
 		k.recordFailure(sent)
-	case NoAnswer:
-		k.recordFailure(sent)
-		k.recordUnheard(unheard, sent)
+	default:
+		k.recordNoAnswer(answer, evidence, sent)
 	}
 	if wasAnswering != k.FailedSince.IsZero() {
 		_ = level.Info(c.Logger).Log("msg", "endpoint asked", "endpoint", e.ID, "address", e.Address, "answered", answer.Heard(),
@@ -309,30 +308,44 @@
 	c.Wake()
 }
 
-// probeWithPeers probes an endpoint and, if the answer is late, asks the other nodes whether they can reach it. unheard
-// reports that neither this node nor any of the nodes asked could reach it.
-func (c *Controller) probeWithPeers(ctx context.Context, e *endpoint.Endpoint) (answer ProbeResult, unheard bool) {
+// probeWithPeers probes an endpoint and, if the answer is late or the connection is refused, asks the other nodes whether they
+// can reach it.
+func (c *Controller) probeWithPeers(ctx context.Context, e *endpoint.Endpoint) (ProbeResult, PeerEvidence) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	heard := make(chan bool, 1)
-	peerProbe := time.AfterFunc(peerProbeDelay, func() { heard <- c.ReachableByPeers(ctx, e) })
-	defer peerProbe.Stop()
+	evidence := make(chan PeerEvidence, 1)
+	ask := time.AfterFunc(peerProbeDelay, func() { evidence <- c.AskPeers(ctx, e) })
+	defer ask.Stop()
 	probeCtx, done := context.WithTimeout(ctx, probeTimeout)
 	defer done()
-	if answer = c.Engine.Probe(probeCtx, e); answer != NoAnswer {
-		return answer, false
+	answer := c.Engine.Probe(probeCtx, e)
+	switch answer {
+	case NoAnswer:
+		return answer, <-evidence
+	case ConnectionRefused:
+		if ask.Stop() {
+			ask.Reset(0) // there is nothing to wait for
+		}
+		return answer, <-evidence
+	default:
+		return answer, NoEvidence
 	}
-	return answer, !<-heard
 }
 
-// recordUnheard records whether the nodes asked could not reach the endpoint either. In a large fleet each probe asks
-// different nodes; whenever one of them can reach the endpoint, the wait restarts.
-func (k *contact) recordUnheard(unheard bool, at time.Time) {
-	switch {
-	case !unheard:
-		k.UnheardSince = time.Time{}
-	case k.UnheardSince.IsZero():
-		k.UnheardSince = at
+// recordNoAnswer records a probe without an answer, or whose connection was refused. That alone may be the fault of this node's
+// path: only what other nodes find out as well counts against the endpoint. In a large fleet each probe asks different nodes;
+// whenever one of them can reach the endpoint, the wait restarts.
+func (k *contact) recordNoAnswer(answer ProbeResult, evidence PeerEvidence, sent time.Time) {
+	switch evidence {
+	case NoEvidence:
+	case Reachable:
+		k.Contact = Contact{LastAnswer: sent, Busy: k.Busy}
+	case Unreachable:
+		k.Refused = answer == ConnectionRefused
+		k.recordFailure(sent)
+		if k.UnheardSince.IsZero() {
+			k.UnheardSince = sent
+		}
 	}
 }
 
--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -55,7 +55,7 @@
 		Engine: e, Directory: d, Table: func() *route.Table { return table }, Lease: lease,
 		CurrentAsOf: func() time.Time { return origin.Add(time.Hour) }, ListedAsOf: func() time.Time { return origin.Add(time.Hour) },
 		PeerTotals: func(time.Time) *gossip.Totals { return gossip.NewTotals() }, OwnStatus: func(time.Time) gossip.Status { return gossip.Status{} },
-		Busy: func() bool { return false }, ReachableByPeers: func(context.Context, *endpoint.Endpoint) bool { return true }, Logger: log.NewNopLogger(),
+		Busy: func() bool { return false }, AskPeers: func(context.Context, *endpoint.Endpoint) PeerEvidence { return Reachable }, Logger: log.NewNopLogger(),
 	})
 }
 
@@ -220,13 +220,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newTestController(&silentEngine{}, nil)
 		began, asked := time.Now(), time.Time{}
-		c.ReachableByPeers = func(context.Context, *endpoint.Endpoint) bool {
+		c.AskPeers = func(context.Context, *endpoint.Endpoint) PeerEvidence {
 			asked = time.Now()
 			time.Sleep(probeTimeout)
-			return false
+			return Unreachable
 		}
-		answer, unheard := c.probeWithPeers(context.Background(), &endpoint.Endpoint{ID: "a"})
-		qt.Check(t, answer == NoAnswer && unheard, qt.IsTrue)
+		answer, evidence := c.probeWithPeers(context.Background(), &endpoint.Endpoint{ID: "a"})
+		qt.Check(t, answer == NoAnswer && evidence == Unreachable, qt.IsTrue)
 		qt.Check(t, asked.Sub(began), qt.Equals, peerProbeDelay)
 		qt.Check(t, time.Since(began), qt.Equals, peerProbeDelay+probeTimeout)
 	})
@@ -234,12 +234,12 @@
 
 func TestPeersAreNotProbedWhenTheEndpointAnswers(t *testing.T) {
 	c := newTestController(&fakeEngine{}, nil)
-	c.ReachableByPeers = func(context.Context, *endpoint.Endpoint) bool {
+	c.AskPeers = func(context.Context, *endpoint.Endpoint) PeerEvidence {
 		t.Error("peers were asked about an endpoint that answers")
-		return true
+		return Reachable
 	}
-	answer, unheard := c.probeWithPeers(context.Background(), &endpoint.Endpoint{ID: "a"})
-	qt.Check(t, answer == Answered && !unheard, qt.IsTrue)
+	answer, evidence := c.probeWithPeers(context.Background(), &endpoint.Endpoint{ID: "a"})
+	qt.Check(t, answer == Answered && evidence == NoEvidence, qt.IsTrue)
 }
 
 func TestNewLostGroupsAreReportedAtOnce(t *testing.T) {
@@ -278,3 +278,37 @@
 	c.mu.Unlock()
 	qt.Check(t, <-e.probed, qt.Equals, "a")
 }
+
+// refusingEngine refuses all connections.
+type refusingEngine struct{ fakeEngine }
+
+func (e *refusingEngine) Probe(context.Context, *endpoint.Endpoint) ProbeResult {
+	return ConnectionRefused
+}
+
+// Guards against a leader that takes its own refused connections for the end of endpoints that other nodes reach: the members of
+// their groups joined others while the heads served.
+func TestRefusedConnectionCountsOnlyWithEvidenceOfPeers(t *testing.T) {
+	for evidence, wantRefused := range map[PeerEvidence]bool{NoEvidence: false, Reachable: false, Unreachable: true} {
+		c := newTestController(&refusingEngine{}, nil)
+		c.AskPeers = func(context.Context, *endpoint.Endpoint) PeerEvidence { return evidence }
+		k := c.contactOf("a")
+		c.runProbe(context.Background(), &endpoint.Endpoint{ID: "a"}, k)
+		qt.Check(t, k.Refused, qt.Equals, wantRefused)
+		qt.Check(t, k.FailedSince.IsZero(), qt.Equals, !wantRefused)
+	}
+}
+
+// Guards against ending the group of an endpoint whose answers to the leader alone are lost.
+func TestEndpointThatAnswersPeersIsNotDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController(&silentEngine{}, nil)
+		k := c.contactOf("a")
+		k.recordFailure(time.Now())
+		time.Sleep(2 * downAfter)
+		c.runProbe(t.Context(), &endpoint.Endpoint{ID: "a"}, k)
+		v := &View{Now: time.Now(), Snapshot: c.Directory.Read(), Contacts: map[string]Contact{"a": k.Contact}}
+		qt.Check(t, v.isDown("a"), qt.IsFalse)
+		qt.Check(t, v.unansweredFor("a"), qt.Equals, time.Duration(0))
+	})
+}
--- a/internal/formation/engine.go
+++ b/internal/formation/engine.go
@@ -14,12 +14,26 @@
 	Answered ProbeResult = iota + 1
 	// AnsweredBusy means that the endpoint answered and is still carrying out an order, such as a load.
 	AnsweredBusy
-	// Absent means that nothing listens at the address, or that another endpoint does.
-	Absent
+	// Replaced means that another endpoint answers at the address.
+	Replaced
+	// ConnectionRefused means that the connection was refused: nothing listens at the address, or the path is broken.
+	ConnectionRefused
 	// NoAnswer means that no answer came before the timeout.
 	NoAnswer
 )
 
+// PeerEvidence is what other nodes have found out about an endpoint that does not answer this one.
+type PeerEvidence uint8
+
+const (
+	// NoEvidence means that no node could be asked that reaches other endpoints.
+	NoEvidence PeerEvidence = iota
+	// Reachable means that the endpoint answered another node.
+	Reachable
+	// Unreachable means that it answered none, though the nodes reach other endpoints.
+	Unreachable
+)
+
 // Heard reports whether the endpoint answered.
 func (a ProbeResult) Heard() bool { return a == Answered || a == AnsweredBusy }
 
--- a/internal/formation/options.go
+++ b/internal/formation/options.go
@@ -28,8 +28,8 @@
 	// MayLead reports whether this node receives the demand of the whole fleet and may become the leader. It then tracks
 	// the demand, so that it knows the peak when it starts to lead. It may be nil.
 	MayLead func() bool
-	// ReachableByPeers asks the other nodes whether they can reach the endpoint.
-	ReachableByPeers func(ctx context.Context, e *endpoint.Endpoint) bool
+	// AskPeers asks other nodes whether they can reach the endpoint.
+	AskPeers func(ctx context.Context, e *endpoint.Endpoint) PeerEvidence
 	// OnGroupsAdded is called when Retiring or Lost have gained a group; it must not block. It may be nil.
 	OnGroupsAdded func()
 	Logger        log.Logger
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -38,7 +38,7 @@
 	switch answer := n.platform.Engine.Probe(ctx, e); {
 	case answer.Heard():
 		return quarantine.Alive
-	case answer == formation.Absent:
+	case answer == formation.Replaced, answer == formation.ConnectionRefused && n.askPeers(ctx, e) == formation.Unreachable:
 		return quarantine.Ended
 	default:
 		return quarantine.Unknown
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -131,36 +131,48 @@
 	return gossip.ProbeResult{Answered: n.platform.Engine.Probe(ctx, &endpoint.Endpoint{ID: id, Address: address}).Heard()}
 }
 
-// heardByOthers asks up to maxProbeNodes other nodes, chosen at random, whether an endpoint answers them. An endpoint in a data
-// centre of which no node is heard any more counts as heard: with packets passing in one direction only, it goes on serving
-// while it seems silent to all other data centres, and the members of its group must not join other groups meanwhile.
-func (n *Server) heardByOthers(ctx context.Context, e *endpoint.Endpoint) bool {
+// askPeers asks up to maxProbeNodes other nodes, chosen at random, whether an endpoint answers them. An endpoint in a data centre
+// of which no node is heard any more counts as reachable: with packets passing in one direction only, it goes on serving while it
+// seems silent to all other data centres, and the members of its group must not join other groups meanwhile.
+func (n *Server) askPeers(ctx context.Context, e *endpoint.Endpoint) formation.PeerEvidence {
 	if n.gossip.LostContact(e.DataCentre, clock.Now()) {
-		return true
+		return formation.Reachable
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	var g errgroup.Group
 	asked := slices.Clone(n.gossip.Live(clock.Now()))
 	rand.Shuffle(len(asked), func(i, j int) { asked[i], asked[j] = asked[j], asked[i] })
 	asked = asked[:min(len(asked), maxProbeNodes)]
-	answers := make(chan bool, len(asked))
+	answers := make(chan gossip.ProbeResult, len(asked))
+	var g errgroup.Group
 	for _, p := range asked {
 		g.Go(func() error {
-			found, err := n.peerCaller.Probe(ctx, p.PeerAddress, e.ID, e.Address)
-			select {
-			case answers <- found.Answered && err == nil:
-			default:
+			if found, err := n.peerCaller.Probe(ctx, p.PeerAddress, e.ID, e.Address); err == nil {
+				answers <- found
 			}
 			return nil
 		})
 	}
 	_ = g.Wait()
 	close(answers)
-	for answered := range answers {
-		if answered {
-			return true
+	return n.weigh(ctx, e, answers)
+}
+
+// weigh returns what the answers of other nodes tell about an endpoint. Without any answer this node's own failure to reach the
+// endpoint counts, if it reaches others.
+func (n *Server) weigh(ctx context.Context, e *endpoint.Endpoint, answers <-chan gossip.ProbeResult) formation.PeerEvidence {
+	evidence, answered := formation.NoEvidence, false
+	for found := range answers {
+		answered = true
+		switch {
+		case found.Answered:
+			return formation.Reachable
+		case !found.Isolated:
+			evidence = formation.Unreachable
 		}
 	}
-	return false
+	if !answered && n.reach.ReachesOthers(ctx, e.Address) {
+		return formation.Unreachable
+	}
+	return evidence
 }
