Leave members whose join was not delivered out of the next plan

Callers saw: nothing; the leader used 39 % of its processor during the cut. Cause: the outcome of an order that could not be delivered was a refusal, so the plan was given up and the same members were planned again at once: 203 groups within a second in the logs of the incident. Class: a retry without a pause. Change: a join that another endpoint or nobody received counts as unanswered, like one whose answer is lost: the endpoint is probed, and not planned until it answers. Evidence: TestMembersWhoseOrdersAreNotDeliveredAreNotPlannedAgainAtOnce failed before and passes.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -240,7 +240,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.RecordOutcome(o, outcome, clock.Now())
-	if o.Kind == Join && outcome == Unknown {
+	if o.Kind == Join && (outcome == Unknown || outcome == WrongEndpoint) {
 		c.recordUnansweredJoin(o.Endpoint.ID, sent)
 	}
 	if o.Kind == Join || outcome != Unknown {
@@ -248,8 +248,8 @@
 	}
 }
 
-// recordUnansweredJoin counts a join without an answer as a failed probe, and lets the next step probe the endpoint at once. The
-// endpoint may be dead, or may have accepted the join and lost the answer.
+// recordUnansweredJoin counts a join without an answer from its endpoint as a failed probe, and lets the next step probe the
+// endpoint at once. The endpoint may be dead or out of reach, or may have accepted the join and lost the answer.
 func (c *Controller) recordUnansweredJoin(id string, sent time.Time) {
 	k := c.contactOf(id)
 	if k.LastAnswer.After(sent) {
--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -312,3 +312,32 @@
 		qt.Check(t, v.unansweredFor("a"), qt.Equals, time.Duration(0))
 	})
 }
+
+// unreachableEngine can connect to no endpoint: orders are not sent.
+type unreachableEngine struct{ fakeEngine }
+
+func (e *unreachableEngine) Probe(context.Context, *endpoint.Endpoint) ProbeResult { return NoAnswer }
+func (e *unreachableEngine) Order(ctx context.Context, o Order) Outcome {
+	_ = e.fakeEngine.Order(ctx, o)
+	time.Sleep(3 * time.Millisecond)
+	return WrongEndpoint
+}
+
+// Guards against planning a group of the same members again as soon as the order to one of them could not be delivered: a leader
+// planned 200 groups a second.
+func TestMembersWhoseOrdersAreNotDeliveredAreNotPlannedAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &unreachableEngine{}
+		c := newTestController(e, func(time.Time) (int64, time.Time, bool) { return 1, time.Now().Add(time.Hour), true })
+		c.AskPeers = func(context.Context, *endpoint.Endpoint) PeerEvidence { return NoEvidence }
+		c.CurrentAsOf, c.ListedAsOf = time.Now, time.Now
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = c.Run(ctx) }()
+		time.Sleep(gatherTimeout + 2*time.Second)
+		cancel()
+		synctest.Wait()
+		qt.Check(t, len(e.joins()) > 0, qt.IsTrue)
+		qt.Check(t, len(e.joins()) < 20, qt.IsTrue, qt.Commentf("%d groups planned", len(e.joins())))
+	})
+}
