Reproduce CONFIG: a store that comes back from a copy; log its era

Callers saw: requests with a credential that had been revoked three seconds before still ran. No decision uses the era yet.

--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -45,6 +45,7 @@
 func (n *Server) updateGauges(ctx context.Context) error {
 	s := n.scope
 	loop.Every(ctx, metricsInterval, func(now time.Time) {
+		s.Gauge("store_era").Update(float64(n.platform.Era()))
 		s.Gauge("configuration_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Accepted)).Seconds())
 		s.Gauge("endpoints_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Endpoints)).Seconds())
 		s.Gauge("isolated").Update(boolGauge(n.reach.Isolated()))
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -21,6 +21,9 @@
 	Objects infra.ObjectStore
 	// Recent lists the objects below a prefix at a tenth of the price of a regular list; the result may be some seconds old.
 	Recent func(ctx context.Context, prefix string) (infra.Listing, error)
+	// Era returns how often the store has come back from a copy, as far as this node knows. The store then has lost what it
+	// acknowledged last.
+	Era    func() int64
 	Engine formation.Engine
 	// Table decodes the accepted configuration.
 	Table func(revision int64, value []byte) (*route.Table, error)
--- a/internal/server/proof.go
+++ b/internal/server/proof.go
@@ -13,11 +13,16 @@
 // proofCheckInterval is the interval at which the age of the configuration's proof is checked; it only delays a log line.
 const proofCheckInterval = 250 * time.Millisecond
 
-// monitorProof logs when the configuration in force is no longer proved current and when it is again, until ctx ends. The
+// monitorProof logs when the store has come back from a copy, when the configuration in force is no longer proved current and when it is again, until ctx ends. The
 // gateway decides whether requests are served in the meantime.
 func (n *Server) monitorProof(ctx context.Context) error {
 	stale := false
+	era := n.platform.Era()
 	loop.Every(ctx, proofCheckInterval, func(now time.Time) {
+		if now := n.platform.Era(); now != era {
+			_ = level.Warn(n.logger).Log("msg", "the store came back from a copy", "era", now, "before", era)
+			era = now
+		}
 		t := n.table.Load()
 		if t == nil {
 			return
--- a/internal/standin/estate/platform.go
+++ b/internal/standin/estate/platform.go
@@ -25,6 +25,14 @@
 	return &Platform{Store: NewStore(), arrivals: make(map[string][]time.Time), everReady: make(map[string]map[string]bool)}
 }
 
+// Restore makes the store come back from a copy. The workers write their entries again.
+func (p *Platform) Restore(c *Copy) {
+	p.Store.Restore(c)
+	for _, w := range p.Workers() {
+		w.writeEntry()
+	}
+}
+
 // StartWorker starts a worker of a service.
 func (p *Platform) StartWorker(service string) *Worker {
 	p.mu.Lock()
--- a/internal/standin/estate/store.go
+++ b/internal/standin/estate/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -38,11 +39,13 @@
 
 	mu       sync.Mutex
 	revision int64
+	era      int64                        // number of times that it came back from a copy
 	objects  map[string]map[string]Object // by kind and name
 	history  []change
 	changed  chan bool
 	down     bool
 	calls    int
+	restored int64 // revision of the copy from which the store came back; changes before it are no longer in the history
 }
 
 // NewStore starts an empty store.
@@ -57,6 +60,7 @@
 		s.mu.Lock()
 		down := s.down
 		s.calls++
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -80,6 +84,38 @@
 	s.down = down
 }
 
+// Copy is the content of a store at one moment.
+type Copy struct {
+	revision int64
+	objects  map[string]map[string]Object
+}
+
+// Copy returns a copy of the store's content.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{s.revision, cloneObjects(s.objects)}
+}
+
+// Restore replaces the content by a copy, and with it the count of revisions, which are given out again. The history is lost.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.objects, s.history = c.revision, cloneObjects(c.objects), nil
+	s.restored = c.revision
+	close(s.changed)
+	s.changed = make(chan bool)
+}
+
+func cloneObjects(objects map[string]map[string]Object) map[string]map[string]Object {
+	out := make(map[string]map[string]Object)
+	for kind, byName := range objects {
+		out[kind] = maps.Clone(byName)
+	}
+	return out
+}
+
 // Write stores an object unconditionally, as the operator or a worker does.
 func (s *Store) Write(kind, name string, spec any) {
 	raw, err := json.Marshal(spec)
@@ -148,6 +184,11 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		if from > s.revision || from < s.restored {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := []change{}
 		for _, c := range s.history {
 			if c.kind == kind && c.Object.Metadata.Revision > from {
