Order the store's writes by its era and revision

Callers saw: requests with a credential that had been revoked three seconds before still ran; no node led, so nothing was formed, until the revisions had passed those from before. Cause: the store came back from a copy some seconds old and gave revisions out again. Nodes keep the object with the highest revision, and so dropped the newer configurations as older ones; the lease was written on a condition that the store no longer had, and read back as outdated, for ever. Class: a counter of an outside system taken for one that never goes back. Change: the adapter makes versions of the era (Store-Era) and the revision, so that they only grow. What a copy may have lost is held back for as long as entries are after an outage, unless it is written again. The configuration with the higher version of the operators is in force, whatever the store says. Epochs of the leader's lease begin anew in each era, above those that may be lost.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -47,7 +47,7 @@
 	Models     []string
 	Staged     []string    // models staged on its host
 	Membership *Membership // nil if it is in no group
-	Revision   int64       // revision of the platform's entry
+	Revision   int64       // version of the platform's entry, which increases with every write
 }
 
 // instanceSeparator separates the listed ID of an endpoint from the start time in an instance ID.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -68,6 +68,9 @@
 	Others func(now time.Time) int
 	// KeepsAll reports whether this node keeps all endpoints even while it does not watch the store.
 	KeepsAll func() bool
+	// Supersedes reports whether a listed object is certainly newer than the one that this node holds, whatever their versions; nil
+	// if that cannot be told.
+	Supersedes func(listed, held infra.Object) bool
 
 	objects       infra.ObjectStore
 	puller        Puller
@@ -115,12 +118,13 @@
 	var g errgroup.Group
 	sources := []*source{
 		{prefix: keys.Accepted, wait: watchTimeout, probes: true},
-		{prefix: keys.Endpoints, wait: watchTimeout, batchDelay: endpointsBatchDelay, entriesExpire: true, held: heldRemovals{beat: f.Beat}},
+		{prefix: keys.Endpoints, wait: watchTimeout, batchDelay: endpointsBatchDelay, entriesExpire: true},
 	}
 	for _, prefix := range f.extraPrefixes {
 		sources = append(sources, &source{prefix: prefix, wait: watchTimeout})
 	}
 	for _, s := range sources {
+		s.held.beat, s.supersedes = f.Beat, f.Supersedes
 		s.objects, s.mirror, s.wanted = f.objects, f.Mirror, f.shouldWatch
 		s.proved, s.failed = f.proved, f.failed
 		if s.prefix == keys.Endpoints {
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -1,9 +1,11 @@
 package follow
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -45,7 +47,9 @@
 	// after. proofAge returns the age of the copy.
 	entriesExpire bool
 	proofAge      func(now time.Time) time.Duration
-	held          heldRemovals
+	held          heldChanges
+	// supersedes reports whether a listed object is certainly newer than the one held; nil if that cannot be told.
+	supersedes func(listed, held infra.Object) bool
 }
 
 // run lists and watches the prefix until ctx ends.
@@ -144,10 +148,49 @@
 			l.Objects = append(l.Objects, infra.Object{Key: o.Key, Version: l.Version, Deleted: true})
 		}
 	}
+	if s.cameFromCopy(l.Version) {
+		l.Objects = s.holdStale(l.Objects)
+	}
 	s.put(l.Objects)
 	return l.Version, false, nil
 }
 
+// cameFromCopy reports whether the store has come back from a copy since objects that this node holds were read.
+func (s *source) cameFromCopy(listed int64) bool {
+	return slices.ContainsFunc(s.mirror.List(s.prefix), func(o infra.Object) bool {
+		return infra.EraOf(Version(o)) < infra.EraOf(listed)
+	})
+}
+
+// holdStale holds back those of the listed objects that may be older than what this node had read before the store came back from a
+// copy, and returns the others.
+func (s *source) holdStale(listed []infra.Object) []infra.Object {
+	s.held.start(clock.Now())
+	var fresh []infra.Object
+	for _, o := range listed {
+		if s.isFresh(o) {
+			fresh = append(fresh, o)
+			continue
+		}
+		s.held.add(withMirrorVersion(o))
+	}
+	return fresh
+}
+
+// isFresh reports whether a listed object is what this node holds, or was certainly written later. Revisions that are given out again
+// are lower than those that this node holds, or belong to writes since.
+func (s *source) isFresh(o infra.Object) bool {
+	held, known := s.mirror.Get(o.Key)
+	switch {
+	case o.Deleted || !known:
+		return false
+	case bytes.Equal(held.Value, o.Value) || infra.RevisionOf(o.Version) > infra.RevisionOf(Version(held)):
+		return true
+	default:
+		return s.supersedes != nil && s.supersedes(o, held)
+	}
+}
+
 // noteAnswer records that the store has answered; outage is set if it was unavailable before.
 func (s *source) noteAnswer(outage bool) {
 	if outage {
@@ -178,5 +221,5 @@
 	return o
 }
 
-// Revision returns the store's revision of a mirrored object.
-func Revision(o infra.Object) int64 { return o.Version / 2 }
+// Version returns the store's version of a mirrored object.
+func Version(o infra.Object) int64 { return o.Version / 2 }
--- a/internal/holder/keeper.go
+++ b/internal/holder/keeper.go
@@ -30,6 +30,9 @@
 	ttl        time.Duration
 	shouldHold func() bool
 	logger     log.Logger
+	// EpochsAbove returns an epoch above which every epoch is unused, even if the store has lost the records of some; nil if it
+	// loses none.
+	EpochsAbove func() int64
 
 	mu    sync.Mutex
 	lease *lease.Lease
@@ -112,6 +115,9 @@
 	defer cancel()
 	operation := uuid.NewString()
 	k.mu.Lock()
+	if k.EpochsAbove != nil {
+		k.lease.RaiseEpochs(k.EpochsAbove())
+	}
 	action, record, ifVersion := k.lease.Next(clock.Now(), shouldHold, operation)
 	if action == lease.Write {
 		k.lease.Sending(record, clock.Now())
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -21,6 +21,7 @@
 	heldUntil         time.Time            // expiry of the lease held by this process; valid if epoch > 0
 	epoch             int64                // epoch that this process holds or last held; 0 after a release or a loss to another
 	inflight          map[string]time.Time // by operation ID: when an unanswered write was sent
+	lowestEpoch       int64                // epochs up to this one may have been given out, although the object no longer shows it
 	disclaimedVersion int64                // version whose holder has reported that it does not hold the lease
 }
 
@@ -54,7 +55,7 @@
 	case held:
 		return Wait, Record{}, 0
 	case shouldHold && l.available(now):
-		return Write, l.claimRecord(l.record.Epoch+1, operation), l.version
+		return Write, l.claimRecord(max(l.record.Epoch, l.lowestEpoch)+1, operation), l.version
 	case now.Sub(l.refreshedAt) >= l.ttl/3:
 		return Read, Record{}, 0
 	default:
@@ -66,6 +67,10 @@
 	return Record{Holder: l.self, Epoch: epoch, Operation: operation, TTLMillis: l.ttl.Milliseconds()}
 }
 
+// RaiseEpochs makes this process claim the lease only with epochs above the given one. The store may have lost the records of
+// earlier ones.
+func (l *Lease) RaiseEpochs(above int64) { l.lowestEpoch = max(l.lowestEpoch, above) }
+
 // available reports whether the lease last seen has certainly expired, was released or was never held.
 func (l *Lease) available(now time.Time) bool {
 	if l.version == 0 || l.record.Holder == "" {
@@ -93,6 +98,7 @@
 		l.dropExpiredWrites(at)
 		return
 	}
+	l.RaiseEpochs(record.Epoch)
 	l.version = version
 	l.record = record
 	l.versionSeenAt = at
@@ -113,6 +119,7 @@
 	if version <= l.version || len(l.inflight) > 0 || record.Holder == l.self {
 		return
 	}
+	l.RaiseEpochs(record.Epoch)
 	l.version = version
 	l.record = record
 	l.versionSeenAt = at
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -209,3 +209,20 @@
 	l.Observed(9, lease.Record{Epoch: 3}, now)
 	qt.Check(t, l.HeldElsewhere(now), qt.IsFalse, qt.Commentf("after a release"))
 }
+
+// Guards against two tenures with the same epoch, whose groups would have the same names: the store came back from a copy that lacks
+// the last epochs.
+func TestEpochsThatTheStoreHasLostAreNotGivenOutAgain(t *testing.T) {
+	const ttl, margin = 1500 * time.Millisecond, 150 * time.Millisecond
+	now := time.Unix(1000, 0)
+	l := lease.New("self", ttl, margin)
+	l.Observed(9, lease.Record{Holder: "other", Epoch: 7, TTLMillis: ttl.Milliseconds()}, now)
+	l.Observed(0, lease.Record{}, now)
+	_, record, _ := l.Next(now, true, "op")
+	qt.Check(t, record.Epoch, qt.Equals, int64(8), qt.Commentf("this process has seen epoch 7"))
+	l = lease.New("self", ttl, margin)
+	l.Observed(0, lease.Record{}, now)
+	l.RaiseEpochs(100)
+	_, record, _ = l.Next(now, true, "op")
+	qt.Check(t, record.Epoch, qt.Equals, int64(101))
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -8,7 +8,7 @@
 
 // Table is one accepted version of the routes, services and workspaces.
 type Table struct {
-	Revision int64 // revision of the stored object; increases with every accepted version
+	Revision int64 // version of the stored object; increases with every write
 	Version  int64 // version number assigned by the operators
 	Limits   Limits
 
@@ -36,6 +36,12 @@
 	return t
 }
 
+// Supersedes reports whether this table is to take the place of held: the operators have given it a higher version, or the same one
+// in a later write. A store that came back from a copy may hold an earlier version than it did before.
+func (t *Table) Supersedes(held *Table) bool {
+	return cmp.Or(cmp.Compare(t.Version, held.Version), cmp.Compare(t.Revision, held.Revision)) > 0
+}
+
 // AddWorkspace adds a workspace with its credentials. It must not be called once the table is in use.
 func (t *Table) AddWorkspace(w *Workspace, credentials []string) {
 	t.workspaces++
--- a/internal/server/changes.go
+++ b/internal/server/changes.go
@@ -51,7 +51,7 @@
 		case isEndpoint && o.Deleted:
 			removed = append(removed, id)
 		case isEndpoint:
-			e, err := n.platform.Endpoint(id, follow.Revision(o), o.Value)
+			e, err := n.platform.Endpoint(id, follow.Version(o), o.Value)
 			if err != nil {
 				_ = level.Warn(n.logger).Log("msg", "endpoint entry cannot be read and is left out", "endpoint", id, "err", err)
 				removed = append(removed, id)
@@ -104,18 +104,32 @@
 	_ = level.Info(n.logger).Log("msg", "data centres out of use", "data_centres", slices.Sorted(maps.Keys(dataCentres)))
 }
 
-// applyConfiguration puts an accepted configuration in force unless this or a later revision already is.
+// applyConfiguration puts an accepted configuration in force unless this or a later one already is.
 func (n *Server) applyConfiguration(o infra.Object) {
-	t, err := n.platform.Table(follow.Revision(o), o.Value)
+	t, err := n.platform.Table(follow.Version(o), o.Value)
 	if err != nil {
-		_ = level.Error(n.logger).Log("msg", "configuration cannot be read", "key", o.Key, "revision", follow.Revision(o), "err", err)
+		_ = level.Error(n.logger).Log("msg", "configuration cannot be read", "key", o.Key, "revision", infra.RevisionOf(follow.Version(o)), "err", err)
 		return
 	}
-	if held := n.table.Load(); held != nil && held.Revision >= t.Revision {
+	if held := n.table.Load(); held != nil && !t.Supersedes(held) {
 		return
 	}
 	n.table.Store(t)
-	_ = level.Info(n.logger).Log("msg", "configuration in force", "version", t.Version, "revision", t.Revision, "routes", t.Size())
+	_ = level.Info(n.logger).Log("msg", "configuration in force", "version", t.Version, "revision", infra.RevisionOf(t.Revision), "routes", t.Size())
+}
+
+// supersedes reports whether a listed configuration is newer than the one held, by the versions that the operators have given them.
+// It returns false for other objects.
+func (n *Server) supersedes(listed, held infra.Object) bool {
+	if !strings.HasPrefix(listed.Key, keys.Accepted) {
+		return false
+	}
+	newer, err := n.platform.Table(listed.Version, listed.Value)
+	if err != nil {
+		return false
+	}
+	older, err := n.platform.Table(held.Version, held.Value)
+	return err != nil || newer.Version > older.Version
 }
 
 // endpointsListedAt returns a time as of which the directory holds all endpoints as listed by the store itself, or zero.
--- a/internal/server/election.go
+++ b/internal/server/election.go
@@ -17,6 +17,12 @@
 	leaderlessTimeout = 2500 * time.Millisecond
 )
 
+// epochsPerEra is the number of epochs of the leader's lease that are reserved for one era of the store. Each takes a new leader.
+const epochsPerEra = 1 << 16
+
+// epochsBeforeEra returns the last epoch of the earlier eras of the store, whose leaders the store may have forgotten.
+func (n *Server) epochsBeforeEra() int64 { return n.platform.Era() * epochsPerEra }
+
 // election decides whether a node should try to acquire the leader's lease. The lease alone determines who leads; the
 // election only keeps the other nodes from requesting it.
 type election struct {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -129,7 +129,7 @@
 	leads := func() bool { return n.controller.Leads(clock.Now()) > 0 }
 	n.follower = follow.NewFollower(n.platform.Objects, n.peerCaller, s.VM, leads, n.gossip.Live, logger)
 	n.follower.KeepsAll, n.follower.Others = n.keepsAll, n.gossip.KnownCount
-	n.follower.Beat = s.EndpointBeat()
+	n.follower.Beat, n.follower.Supersedes = s.EndpointBeat(), n.supersedes
 	n.follower.StartDelay, n.follower.Relaying = n.startDelay, n.actsAsRelay
 	if s.Evacuations {
 		n.follower.AddPrefixes(keys.Evacuations)
@@ -145,6 +145,7 @@
 	})
 	ttl := s.LeaseTTL()
 	n.keeper = holder.NewKeeper(n.platform.Objects, leaseName, s.VM, ttl, ttl/leaseMarginDivisor, n.shouldLead, logger)
+	n.keeper.EpochsAbove = n.epochsBeforeEra
 	n.controller = formation.NewController(formation.Options{
 		Engine: n.platform.Engine, Directory: n.directory, Table: n.table.Load, Lease: n.keeper.Held, WriteInterval: s.EndpointBeat(),
 		CurrentAsOf: func() time.Time { return n.follower.Current(keys.Endpoints) }, ListedAsOf: n.endpointsListedAt, PeerTotals: n.gossip.Others, OwnStatus: n.ownStatus,
