Own interface: connect to engines through another node too

A node without a path to engines refused its callers, and the evidence of the domains that it observes ran out. Change: the entry, the observer and the holder connect to engines and endpoints with the same dialer, and peers accept tunnels beside drpc. A node that is isolated does not tell the others here; one that is asked in vain is followed by the next.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -168,7 +168,7 @@
 	}) {
 		return nil, verdict.New(verdict.NotRun, errors.New("the group is no longer whole"))
 	}
-	answer, err := s.Calls.Do(context.WithoutCancel(c.ctx), a.target.Leader, request, httpcall.Options{Timeout: c.remaining(), Stream: true})
+	answer, err := s.Calls.Do(context.WithoutCancel(c.ctx), a.target.Leader, request, httpcall.Options{Timeout: c.remaining(), Endpoint: true, Stream: true})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -92,7 +92,7 @@
 	request.SetRequestURI(fmt.Sprintf("/engine/streams/%s?from=%d", claims.Stream, r.From))
 	request.SetHost(claims.Address)
 	request.Header.Set(requestIDHeader, c.id)
-	answer, err := s.Calls.Do(context.WithoutCancel(c.ctx), claims.Address, request, httpcall.Options{Timeout: c.remaining(), Stream: true})
+	answer, err := s.Calls.Do(context.WithoutCancel(c.ctx), claims.Address, request, httpcall.Options{Timeout: c.remaining(), Endpoint: true, Stream: true})
 	if err != nil {
 		return &failure{fasthttp.StatusBadGateway, verdict.MayHaveRun, "the engine does not answer: " + err.Error(), time.Second}
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -222,7 +222,7 @@
 	request.Header.Set(deadlineHeader, strconv.FormatInt(max(1, p.remaining().Milliseconds()), 10))
 	request.SetBodyRaw(p.ctx.PostBody())
 	answer, err := s.Calls.Do(context.WithoutCancel(p.ctx), endpoint.Address, request,
-		httpcall.Options{Timeout: p.remaining(), Fresh: !p.repeatable, MaxBody: maxPlainAnswerBytes})
+		httpcall.Options{Timeout: p.remaining(), Endpoint: true, Fresh: !p.repeatable, MaxBody: maxPlainAnswerBytes})
 	if err != nil {
 		p.mayHaveRun = p.mayHaveRun || verdict.Of(err) != verdict.NotRun
 		return err
--- a/internal/infra/rest/caller.go
+++ b/internal/infra/rest/caller.go
@@ -20,6 +20,8 @@
 type caller struct {
 	client  *httpcall.Client
 	timeout time.Duration
+	// endpoint is set if the addresses are those of engines, which other nodes may reach if this one does not.
+	endpoint bool
 }
 
 // call sends in as the request body, decodes the body of a 200 response into out and returns the status code.
@@ -39,7 +41,7 @@
 		request.Header.SetContentType("application/json")
 		request.SetBody(body)
 	}
-	answer, err := c.client.Do(ctx, address, request, httpcall.Options{Timeout: c.timeout})
+	answer, err := c.client.Do(ctx, address, request, httpcall.Options{Timeout: c.timeout, Endpoint: c.endpoint})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/infra/rest/engine.go
+++ b/internal/infra/rest/engine.go
@@ -17,7 +17,7 @@
 
 // NewEngine returns a client that is shared by all engines; timeout applies to each call.
 func NewEngine(client *httpcall.Client, timeout time.Duration) *Engine {
-	return &Engine{caller{client, timeout}}
+	return &Engine{caller{client: client, timeout: timeout, endpoint: true}}
 }
 
 // State implements infra.Engine.
--- a/internal/infra/rest/object_store.go
+++ b/internal/infra/rest/object_store.go
@@ -23,7 +23,7 @@
 // NewObjectStore returns a client of the object API at address (host:port); timeout applies to each call, and
 // Watch adds its wait to it.
 func NewObjectStore(address string, client *httpcall.Client, budget *Budget, timeout time.Duration) *ObjectStore {
-	return &ObjectStore{address: address, caller: caller{client, timeout}, budget: budget}
+	return &ObjectStore{address: address, caller: caller{client: client, timeout: timeout}, budget: budget}
 }
 
 func objectURI(key string, ifVersion int64) string {
@@ -54,7 +54,7 @@
 // Watch implements infra.ObjectStore.
 func (s *ObjectStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (infra.Listing, error) {
 	uri := fmt.Sprintf("/watch?prefix=%s&after=%d&wait_ms=%d", url.QueryEscape(prefix), after, wait.Milliseconds())
-	longPollCaller := caller{s.caller.client, s.caller.timeout + wait}
+	longPollCaller := caller{client: s.caller.client, timeout: s.caller.timeout + wait}
 	return s.listing(ctx, uri, longPollCaller)
 }
 
--- a/internal/infra/rest/vm_list.go
+++ b/internal/infra/rest/vm_list.go
@@ -13,7 +13,7 @@
 
 // NewVMList returns a client of the VM list at address (host:port); timeout applies to each call.
 func NewVMList(address string, client *httpcall.Client, timeout time.Duration) *VMList {
-	return &VMList{readOnlyService{address, caller{client, timeout}}}
+	return &VMList{readOnlyService{address, caller{client: client, timeout: timeout}}}
 }
 
 // VMs implements infra.VMList.
--- a/internal/infra/rest/weight_store.go
+++ b/internal/infra/rest/weight_store.go
@@ -13,7 +13,7 @@
 
 // NewWeightStore returns a client of the weight store at address (host:port); timeout applies to each call.
 func NewWeightStore(address string, client *httpcall.Client, timeout time.Duration) *WeightStore {
-	return &WeightStore{readOnlyService{address, caller{client, timeout}}}
+	return &WeightStore{readOnlyService{address, caller{client: client, timeout: timeout}}}
 }
 
 // Limits implements infra.WeightStore.
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -98,6 +98,7 @@
 	for n.entry.Inflight() > 0 && ctx.Err() == nil {
 		time.Sleep(10 * time.Millisecond)
 	}
+	n.tunnels.Wait(ctx)
 	n.unregister()
 	n.cancelRun()
 	err = errors.Join(err, n.admin.Shutdown(ctx))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,10 +37,12 @@
 	"moorrun.dev/moorrun/internal/once"
 	"moorrun.dev/moorrun/internal/peer"
 	"moorrun.dev/moorrun/internal/places"
+	"moorrun.dev/moorrun/internal/reach"
 	"moorrun.dev/moorrun/internal/relay"
 	"moorrun.dev/moorrun/internal/replica"
 	"moorrun.dev/moorrun/internal/routing"
 	"moorrun.dev/moorrun/internal/settings"
+	"moorrun.dev/moorrun/internal/tunnel"
 )
 
 const (
@@ -52,6 +54,10 @@
 
 // Node is one moorrund process.
 type Node struct {
+	// DialEndpoint connects to engines and endpoints without the help of other nodes; nil dials their addresses. It must be set
+	// before Run.
+	DialEndpoint reach.Dial
+
 	settings      *settings.Settings
 	logger        log.Logger
 	reporter      *metrics.Reporter
@@ -61,6 +67,9 @@
 	drains        *drains.Reader
 	objects       infra.ObjectStore
 	calls         *httpcall.Client
+	monitor       *reach.Monitor
+	dialer        *reach.Dialer
+	tunnels       *tunnel.Server
 	caller        *peer.Caller
 	links         *relay.Links
 	watcher       *relay.Watcher
@@ -149,6 +158,7 @@
 func (n *Node) buildPlatform() {
 	s := n.settings
 	n.calls = httpcall.NewClient()
+	n.setUpReach()
 	n.objects = rest.NewObjectStore(s.Platform.ObjectAPI, n.calls, rest.NewBudget(s.StoreReads, s.StoreWrites), platformTimeout)
 }
 
@@ -215,7 +225,10 @@
 	var g errgroup.Group
 	g.Go(func() error { return n.entry.Serve(l.caller) })
 	g.Go(func() error { return n.admin.Serve(l.admin) })
-	g.Go(func() error { return ignoreErrorAfterEnd(n.runCtx, n.peerServer.Serve(n.runCtx, l.peer)) })
+	tunnels, peers, split := tunnel.Split(l.peer)
+	g.Go(func() error { _ = split(n.runCtx); return nil })
+	g.Go(func() error { return n.tunnels.Serve(n.runCtx, tunnels) })
+	g.Go(func() error { return ignoreErrorAfterEnd(n.runCtx, n.peerServer.Serve(n.runCtx, peers)) })
 	for _, run := range []func(context.Context) error{
 		n.links.Run, n.watcher.Run, n.configTracker.Run, n.leases.Run, n.vms.Run, n.observer.Run,
 		n.register, n.pruner.Run, n.sweep, n.syncDraining, n.places.Run,
@@ -241,6 +254,7 @@
 func (n *Node) sweep(ctx context.Context) error {
 	loop.Every(ctx, sweepInterval, func(now time.Time) {
 		n.calls.Sweep()
+		n.dialer.Sweep(now)
 		n.once.Sweep()
 		n.fleet.Observations.Sweep(now)
 		n.fleet.Members.Sweep(now)
