Give an endpoint that is silent 1.5 s before its group ends

Cause: a member of a group that stood still counted as down after one probe without an answer, 0.25 s. Class: silence taken for the end. Change: every endpoint has 1.5 s. Requests leave a group that stands still after 0.25 to 0.7 s as before, and a refused connection, confirmed by another node, still counts at once.

--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -34,10 +34,9 @@
 }
 
 const (
-	// downAfter is how long an endpoint must fail to answer before it counts as down; within that time a single lost
-	// packet is retransmitted. For a member of a suspected group suspectDownAfter applies, the time of one missed answer.
-	downAfter        = 900 * time.Millisecond
-	suspectDownAfter = 250 * time.Millisecond
+	// downAfter is how long an endpoint must fail to answer before it counts as down. Sound endpoints may fall silent for a second;
+	// requests are kept from a group that stands still long before. One that refuses connections is down at once.
+	downAfter = 1500 * time.Millisecond
 	// deadAfter is how long an endpoint that is no longer listed must be unreachable for all nodes before it counts as
 	// dead. Only then may the members of a group that it headed join others, because it may still serve with them.
 	deadAfter = 1200 * time.Millisecond
@@ -59,11 +58,7 @@
 	if !ok || c.FailedSince.IsZero() {
 		return false
 	}
-	needed := downAfter
-	if e := v.Snapshot.Endpoints[id]; e != nil && e.Membership != nil && v.SuspectGroups[e.Membership.Group] {
-		needed = suspectDownAfter
-	}
-	return c.Refused || v.Now.Sub(c.FailedSince) >= needed
+	return c.Refused || v.Now.Sub(c.FailedSince) >= downAfter
 }
 
 // unansweredFor returns how long the endpoint has not answered; zero if it answered the last probe or was not probed.
--- a/internal/standin/estate/worker.go
+++ b/internal/standin/estate/worker.go
@@ -1,6 +1,7 @@
 package estate
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -55,6 +56,7 @@
 	staged           []string
 	maxEpoch         int64
 	stalled          bool
+	frozenUntil      time.Time
 	dead             bool
 	draining         bool
 	announcesLeaving bool // announces in its responses, not in its entry, that it is leaving
@@ -80,6 +82,7 @@
 	mux.HandleFunc("POST /v1/order", w.order)
 	mux.HandleFunc("/", w.serve)
 	w.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.awaitThaw(r.Context())
 		if expected := r.Header.Get("X-Moorrun-Expect-Instance"); expected != "" && expected != w.ID {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -250,6 +253,7 @@
 			return
 		case <-time.After(EventInterval):
 		}
+		w.awaitThaw(r.Context())
 		for w.isStalled() {
 			select {
 			case <-r.Context().Done():
@@ -281,6 +285,21 @@
 // StallStreams makes the streams of the worker stop sending events, or continue.
 func (w *Worker) StallStreams(on bool) { w.set(func() { w.stalled = on }) }
 
+// Freeze makes the worker do nothing for a while, as if its process were suspended: connections are accepted, and nothing is
+// answered until the time is over.
+func (w *Worker) Freeze(d time.Duration) { w.set(func() { w.frozenUntil = time.Now().Add(d) }) }
+
+// awaitThaw waits until the worker is not frozen, or ctx ends.
+func (w *Worker) awaitThaw(ctx context.Context) {
+	w.mu.Lock()
+	until := w.frozenUntil
+	w.mu.Unlock()
+	select {
+	case <-time.After(time.Until(until)):
+	case <-ctx.Done():
+	}
+}
+
 // Refuse makes the worker refuse all requests as not executed, without a Retry-After header, or accept them again.
 func (w *Worker) Refuse(on bool) { w.set(func() { w.refusing, w.retryAfter = on, "" }) }
 
