Soak: a node that loses its paths to all engines

Change: one more node of the soak runs in its process, with paths that are refused, silent or reset, twice in a row, alone or while an engine is silent. The choice of faults by seed changes with it.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -5,6 +5,7 @@
 
 	"moorrun.dev/moorrun/internal/lab"
 	"moorrun.dev/moorrun/internal/standin"
+	"moorrun.dev/moorrun/internal/standin/paths"
 )
 
 // injectFault injects one randomly chosen fault, or two that occur together, for a random time. Lost or cut answers
@@ -20,7 +21,7 @@
 	fault := linkFaults[w.faultRand.IntN(len(linkFaults))]
 	engine := w.lab.Engines[w.randomEngineVM()]
 	endpoint := w.lab.PlainEndpoints[[]string{"receipts-1", "receipts-2"}[w.faultRand.IntN(2)]]
-	switch w.faultRand.IntN(14) {
+	switch w.faultRand.IntN(16) {
 	case 0:
 		node.Kill()
 		time.Sleep(duration)
@@ -70,6 +71,12 @@
 		engine.RetryAfterSeconds.Store(1)
 		time.Sleep(duration)
 		engine.RetryAfterSeconds.Store(0)
+	case 13:
+		w.cutPaths(duration)
+	case 14: // an endpoint is silent while a node has no path to any
+		engine.Freeze(true)
+		w.cutPaths(duration)
+		engine.Freeze(false)
 	default: // a paused node during a store outage
 		node.Pause(true)
 		w.lab.Objects.Down.Store(true)
@@ -80,6 +87,17 @@
 	time.Sleep(time.Duration(w.faultRand.IntN(400)) * time.Millisecond)
 }
 
+// cutPaths cuts the paths of one node to all engines and endpoints for a while, twice.
+func (w *workload) cutPaths(d time.Duration) {
+	modes := []paths.Mode{paths.Refused, paths.Silent, paths.Reset}
+	for range 2 {
+		w.paths.Set(w.cuttable.Settings.VM, modes[w.faultRand.IntN(len(modes))], nil)
+		time.Sleep(d)
+		w.paths.Set(w.cuttable.Settings.VM, paths.Open, nil)
+		time.Sleep(d / 4)
+	}
+}
+
 // randomEngineVM returns the name of a randomly chosen engine VM.
 func (w *workload) randomEngineVM() string {
 	prefix := []string{"rvk-1-a-", "rvk-2-a-"}[w.faultRand.IntN(2)]
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/lab"
+	"moorrun.dev/moorrun/internal/standin/paths"
 )
 
 func main() {
@@ -41,6 +42,9 @@
 	keyedCalls keyedCalls
 	history    history
 	stopping   chan struct{}
+	paths      *paths.Paths
+	// cuttable is a node in this process, the only one whose paths to engines and endpoints can be cut.
+	cuttable *lab.InProcessNode
 }
 
 func run(seed uint64, duration time.Duration) (int, error) {
@@ -60,10 +64,12 @@
 		return 0, err
 	}
 	defer l.Close()
-	w := &workload{lab: l, faultRand: rand.New(rand.NewPCG(seed, seed)), logFiles: make(map[string]bool), stopping: make(chan struct{})} //nolint:gosec // repeatable on purpose
+	w := &workload{lab: l, faultRand: rand.New(rand.NewPCG(seed, seed)), logFiles: make(map[string]bool), stopping: make(chan struct{}), paths: paths.New()} //nolint:gosec // repeatable on purpose
+	defer w.paths.Close()
 	if err := w.start(); err != nil {
 		return 0, err
 	}
+	defer w.cuttable.Stop() //nolint:errcheck // the run is over
 	w.runAll(duration)
 	if err := w.waitForRecovery(); err != nil {
 		w.results.addViolation("%v", err)
@@ -84,6 +90,12 @@
 		w.nodes = append(w.nodes, n)
 		w.logFiles[n.LogFile] = true
 	}
+	n, err := w.lab.StartInProcess("entry-5", "rvk-1", w.paths)
+	if err != nil {
+		return err
+	}
+	w.cuttable = n
+	w.logFiles[n.LogFile] = true
 	const limit = 30 * time.Second
 	if err := lab.WaitUntil(limit, "an accepted configuration", func() bool { return w.lab.CLI("apply", w.lab.ConfigDir, "--wait").Code == 0 }); err != nil {
 		return err
@@ -123,7 +135,10 @@
 func (w *workload) callerAddress(i int) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.nodes[i%len(w.nodes)].Settings.CallerAddress
+	if i %= len(w.nodes) + 1; i < len(w.nodes) {
+		return w.nodes[i].Settings.CallerAddress
+	}
+	return w.cuttable.Settings.CallerAddress
 }
 
 // waitForRecovery ends all faults and waits until four replica groups are usable again.
