Log the parts of a prompt and whether an answer had begun when an endpoint ends

The lines of an ended endpoint named the fingerprints of whole requests. They cannot tell endpoints that end under one part of a prompt, in requests of which no two are alike, from endpoints that end one after the other under the load of those before. `failed` now has prompt_parts and begun, and `endpoint ended` the parts of the prompts that the endpoint had not begun to answer.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -119,9 +119,9 @@
 func (a *activeRequest) callFailed(ctx context.Context, place *picker.Place, err error) bool {
 	now := clock.Now()
 	v := verdict.Of(err)
-	a.reportFailure(ctx, place, err)
+	a.reportFailure(ctx, place, err, false)
 	place.RecordFailure(v == verdict.NotRun, now)
-	a.log("failed", false, "endpoint", place.Endpoint.ID, "verdict", v.String(), "fingerprint", a.fingerprint, "err", err)
+	a.log("failed", false, "endpoint", place.Endpoint.ID, "verdict", v.String(), "fingerprint", a.fingerprint, "prompt_parts", a.request.PromptParts, "err", err)
 	if errors.Is(err, errHedged) {
 		a.ran++
 		return true
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -34,16 +34,17 @@
 }
 
 // reportFailure reports an attempt without a complete answer to the investigator: if its endpoint has ended, that counts against the
-// request.
-func (a *activeRequest) reportFailure(ctx context.Context, place *picker.Place, err error) {
+// request. begun means that an event of the answer has arrived.
+func (a *activeRequest) reportFailure(ctx context.Context, place *picker.Place, err error, begun bool) {
 	investigator := a.gateway.Investigator
+	failed := quarantine.Attempt{Request: a.fingerprint, PromptParts: a.request.PromptParts, Begun: begun, Resent: a.sends > 1}
 	switch {
 	case verdict.Of(err) == verdict.NotRun:
 		investigator.Refused(place.Endpoint)
 	case ctx.Err() != nil, errors.Is(err, errHedged), errors.Is(err, errStalled), errors.Is(err, errCallerGone):
-		investigator.Abandoned(place.Endpoint, a.fingerprint)
+		investigator.Abandoned(place.Endpoint, failed)
 	default:
-		investigator.Failed(place.Endpoint, a.fingerprint, a.sends > 1)
+		investigator.Failed(place.Endpoint, failed)
 	}
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -13,7 +13,9 @@
 	Credential string
 	Model      string
 	// PromptTokens is the length of the prompt in tokens; zero if unknown.
-	PromptTokens  int
+	PromptTokens int
+	// PromptParts are the IDs of the parts of the prompt, in order. Different requests may have parts in common.
+	PromptParts   []string
 	ResumeAfter   string // ID of the last event that the caller has received; empty for a new stream
 	Received      time.Time
 	CallerTimeout time.Duration // how long the caller waits for the answer; zero if not specified
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,7 +34,7 @@
 	sent := a.recordSend(place, "group", place.Group, "resume_after", a.resumeAfter(), "prompt_tokens", a.request.PromptTokens, "requests", place.Requests)
 	reply, err := a.exchange.Send(ctx, a.attempt(place, true))
 	if err != nil {
-		return a.streamFailed(ctx, place, err)
+		return a.streamFailed(ctx, place, err, false)
 	}
 	defer reply.Close()
 	s := &streamReader{active: a, place: place, reply: reply, sent: sent, last: sent}
@@ -42,7 +42,7 @@
 	a.recordAnnouncements(place, head, sent)
 	switch {
 	case err != nil:
-		return a.streamFailed(ctx, place, err)
+		return a.streamFailed(ctx, place, err, false)
 	case head.NotRun:
 		a.recordNotRun(place, head)
 		return a.afterNotRun(ctx, place)
@@ -58,7 +58,7 @@
 		a.begun = true
 	}
 	if err := s.copyEvents(ctx); err != nil {
-		return a.streamFailed(ctx, place, err)
+		return a.streamFailed(ctx, place, err, s.begun)
 	}
 	a.ran++
 	a.reportAnswered(clock.Now())
@@ -101,11 +101,13 @@
 // errCallerGone means that events can no longer be passed on to the caller.
 var errCallerGone = errors.New("the caller has disconnected")
 
-func (a *activeRequest) streamFailed(ctx context.Context, place *picker.Place, err error) bool {
+// streamFailed handles an attempt that ended without a complete answer and reports whether to send the request again. begun means
+// that an event of the answer has arrived.
+func (a *activeRequest) streamFailed(ctx context.Context, place *picker.Place, err error, begun bool) bool {
 	v := verdict.Of(err)
-	a.reportFailure(ctx, place, err)
-	a.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", v.String(), "fingerprint", a.fingerprint, "err", err,
-		"last", a.lastID)
+	a.reportFailure(ctx, place, err, begun)
+	a.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", v.String(), "fingerprint", a.fingerprint,
+		"prompt_parts", a.request.PromptParts, "begun", begun, "err", err, "last", a.lastID)
 	switch {
 	case errors.Is(err, errCallerGone):
 		a.exchange.Abort()
--- a/internal/quarantine/investigation.go
+++ b/internal/quarantine/investigation.go
@@ -18,22 +18,12 @@
 
 // investigation collects the requests affected by broken connections to one endpoint while the cause is being determined.
 type investigation struct {
-	requests []Fingerprint
-	resent   []Fingerprint // requests that another endpoint had failed before
-	cause    endCause      // empty until it is determined
-	start    time.Time     // when the first connection failed
+	attempts []Attempt
+	cause    endCause  // empty until it is determined
+	start    time.Time // when the first connection failed
 }
 
 // fresh reports whether the cause also applies to a connection that breaks at now.
 func (inv *investigation) fresh(now time.Time) bool {
 	return inv.cause == "" || now.Sub(inv.start) < causeTTL
 }
-
-// add adds a request that was sent to the endpoint; resent means that another endpoint had failed it before.
-func (inv *investigation) add(f Fingerprint, resent bool) {
-	if resent {
-		inv.resent = append(inv.resent, f)
-		return
-	}
-	inv.requests = append(inv.requests, f)
-}
--- a/internal/quarantine/investigator.go
+++ b/internal/quarantine/investigator.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,8 +26,8 @@
 	abandonedTTL = 2 * time.Second
 	// maxAbandonedPerEndpoint is the maximum number of abandoned requests kept for each endpoint.
 	maxAbandonedPerEndpoint = 64
-	// maxLoggedFingerprints is the maximum number of fingerprints in one log line.
-	maxLoggedFingerprints = 20
+	// maxLoggedAttempts is the maximum number of attempts that one log line describes.
+	maxLoggedAttempts = 20
 )
 
 // Investigator determines why connections to endpoints broke. An ending counts against the requests that the endpoint was running
@@ -49,31 +50,29 @@
 
 // abandonedRequest is a request that was abandoned before its endpoint answered.
 type abandonedRequest struct {
-	fingerprint Fingerprint
-	at          time.Time
+	attempt Attempt
+	at      time.Time
 }
 
-// Failed reports that the connection to an endpoint broke while the endpoint had the request. resent means that the request
-// was sent to this endpoint after another endpoint had failed it.
-func (q *Investigator) Failed(e *endpoint.Endpoint, f Fingerprint, resent bool) {
+// Failed reports that the connection to an endpoint broke while the endpoint had the request.
+func (q *Investigator) Failed(e *endpoint.Endpoint, a Attempt) {
 	now := clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	inv := q.investigations[instanceHash(e)]
 	switch {
 	case inv == nil || !inv.fresh(now):
-		q.investigate(e).add(f, resent)
+		inv = q.investigate(e)
+		inv.attempts = append(inv.attempts, a)
 	case inv.cause == "":
-		inv.add(f, resent)
+		inv.attempts = append(inv.attempts, a)
 	case inv.cause == endedAlone:
-		late := &investigation{}
-		late.add(f, resent)
-		q.recordEnding(e, late, inv.start, now)
+		q.recordEnding(e, []Attempt{a}, inv.start, now)
 	}
 }
 
 // Abandoned reports that the request was abandoned while the endpoint had it.
-func (q *Investigator) Abandoned(e *endpoint.Endpoint, f Fingerprint) {
+func (q *Investigator) Abandoned(e *endpoint.Endpoint, a Attempt) {
 	now := clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -84,7 +83,7 @@
 	if len(list) >= maxAbandonedPerEndpoint {
 		list = list[1:]
 	}
-	q.abandoned[e.ID] = append(list, abandonedRequest{f, now})
+	q.abandoned[e.ID] = append(list, abandonedRequest{a, now})
 }
 
 // Refused reports that the endpoint refused a connection. It starts an investigation only if the endpoint had abandoned
@@ -129,11 +128,18 @@
 	return inv
 }
 
-// recordEnding records the ending against the requests and reports whether any of them is newly held back.
-func (q *Investigator) recordEnding(e *endpoint.Endpoint, inv *investigation, noticed, now time.Time) bool {
+// recordEnding records the ending against the attempts and reports whether any request is newly held back.
+func (q *Investigator) recordEnding(e *endpoint.Endpoint, attempts []Attempt, noticed, now time.Time) bool {
 	ending := EndingOf(e, noticed)
-	held := q.Table.Ended(ending, inv.requests, now)
-	return q.Table.Ended(ending.asSeparateIncident(), inv.resent, now) || held
+	held := false
+	for _, a := range attempts {
+		counted := ending
+		if a.Resent {
+			counted = ending.asSeparateIncident()
+		}
+		held = q.Table.Ended(counted, []Fingerprint{a.Request}, now) || held
+	}
+	return held
 }
 
 // conclude determines the cause and, if the endpoint ended for no other known reason, records the ending against its
@@ -143,7 +149,7 @@
 	now := clock.Now()
 	q.mu.Lock()
 	inv := q.investigations[instanceHash(e)]
-	affected := &investigation{requests: inv.requests, resent: inv.resent}
+	affected := inv.attempts
 	*inv = investigation{cause: cause, start: noticed}
 	if cause == noEndFound {
 		delete(q.investigations, instanceHash(e)) // the endpoint may still end at any time
@@ -151,19 +157,27 @@
 		return
 	}
 	for _, l := range q.recentlyAbandoned(e.ID, now) {
-		affected.add(l.fingerprint, false)
+		affected = append(affected, l.attempt)
 	}
 	q.mu.Unlock()
-	q.logCause(e, cause, slices.Concat(affected.requests, affected.resent))
+	q.logCause(e, cause, affected)
 	if cause == endedAlone {
 		q.OnEnding(q.recordEnding(e, affected, noticed, now))
 	}
 }
 
-// logCause logs the cause of an endpoint's ending.
-func (q *Investigator) logCause(e *endpoint.Endpoint, cause endCause, requests []Fingerprint) {
+// logCause logs the cause of an endpoint's ending, with the requests that it had and the parts of the prompts of those whose
+// answers had not begun.
+func (q *Investigator) logCause(e *endpoint.Endpoint, cause endCause, attempts []Attempt) {
+	fingerprints, waiting := []Fingerprint{}, []string{}
+	for _, a := range attempts[:min(len(attempts), maxLoggedAttempts)] {
+		fingerprints = append(fingerprints, a.Request)
+		if !a.Begun {
+			waiting = append(waiting, strings.Join(a.PromptParts, ","))
+		}
+	}
 	_ = level.Info(q.Logger).Log("msg", "endpoint ended", "endpoint", e.ID, "domain", e.Domain, "finding", string(cause),
-		"requests", len(requests), "fingerprints", requests[:min(len(requests), maxLoggedFingerprints)])
+		"requests", len(attempts), "fingerprints", fingerprints, "prompts_not_begun", waiting)
 }
 
 // findCause probes the endpoint and a sample of its neighbours.
