--- a/internal/standin/estate/platform.go
+++ b/internal/standin/estate/platform.go
@@ -16,7 +16,7 @@
 	arrivals  map[string][]time.Time     // times of requests, by worker
 	everReady map[string]map[string]bool // by group, the members that have been ready in it
 	breaches  []string
-	crashes   int // number of workers that crashed on CrashRequestBody
+	crashes   int // number of workers that crashed on what a request held
 	closed    bool
 }
 
@@ -113,8 +113,11 @@
 	restartDelay = 300 * time.Millisecond
 )
 
-// crash kills a worker that has received CrashRequestBody, and restarts it later.
+// crash kills a worker because of what a request held, and restarts it later.
 func (p *Platform) crash(w *Worker) {
+	if !w.Alive() {
+		return
+	}
 	p.mu.Lock()
 	p.crashes++
 	p.mu.Unlock()
@@ -122,7 +125,7 @@
 	time.AfterFunc(entryRemovalDelay+restartDelay, func() { p.restart(w) })
 }
 
-// Crashes returns the number of crashes caused by CrashRequestBody.
+// Crashes returns the number of crashes caused by what requests held.
 func (p *Platform) Crashes() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/estate/worker.go
+++ b/internal/standin/estate/worker.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -24,6 +25,13 @@
 // CrashRequestBody is the body of a request that crashes every worker that starts to run it.
 const CrashRequestBody = "deadly"
 
+// CrashPromptPrefix begins the ID of a part of a prompt that crashes every worker that begins to write an answer on it,
+// whatever else the request holds.
+const CrashPromptPrefix = "deadly"
+
+// prefillDuration is the time from the start of a run to its first token.
+const prefillDuration = 30 * time.Millisecond
+
 // Run is one request that a worker has started to run.
 type Run struct {
 	Attempt string
@@ -227,6 +235,12 @@
 	}
 	after := r.Header.Get("Last-Event-Id")
 	w.platform.recordRun(Run{attempt, w.ID, r.Header.Get("X-Moorrun-Tenant"), after})
+	if crashesOnPrompt(r) {
+		time.Sleep(prefillDuration)
+		w.platform.crash(w)
+		<-r.Context().Done()
+		return
+	}
 	if string(body) == CrashRequestBody {
 		w.platform.crash(w)
 		<-r.Context().Done()
@@ -244,6 +258,16 @@
 	w.stream(rw, r, after)
 }
 
+// crashesOnPrompt reports whether the prompt of a request has a part that crashes workers.
+func crashesOnPrompt(r *http.Request) bool {
+	for part := range strings.SplitSeq(r.Header.Get("X-Moorrun-Prompt-Prefix"), ",") {
+		if strings.HasPrefix(part, CrashPromptPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, after string) {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(after)
--- a/test/gateway/fleet_test.go
+++ b/test/gateway/fleet_test.go
@@ -244,11 +244,22 @@
 }
 
 func (f *fleet) requestWithBody(ctx context.Context, n *node, method, path, credential, body string) (*http.Response, string, error) {
+	return f.send(ctx, n, callerRequest{method: method, path: path, credential: credential, body: body})
+}
+
+// callerRequest is a request of a caller.
+type callerRequest struct {
+	method, path, credential, body string
+	prompt                         string // parts of the prompt as ID:TOKENS, comma-separated; empty for no header
+}
+
+// send sends a request under a new attempt ID, which it also returns.
+func (f *fleet) send(ctx context.Context, n *node, q callerRequest) (*http.Response, string, error) {
 	f.mu.Lock()
 	f.attempts++
 	id := fmt.Sprintf("attempt-%d", f.attempts)
 	f.mu.Unlock()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.settings.CallerAddress+path, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+n.settings.CallerAddress+q.path, strings.NewReader(q.body))
 	if err != nil {
 		return nil, id, err
 	}
@@ -256,7 +267,10 @@
 	r.Header.Set("X-Moorrun-Attempt-Id", id)
 	r.Header.Set("X-Moorrun-Model", "m")
 	r.Header.Set("X-Moorrun-Deadline-Ms", "8000")
-	r.Header.Set("Authorization", "Bearer "+credential)
+	r.Header.Set("Authorization", "Bearer "+q.credential)
+	if q.prompt != "" {
+		r.Header.Set("X-Moorrun-Prompt-Prefix", q.prompt)
+	}
 	transport := &http.Transport{DisableKeepAlives: true}
 	answer, err := transport.RoundTrip(r)
 	return answer, id, err
@@ -264,7 +278,13 @@
 
 // stream sends a request for a stream and reads the stream to its end.
 func (f *fleet) stream(n *node, credential string) *result {
-	answer, id, err := f.request(context.Background(), n, http.MethodPost, "/lm/x", credential)
+	return f.streamPrompt(n, callerRequest{credential: credential, body: "body"})
+}
+
+// streamPrompt sends a request to the streaming route and reads the stream to its end.
+func (f *fleet) streamPrompt(n *node, q callerRequest) *result {
+	q.method, q.path = http.MethodPost, "/lm/x"
+	answer, id, err := f.send(context.Background(), n, q)
 	if err != nil {
 		return &result{id: id, err: err}
 	}
