Hold back parts of prompts under which endpoints end

Callers saw: requests whose prompts had one part in common ended one endpoint after the other, and over a tenth of the class was refused or failed for want of replica groups.

Cause: endings were counted under whole requests (workspace, host, method, target, body). Requests of which no two are alike were new to the table each time. What was remembered was coarser than what was at fault.

Change: the table counts endings under the parts of a prompt too, in the same entries, records and stored list. Suspects are the requests that the endpoint had not begun to answer. An answer that begins on a part clears it of the endings before, at all nodes; an answer from before the endings does not protect it. Each part has three fingerprints: wherever it occurs, for the model, and in the workspace. Endings that something outside the request explains as well do not refuse it for good: one request after the other is sent, more and more slowly, and decides. After each hold one node tries once. Suspected entries are passed on ahead of other changes.

Evidence: TestPromptPartThatEndsEndpointsIsSoonSentToNone failed before (502 instead of 503 at each of three places) and passes, with the race detector too.

--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -30,7 +30,8 @@
 	budget    *retry.Budget
 	deadline  time.Time
 
-	fingerprint quarantine.Fingerprint
+	signature quarantine.Signature
+	trial     []quarantine.Fingerprint // holds that the next attempt is sent in spite of
 
 	sends    int      // attempts, to any endpoint
 	ran      int      // attempts that may have run
@@ -104,6 +105,7 @@
 // acquire returns a place for the next attempt, unless the request is held back. It checks for that again after the wait for
 // the place.
 func (a *activeRequest) acquire(ctx context.Context) (*picker.Place, error) {
+	a.trial = nil
 	if err := a.heldBack(); err != nil {
 		return nil, err
 	}
@@ -173,8 +175,7 @@
 	case a.ran > 0:
 		a.fail(ctx, "no place for another attempt: "+err.Error())
 	case errors.As(err, &held):
-		a.gateway.metrics.heldBack.Inc(1)
-		a.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: held.remaining})
+		a.refuseHeld(held)
 	case errors.As(err, &paused):
 		a.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: addJitter(paused.Remaining)})
 	default:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -61,6 +61,7 @@
 		}
 	} else {
 		place.RecordFirstEvent(now.Sub(sent), now)
+		a.reportBegun(now)
 		a.reportAnswered(now)
 	}
 	err = a.exchange.WriteAnswer(reply, body)
@@ -121,7 +122,7 @@
 	v := verdict.Of(err)
 	a.reportFailure(ctx, place, err, false)
 	place.RecordFailure(v == verdict.NotRun, now)
-	a.log("failed", false, "endpoint", place.Endpoint.ID, "verdict", v.String(), "fingerprint", a.fingerprint, "prompt_parts", a.request.PromptParts, "err", err)
+	a.log("failed", false, "endpoint", place.Endpoint.ID, "verdict", v.String(), "fingerprint", a.signature.Request, "prompt_parts", a.request.PromptParts, "err", err)
 	if errors.Is(err, errHedged) {
 		a.ran++
 		return true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,7 +63,7 @@
 		a.refuse(*refusal)
 		return
 	}
-	a.setFingerprint()
+	a.setSignature()
 	timeout := a.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -11,33 +11,51 @@
 	"moorrun.dev/moorrun/internal/verdict"
 )
 
-// heldError means that the request is held back for the remaining time because endpoints have ended while they ran it.
-type heldError struct{ remaining time.Duration }
+// heldError means that the request is held back because endpoints have ended while they ran it, or others with a part of its
+// prompt.
+type heldError struct{ hold *quarantine.Hold }
 
 func (e *heldError) Error() string {
-	return "endpoints have ended under this request; it is held back for " + e.remaining.Truncate(time.Second).String()
+	remaining := e.hold.Remaining.Truncate(time.Millisecond).String()
+	if e.hold.PartID != "" {
+		return "endpoints have ended under part " + e.hold.PartID + " of the prompt; it is held back for " + remaining
+	}
+	return "endpoints have ended under this request; it is held back for " + remaining
 }
 
-// setFingerprint computes the request's fingerprint.
-func (a *activeRequest) setFingerprint() {
+// setSignature computes the fingerprints of the request and of the parts of its prompt.
+func (a *activeRequest) setSignature() {
 	r := a.request
 	c := quarantine.Content{Workspace: a.workspace.Name, Host: r.Host, Method: r.Method, Target: r.Path + "?" + r.Query, Body: r.Body}
-	a.fingerprint = c.Fingerprint()
+	a.signature = quarantine.NewSignature(&c, r.Model, r.PromptParts)
 }
 
 // heldBack returns a *heldError if the request must not be sent.
 func (a *activeRequest) heldBack() error {
-	if left, held := a.gateway.Quarantine.Held(a.fingerprint, clock.Now()); held {
-		return &heldError{left}
+	hold, trial := a.gateway.Quarantine.Check(&a.signature, a.trial, clock.Now())
+	if hold != nil {
+		return &heldError{hold}
 	}
+	a.trial = trial
 	return nil
 }
 
+// refuseHeld refuses a request that is held back and has not run.
+func (a *activeRequest) refuseHeld(held *heldError) {
+	a.gateway.metrics.heldBack.Inc(1)
+	var instances []string
+	for _, e := range held.hold.Endings {
+		instances = append(instances, e.Instance())
+	}
+	a.log("held back", false, "fingerprint", held.hold.Fingerprint, "part", held.hold.PartID, "instances", instances)
+	a.refuse(Refusal{Reason: NotRun, Detail: held.Error(), RetryAfter: held.hold.Remaining})
+}
+
 // reportFailure reports an attempt without a complete answer to the investigator: if its endpoint has ended, that counts against the
 // request. begun means that an event of the answer has arrived.
 func (a *activeRequest) reportFailure(ctx context.Context, place *picker.Place, err error, begun bool) {
 	investigator := a.gateway.Investigator
-	failed := quarantine.Attempt{Request: a.fingerprint, PromptParts: a.request.PromptParts, Begun: begun, Resent: a.sends > 1}
+	failed := quarantine.Attempt{Signature: a.signature, Begun: begun, Resent: a.sends > 1}
 	switch {
 	case verdict.Of(err) == verdict.NotRun:
 		investigator.Refused(place.Endpoint)
@@ -50,5 +68,10 @@
 
 // reportAnswered records in the quarantine table that an endpoint has answered the request completely.
 func (a *activeRequest) reportAnswered(now time.Time) {
-	a.gateway.Quarantine.Answered(a.fingerprint, now)
+	a.gateway.Quarantine.Answered(a.signature.Request, now)
+}
+
+// reportBegun records in the quarantine table that an answer to the request has begun.
+func (a *activeRequest) reportBegun(now time.Time) {
+	a.gateway.Quarantine.Begun(a.signature.Parts, now)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -106,7 +106,7 @@
 func (a *activeRequest) streamFailed(ctx context.Context, place *picker.Place, err error, begun bool) bool {
 	v := verdict.Of(err)
 	a.reportFailure(ctx, place, err, begun)
-	a.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", v.String(), "fingerprint", a.fingerprint,
+	a.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", v.String(), "fingerprint", a.signature.Request,
 		"prompt_parts", a.request.PromptParts, "begun", begun, "err", err, "last", a.lastID)
 	switch {
 	case errors.Is(err, errCallerGone):
@@ -229,6 +229,7 @@
 		s.place.RecordEvent(now.Sub(s.last), now)
 	} else {
 		s.place.RecordFirstEvent(now.Sub(s.sent), now)
+		s.active.reportBegun(now)
 	}
 	if s.active.delivery.first.IsZero() {
 		s.active.gateway.metrics.firstEvent.Record(now.Sub(s.active.request.Received))
--- a/internal/gossip/quarantine.go
+++ b/internal/gossip/quarantine.go
@@ -102,7 +102,10 @@
 }
 
 func recordToWire(r quarantine.Record, now time.Time) *gossippb.QuarantineRecord {
-	s := &gossippb.QuarantineRecord{Fingerprint: uint64(r.Fingerprint), Answered: r.Answered, HoldMs: floorMillis(r.Hold), AgeMs: floorMillis(r.Age)}
+	s := &gossippb.QuarantineRecord{Fingerprint: uint64(r.Fingerprint), Part: r.Part, Answered: r.Answered, HoldMs: floorMillis(r.Hold), AgeMs: floorMillis(r.Age)}
+	if !r.BegunAt.IsZero() {
+		s.BegunMs = 1 + floorMillis(max(0, now.Sub(r.BegunAt)))
+	}
 	for _, e := range r.Endings {
 		s.Endings = append(s.Endings, &gossippb.Ending{Life: e.InstanceHash, Domain: e.Domain, AgeMs: floorMillis(max(0, now.Sub(e.At)))})
 	}
@@ -110,7 +113,10 @@
 }
 
 func recordFromWire(s *gossippb.QuarantineRecord, asOf time.Time) quarantine.Record {
-	r := quarantine.Record{Fingerprint: quarantine.Fingerprint(s.Fingerprint), Answered: s.Answered, Hold: fromMillis(s.HoldMs), Age: fromMillis(s.AgeMs)}
+	r := quarantine.Record{Fingerprint: quarantine.Fingerprint(s.Fingerprint), Part: s.Part, Answered: s.Answered, Hold: fromMillis(s.HoldMs), Age: fromMillis(s.AgeMs)}
+	if s.BegunMs > 0 {
+		r.BegunAt = asOf.Add(-fromMillis(s.BegunMs))
+	}
 	for _, e := range s.Endings {
 		r.Endings = append(r.Endings, quarantine.Ending{InstanceHash: e.Life, Domain: e.Domain, At: asOf.Add(-fromMillis(e.AgeMs))})
 	}
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -25,10 +25,14 @@
 	holdTolerance = 5 * time.Second
 )
 
-// entry is the state of one request in a Table.
+// entry is the state of one request, or of one part of a prompt, in a Table.
 type entry struct {
-	endings          []Ending // sorted by time
-	answered         bool
+	part             bool      // it is a part of a prompt
+	endings          []Ending  // sorted by time; for a part, those since an answer last began on it
+	answered         bool      // an endpoint has answered the request
+	begunAt          time.Time // when an answer last began on the part; zero if none is known to have begun
+	triedAt          time.Time // when this node last sent a request in spite of the hold
+	trials           int       // how many such requests it has sent since an answer last began
 	heldUntil        time.Time // end of the hold
 	updatedAt        time.Time // when the last ending or answer was recorded by any node
 	sequence         uint64    // the Table's sequence at the last change
@@ -43,7 +47,7 @@
 
 // add adds an ending and reports whether it is new.
 func (e *entry) add(ending Ending) bool {
-	if len(e.endings) >= maxEndings || e.hasInstance(ending) {
+	if len(e.endings) >= maxEndings || e.hasInstance(ending) || !ending.At.After(e.begunAt) {
 		return false
 	}
 	e.endings = append(e.endings, ending)
@@ -56,6 +60,22 @@
 	return slices.ContainsFunc(e.endings, func(known Ending) bool { return known.InstanceHash == ending.InstanceHash })
 }
 
+// begin records that an answer began at the given time, and reports whether that clears the part of endings. A part that ends
+// every endpoint which begins to write on it did not do so until then, so the earlier endings have other causes. They are
+// forgotten, not the later ones: a part may begin to end endpoints after it was answered for years.
+func (e *entry) begin(at time.Time) bool {
+	if !at.After(e.begunAt) {
+		return false
+	}
+	e.begunAt = at
+	before := len(e.endings)
+	e.endings = slices.DeleteFunc(e.endings, func(ending Ending) bool { return !ending.At.After(at) })
+	if len(e.endings) == 0 {
+		e.heldUntil, e.trials = time.Time{}, 0
+	}
+	return len(e.endings) != before
+}
+
 // suspected reports whether enough endpoints have ended under the request and none has answered it.
 func (e *entry) suspected() bool { return !e.answered && countIncidents(e.endings) >= endingsToHold }
 
@@ -74,6 +94,7 @@
 // record returns the state of the entry for other nodes.
 func (e *entry) record(f Fingerprint, now time.Time) Record {
 	return Record{
-		Fingerprint: f, Endings: slices.Clone(e.endings), Answered: e.answered, Hold: max(0, e.heldUntil.Sub(now)), Age: max(0, now.Sub(e.updatedAt)),
+		Fingerprint: f, Part: e.part, Endings: slices.Clone(e.endings), Answered: e.answered, BegunAt: e.begunAt,
+		Hold: max(0, e.heldUntil.Sub(now)), Age: max(0, now.Sub(e.updatedAt)),
 	}
 }
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -12,7 +12,8 @@
 )
 
 // Since returns up to limit records that changed after the given sequence, oldest change first, and the sequence up to which
-// they are complete. It omits entries whose last change came from a source that accept rejects, unless an earlier change
+// they are complete. Up to as many suspected requests and parts that changed later follow, because they change with every
+// ending and would always come last. It omits entries whose last change came from a source that accept rejects, unless an earlier change
 // after the sequence did not come from a relay and so has to reach all nodes.
 func (t *Table) Since(sequence uint64, accept func(Source) bool, limit int) ([]Record, uint64) {
 	t.mu.Lock()
@@ -34,8 +35,9 @@
 	slices.SortFunc(changed, func(a, b changedEntry) int { return cmp.Compare(a.entry.sequence, b.entry.sequence) })
 	reached := t.sequence
 	if len(changed) > limit {
-		changed = changed[:limit]
 		reached = changed[limit-1].entry.sequence
+		suspected := slices.DeleteFunc(slices.Clone(changed[limit:]), func(c changedEntry) bool { return !c.entry.suspected() })
+		changed = append(changed[:limit], suspected[:min(len(suspected), limit)]...)
 	}
 	now := clock.Now()
 	out := make([]Record, 0, len(changed))
@@ -54,7 +56,7 @@
 	for _, r := range records {
 		e, known := t.entries[r.Fingerprint]
 		if !known {
-			e = &entry{updatedAt: asOf.Add(-r.Age)}
+			e = &entry{part: r.Part, begunAt: t.begins.at(r.Fingerprint), updatedAt: asOf.Add(-r.Age)}
 		}
 		wasSuspected := e.suspected()
 		foundHere, changed := t.merge(e, r, asOf, now)
@@ -79,16 +81,18 @@
 	return len(held) > 0
 }
 
-// merge adds a record to an entry. changed reports whether the entry changed; foundHere reports whether this node has
-// recorded an answer that the record lacks. The caller holds t.mu.
+// merge adds a record to an entry. changed reports whether the entry changed or the sender has to be told of it; foundHere
+// reports whether this node has recorded an answer that the record lacks. The caller holds t.mu.
 func (t *Table) merge(e *entry, r Record, asOf, now time.Time) (foundHere, changed bool) {
+	foundHere = e.part && e.begunAt.After(r.BegunAt) && slices.ContainsFunc(r.Endings, func(ending Ending) bool { return !ending.At.After(e.begunAt) })
+	changed = e.begin(r.BegunAt) || foundHere
 	for _, ending := range r.Endings {
 		changed = e.add(ending) || changed
 	}
 	if r.Answered && !e.answered {
 		e.answered, changed = true, true
 	}
-	if !e.answered && t.recentAnswers.has(r.Fingerprint) {
+	if !e.answered && t.answers.has(r.Fingerprint) {
 		e.answered, foundHere, changed = true, true, true
 	}
 	if changed {
@@ -97,7 +101,7 @@
 			e.updatedAt = at
 		}
 	}
-	if until := asOf.Add(r.Hold); r.Hold > 0 && until.After(e.heldUntil) {
+	if until := asOf.Add(r.Hold); r.Hold > 0 && until.After(e.heldUntil) && (e.suspected() || !e.part) {
 		changed = changed || until.Sub(e.heldUntil) > holdTolerance
 		e.heldUntil = until
 	}
--- /dev/null
+++ b/internal/quarantine/hold.go
@@ -0,0 +1,145 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// trialInterval is the time after an ending in which a node sends no request to find out which of several suspects has
+	// caused it. An answer begins, or the next ending is known, within that time. It doubles with each such request.
+	trialInterval    = 500 * time.Millisecond
+	maxTrialInterval = 256 * trialInterval
+)
+
+// Hold describes why a request must not be sent.
+type Hold struct {
+	Fingerprint Fingerprint
+	PartID      string        // the part of the prompt that is held back; empty if it is the whole request
+	Endings     []Ending      // the endings that it is held back for
+	Remaining   time.Duration // until the request may be sent, unless more endings or attempts follow
+}
+
+// Check returns the hold on a request, if there is one. Attempts that are held back renew the hold.
+//
+// A request is nevertheless sent from time to time to find out what ends the endpoints: if the endings may as well have been caused
+// by something that the request does not contain, first after trialInterval, and one after each hold on a part, from the node that
+// MayTry names. Its answer, or one more ending, then decides. Check returns the fingerprints that it passes over
+// for that reason; a later Check of the same attempt gets them as trial.
+func (t *Table) Check(s *Signature, trial []Fingerprint, now time.Time) (*Hold, []Fingerprint) {
+	hold, tried, due := t.check(s, trial, false, now)
+	if due && t.MayTry != nil && t.MayTry(hold.Fingerprint) {
+		hold, tried, _ = t.check(s, trial, true, now)
+	}
+	return hold, tried
+}
+
+// check is Check without MayTry: it passes over holds that are due for a trial if mayTry is set, and otherwise reports whether the
+// hold that it returns is one.
+func (t *Table) check(s *Signature, trial []Fingerprint, mayTry bool, now time.Time) (hold *Hold, tried []Fingerprint, due bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range s.all() {
+		e := t.entries[f]
+		if e == nil || !t.held(e, now) {
+			continue
+		}
+		remaining, due := t.remaining(f, e, s, now)
+		if remaining > 0 && !slices.Contains(trial, f) && !(mayTry && due) {
+			return &Hold{Fingerprint: f, PartID: s.partID(f), Endings: slices.Clone(e.endings), Remaining: remaining}, nil, due
+		}
+		tried = append(tried, f)
+	}
+	for _, f := range tried {
+		if !slices.Contains(trial, f) {
+			t.entries[f].triedAt = now
+			t.entries[f].trials++
+		}
+	}
+	return nil, tried, false
+}
+
+// remaining returns how long a request with the signature has to wait for the entry's hold, and whether the hold has lasted long
+// enough for a trial.
+func (t *Table) remaining(f Fingerprint, e *entry, s *Signature, now time.Time) (remaining time.Duration, due bool) {
+	last := e.endings[len(e.endings)-1].At
+	if e.triedAt.After(last) {
+		last = e.triedAt
+	}
+	if t.explainedOutside(e, s) {
+		return min(trialInterval<<min(e.trials, maxEndings), maxTrialInterval) - now.Sub(last), false
+	}
+	due = e.part && now.Sub(last) >= holdDuration(countIncidents(e.endings))
+	return t.renew(f, e, now), due
+}
+
+// renew extends the hold on an entry that a request was held back for, and returns how long it lasts. The caller holds t.mu.
+func (t *Table) renew(f Fingerprint, e *entry, now time.Time) time.Duration {
+	remaining := e.heldUntil.Sub(now)
+	if hold := holdDuration(countIncidents(e.endings)); remaining < time.Duration(renewThreshold*float64(hold)) {
+		e.heldUntil = now.Add(hold)
+		t.commit(f, e, Source{}, now)
+		remaining = hold
+	}
+	return remaining
+}
+
+// Held reports whether an attempt of the request must be held back, and for how long from now. Attempts that are held back
+// renew the hold.
+func (t *Table) Held(f Fingerprint, now time.Time) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[f]
+	if e == nil || !t.held(e, now) {
+		return 0, false
+	}
+	return t.renew(f, e, now), true
+}
+
+// held reports whether a request or part is held back: enough endpoints have ended under it, not counting endings that another
+// entry explains.
+func (t *Table) held(e *entry, now time.Time) bool {
+	if !e.suspected() || !now.Before(e.heldUntil) {
+		return false
+	}
+	return t.countUnexplained(e, func(_ Fingerprint, other *entry) bool { return len(other.endings) > len(e.endings) }) >= endingsToHold
+}
+
+// explainedOutside reports whether the endings of an entry may as well have been caused by requests or parts that the signature
+// does not contain: those with at least as many endings.
+func (t *Table) explainedOutside(e *entry, s *Signature) bool {
+	inside := make(map[Fingerprint]bool, 1+len(s.Parts))
+	for _, f := range s.all() {
+		inside[f] = true
+	}
+	return t.countUnexplained(e, func(f Fingerprint, other *entry) bool {
+		return !inside[f] && len(other.endings) >= len(e.endings)
+	}) < endingsToHold
+}
+
+// countUnexplained returns the number of incidents in an entry's endings that no suspected entry accepted by isLikelier shares.
+// Requests that merely shared endpoints with the cause are not held back. The caller holds t.mu.
+func (t *Table) countUnexplained(e *entry, isLikelier func(f Fingerprint, other *entry) bool) int {
+	var likelier []*entry
+	for f, other := range t.entries {
+		if other != e && other.suspected() && isLikelier(f, other) {
+			likelier = append(likelier, other)
+		}
+	}
+	var unexplained []Ending
+	for _, ending := range e.endings {
+		if !containsInstance(likelier, ending) {
+			unexplained = append(unexplained, ending)
+		}
+	}
+	return countIncidents(unexplained)
+}
+
+func containsInstance(entries []*entry, ending Ending) bool {
+	for _, e := range entries {
+		if e.hasInstance(ending) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/quarantine/investigator.go
+++ b/internal/quarantine/investigator.go
@@ -138,6 +138,9 @@
 			counted = ending.asSeparateIncident()
 		}
 		held = q.Table.Ended(counted, []Fingerprint{a.Request}, now) || held
+		if !a.Begun {
+			held = q.Table.PartsEnded(counted, a.Parts, now) || held
+		}
 	}
 	return held
 }
@@ -176,7 +179,7 @@
 			waiting = append(waiting, strings.Join(a.PromptParts, ","))
 		}
 	}
-	_ = level.Info(q.Logger).Log("msg", "endpoint ended", "endpoint", e.ID, "domain", e.Domain, "finding", string(cause),
+	_ = level.Info(q.Logger).Log("msg", "endpoint ended", "endpoint", e.ID, "instance", EndingOf(e, time.Time{}).Instance(), "domain", e.Domain, "finding", string(cause),
 		"requests", len(attempts), "fingerprints", fingerprints, "prompts_not_begun", waiting)
 }
 
--- a/internal/quarantine/investigator_test.go
+++ b/internal/quarantine/investigator_test.go
@@ -97,8 +97,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				d := newDomain(domainName, 5)
 				c.setUp(d)
-				d.Failed(d.endpoints[0], quarantine.Attempt{Request: poison})
-				d.Failed(d.endpoints[0], quarantine.Attempt{Request: poison})
+				d.Failed(d.endpoints[0], quarantine.Attempt{Signature: quarantine.Signature{Request: poison}})
+				d.Failed(d.endpoints[0], quarantine.Attempt{Signature: quarantine.Signature{Request: poison}})
 				qt.Check(t, d.endings(poison), qt.Equals, c.want, qt.Commentf("%s, domain %q", name, domainName))
 			})
 		}
@@ -112,10 +112,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			d := newDomain("d", 6)
 			d.setFinding(quarantine.Ended, 0)
-			d.Failed(d.endpoints[0], quarantine.Attempt{Request: poison})
+			d.Failed(d.endpoints[0], quarantine.Attempt{Signature: quarantine.Signature{Request: poison}})
 			qt.Assert(t, d.endings(poison), qt.Equals, 1)
 			d.setFinding(quarantine.Ended, 1, 2, 3)
-			d.Failed(d.endpoints[1], quarantine.Attempt{Request: poison, Resent: true})
+			d.Failed(d.endpoints[1], quarantine.Attempt{Signature: quarantine.Signature{Request: poison}, Resent: true})
 			qt.Assert(t, d.endings(poison), qt.Equals, 2)
 		})
 	}
@@ -127,7 +127,7 @@
 		d := newDomain("d", 6)
 		d.setFinding(quarantine.Ended, 0, 1, 2, 3, 4, 5)
 		for _, e := range d.endpoints {
-			d.Failed(e, quarantine.Attempt{Request: other})
+			d.Failed(e, quarantine.Attempt{Signature: quarantine.Signature{Request: other}})
 		}
 		synctest.Wait()
 		_, held := d.Table.Held(other, time.Now())
@@ -143,7 +143,7 @@
 			restarted.ID = endpoint.InstanceID(restarted.ID, int64(100+life))
 			d.Directory.Apply([]*endpoint.Endpoint{&restarted}, nil, time.Now())
 			d.findings[restarted.ID] = quarantine.Ended
-			d.Failed(&restarted, quarantine.Attempt{Request: poison})
+			d.Failed(&restarted, quarantine.Attempt{Signature: quarantine.Signature{Request: poison}})
 			synctest.Wait()
 			time.Sleep(3 * time.Second)
 		}
@@ -155,7 +155,7 @@
 func TestEndingCountsAgainstRecentlyAbandonedRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDomain("d", 5)
-		d.Abandoned(d.endpoints[0], quarantine.Attempt{Request: poison})
+		d.Abandoned(d.endpoints[0], quarantine.Attempt{Signature: quarantine.Signature{Request: poison}})
 		d.Refused(d.endpoints[1])
 		qt.Check(t, d.endings(poison), qt.Equals, 0)
 		qt.Check(t, d.probes, qt.Equals, 0, qt.Commentf("no request was abandoned at that endpoint"))
@@ -163,7 +163,7 @@
 		d.setFinding(quarantine.Ended, 0)
 		d.Refused(d.endpoints[0])
 		qt.Check(t, d.endings(poison), qt.Equals, 1)
-		d.Abandoned(d.endpoints[1], quarantine.Attempt{Request: other})
+		d.Abandoned(d.endpoints[1], quarantine.Attempt{Signature: quarantine.Signature{Request: other}})
 		time.Sleep(5 * time.Second)
 		d.setFinding(quarantine.Ended, 1)
 		d.Refused(d.endpoints[1])
@@ -177,10 +177,10 @@
 		d := newDomain("d", 5)
 		d.setFinding(quarantine.Ended, 0)
 		for f := range quarantine.Fingerprint(17) {
-			d.Failed(d.endpoints[0], quarantine.Attempt{Request: f})
+			d.Failed(d.endpoints[0], quarantine.Attempt{Signature: quarantine.Signature{Request: f}})
 		}
 		qt.Check(t, d.endings(0), qt.Equals, 1)
-		d.Failed(d.endpoints[0], quarantine.Attempt{Request: 17})
+		d.Failed(d.endpoints[0], quarantine.Attempt{Signature: quarantine.Signature{Request: 17}})
 		qt.Check(t, d.endings(17), qt.Equals, 1, qt.Commentf("a connection that breaks shortly after the cause is known"))
 		qt.Check(t, d.probes, qt.Equals, 2, qt.Commentf("the endpoint and one neighbour"))
 	})
@@ -191,9 +191,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := newDomain("d", 8)
 		d.setFinding(quarantine.Ended, 0, 1, 2)
-		d.Failed(d.endpoints[0], quarantine.Attempt{Request: poison})
-		d.Failed(d.endpoints[1], quarantine.Attempt{Request: poison, Resent: true})
-		d.Failed(d.endpoints[2], quarantine.Attempt{Request: poison, Resent: true})
+		d.Failed(d.endpoints[0], quarantine.Attempt{Signature: quarantine.Signature{Request: poison}})
+		d.Failed(d.endpoints[1], quarantine.Attempt{Signature: quarantine.Signature{Request: poison}, Resent: true})
+		d.Failed(d.endpoints[2], quarantine.Attempt{Signature: quarantine.Signature{Request: poison}, Resent: true})
 		synctest.Wait()
 		_, held := d.Table.Held(poison, time.Now())
 		qt.Check(t, held, qt.IsTrue)
--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -1,27 +1,41 @@
 package quarantine
 
-// recentGenerationSize is the minimum number of answered requests that are kept; they take about 200 KB. At 230
-// requests per second, a node's expected share at the planned fleet size, it covers the last nine seconds. Requests that many
-// callers send are repeated sooner.
-const recentGenerationSize = 2048
+import "time"
 
-// recentSet holds the most recently added fingerprints: at least recentGenerationSize, at most twice as many.
-type recentSet struct {
-	current, previous map[Fingerprint]struct{}
+const (
+	// recentAnswers is the minimum number of answered requests that are kept; they take about 200 KB. At 230 requests per
+	// second, a node's expected share at the planned fleet size, it covers the last nine seconds. Requests that many callers
+	// send are repeated sooner.
+	recentAnswers = 2048
+	// recentBegins is the minimum number of fingerprints of parts on which an answer has begun. At 230 prompts per second of
+	// three parts it covers the last two seconds, in which other nodes report the endings before them.
+	recentBegins = 4096
+)
+
+// recentTimes holds the most recently set fingerprints with a time for each: at least size, at most twice as many.
+type recentTimes struct {
+	size              int
+	current, previous map[Fingerprint]int64 // Unix nanoseconds
 }
 
-func (r *recentSet) add(f Fingerprint) {
-	if r.current == nil || len(r.current) >= recentGenerationSize {
+func (r *recentTimes) set(f Fingerprint, at time.Time) {
+	if r.current == nil || len(r.current) >= r.size {
 		r.previous = r.current
-		r.current = make(map[Fingerprint]struct{}, recentGenerationSize)
+		r.current = make(map[Fingerprint]int64)
 	}
-	r.current[f] = struct{}{}
+	r.current[f] = at.UnixNano()
 }
 
-func (r *recentSet) has(f Fingerprint) bool {
-	if _, ok := r.current[f]; ok {
-		return true
+func (r *recentTimes) has(f Fingerprint) bool { return !r.at(f).IsZero() }
+
+// at returns the time last set for the fingerprint, or the zero time if there is none.
+func (r *recentTimes) at(f Fingerprint) time.Time {
+	nanos, ok := r.current[f]
+	if !ok {
+		nanos, ok = r.previous[f]
+	}
+	if !ok {
+		return time.Time{}
 	}
-	_, ok := r.previous[f]
-	return ok
+	return time.Unix(0, nanos)
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +26,9 @@
 	return Ending{InstanceHash: instanceHash(e), Domain: hash(domain), At: at}
 }
 
+// Instance returns the hash of the ended instance as it stands in logs.
+func (e Ending) Instance() string { return fmt.Sprintf("%08x", e.InstanceHash) }
+
 // asSeparateIncident returns the ending in a domain of its own, so that it is counted separately. It is used for endpoints
 // that received the request after another endpoint had failed it: endpoints lost with their domain end before that.
 func (e Ending) asSeparateIncident() Ending {
@@ -60,11 +64,13 @@
 // determine how long it is held and which endings of other requests it explains.
 const maxEndings = 16
 
-// Record is the state of one request as nodes exchange it.
+// Record is the state of one request, or of one part of a prompt, as nodes exchange it.
 type Record struct {
 	Fingerprint Fingerprint
+	Part        bool          // it is a part of a prompt
 	Endings     []Ending      // of endpoints that were running the request
 	Answered    bool          // an endpoint has answered it completely, so it does not end every endpoint
+	BegunAt     time.Time     // when an answer last began on the part; zero if none is known to have begun
 	Hold        time.Duration // remaining time for which it is held back; zero if it is not
 	Age         time.Duration // time since the last ending or answer was recorded
 }
--- a/internal/quarantine/stored_list.go
+++ b/internal/quarantine/stored_list.go
@@ -24,6 +24,7 @@
 // from when the list is read.
 type StoredRequest struct {
 	Fingerprint string         `json:"fingerprint"`
+	Part        bool           `json:"part,omitempty"` // a part of a prompt, not a whole request
 	Endings     []StoredEnding `json:"endings"`
 	HoldMillis  int64          `json:"hold_ms"`
 }
@@ -41,7 +42,7 @@
 	slices.SortStableFunc(sorted, func(a, b Record) int { return len(b.Endings) - len(a.Endings) })
 	list := StoredList{Requests: []StoredRequest{}}
 	for _, r := range sorted[:min(len(sorted), maxStoredRequests)] {
-		stored := StoredRequest{Fingerprint: r.Fingerprint.String(), HoldMillis: r.Hold.Milliseconds()}
+		stored := StoredRequest{Fingerprint: r.Fingerprint.String(), Part: r.Part, HoldMillis: r.Hold.Milliseconds()}
 		for _, e := range r.Endings {
 			stored.Endings = append(stored.Endings, StoredEnding{e.InstanceHash, e.Domain, now.Sub(e.At).Milliseconds()})
 		}
@@ -63,7 +64,7 @@
 			return nil, storedError.New("fingerprint %q is not a hexadecimal number of 16 digits", r.Fingerprint)
 		}
 		hold := min(time.Duration(r.HoldMillis)*time.Millisecond, maxHold)
-		record := Record{Fingerprint: Fingerprint(f), Hold: hold}
+		record := Record{Fingerprint: Fingerprint(f), Part: r.Part, Hold: hold}
 		for _, e := range r.Endings {
 			at := now.Add(-time.Duration(e.AgeMillis) * time.Millisecond)
 			record.Endings = append(record.Endings, Ending{InstanceHash: e.InstanceHash, Domain: e.Domain, At: at})
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -14,34 +14,71 @@
 // Table holds one node's records of requests under which endpoints have ended. Endings are merged as a set, so that all
 // nodes arrive at the same state whatever the order of their messages.
 type Table struct {
-	// OnHeld is called when a request begins to be held back; it must not block. It may be nil.
+	// OnHeld is called when a request or part begins to be held back; it must not block. It may be nil.
 	OnHeld func(r Record)
+	// MayTry reports whether this is the node that sends a request with a held part again after each hold, to find out whether
+	// the part still ends endpoints. It must not block; nil means never.
+	MayTry func(f Fingerprint) bool
 
 	mu             sync.Mutex
 	entries        map[Fingerprint]*entry
-	sequence       uint64 // incremented with each change
-	recentAnswers  recentSet
-	digest         uint64 // of the suspected requests,
-	digestSequence uint64 // at this sequence
+	sequence       uint64      // incremented with each change
+	answers        recentTimes // of whole requests
+	begins         recentTimes // of answers, by part
+	digest         uint64      // of the suspected requests,
+	digestSequence uint64      // at this sequence
 }
 
 // NewTable returns an empty Table.
-func NewTable() *Table { return &Table{entries: make(map[Fingerprint]*entry)} }
+func NewTable() *Table {
+	return &Table{entries: make(map[Fingerprint]*entry), answers: recentTimes{size: recentAnswers}, begins: recentTimes{size: recentBegins}}
+}
 
 // Ended records that an endpoint ended for no known other reason while it was running the requests, and reports whether any
 // of them is newly held back.
 func (t *Table) Ended(ending Ending, running []Fingerprint, now time.Time) bool {
+	return t.ended(ending, running, false, now)
+}
+
+// PartsEnded records that an endpoint ended for no known other reason before it had begun to answer a prompt with the parts,
+// and reports whether any of them is newly held back.
+func (t *Table) PartsEnded(ending Ending, parts []Fingerprint, now time.Time) bool {
+	return t.ended(ending, parts, true, now)
+}
+
+func (t *Table) ended(ending Ending, fingerprints []Fingerprint, part bool, now time.Time) bool {
 	held := false
-	for _, f := range running {
-		held = t.change(f, now, func(e *entry) bool { return e.add(ending) }) || held
+	for _, f := range fingerprints {
+		held = t.change(f, now, func(e *entry) bool { e.part = part; return e.add(ending) }) || held
 	}
 	return held
 }
 
+// Begun records that an answer to a prompt with the parts has begun.
+func (t *Table) Begun(parts []Fingerprint, now time.Time) {
+	for _, f := range t.recordBegins(parts, now) {
+		t.change(f, now, func(e *entry) bool { return e.begin(now) })
+	}
+}
+
+// recordBegins records the time for each part and returns the parts that have an entry.
+func (t *Table) recordBegins(parts []Fingerprint, now time.Time) []Fingerprint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var known []Fingerprint
+	for _, f := range parts {
+		t.begins.set(f, now)
+		if t.entries[f] != nil {
+			known = append(known, f)
+		}
+	}
+	return known
+}
+
 // Answered records that an endpoint has answered the request completely.
 func (t *Table) Answered(f Fingerprint, now time.Time) {
 	t.mu.Lock()
-	t.recentAnswers.add(f)
+	t.answers.set(f, now)
 	_, known := t.entries[f]
 	t.mu.Unlock()
 	if known {
@@ -55,11 +92,11 @@
 	t.mu.Lock()
 	e, known := t.entries[f]
 	if !known {
-		e = &entry{}
+		e = &entry{begunAt: t.begins.at(f)}
 	}
 	wasSuspected := e.suspected()
 	changed := update(e)
-	if t.recentAnswers.has(f) && !e.answered {
+	if t.answers.has(f) && !e.answered {
 		e.answered, changed = true, true
 	}
 	if !changed {
@@ -126,50 +163,6 @@
 	}
 }
 
-// Held reports whether an attempt of the request must be held back, and for how long from now. Attempts that are held back
-// renew the hold.
-func (t *Table) Held(f Fingerprint, now time.Time) (time.Duration, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[f]
-	if e == nil || !t.held(e, now) {
-		return 0, false
-	}
-	remaining := e.heldUntil.Sub(now)
-	if hold := holdDuration(countIncidents(e.endings)); remaining < time.Duration(renewThreshold*float64(hold)) {
-		e.heldUntil = now.Add(hold)
-		t.commit(f, e, Source{}, now)
-		remaining = hold
-	}
-	return remaining, true
-}
-
-// held reports whether a request is held back: enough endpoints have ended under it, not counting endings that another
-// request explains.
-func (t *Table) held(e *entry, now time.Time) bool {
-	if !e.suspected() || !now.Before(e.heldUntil) {
-		return false
-	}
-	var unexplained []Ending
-	for _, ending := range e.endings {
-		if !t.explained(ending, e) {
-			unexplained = append(unexplained, ending)
-		}
-	}
-	return countIncidents(unexplained) >= endingsToHold
-}
-
-// explained reports whether another request is the more likely cause of the ending: a suspected one that has more endings,
-// including this one. Requests that merely shared endpoints with it are not held back.
-func (t *Table) explained(ending Ending, e *entry) bool {
-	for _, other := range t.entries {
-		if other.suspected() && len(other.endings) > len(e.endings) && other.hasInstance(ending) {
-			return true
-		}
-	}
-	return false
-}
-
 // Holds returns the requests that are held back at now.
 func (t *Table) Holds(now time.Time) []Record {
 	t.mu.Lock()
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/formation"
+	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/quarantine"
 )
 
@@ -15,6 +19,7 @@
 func (n *Server) setUpQuarantine() {
 	n.quarantine = quarantine.NewTable()
 	n.quarantine.OnHeld = n.logHeld
+	n.quarantine.MayTry = n.mayTryHeld
 	n.gossip.Quarantine = n.quarantine
 	endings := n.scope.Counter("endpoint_endings")
 	n.investigator = &quarantine.Investigator{
@@ -45,7 +50,29 @@
 	}
 }
 
-// logHeld logs that a request is held back from now on, whichever node has found it.
+// logHeld logs that a request or a part of a prompt is held back from now on, whichever node has found it.
 func (n *Server) logHeld(r quarantine.Record) {
-	_ = level.Warn(n.logger).Log("msg", "request is held back", "fingerprint", r.Fingerprint, "endings", len(r.Endings), "hold_ms", r.Hold.Milliseconds())
+	msg := "request is held back"
+	if r.Part {
+		msg = "prompt part is held back"
+	}
+	_ = level.Warn(n.logger).Log("msg", msg, "fingerprint", r.Fingerprint, "endings", len(r.Endings), "hold_ms", r.Hold.Milliseconds())
+}
+
+// mayTryHeld reports whether this is the node that tries a held part of a prompt again. All nodes hear the relays, so they agree
+// on it; a node that is no relay never tries, nor does the leader, to which few callers are sent, unless it is alone.
+func (n *Server) mayTryHeld(f quarantine.Fingerprint) bool {
+	now := clock.Now()
+	if !n.gossip.Relaying() {
+		return false
+	}
+	own, leads := tryRank(f, n.gossip.Self().VM), n.controller.Leads(now) > 0
+	return !slices.ContainsFunc(n.gossip.Live(now), func(p *gossip.Peer) bool {
+		return p.Relay && p.Serving && p.LeaderEpoch == 0 && (leads || tryRank(f, p.VM) > own)
+	})
+}
+
+// tryRank ranks the VMs that may try a held part again by rendezvous hashing.
+func tryRank(f quarantine.Fingerprint, vm string) uint64 {
+	return xxhash.Sum64String(f.String() + "/" + vm)
 }
