Move the records of the quarantine to a message of their own

So that the links between nodes of the own interface can carry them too. The encoded form of beats does not change: a message is encoded without its name.

--- a/internal/gossip/quarantine.go
+++ b/internal/gossip/quarantine.go
@@ -38,7 +38,7 @@
 		records = append(records, n.Quarantine.Suspected(maxRecordsPerBeat)...)
 	}
 	for _, r := range records {
-		b.Quarantine = append(b.Quarantine, recordToWire(r, now))
+		b.Quarantine = append(b.Quarantine, r.ToWire(now))
 	}
 	b.QuarantineTo, b.QuarantineSeen, b.QuarantineDigest = reached, s.received, n.Quarantine.Digest()
 }
@@ -88,7 +88,7 @@
 	if len(b.Quarantine) > 0 {
 		records := make([]quarantine.Record, 0, len(b.Quarantine))
 		for _, w := range b.Quarantine {
-			records = append(records, recordFromWire(w, asOf))
+			records = append(records, quarantine.RecordFromWire(w, asOf))
 		}
 		newlyHeld = n.Quarantine.Merge(records, quarantine.Source{VM: b.Vm, Relay: b.Relay}, asOf)
 	}
@@ -100,28 +100,3 @@
 	}
 	return newlyHeld
 }
-
-func recordToWire(r quarantine.Record, now time.Time) *gossippb.QuarantineRecord {
-	s := &gossippb.QuarantineRecord{Fingerprint: uint64(r.Fingerprint), Part: r.Part, Answered: r.Answered, HoldMs: floorMillis(r.Hold), AgeMs: floorMillis(r.Age)}
-	if !r.BegunAt.IsZero() {
-		s.BegunMs = 1 + floorMillis(max(0, now.Sub(r.BegunAt)))
-	}
-	for _, e := range r.Endings {
-		s.Endings = append(s.Endings, &gossippb.Ending{Life: e.InstanceHash, Domain: e.Domain, AgeMs: floorMillis(max(0, now.Sub(e.At)))})
-	}
-	return s
-}
-
-func recordFromWire(s *gossippb.QuarantineRecord, asOf time.Time) quarantine.Record {
-	r := quarantine.Record{Fingerprint: quarantine.Fingerprint(s.Fingerprint), Part: s.Part, Answered: s.Answered, Hold: fromMillis(s.HoldMs), Age: fromMillis(s.AgeMs)}
-	if s.BegunMs > 0 {
-		r.BegunAt = asOf.Add(-fromMillis(s.BegunMs))
-	}
-	for _, e := range s.Endings {
-		r.Endings = append(r.Endings, quarantine.Ending{InstanceHash: e.Life, Domain: e.Domain, At: asOf.Add(-fromMillis(e.AgeMs))})
-	}
-	return r
-}
-
-// floorMillis rounds down to whole milliseconds, so that a hold does not grow by being sent back and forth.
-func floorMillis(d time.Duration) uint32 { return uint32(d / time.Millisecond) } //nolint:gosec // at most a day
