--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -35,6 +35,7 @@
 	Runs              atomic.Int64 // completions started
 	Requests          atomic.Int64 // completions received, refused ones included
 	Cancelled         atomic.Int64
+	Crashes           atomic.Int64 // caused by CrashPassage
 	Cache             PrefixCache
 
 	mu            sync.Mutex
@@ -79,6 +80,19 @@
 	e.running, e.waiting = 0, 0
 }
 
+// crashDowntime is the time from the crash of an engine to its restart.
+const crashDowntime = 500 * time.Millisecond
+
+// crash kills the engine because of what a request held, and restarts it later.
+func (e *Engine) crash() {
+	if !e.Alive() {
+		return
+	}
+	e.Crashes.Add(1)
+	e.Kill()
+	time.AfterFunc(crashDowntime, func() { _ = e.Restart() })
+}
+
 // Restart starts a killed engine again at its address, with empty state and a new boot ID.
 func (e *Engine) Restart() error {
 	e.mu.Lock()
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -30,6 +31,9 @@
 	Stream    bool   `json:"stream"`
 }
 
+// CrashPassage is a passage of a prompt that crashes every engine which begins to write on it, whatever else the prompt holds.
+const CrashPassage = "a deadly passage"
+
 const (
 	prefixHitSpeedup = 5 // divides the prefill time on a prefix cache hit
 	defaultTokens    = 16
@@ -65,6 +69,11 @@
 		return
 	}
 	e.Runs.Add(1)
+	if strings.Contains(c.Prompt, CrashPassage) {
+		time.Sleep(e.scaled(e.Prefill))
+		e.crash()
+		return
+	}
 	s := &stream{id: id, prompt: c.Prompt, tokens: c.MaxTokens}
 	s.changed = sync.NewCond(&s.mu)
 	e.mu.Lock()
