Own interface: hold back passages of prompts under which engines end

Callers saw 502 for each request with a passage that ends engines, and each cost a replica group; nothing connected the requests.

Change: entry uses the quarantine of the gateway. A group's leader is one life by its boot ID, which the evidence now carries; the investigator asks the engine and other engines of its domain. Links carry the records up and down, and the holders of leases keep the list in the store. The investigator gets its endpoints through an interface.

--- a/internal/endpoint/directory.go
+++ b/internal/endpoint/directory.go
@@ -140,3 +140,24 @@
 	next.Evacuated, next.Returned = dataCentres, returned
 	d.current.Store(&next)
 }
+
+// IsLeaving reports whether the instance of an endpoint is draining, or is not listed any more.
+func (d *Directory) IsLeaving(e *Endpoint) bool {
+	listed := d.Read().Endpoints[e.ID]
+	return listed == nil || listed.Draining
+}
+
+// Neighbours returns the other endpoints of e's fabric domain, or of its data centre if it is in none, that are not draining.
+func (d *Directory) Neighbours(e *Endpoint) []*Endpoint {
+	var out []*Endpoint
+	for _, other := range d.Read().Endpoints {
+		sharesDomain := other.Domain == e.Domain
+		if e.Domain == "" {
+			sharesDomain = other.DataCentre == e.DataCentre
+		}
+		if sharesDomain && other.ID != e.ID && !other.Draining {
+			out = append(out, other)
+		}
+	}
+	return out
+}
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -13,8 +13,10 @@
 	"moorrun.dev/moorrun/internal/burn"
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
+	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/invariant"
+	"moorrun.dev/moorrun/internal/quarantine"
 	"moorrun.dev/moorrun/internal/routing"
 	"moorrun.dev/moorrun/internal/verdict"
 )
@@ -35,6 +37,10 @@
 	place  *admission.Place
 	target routing.Target
 	sentAt time.Time
+
+	signature quarantine.Signature
+	life      *endpoint.Endpoint // the leader as it was when the request was sent; nil for a resumed stream
+	resent    bool               // another group had failed the request
 }
 
 // serveCompletion handles /v1/completions.
@@ -73,7 +79,12 @@
 // be retried until its answer has begun.
 func (s *Server) completeWithRetries(c *call, model config.ModelOf, r completionRequest) *failure {
 	avoid := ""
+	signature := completionSignature(c, model.Name, r.Prompt)
 	for {
+		trial, f := s.checkHold(&signature, nil)
+		if f != nil {
+			return f
+		}
 		if left := s.Router.RemainingPause(model.Name, clock.Now()); left > c.remaining() {
 			return unavailable("each replica group of the model has asked for a pause", left)
 		}
@@ -83,11 +94,17 @@
 		if f != nil {
 			return f
 		}
+		if _, f := s.checkHold(&signature, trial); f != nil {
+			a.place.Release(false)
+			return f
+		}
+		a.signature, a.life, a.resent = signature, s.life(a.target), avoid != ""
 		answer, err := s.send(a)
 		if err == nil {
 			return s.relayAnswer(a, answer, r.Stream)
 		}
 		s.recordFailure(a, err)
+		s.recordEnd(a, err, false)
 		a.place.Release(false)
 		avoid = a.target.Group
 		if c.remaining() <= 0 {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -25,6 +25,7 @@
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/once"
 	"moorrun.dev/moorrun/internal/peer"
+	"moorrun.dev/moorrun/internal/quarantine"
 	"moorrun.dev/moorrun/internal/routing"
 )
 
@@ -52,6 +53,7 @@
 	ServiceAdmission *admission.Admission
 	Calls            *httpcall.Client
 	Engine           infra.Engine
+	Quarantine       *quarantine.Table // requests under which engines have ended
 	Once             *once.ClaimStore
 	Burn             *burn.Recorder
 	Checker          *invariant.Checker
@@ -64,10 +66,12 @@
 // Server is the HTTP server of a node for callers.
 type Server struct {
 	Options
-	budget   *retryBudget
-	metrics  metrics
-	http     *fasthttp.Server
-	inflight atomic.Int64
+	budget  *retryBudget
+	metrics metrics
+	http    *fasthttp.Server
+	// investigator finds out whether an engine has ended while it had a request.
+	investigator *quarantine.Investigator
+	inflight     atomic.Int64
 
 	mu       sync.Mutex
 	draining bool
@@ -79,6 +83,9 @@
 		Options: o, budget: newRetryBudget(),
 		metrics: newMetrics(o.Scope),
 	}
+	s.investigator = &quarantine.Investigator{
+		Table: o.Quarantine, Directory: engines{s}, Probe: s.probeEngine, OnEnding: func(bool) {}, Logger: o.Logger,
+	}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, Name: "moorrun", MaxRequestBodySize: maxRequestBodyBytes, ReadBufferSize: maxRequestHeaderBytes,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, CloseOnShutdown: true,
--- a/internal/entry/stream_body.go
+++ b/internal/entry/stream_body.go
@@ -120,6 +120,7 @@
 func (b *streamBody) recordBytes(p []byte) {
 	if b.firstReadAt.IsZero() {
 		b.firstReadAt = clock.Now()
+		b.server.Quarantine.Begun(b.attempt.signature.Parts, b.firstReadAt)
 	}
 	if b.marker == nil {
 		return
@@ -143,6 +144,9 @@
 func (b *streamBody) abort(err error) error {
 	b.server.metrics.cutStreams.Inc(1)
 	b.server.Router.RecordFailure(b.attempt.target.Group, b.attempt.target.Birth)
+	if b.attempt.life != nil {
+		b.server.recordEnd(b.attempt, verdict.New(verdict.MayHaveRun, err), !b.firstReadAt.IsZero())
+	}
 	_ = level.Warn(b.server.Logger).Log("msg", "answer truncated", "request_id", b.attempt.call.id,
 		"group", b.attempt.target.Group, "err", err)
 	b.errorEvent = bytes.NewReader(nil)
@@ -176,6 +180,7 @@
 	if !b.completed && b.marker != nil {
 		b.cancelAtEngine()
 	}
+	s.recordOutcome(a, b.completed, b.errorEvent != nil, !b.firstReadAt.IsZero())
 	outcome := burn.Outcome{Failed: !b.completed, Latency: clock.Since(a.call.started)}
 	if !b.firstReadAt.IsZero() {
 		outcome.FirstToken = b.firstReadAt.Sub(a.call.started)
--- a/internal/infra/engine.go
+++ b/internal/infra/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"github.com/cespare/xxhash/v2"
 )
 
 // ErrFenced is returned by Order when the engine has already accepted an order of a later generation.
@@ -39,3 +40,8 @@
 func (s EngineState) InGroup(group string, birth int64, model, version string) bool {
 	return s.Group == group && s.GroupBirth == birth && s.Model == model && s.Version == version
 }
+
+// BootHash returns a hash of the boot ID, by which two starts of an engine are told apart.
+func (s *EngineState) BootHash() uint32 {
+	return uint32(xxhash.Sum64String(s.Boot)) //nolint:gosec // truncated to 32 bits on purpose
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 	"moorrun.dev/moorrun/internal/once"
 	"moorrun.dev/moorrun/internal/peer"
 	"moorrun.dev/moorrun/internal/places"
+	"moorrun.dev/moorrun/internal/quarantine"
 	"moorrun.dev/moorrun/internal/reach"
 	"moorrun.dev/moorrun/internal/relay"
 	"moorrun.dev/moorrun/internal/replica"
@@ -79,6 +80,7 @@
 	takeover      *membership.Takeover
 	vms           *holder.VMWatch
 	observer      *observer.Observer
+	holdSyncer    *quarantine.HoldSyncer
 	places        *places.Server
 	admission     *admission.Admission
 	// serviceAdmission queues requests to plain services; admission queues those to models.
@@ -144,8 +146,9 @@
 	n.entry = entry.New(entry.Options{
 		Current: current, Contact: n.fleet.Contact, Members: n.fleet.Members, Router: router, Services: services,
 		Admission: n.admission, ServiceAdmission: n.serviceAdmission, Calls: n.calls, Engine: engine, Once: n.once, Burn: recorder, Checker: checker,
-		Scope: scope, Logger: logger, AddressLifetime: s.AddressLifetime(),
+		Scope: scope, Logger: logger, AddressLifetime: s.AddressLifetime(), Quarantine: n.fleet.Quarantine,
 	})
+	n.setUpQuarantine()
 	n.admin = admin.New(admin.Options{
 		Store: accept.NewStore(n.objects), Objects: n.objects, Current: current, Members: n.fleet.Members,
 		Mirror: n.fleet.Mirror, Drains: n.drains, Assignments: assignments, Router: router, Admission: n.admission, Burn: recorder,
@@ -170,7 +173,7 @@
 	}
 	n.fleet = &peer.Fleet{
 		Mirror: mirror.New(), Observations: evidence.NewTable(), Reports: evidence.NewReports(),
-		Members: membership.NewTable(self), Contact: &peer.Contact{}, Outgoing: peer.NewOutbox(), Heartbeat: s.Heartbeat(),
+		Members: membership.NewTable(self), Contact: &peer.Contact{}, Outgoing: peer.NewOutbox(), Quarantine: quarantine.NewTable(), Heartbeat: s.Heartbeat(),
 	}
 	n.caller = peer.NewCaller(s.Heartbeat())
 	n.links = relay.NewLinks(n.fleet, s.Peers)
@@ -231,7 +234,7 @@
 	g.Go(func() error { return ignoreErrorAfterEnd(n.runCtx, n.peerServer.Serve(n.runCtx, peers)) })
 	for _, run := range []func(context.Context) error{
 		n.links.Run, n.watcher.Run, n.configTracker.Run, n.leases.Run, n.vms.Run, n.observer.Run,
-		n.register, n.pruner.Run, n.sweep, n.syncDraining, n.places.Run,
+		n.register, n.pruner.Run, n.sweep, n.syncDraining, n.places.Run, n.holdSyncer.Run,
 	} {
 		g.Go(func() error { return run(n.runCtx) })
 	}
@@ -258,6 +261,8 @@
 		n.once.Sweep()
 		n.fleet.Observations.Sweep(now)
 		n.fleet.Members.Sweep(now)
+		n.fleet.Quarantine.Sweep(now)
+		n.entry.Sweep(now)
 	})
 	return nil
 }
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -189,6 +189,6 @@
 	}
 	out.Expires = oldest.Add(o.evidenceLifetime)
 	leader := vms[g.VMs[0]].State
-	out.Running, out.Waiting = uint32(leader.Running), uint32(leader.Waiting)
+	out.Running, out.Waiting, out.LeaderBoot = uint32(leader.Running), uint32(leader.Waiting), leader.BootHash()
 	return out
 }
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -38,7 +38,7 @@
 	e := &peerpb.DomainEvidence{Domain: l.Domain, Observer: l.Observer, Sequence: l.Sequence, Generation: l.Generation}
 	e.Groups = make([]*peerpb.GroupEvidence, len(l.Groups))
 	for i, g := range l.Groups {
-		e.Groups[i] = &peerpb.GroupEvidence{Id: g.ID, Birth: g.Birth, Running: g.Running, Waiting: g.Waiting}
+		e.Groups[i] = &peerpb.GroupEvidence{Id: g.ID, Birth: g.Birth, Running: g.Running, Waiting: g.Waiting, LeaderBoot: g.LeaderBoot}
 		if remaining := g.Expires.Sub(now); remaining > 0 {
 			e.Groups[i].RemainingMs = uint32(remaining.Milliseconds())
 		}
@@ -50,7 +50,7 @@
 	l := evidence.Observation{Domain: e.Domain, Observer: e.Observer, Sequence: e.Sequence, Generation: e.Generation}
 	l.Groups = make([]evidence.Group, len(e.Groups))
 	for i, g := range e.Groups {
-		l.Groups[i] = evidence.Group{ID: g.Id, Birth: g.Birth, Running: g.Running, Waiting: g.Waiting,
+		l.Groups[i] = evidence.Group{ID: g.Id, Birth: g.Birth, Running: g.Running, Waiting: g.Waiting, LeaderBoot: g.LeaderBoot,
 			Expires: asOf.Add(millis(g.RemainingMs))}
 	}
 	return l
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -9,6 +9,7 @@
 	"moorrun.dev/moorrun/internal/evidence"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/mirror"
+	"moorrun.dev/moorrun/internal/quarantine"
 )
 
 // Fleet is the state that a node holds of the deployment and exchanges with its peers over its links.
@@ -20,6 +21,8 @@
 	Contact      *Contact
 	// Outgoing holds this node's own observations, with the reports of the observed VMs, for sending to relays.
 	Outgoing *Outbox
+	// Quarantine holds the requests under which engines have ended.
+	Quarantine *quarantine.Table
 	// Heartbeat is the longest time that either side of a link goes without sending a message.
 	Heartbeat time.Duration
 }
--- a/internal/peer/link_client.go
+++ b/internal/peer/link_client.go
@@ -13,6 +13,7 @@
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
+	"moorrun.dev/moorrun/internal/quarantine"
 )
 
 // idleTimeoutHeartbeats is the number of heartbeat intervals without traffic after which a connection is closed.
@@ -24,6 +25,7 @@
 // LinkClient is the client side of a link: this node's stream to one relay.
 type LinkClient struct {
 	fleet          *Fleet
+	address        string
 	sameDataCentre bool // whether the relay is in this node's data centre
 	stream         peerpb.DRPCPeer_LinkClient
 
@@ -49,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	l := &LinkClient{fleet: fleet, sameDataCentre: sameDataCentre, stream: stream}
+	l := &LinkClient{fleet: fleet, address: address, sameDataCentre: sameDataCentre, stream: stream}
 	sendErr := make(chan error, 1)
 	go func() { sendErr <- l.send(ctx) }()
 	for {
@@ -89,6 +91,7 @@
 		l.fleet.Observations.Put(observation, now)
 	}
 	l.receiveMembers(down.Members, asOf)
+	l.fleet.mergeRecords(down.Quarantine, quarantine.Source{VM: l.address, Relay: true}, asOf)
 	for _, a := range down.Alive {
 		l.fleet.Members.Heard(a.Vm, a.Incarnation, asOf.Add(-millis(a.AgeMs)))
 	}
@@ -121,12 +124,13 @@
 }
 
 func (l *LinkClient) send(ctx context.Context) error {
-	var sequence uint64
+	var sequence, sentRecords uint64
 	for ctx.Err() == nil {
 		up, now := l.header()
 		up.Member = memberToWire(l.fleet.Members.Self(now), now)
 		var changed <-chan struct{}
 		up.Evidence, sequence, changed = l.fleet.Outgoing.since(sequence, now)
+		up.Quarantine, sentRecords = l.fleet.recordsSince(sentRecords, l.address, now)
 		if err := l.stream.Send(up); err != nil {
 			return err
 		}
--- a/internal/peer/link_server.go
+++ b/internal/peer/link_server.go
@@ -11,6 +11,7 @@
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/peer/peerpb"
+	"moorrun.dev/moorrun/internal/quarantine"
 )
 
 const (
@@ -35,6 +36,7 @@
 	sentObjects      uint64
 	sentObservations uint64
 	sentMembers      uint64
+	sentRecords      uint64
 	agesSentAt       time.Time
 	membersSentAt    time.Time
 }
@@ -120,6 +122,7 @@
 		return
 	}
 	l.fleet.Contact.RecordAlive(asOf)
+	l.fleet.mergeRecords(up.Quarantine, quarantine.Source{VM: l.peerVM()}, asOf)
 	if !l.peerInSameDataCentre() {
 		return
 	}
@@ -154,6 +157,7 @@
 	}
 	l.addObservations(down, now)
 	l.addMembers(down, now)
+	down.Quarantine, l.sentRecords = l.fleet.recordsSince(l.sentRecords, l.peerVM(), now)
 	return l.stream.Send(down)
 }
 
--- a/internal/quarantine/investigator.go
+++ b/internal/quarantine/investigator.go
@@ -30,12 +30,20 @@
 	maxLoggedAttempts = 20
 )
 
+// Directory tells which endpoints there are.
+type Directory interface {
+	// IsLeaving reports whether the instance of an endpoint is draining, or is not listed any more.
+	IsLeaving(e *endpoint.Endpoint) bool
+	// Neighbours returns the other endpoints of e's fabric domain, or of its data centre if it is in none, that are not draining.
+	Neighbours(e *endpoint.Endpoint) []*endpoint.Endpoint
+}
+
 // Investigator determines why connections to endpoints broke. An ending counts against the requests that the endpoint was running
 // only if there is no other known cause: the endpoint was not draining, and its fabric domain is up. An endpoint that does
 // not answer at all is not assumed to have ended.
 type Investigator struct {
 	Table     *Table
-	Directory *endpoint.Directory
+	Directory Directory
 	// Probe probes whether an endpoint is alive.
 	Probe func(ctx context.Context, e *endpoint.Endpoint) ProbeResult
 	// OnEnding is called after an ending has been recorded. held reports whether a request is newly held back because of it, in
@@ -188,11 +196,10 @@
 	if q.probe(e) != Ended {
 		return noEndFound
 	}
-	snapshot := q.Directory.Read()
-	if listed := snapshot.Endpoints[e.ID]; listed == nil || listed.Draining {
+	if q.Directory.IsLeaving(e) {
 		return endedWhileDraining
 	}
-	neighbours := q.sampleNeighbours(snapshot, e)
+	neighbours := q.sampleNeighbours(e)
 	if len(neighbours) > 0 && !slices.ContainsFunc(neighbours, func(n *endpoint.Endpoint) bool { return q.probe(n) == Alive }) {
 		return endedWithDomain
 	}
@@ -205,24 +212,19 @@
 	return q.Probe(ctx, e)
 }
 
-// sampleNeighbours returns random endpoints of e's fabric domain or, if e is in none, of its data centre. Endpoints that this
-// node is investigating or has found to have ended come last, because probing them gives no new evidence about the domain.
-func (q *Investigator) sampleNeighbours(s *endpoint.Snapshot, e *endpoint.Endpoint) []*endpoint.Endpoint {
+// sampleNeighbours returns random neighbours of e. Endpoints that this node is investigating or has found to have ended come last,
+// because probing them gives no new evidence about the domain.
+func (q *Investigator) sampleNeighbours(e *endpoint.Endpoint) []*endpoint.Endpoint {
 	var out, ended []*endpoint.Endpoint
+	neighbours := q.Directory.Neighbours(e)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, other := range s.Endpoints {
-		sharesDomain := other.Domain == e.Domain
-		if e.Domain == "" {
-			sharesDomain = other.DataCentre == e.DataCentre
-		}
-		switch {
-		case !sharesDomain || other.ID == e.ID || other.Draining:
-		case q.investigations[instanceHash(other)] != nil:
+	for _, other := range neighbours {
+		if q.investigations[instanceHash(other)] != nil {
 			ended = append(ended, other)
-		default:
-			out = append(out, other)
+			continue
 		}
+		out = append(out, other)
 	}
 	shuffle(out)
 	shuffle(ended)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -74,3 +74,11 @@
 	Hold        time.Duration // remaining time for which it is held back; zero if it is not
 	Age         time.Duration // time since the last ending or answer was recorded
 }
+
+// HeldMessage returns the log message about the beginning of a hold.
+func (r *Record) HeldMessage() string {
+	if r.Part {
+		return "prompt part is held back"
+	}
+	return "request is held back"
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -76,6 +76,18 @@
 	return g.Expires
 }
 
+// LeaderBoot returns a hash of the boot ID of the target's leader, zero if there is no evidence of it.
+func (r *Router) LeaderBoot(t Target) uint32 {
+	g, _ := r.evidence.Group(t.Domain, t.Group, t.Birth)
+	return g.LeaderBoot
+}
+
+// Knows reports whether the group is in use with that birth number.
+func (r *Router) Knows(group string, birth int64, now time.Time) bool {
+	_, ok := r.currentTable(now).byKey[targetKey{group, birth}]
+	return ok
+}
+
 // allPresent reports whether there is evidence that all VMs of the group are present.
 func (r *Router) allPresent(t Target, now time.Time) bool {
 	return now.Before(r.AllPresentUntil(t))
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -52,11 +52,7 @@
 
 // logHeld logs that a request or a part of a prompt is held back from now on, whichever node has found it.
 func (n *Server) logHeld(r quarantine.Record) {
-	msg := "request is held back"
-	if r.Part {
-		msg = "prompt part is held back"
-	}
-	_ = level.Warn(n.logger).Log("msg", msg, "fingerprint", r.Fingerprint, "endings", len(r.Endings), "hold_ms", r.Hold.Milliseconds())
+	_ = level.Warn(n.logger).Log("msg", r.HeldMessage(), "fingerprint", r.Fingerprint, "endings", len(r.Endings), "hold_ms", r.Hold.Milliseconds())
 }
 
 // mayTryHeld reports whether this is the node that tries a held part of a prompt again. All nodes hear the relays, so they agree
