--- a/internal/entry/stream_body.go
+++ b/internal/entry/stream_body.go
@@ -65,6 +65,7 @@
 	}
 	n, err := b.answer.Read(p)
 	if n > 0 {
+		b.recordBegin()
 		b.recordBytes(p[:n])
 	}
 	switch {
@@ -116,12 +117,17 @@
 	return b.answer.SetReadTimeout(min(awaitTimeout, b.attempt.call.deadline.Sub(now)))
 }
 
+// recordBegin records the first part of the answer.
+func (b *streamBody) recordBegin() {
+	if !b.firstReadAt.IsZero() {
+		return
+	}
+	b.firstReadAt = clock.Now()
+	b.server.Quarantine.Begun(b.attempt.signature.Parts, b.firstReadAt)
+}
+
 // recordBytes counts the events in p and keeps the last bytes relayed.
 func (b *streamBody) recordBytes(p []byte) {
-	if b.firstReadAt.IsZero() {
-		b.firstReadAt = clock.Now()
-		b.server.Quarantine.Begun(b.attempt.signature.Parts, b.firstReadAt)
-	}
 	if b.marker == nil {
 		return
 	}
