--- a/internal/standin/estate/worker.go
+++ b/internal/standin/estate/worker.go
@@ -71,6 +71,9 @@
 	refusing         bool
 	retryAfter       string // Retry-After, in seconds, of refusals; empty for none
 	dropResponses    int    // number of next requests to run without a response
+	unframed         bool   // its responses have neither a length nor chunks
+	breakOffs        int    // number of next unframed responses to end midway, within an event if they are streams
+	resetsBrokenOff  bool   // it resets the connections of those
 	announcedLimit   string // Server-Limit header of responses, in requests per second; empty for none
 }
 
@@ -251,11 +254,45 @@
 		return
 	}
 	rw.Header().Set("X-Moorrun-Server-Seal", "seal-"+attempt)
+	w.mu.Lock()
+	unframed, breakOff, reset := w.unframed, w.breakOffs > 0, w.resetsBrokenOff
+	if breakOff {
+		w.breakOffs--
+	}
+	w.mu.Unlock()
+	if unframed {
+		w.serveUnframed(rw, r, engine, breakOff, reset)
+		return
+	}
+	w.answer(rw, r, engine, EventsPerStream)
+}
+
+// answer writes the response to a request that runs; a stream ends after the given number of events.
+func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, engine bool, events int) {
 	if !engine {
-		_, _ = fmt.Fprintf(rw, "whole answer to %s", attempt)
+		_, _ = fmt.Fprintf(rw, "whole answer to %s", r.Header.Get("X-Moorrun-Attempt-Id"))
+		return
+	}
+	w.stream(rw, r, r.Header.Get("Last-Event-Id"), events)
+}
+
+// serveUnframed writes a response with neither a length nor chunks. A broken off one ends midway, a stream within an event.
+func (w *Worker) serveUnframed(rw http.ResponseWriter, r *http.Request, engine, breakOff, reset bool) {
+	u, err := newUnframedWriter(rw)
+	if err != nil {
 		return
 	}
-	w.stream(rw, r, after)
+	switch {
+	case !breakOff:
+		w.answer(u, r, engine, EventsPerStream)
+	case engine:
+		u.header.Set("Content-Type", "text/event-stream")
+		w.answer(u, r, engine, EventsPerStream/2)
+		_, _ = fmt.Fprintf(u, "id: %d\ndata: par", EventsPerStream/2+1)
+	default:
+		_, _ = fmt.Fprint(u, "part of an answer")
+	}
+	u.close(breakOff && reset)
 }
 
 // crashesOnPrompt reports whether the prompt of a request has a part that crashes workers.
@@ -268,10 +305,10 @@
 	return false
 }
 
-func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, after string) {
+func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, after string, events int) {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(after)
-	for id := first + 1; id <= EventsPerStream; id++ {
+	for id := first + 1; id <= events; id++ {
 		select {
 		case <-r.Context().Done():
 			return
@@ -339,6 +376,14 @@
 // DropNextResponses makes the worker run the next n requests without responding.
 func (w *Worker) DropNextResponses(n int) { w.set(func() { w.dropResponses = n }) }
 
+// AnswerUnframed makes the worker answer with neither a length nor chunks.
+func (w *Worker) AnswerUnframed() { w.set(func() { w.unframed = true }) }
+
+// BreakOffNextUnframed makes the worker end the next n unframed responses midway, with a reset of their connections if reset is set.
+func (w *Worker) BreakOffNextUnframed(n int, reset bool) {
+	w.set(func() { w.breakOffs, w.resetsBrokenOff = n, reset })
+}
+
 // Drain announces in the entry and in responses that the worker is about to leave.
 func (w *Worker) Drain() {
 	w.set(func() { w.draining = true })
