Soak: requests with a passage that ends engines

They go to one node after the other between the other faults, no two alike. Checked: none gets a whole answer, and at most eight engines end in a run.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -21,7 +21,7 @@
 	fault := linkFaults[w.faultRand.IntN(len(linkFaults))]
 	engine := w.lab.Engines[w.randomEngineVM()]
 	endpoint := w.lab.PlainEndpoints[[]string{"receipts-1", "receipts-2"}[w.faultRand.IntN(2)]]
-	switch w.faultRand.IntN(16) {
+	switch w.faultRand.IntN(17) {
 	case 0:
 		node.Kill()
 		time.Sleep(duration)
@@ -77,6 +77,8 @@
 		engine.Freeze(true)
 		w.cutPaths(duration)
 		engine.Freeze(false)
+	case 15:
+		w.requestDeadlyCompletions(2 + w.faultRand.IntN(6))
 	default: // a paused node during a store outage
 		node.Pause(true)
 		w.lab.Objects.Down.Store(true)
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/lab"
+	"moorrun.dev/moorrun/internal/standin"
 )
 
 // keyedCalls holds the last verdict that the caller of each call with an idempotency key received.
@@ -100,3 +101,28 @@
 		w.results.check(verdict != "ran" || runs == 1, "call %s has the verdict ran but ran %d times", mark, runs)
 	}
 }
+
+// maxDeadlyRuns is the maximum number of engines that may end under one passage: five, and three more under requests that are
+// sent late.
+const maxDeadlyRuns = 5 + 3
+
+// requestDeadlyCompletions sends requests with a passage that ends every engine which begins to write on it, no two alike, to one
+// node after the other. They may also be refused.
+func (w *workload) requestDeadlyCompletions(count int) {
+	donors := lab.NewCaller("donors-caller-token")
+	for range count {
+		n := w.results.countDeadly()
+		prompt := fmt.Sprintf("Answer the letter.\n\n%s\n\nletter %d", standin.CrashPassage, n)
+		reply := donors.Complete(w.callerAddress(n), lab.Completion{Model: "letters-70b", Prompt: prompt, Tokens: 3, DeadlineMS: 2000})
+		w.results.check(!reply.Complete, "deadly prompt %d got the whole answer %q", n, reply.Text)
+	}
+}
+
+// checkDeadlyRuns checks that the engines did not go on ending under the passage.
+func (w *workload) checkDeadlyRuns() {
+	ended := int64(0)
+	for _, e := range w.lab.Engines {
+		ended += e.Crashes.Load()
+	}
+	w.results.check(ended <= maxDeadlyRuns, "%d engines ended under one passage", ended)
+}
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -75,6 +75,7 @@
 		w.results.addViolation("%v", err)
 	}
 	w.checkRunCounts()
+	w.checkDeadlyRuns()
 	w.checkLinearizability()
 	checks := w.checkInvariants()
 	fmt.Printf("soak: seed %d, %d faults, %d requests, %d checks, %d violations\n", seed, w.results.faults, w.results.requests, checks, len(w.results.violations))
--- a/test/soak/results.go
+++ b/test/soak/results.go
@@ -13,6 +13,7 @@
 	faults     int
 	requests   int64
 	checks     int64
+	deadly     int // requests that end engines
 	violations []string
 }
 
@@ -41,5 +42,13 @@
 	r.requests++
 }
 
+// countDeadly counts a request that ends engines and returns its number.
+func (r *results) countDeadly() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.deadly++
+	return r.deadly
+}
+
 // decode ignores errors: v keeps its zero value if a node did not answer.
 func decode(text string, v any) { _ = json.Unmarshal([]byte(text), v) }
