Log what a request at the own interface waits for after its first second

A request once waited a minute for a place while four groups were usable. The log held the refusal alone, which cannot tell a missing grant from groups that are not usable or ejected at this node, or from an allocator that does not answer. The line `request waits for a place` has the places, usable and ejected groups, the grant and what is left of it, and the age and error of the last report. No decision changes.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -19,6 +19,7 @@
 	retryDelay     = 50 * time.Millisecond  // after a failed report
 	waitingDivisor = 4                      // while requests wait, reports are this many times as frequent
 	retryAfter     = time.Second            // base of the wait that a refusal suggests before a retry
+	longWait       = time.Second            // after which OnLongWait is called for a request
 )
 
 // Admission holds this node's queues, in one pool for each model.
@@ -28,6 +29,8 @@
 
 	// LengthOnly bounds queues only by length, not by expected wait. It is a baseline for comparison.
 	LengthOnly bool
+	// OnLongWait is called for a request that has waited for a second; it must not block. It may be nil.
+	OnLongWait func(w LongWait)
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -53,6 +56,8 @@
 	p.triggerReport()
 	timer := time.NewTimer(w.maxWait)
 	defer timer.Stop()
+	long := time.NewTimer(longWait)
+	defer long.Stop()
 	var preferTimeout <-chan time.Time
 	if w.onlyPreferred {
 		preferTimeout = time.After(r.PreferWait)
@@ -63,6 +68,10 @@
 			return place, nil
 		case <-preferTimeout:
 			p.allowAnyGroup(r.Workspace, w)
+		case <-long.C:
+			if a.OnLongWait != nil {
+				a.OnLongWait(p.describeWait(r.Workspace, clock.Now()))
+			}
 		case <-ctx.Done():
 			p.abandon(r.Workspace, w)
 			return nil, ctx.Err()
@@ -121,6 +130,7 @@
 	if changed {
 		p.resetGrant()
 	}
+	p.recordReport(clock.Now(), err)
 	if err != nil {
 		return retryDelay, minReportGap
 	}
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -31,6 +31,8 @@
 	grant     uint64
 	expires   time.Time // when the current grant expires
 	reportNow chan struct{}
+	reportErr error     // error of the last report, nil if it was answered
+	answered  time.Time // when a report was last answered
 	arrivals  map[string]*rate
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,6 +134,7 @@
 	n.admission = admission.New(n.runCtx, allocatorClient, router)
 	n.admission.LengthOnly = s.QueuePolicy == settings.QueueFIFO
 	n.serviceAdmission = admission.New(n.runCtx, allocatorClient, services)
+	n.admission.OnLongWait, n.serviceAdmission.OnLongWait = n.logLongWait, n.logLongWait
 	n.once = once.NewClaimStore(time.Now)
 	losses := holder.NewLossMeter()
 	n.buildHolder(assignments, engine, current, checker, losses)
