Start waiting requests when their groups become usable, whatever the allocator says

Callers at the own interface could wait for their whole deadline although their workspace had places: the queue was looked at when a grant was applied, a place released or a waiter left, but not when a group of the grant became usable or its ejection ended. While the allocator answers, a grant is applied every 25 ms and hides it.

Not shown: that this was the cause of the known red TestRefusalsSayThatNothingRan. A grant lasts ten seconds, so it explains ten of its 60 at most.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -132,6 +132,7 @@
 	}
 	p.recordReport(clock.Now(), err)
 	if err != nil {
+		p.dispatchAll(clock.Now())
 		return retryDelay, minReportGap
 	}
 	p.apply(grant, now.Add(lifetime), clock.Now())
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -216,6 +216,16 @@
 	}
 }
 
+// dispatchAll gives the free places of the last grant to waiting requests, as long as it is valid. Groups become usable, and ejections
+// end, between two grants.
+func (p *pool) dispatchAll(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, q := range p.queues {
+		p.dispatch(q, now)
+	}
+}
+
 // maxOvertaking is how many requests from the front of the queue are searched for one that prefers the group of a
 // free place. It bounds how many requests can overtake the first one.
 const maxOvertaking = 8
