--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -51,8 +51,8 @@
 	return Line{VM: pop("vm"), Event: pop("msg"), timestamp: pop("ts"), Fields: fields}
 }
 
-// ForRequest returns the lines of all nodes about the request with that ID, and those about the endpoints and groups that it
-// was sent to. Lines of one node stay in the order in which it wrote them. Lines of different nodes are merged by timestamp;
+// ForRequest returns the lines of all nodes about the request with that ID, those about the endpoints and groups that it
+// was sent to, and those about the endings that it was held back for. Lines of one node stay in the order in which it wrote them. Lines of different nodes are merged by timestamp;
 // their order is approximate, because the clocks of nodes may differ. Ages in the lines are exact.
 func ForRequest(id string, lines []Line) []Line {
 	related := make(map[string]bool)
@@ -66,6 +66,12 @@
 				related[value] = true
 			}
 		}
+		instances, _ := l.Fields["instances"].([]any)
+		for _, value := range instances {
+			if instance, ok := value.(string); ok {
+				related[instance] = true
+			}
+		}
 	}
 	for _, l := range lines {
 		l.Own = l.Fields["request"] == id
@@ -77,9 +83,9 @@
 	return out
 }
 
-// mentionsAny reports whether the line's endpoint, group or head is in names.
+// mentionsAny reports whether the line's endpoint, its instance, group or head is in names.
 func (l *Line) mentionsAny(names map[string]bool) bool {
-	for _, name := range []string{"endpoint", "group", "head"} {
+	for _, name := range []string{"endpoint", "instance", "group", "head"} {
 		if value, _ := l.Fields[name].(string); names[value] {
 			return true
 		}
--- a/test/gateway/prompt_part_test.go
+++ b/test/gateway/prompt_part_test.go
@@ -60,3 +60,42 @@
 		})
 	}
 }
+
+// The list of held requests in the store has the parts too, so that they stay held though all nodes lose their memory.
+func TestHeldPromptPartStaysHeldThoughAllNodesAreKilled(t *testing.T) {
+	f := newFleet(t)
+	f.crashByPart(estate.CrashPromptPrefix, 1)
+	f.await("the list of held requests is stored", func() bool { return f.platform.Store.Has("moorrun-quarantine", "held") })
+	time.Sleep(endingPropagationTime)
+	before := f.platform.Crashes()
+	for _, n := range f.nodes {
+		n.kill()
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	f.await("two endpoints of each kind serve", f.hasTwoOfEachKind)
+	for i, n := range f.nodes {
+		f.await("the node serves", n.isReady)
+		f.await("the node holds the part back", func() bool { return n.countLogged("prompt part is held back") > 0 })
+		r := f.streamPrompt(n, callerRequest{credential: "key-1", body: fmt.Sprint(i), prompt: promptWith(estate.CrashPromptPrefix, 1, 500+i)})
+		qt.Check(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	f.await("other requests are served", func() bool { return f.streamUnlike(600, promptWith("sound", 1, 600)).isComplete() })
+	qt.Check(t, f.platform.Crashes(), qt.Equals, before)
+}
+
+// Guards against a caller who is refused without word of the reason: the trace of the request names the part, and the endings
+// that it is held back for.
+func TestExplainRequestWithAHeldPart(t *testing.T) {
+	f := newFleet(t)
+	f.crashByPart(estate.CrashPromptPrefix, 1)
+	time.Sleep(endingPropagationTime)
+	f.await("a sound request is served", func() bool { return f.streamUnlike(699, promptWith("sound", 1, 699)).isComplete() })
+	time.Sleep(endingPropagationTime)
+	r := f.streamUnlike(700, promptWith(estate.CrashPromptPrefix, 1, 700))
+	qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+	trace := f.trace(r.id)
+	qt.Check(t, strings.Contains(trace, "part="+estate.CrashPromptPrefix), qt.IsTrue, qt.Commentf(trace))
+	qt.Check(t, strings.Count(trace, "endpoint ended") >= endingsToHold, qt.IsTrue, qt.Commentf(trace))
+}
