Measure what parts of prompts cost: bytes an ending, time a request, memory

It also checks that all nodes hold the part back within two seconds, and no request without it. The last generation of begun parts is sized so that a full table stays under the megabyte that its test allows.

--- a/internal/gossip/quarantine_test.go
+++ b/internal/gossip/quarantine_test.go
@@ -147,3 +147,89 @@
 		f.shutDown()
 	})
 }
+
+const (
+	// waitingRequests is the number of requests that an endpoint has not begun to answer when it ends, and partsPerPrompt that
+	// of the parts of their prompts; each part has three fingerprints.
+	waitingRequests = 3
+	partsPerPrompt  = 4
+	// maxBytesPerEndingWithParts is half of the 20 KB that a node may send for control in a second.
+	maxBytesPerEndingWithParts = 10_000
+	// fatalPart is a part of a prompt that ends the endpoints which begin to write on it.
+	fatalPart = "fatal"
+)
+
+// promptSignature returns the signature of a request unlike any other, whose prompt has the part, one that all prompts have and
+// two of its own.
+func promptSignature(part string, number int) quarantine.Signature {
+	c := quarantine.Content{Workspace: "w", Body: []byte(fmt.Sprint(number))}
+	return quarantine.NewSignature(&c, "m", []string{"common", part, fmt.Sprint("topic-", number), fmt.Sprint("own-", number)}[:partsPerPrompt])
+}
+
+// endEndpointWaitingFor simulates the ending of an endpoint as endEndpoint does, with requests that it had not begun to answer:
+// one with the fatal part, and others.
+func (f *largeFleet) endEndpointWaitingFor(number int, fatalNode int) {
+	f.endEndpoint(number, fatalNode)
+	for i := range waitingRequests {
+		part := fatalPart
+		if i > 0 {
+			part = fmt.Sprint("sound-", number, "-", i)
+		}
+		s := promptSignature(part, 10*number+i)
+		n := f.nodes[(fatalNode+i*6007)%len(f.nodes)]
+		if n.Quarantine.PartsEnded(endingOf(number), s.Parts, time.Now()) {
+			n.Kick()
+		}
+	}
+}
+
+// countHoldingPart returns the number of nodes that hold requests with the fatal part back, and fails the test if one holds
+// back a request without it.
+func (f *largeFleet) countHoldingPart(t *testing.T) int {
+	count := 0
+	for _, n := range f.nodes {
+		deadly, sound := promptSignature(fatalPart, 1<<20), promptSignature("sound", 1<<20)
+		if hold, _ := n.Quarantine.Check(&deadly, nil, time.Now()); hold != nil && hold.PartID == fatalPart {
+			count++
+		}
+		hold, _ := n.Quarantine.Check(&sound, nil, time.Now())
+		qt.Check(t, hold, qt.IsNil)
+	}
+	return count
+}
+
+// Guards against the traffic about the parts of prompts becoming too large, and against nodes that hold a part back too late, at
+// any fleet size. Answers on the common part begin at all busy nodes.
+func TestHeldPartIsKnownToAllNodesSoon(t *testing.T) {
+	for _, size := range []int{9, 30, 100} {
+		t.Run(fmt.Sprint(size, " nodes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLargeFleet(size)
+				f.addQuarantineTables()
+				qt.Check(t, f.awaitSettled(size-1), qt.IsTrue)
+				time.Sleep(settleSeconds * time.Second)
+				f.lastTraffic = f.sent()
+				baseline := f.measureTraffic(endingSeconds)
+				start := f.lastTraffic
+				for i := range endingSeconds * endingsPerSecond {
+					f.endEndpointWaitingFor(10+i, (i*2711)%size)
+					time.Sleep(time.Second / endingsPerSecond)
+					for _, n := range f.nodes {
+						sound := promptSignature("sound", 1<<20)
+						n.Quarantine.Begun(sound.Parts[:3], time.Now())
+					}
+				}
+				sent := (f.sent().Bytes - start.Bytes) / size
+				bytesPerEnding := (sent - endingSeconds*baseline.Bytes) / (endingSeconds * endingsPerSecond)
+				t.Logf("the ending of an endpoint with %d requests, %d of them waiting, costs %d bytes per node", requestsPerEndpoint, waitingRequests, bytesPerEnding)
+				qt.Check(t, bytesPerEnding < maxBytesPerEndingWithParts, qt.IsTrue, qt.Commentf("%d bytes", bytesPerEnding))
+				began := time.Now()
+				for f.countHoldingPart(t) < size && time.Since(began) < maxPropagationTime {
+					time.Sleep(50 * time.Millisecond)
+				}
+				qt.Check(t, f.countHoldingPart(t), qt.Equals, size)
+				f.shutDown()
+			})
+		})
+	}
+}
--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -9,7 +9,7 @@
 	recentAnswers = 2048
 	// recentBegins is the minimum number of fingerprints of parts on which an answer has begun. At 230 prompts per second of
 	// three parts it covers the last two seconds, in which other nodes report the endings before them.
-	recentBegins = 4096
+	recentBegins = 3500
 )
 
 // recentTimes holds the most recently set fingerprints with a time for each: at least size, at most twice as many.
