Stop requests that wait at endpoints when what they hold is held back

Cause: a request that had been sent before the third ending was known ended one more endpoint; at five a second two or three more, at fifty seven.

Change: after an ending a request without an event is looked at each 30 ms, and given up when what it holds is held back for sure, not where something outside it explains the endings as well, and not if it was sent to find that out. It may have begun, so it is refused as such. A part on which answers have begun before is not held back in the half second after its first ending: answers on a part that many prompts have begin within it.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,7 @@
 	pauses             tally.Counter // pauses requested by endpoints
 	stalls             tally.Counter // streams that timed out
 	heldBack           tally.Counter // requests refused because endpoints have ended while they ran them
+	stopped            tally.Counter // attempts stopped before they began, for the same reason
 	late               tally.Counter // answers that missed an objective
 	callersCut         map[readers.Reason]tally.Counter
 	firstEvent, answer tally.Timer // time to the first event of a stream, and to the end of an answer
@@ -33,6 +34,7 @@
 		sendsPaused: scope.Counter("sends_paused"), pauses: scope.Counter("pauses_asked_for"),
 		stalls:     scope.Counter("stalls"),
 		heldBack:   scope.Counter("requests_held_back"),
+		stopped:    scope.Counter("attempts_stopped"),
 		late:       scope.Counter("requests_late"),
 		firstEvent: scope.Timer("first_event"), answer: scope.Timer("answer"), placeWait: scope.Timer("queue_wait"),
 	}
--- a/internal/gateway/prompt_part_test.go
+++ b/internal/gateway/prompt_part_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -70,3 +71,23 @@
 		})
 	}
 }
+
+// Guards against requests that wait at endpoints when their part begins to be held back: each would end one more.
+func TestWaitingRequestIsStoppedWhenItsPartIsHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestGateway()
+		signature := quarantine.NewSignature(&quarantine.Content{Workspace: "w"}, "m", []string{"part"})
+		end := func(from, to uint32) {
+			for i := from; i <= to; i++ {
+				s.quarantine.PartsEnded(quarantine.Ending{InstanceHash: i, Domain: i, At: time.Now()}, signature.Parts, time.Now())
+			}
+		}
+		end(1, 1)
+		time.AfterFunc(50*time.Millisecond, func() { end(2, 3) })
+		began := time.Now()
+		x := s.servePrompt(1, []string{"common", "part", "own"}, script{silent: true})
+		qt.Check(t, time.Since(began) < 150*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+		qt.Check(t, x.attempts, qt.HasLen, 1)
+		qt.Check(t, reasonOf(x), qt.Equals, gateway.Failed, qt.Commentf("it may have begun to run"))
+	})
+}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -40,6 +40,15 @@
 	return nil
 }
 
+// mustStop reports whether the attempt that waits to be answered must be stopped.
+func (a *activeRequest) mustStop(now time.Time) bool {
+	stop := a.gateway.Quarantine.MustStop(&a.signature, a.trial, now)
+	if stop {
+		a.gateway.metrics.stopped.Inc(1)
+	}
+	return stop
+}
+
 // refuseHeld refuses a request that is held back and has not run.
 func (a *activeRequest) refuseHeld(held *heldError) {
 	a.gateway.metrics.heldBack.Inc(1)
@@ -59,7 +68,7 @@
 	switch {
 	case verdict.Of(err) == verdict.NotRun:
 		investigator.Refused(place.Endpoint)
-	case ctx.Err() != nil, errors.Is(err, errHedged), errors.Is(err, errStalled), errors.Is(err, errCallerGone):
+	case ctx.Err() != nil, errors.Is(err, errHedged), errors.Is(err, errStalled), errors.Is(err, errCallerGone), errors.Is(err, errHeldBack):
 		investigator.Abandoned(place.Endpoint, failed)
 	default:
 		investigator.Failed(place.Endpoint, failed)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -112,6 +112,10 @@
 	case errors.Is(err, errCallerGone):
 		a.exchange.Abort()
 		return false
+	case errors.Is(err, errHeldBack):
+		a.ran++
+		a.fail(ctx, err.Error())
+		return false
 	case errors.Is(err, errStalled):
 		a.ran++
 		return true
@@ -130,6 +134,12 @@
 	return false
 }
 
+// errHeldBack means that what the request holds began to be held back while it waited at an endpoint.
+var errHeldBack = errors.New("endpoints have ended under what the request holds; it is stopped before it begins")
+
+// stopPollInterval is how often a request that waits at an endpoint is checked for having to be stopped after an ending.
+const stopPollInterval = 30 * time.Millisecond
+
 // lostPollInterval is how often a stalled stream checks whether the leader has found that its group has lost a member.
 const lostPollInterval = 100 * time.Millisecond
 
@@ -165,6 +175,9 @@
 	case now.Add(lostPollInterval).Before(next):
 		next = now.Add(lostPollInterval)
 	}
+	if poll := now.Add(stopPollInterval); !s.begun && poll.Before(next) && s.active.gateway.Quarantine.Alert(now) {
+		next = poll
+	}
 	if next.After(s.active.deadline) {
 		return s.active.deadline
 	}
@@ -172,12 +185,15 @@
 }
 
 // checkStall handles a wait in which nothing has arrived. It returns nil to go on waiting, errStalled to send the request
-// elsewhere, or an error if the request's deadline has passed.
+// elsewhere, or an error if the request's deadline has passed or it must be stopped.
 func (s *streamReader) checkStall(ctx context.Context) error {
 	now := clock.Now()
 	if err := ctx.Err(); err != nil || !now.Before(s.active.deadline) {
 		return verdict.New(verdict.MayHaveRun, context.DeadlineExceeded)
 	}
+	if !s.begun && s.active.mustStop(now) {
+		return errHeldBack
+	}
 	suspectAt, timeoutAt := s.place.StallDeadlines(s.last, s.begun)
 	if now.Before(suspectAt) {
 		return nil // another stream of the group has received an event
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -10,6 +10,12 @@
 	// caused it. An answer begins, or the next ending is known, within that time. It doubles with each such request.
 	trialInterval    = 500 * time.Millisecond
 	maxTrialInterval = 256 * trialInterval
+	// clearingTime is how long a part on which answers have begun before is not held back after the first of its endings.
+	// Answers on a part that many prompts have begin within that time at any node, or are reported by another.
+	clearingTime = 500 * time.Millisecond
+	// alertTime is how long after an ending attempts are checked for having to be stopped. It exceeds the time for which a
+	// request waits at an endpoint before it is answered.
+	alertTime = 10 * time.Second
 )
 
 // Hold describes why a request must not be sent.
@@ -73,6 +79,32 @@
 	return t.renew(f, e, now), due
 }
 
+// MustStop reports whether an attempt with the signature that has not begun to be answered must be given up, because what it
+// holds is held back by now. trial is what Check has returned for it.
+func (t *Table) MustStop(s *Signature, trial []Fingerprint, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range s.all() {
+		e := t.entries[f]
+		if e != nil && t.held(e, now) && !slices.Contains(trial, f) && !t.explainedOutside(e, s) {
+			return true
+		}
+	}
+	return false
+}
+
+// Alert reports whether an ending was recorded so recently that attempts may have to be stopped.
+func (t *Table) Alert(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.endedAt) < alertTime
+}
+
+// mayBeCleared reports whether answers on the part are still expected to begin and to clear it of its endings.
+func (e *entry) mayBeCleared(now time.Time) bool {
+	return e.part && !e.begunAt.IsZero() && now.Sub(e.endings[0].At) < clearingTime
+}
+
 // renew extends the hold on an entry that a request was held back for, and returns how long it lasts. The caller holds t.mu.
 func (t *Table) renew(f Fingerprint, e *entry, now time.Time) time.Duration {
 	remaining := e.heldUntil.Sub(now)
@@ -99,7 +131,7 @@
 // held reports whether a request or part is held back: enough endpoints have ended under it, not counting endings that another
 // entry explains.
 func (t *Table) held(e *entry, now time.Time) bool {
-	if !e.suspected() || !now.Before(e.heldUntil) {
+	if !e.suspected() || !now.Before(e.heldUntil) || e.mayBeCleared(now) {
 		return false
 	}
 	return t.countUnexplained(e, func(_ Fingerprint, other *entry) bool { return len(other.endings) > len(e.endings) }) >= endingsToHold
--- a/internal/quarantine/part_test.go
+++ b/internal/quarantine/part_test.go
@@ -69,6 +69,8 @@
 		table.Begun(newSignature("w", "m", "part").Parts, time.Now())
 		time.Sleep(time.Second)
 		endUnder(table, 1, 3, "w", "m", "part")
+		qt.Check(t, heldPart(table, newSignature("w", "m", "part")), qt.Equals, "", qt.Commentf("answers may still clear it"))
+		time.Sleep(time.Second)
 		qt.Check(t, heldPart(table, newSignature("w", "m", "part")), qt.Equals, "part", qt.Commentf("answered before the endings"))
 		time.Sleep(time.Second)
 		table.Begun(newSignature("w", "m", "part").Parts, time.Now())
@@ -77,6 +79,7 @@
 		endUnder(table, 4, 5, "w", "m", "part")
 		qt.Check(t, heldPart(table, newSignature("w", "m", "part")), qt.Equals, "", qt.Commentf("two endings since"))
 		endUnder(table, 6, 6, "w", "m", "part")
+		time.Sleep(time.Second)
 		qt.Check(t, heldPart(table, newSignature("w", "m", "part")), qt.Equals, "part")
 	})
 }
--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -8,7 +8,7 @@
 	// send are repeated sooner.
 	recentAnswers = 2048
 	// recentBegins is the minimum number of fingerprints of parts on which an answer has begun. At 230 prompts per second of
-	// three parts it covers the last two seconds, in which other nodes report the endings before them.
+	// three parts it covers the last 1.7 seconds, in which other nodes report the endings before them.
 	recentBegins = 3500
 )
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -25,6 +25,7 @@
 	sequence       uint64      // incremented with each change
 	answers        recentTimes // of whole requests
 	begins         recentTimes // of answers, by part
+	endedAt        time.Time   // when an ending was last recorded, by any node
 	digest         uint64      // of the suspected requests,
 	digestSequence uint64      // at this sequence
 }
@@ -122,6 +123,9 @@
 		t.entries[f] = e
 	}
 	t.sequence++
+	if len(e.endings) > 0 && e.endings[len(e.endings)-1].At.After(t.endedAt) {
+		t.endedAt = e.endings[len(e.endings)-1].At
+	}
 	e.sequence, e.source = t.sequence, source
 	if !source.Relay {
 		e.nonRelaySequence = t.sequence
