--- a/internal/gossip/quarantine_test.go
+++ b/internal/gossip/quarantine_test.go
@@ -58,7 +58,7 @@
 func (f *largeFleet) countHolding() int {
 	count := 0
 	for i, n := range f.nodes {
-		if _, held := n.Quarantine.Held(fatalRequest, time.Now()); held && !f.unreachable[i] {
+		if hold, _ := n.Quarantine.Check(&quarantine.Signature{Request: fatalRequest}, nil, time.Now()); hold != nil && !f.unreachable[i] {
 			count++
 		}
 	}
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -22,7 +22,7 @@
 	now := time.Now()
 	for b.Loop() {
 		f := c.Fingerprint()
-		table.Held(f, now)
+		table.Check(&quarantine.Signature{Request: f}, nil, now)
 		table.Answered(f, now)
 	}
 }
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -18,6 +18,9 @@
 	// after a hold has expired.
 	entryTTL     = 2 * time.Minute
 	heldEntryTTL = 10 * time.Minute
+	// clearingTime is how long a part on which answers have begun before is not held back after the first of its endings.
+	// Answers on a part that many prompts have begin within that time at any node, or are reported by another.
+	clearingTime = 500 * time.Millisecond
 	// renewThreshold is the fraction of a hold that must remain for an attempt not to renew it. Attempts keep a request
 	// held, and renewals are sent to other nodes at most four times per hold.
 	renewThreshold = 0.75
@@ -76,6 +79,11 @@
 	return len(e.endings) != before
 }
 
+// mayBeCleared reports whether answers on the part are still expected to begin and to clear it of its endings.
+func (e *entry) mayBeCleared(now time.Time) bool {
+	return e.part && !e.begunAt.IsZero() && now.Sub(e.endings[0].At) < clearingTime
+}
+
 // suspected reports whether enough endpoints have ended under the request and none has answered it.
 func (e *entry) suspected() bool { return !e.answered && countIncidents(e.endings) >= endingsToHold }
 
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -10,9 +10,6 @@
 	// caused it. An answer begins, or the next ending is known, within that time. It doubles with each such request.
 	trialInterval    = 500 * time.Millisecond
 	maxTrialInterval = 256 * trialInterval
-	// clearingTime is how long a part on which answers have begun before is not held back after the first of its endings.
-	// Answers on a part that many prompts have begin within that time at any node, or are reported by another.
-	clearingTime = 500 * time.Millisecond
 	// alertTime is how long after an ending attempts are checked for having to be stopped. It exceeds the time for which a
 	// request waits at an endpoint before it is answered.
 	alertTime = 10 * time.Second
@@ -100,11 +97,6 @@
 	return now.Sub(t.endedAt) < alertTime
 }
 
-// mayBeCleared reports whether answers on the part are still expected to begin and to clear it of its endings.
-func (e *entry) mayBeCleared(now time.Time) bool {
-	return e.part && !e.begunAt.IsZero() && now.Sub(e.endings[0].At) < clearingTime
-}
-
 // renew extends the hold on an entry that a request was held back for, and returns how long it lasts. The caller holds t.mu.
 func (t *Table) renew(f Fingerprint, e *entry, now time.Time) time.Duration {
 	remaining := e.heldUntil.Sub(now)
@@ -115,63 +107,3 @@
 	}
 	return remaining
 }
-
-// Held reports whether an attempt of the request must be held back, and for how long from now. Attempts that are held back
-// renew the hold.
-func (t *Table) Held(f Fingerprint, now time.Time) (time.Duration, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entries[f]
-	if e == nil || !t.held(e, now) {
-		return 0, false
-	}
-	return t.renew(f, e, now), true
-}
-
-// held reports whether a request or part is held back: enough endpoints have ended under it, not counting endings that another
-// entry explains.
-func (t *Table) held(e *entry, now time.Time) bool {
-	if !e.suspected() || !now.Before(e.heldUntil) || e.mayBeCleared(now) {
-		return false
-	}
-	return t.countUnexplained(e, func(_ Fingerprint, other *entry) bool { return len(other.endings) > len(e.endings) }) >= endingsToHold
-}
-
-// explainedOutside reports whether the endings of an entry may as well have been caused by requests or parts that the signature
-// does not contain: those with at least as many endings.
-func (t *Table) explainedOutside(e *entry, s *Signature) bool {
-	inside := make(map[Fingerprint]bool, 1+len(s.Parts))
-	for _, f := range s.all() {
-		inside[f] = true
-	}
-	return t.countUnexplained(e, func(f Fingerprint, other *entry) bool {
-		return !inside[f] && len(other.endings) >= len(e.endings)
-	}) < endingsToHold
-}
-
-// countUnexplained returns the number of incidents in an entry's endings that no suspected entry accepted by isLikelier shares.
-// Requests that merely shared endpoints with the cause are not held back. The caller holds t.mu.
-func (t *Table) countUnexplained(e *entry, isLikelier func(f Fingerprint, other *entry) bool) int {
-	var likelier []*entry
-	for f, other := range t.entries {
-		if other != e && other.suspected() && isLikelier(f, other) {
-			likelier = append(likelier, other)
-		}
-	}
-	var unexplained []Ending
-	for _, ending := range e.endings {
-		if !containsInstance(likelier, ending) {
-			unexplained = append(unexplained, ending)
-		}
-	}
-	return countIncidents(unexplained)
-}
-
-func containsInstance(entries []*entry, ending Ending) bool {
-	for _, e := range entries {
-		if e.hasInstance(ending) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/quarantine/investigator_test.go
+++ b/internal/quarantine/investigator_test.go
@@ -132,7 +132,7 @@
 			d.Failed(e, quarantine.Attempt{Signature: quarantine.Signature{Request: other}})
 		}
 		synctest.Wait()
-		_, held := d.Table.Held(other, time.Now())
+		held := isHeld(d.Table, other)
 		qt.Check(t, held, qt.IsFalse)
 	})
 }
@@ -149,7 +149,7 @@
 			synctest.Wait()
 			time.Sleep(3 * time.Second)
 		}
-		_, held := d.Table.Held(poison, time.Now())
+		held := isHeld(d.Table, poison)
 		qt.Check(t, held, qt.IsTrue)
 	})
 }
@@ -197,7 +197,7 @@
 		d.Failed(d.endpoints[1], quarantine.Attempt{Signature: quarantine.Signature{Request: poison}, Resent: true})
 		d.Failed(d.endpoints[2], quarantine.Attempt{Signature: quarantine.Signature{Request: poison}, Resent: true})
 		synctest.Wait()
-		_, held := d.Table.Held(poison, time.Now())
+		held := isHeld(d.Table, poison)
 		qt.Check(t, held, qt.IsTrue)
 	})
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -30,8 +30,17 @@
 
 func acceptAll(quarantine.Source) bool { return true }
 
+// heldFor returns whether a request is held back, and for how long.
+func heldFor(t *quarantine.Table, f quarantine.Fingerprint) (time.Duration, bool) {
+	hold, _ := t.Check(&quarantine.Signature{Request: f}, nil, time.Now())
+	if hold == nil {
+		return 0, false
+	}
+	return hold.Remaining, true
+}
+
 func isHeld(t *quarantine.Table, f quarantine.Fingerprint) bool {
-	_, held := t.Held(f, time.Now())
+	_, held := heldFor(t, f)
 	return held
 }
 
@@ -43,7 +52,7 @@
 	recordEndings(table, 2, 2, poison) // two nodes may report the same ending
 	qt.Check(t, isHeld(table, poison), qt.IsFalse)
 	recordEndings(table, 3, 3, poison)
-	left, held := table.Held(poison, time.Now())
+	left, held := heldFor(table, poison)
 	qt.Check(t, held, qt.IsTrue)
 	qt.Check(t, left > 59*time.Second && left <= time.Minute, qt.IsTrue, qt.Commentf("%s", left))
 	recordEndings(table, 4, 4, poison)
@@ -98,7 +107,7 @@
 		time.Sleep(61 * time.Second)
 		qt.Check(t, isHeld(table, poison), qt.IsFalse, qt.Commentf("no attempt for one minute"))
 		recordEndings(table, 4, 4, poison)
-		left, held := table.Held(poison, time.Now())
+		left, held := heldFor(table, poison)
 		qt.Check(t, held, qt.IsTrue, qt.Commentf("one more ending holds it back again"))
 		qt.Check(t, left, qt.Equals, 2*time.Minute)
 		time.Sleep(20 * time.Minute)
