--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		remaining, due := t.remaining(f, e, s, now)
-		if remaining > 0 && !slices.Contains(trial, f) && !(mayTry && due) {
+		if mayPass := remaining <= 0 || slices.Contains(trial, f) || mayTry && due; !mayPass {
 			return &Hold{Fingerprint: f, PartID: s.partID(f), Endings: slices.Clone(e.endings), Remaining: remaining}, nil, due
 		}
 		tried = append(tried, f)
