--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"moorrun.dev/moorrun/internal/clock"
+)
 
 const (
 	// recentAnswers is the minimum number of answered requests that are kept; they take about 200 KB. At 230 requests per
@@ -15,27 +19,30 @@
 // recentTimes holds the most recently set fingerprints with a time for each: at least size, at most twice as many.
 type recentTimes struct {
 	size              int
-	current, previous map[Fingerprint]int64 // Unix nanoseconds
+	start             time.Time // the times are kept as durations since then, which take less memory
+	current, previous map[Fingerprint]time.Duration
 }
 
+func newRecentTimes(size int) recentTimes { return recentTimes{size: size, start: clock.Now()} }
+
 func (r *recentTimes) set(f Fingerprint, at time.Time) {
 	if r.current == nil || len(r.current) >= r.size {
 		r.previous = r.current
-		r.current = make(map[Fingerprint]int64)
+		r.current = make(map[Fingerprint]time.Duration)
 	}
-	r.current[f] = at.UnixNano()
+	r.current[f] = at.Sub(r.start)
 }
 
 func (r *recentTimes) has(f Fingerprint) bool { return !r.at(f).IsZero() }
 
 // at returns the time last set for the fingerprint, or the zero time if there is none.
 func (r *recentTimes) at(f Fingerprint) time.Time {
-	nanos, ok := r.current[f]
+	since, ok := r.current[f]
 	if !ok {
-		nanos, ok = r.previous[f]
+		since, ok = r.previous[f]
 	}
 	if !ok {
 		return time.Time{}
 	}
-	return time.Unix(0, nanos)
+	return r.start.Add(since)
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -32,7 +32,7 @@
 
 // NewTable returns an empty Table.
 func NewTable() *Table {
-	return &Table{entries: make(map[Fingerprint]*entry), answers: recentTimes{size: recentAnswers}, begins: recentTimes{size: recentBegins}}
+	return &Table{entries: make(map[Fingerprint]*entry), answers: newRecentTimes(recentAnswers), begins: newRecentTimes(recentBegins)}
 }
 
 // Ended records that an endpoint ended for no known other reason while it was running the requests, and reports whether any
