Own interface: look at the group again just before a completion is sent

Cause: the checks for held requests came between the two. Change: the group is looked at again after them. The tests of entry pass.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -81,24 +81,10 @@
 	avoid := ""
 	signature := completionSignature(c, model.Name, r.Prompt)
 	for {
-		trial, f := s.checkHold(&signature, nil)
+		a, f := s.acquireAttempt(c, model, r, &signature, avoid)
 		if f != nil {
 			return f
 		}
-		if left := s.Router.RemainingPause(model.Name, clock.Now()); left > c.remaining() {
-			return unavailable("each replica group of the model has asked for a pause", left)
-		}
-		a, f := s.acquirePlace(c, admission.Request{
-			Model: model.Name, Workspace: c.workspace, Avoid: avoid, Priority: c.priority, Prefer: s.Router.Preferred(model.Name, r.Prompt, clock.Now()), PreferWait: routing.PreferWait(len(r.Prompt)),
-		})
-		if f != nil {
-			return f
-		}
-		if _, f := s.checkHold(&signature, trial); f != nil {
-			a.place.Release(false)
-			return f
-		}
-		a.signature, a.life, a.resent = signature, s.life(a.target), avoid != ""
 		answer, err := s.send(a)
 		if err == nil {
 			return s.relayAnswer(a, answer, r.Stream)
@@ -117,6 +103,35 @@
 	}
 }
 
+// acquireAttempt waits for a place and returns the attempt to send there, unless the request is held back. It checks for that
+// again after the wait. avoid is the group that has failed the request; empty if none has.
+func (s *Server) acquireAttempt(c *call, model config.ModelOf, r completionRequest, signature *quarantine.Signature, avoid string) (*attempt, *failure) {
+	for {
+		trial, f := s.checkHold(signature, nil)
+		if f != nil {
+			return nil, f
+		}
+		if left := s.Router.RemainingPause(model.Name, clock.Now()); left > c.remaining() {
+			return nil, unavailable("each replica group of the model has asked for a pause", left)
+		}
+		a, f := s.acquirePlace(c, admission.Request{
+			Model: model.Name, Workspace: c.workspace, Avoid: avoid, Priority: c.priority, Prefer: s.Router.Preferred(model.Name, r.Prompt, clock.Now()), PreferWait: routing.PreferWait(len(r.Prompt)),
+		})
+		if f != nil {
+			return nil, f
+		}
+		a.signature, a.life, a.resent = *signature, s.life(a.target), avoid != ""
+		if _, f := s.checkHold(signature, trial); f != nil {
+			a.place.Release(false)
+			return nil, f
+		}
+		if s.Router.Usable(a.place.Group, a.place.Birth, clock.Now()) {
+			return a, nil
+		}
+		a.place.Release(false) // the group became unusable in the meantime
+	}
+}
+
 // recordFailure records that a group did not answer the request. A refusal with Retry-After is recorded as a
 // requested pause, not as a failure.
 func (s *Server) recordFailure(a *attempt, err error) {
