--- a/test/gateway/prompt_part_test.go
+++ b/test/gateway/prompt_part_test.go
@@ -99,3 +99,21 @@
 	qt.Check(t, strings.Contains(trace, "part="+estate.CrashPromptPrefix), qt.IsTrue, qt.Commentf(trace))
 	qt.Check(t, strings.Count(trace, "endpoint ended") >= endingsToHold, qt.IsTrue, qt.Commentf(trace))
 }
+
+// Guards against a held part being forgotten when the store comes back from a copy made before: the nodes still know it, and
+// store it again, so that it outlives them.
+func TestHeldPromptPartSurvivesAStoreFromACopy(t *testing.T) {
+	f := newFleet(t)
+	before := f.platform.Store.Copy()
+	f.crashByPart(estate.CrashPromptPrefix, 1)
+	f.await("the list of held requests is stored", func() bool { return f.platform.Store.Has("moorrun-quarantine", "held") })
+	f.platform.Restore(before)
+	f.await("the list of held requests is stored again", func() bool { return f.platform.Store.Has("moorrun-quarantine", "held") })
+	f.await("two endpoints of each kind serve", f.hasTwoOfEachKind)
+	crashes := f.platform.Crashes()
+	for i := range f.nodes {
+		r := f.streamUnlike(800+i, promptWith(estate.CrashPromptPrefix, 1, 800+i))
+		qt.Check(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	qt.Check(t, f.platform.Crashes(), qt.Equals, crashes)
+}
