--- a/internal/quarantine/recent.go
+++ b/internal/quarantine/recent.go
@@ -12,8 +12,9 @@
 	// send are repeated sooner.
 	recentAnswers = 2048
 	// recentBegins is the minimum number of fingerprints of parts on which an answer has begun. At 230 prompts per second of
-	// three parts it covers the last 1.7 seconds, in which other nodes report the endings before them.
-	recentBegins = 3500
+	// three parts it covers the last 0.8 seconds, in which other nodes report the endings before them. An ending that is
+	// reported later counts until the next answer begins.
+	recentBegins = 1750
 )
 
 // recentTimes holds the most recently set fingerprints with a time for each: at least size, at most twice as many.
