Store the list of held requests again when the store came back from a copy

All nodes killed after that would have forgotten it.

Cause: the list was read at the beginning of an epoch only. Change: at the beginning of an era of the store too. TestListIsStoredAgainAfterTheStoreCameBackFromACopy fails without it (one write instead of two) and passes.

--- a/internal/quarantine/list_syncer.go
+++ b/internal/quarantine/list_syncer.go
@@ -41,7 +41,9 @@
 	LeaderEpoch func(now time.Time) int64
 	// HasNoPeers reports whether this node receives heartbeats from no other node.
 	HasNoPeers func(now time.Time) bool
-	Logger     log.Logger
+	// Era returns how often the store has come back from a copy, which may lack the list; nil if that is not known.
+	Era    func() int64
+	Logger log.Logger
 	// FirstStart is set if the fleet starts for the first time, so that there is no list to restore.
 	FirstStart bool
 
@@ -49,6 +51,7 @@
 	isolatedSince    time.Time // zero if this node leads or receives heartbeats
 	lastIsolatedSync time.Time // when an isolated node last read the list
 	loadedEpoch      int64     // epoch for which the list was read
+	loadedEra        int64     // era of the store in which it was read
 	version          int64     // version of the stored object; zero if there is none
 	written          map[Fingerprint]writtenHold
 }
@@ -113,12 +116,14 @@
 	s.Table.Merge(records, Source{}, clock.Now())
 }
 
-// syncList reads the list at the beginning of an epoch, or every time if epoch is zero, and writes it if it has changed.
+// syncList reads the list at the beginning of an epoch or of an era of the store, or every time if epoch is zero, and writes it if
+// it has changed.
 func (s *HoldSyncer) syncList(ctx context.Context, epoch int64) {
-	if (epoch == 0 || s.loadedEpoch != epoch) && !s.load(ctx) {
+	era := s.era()
+	if isLoaded := epoch != 0 && s.loadedEpoch == epoch && s.loadedEra == era; !isLoaded && !s.load(ctx) {
 		return
 	}
-	s.loadedEpoch = epoch
+	s.loadedEpoch, s.loadedEra = epoch, era
 	now := clock.Now()
 	holds := s.Table.Holds(now)
 	if !s.differsFromStore(holds, now) {
@@ -137,6 +142,13 @@
 	}
 }
 
+func (s *HoldSyncer) era() int64 {
+	if s.Era == nil {
+		return 0
+	}
+	return s.Era()
+}
+
 // load reads the list and reports whether the store answered.
 func (s *HoldSyncer) load(ctx context.Context) bool {
 	o, err := s.Objects.Get(ctx, keys.Held)
--- a/internal/quarantine/list_syncer_test.go
+++ b/internal/quarantine/list_syncer_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -167,3 +168,30 @@
 		qt.Check(t, records, qt.HasLen, 2, qt.Commentf("holds of the isolated node are written for the others"))
 	})
 }
+
+// Guards against a leader that keeps its lease while the store comes back from a copy without the list: it must store it again.
+func TestListIsStoredAgainAfterTheStoreCameBackFromACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		table := quarantine.NewTable()
+		var era atomic.Int64
+		ctx, cancel := context.WithCancel(context.Background())
+		k := &quarantine.HoldSyncer{
+			Table: table, Objects: s, Recent: s.listRecent, LeaderEpoch: func(time.Time) int64 { return 1 },
+			HasNoPeers: func(time.Time) bool { return false }, Era: era.Load, Logger: log.NewNopLogger(),
+		}
+		go func() { _ = k.Run(ctx) }()
+		recordEndings(table, 1, 3, poison)
+		time.Sleep(2 * time.Second)
+		qt.Check(t, s.writes, qt.Equals, 1)
+		s.mu.Lock()
+		s.object = infra.Object{}
+		s.mu.Unlock()
+		era.Store(1)
+		time.Sleep(2 * time.Second)
+		cancel()
+		synctest.Wait()
+		qt.Check(t, s.writes, qt.Equals, 2)
+		qt.Check(t, s.object.Version > 0, qt.IsTrue)
+	})
+}
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -34,6 +34,7 @@
 	n.holdSyncer = &quarantine.HoldSyncer{
 		Table: n.quarantine, Objects: n.platform.Objects, Recent: n.platform.Recent, Logger: n.logger, FirstStart: n.settings.FirstStart,
 		LeaderEpoch: func(now time.Time) int64 { return n.controller.Leads(now) },
+		Era:         n.platform.Era,
 		HasNoPeers:  func(now time.Time) bool { return len(n.gossip.Live(now)) == 0 },
 	}
 }
