Log and measure what each retry was allowed by

A repeat was logged with the endpoint's verdict alone, and one that the limit on retries refused not at all. So it could not be told whether a node sent again too much because it had just started, because it divided the slack among too few nodes, or because its own requests allowed it.

Each 'resend' now says how many retries its window holds, how many are allowed, the requests, the counts of nodes and the age of the process; 'resend refused' the same. Metrics: resends_refused, retries_counted, retries_allowed, retry_nodes, retry_nodes_busy. What is allowed does not change.

--- a/internal/eventlog/request_log.go
+++ b/internal/eventlog/request_log.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// maxBufferedLines bounds the lines buffered for one request. Four attempts with two lines each (sent, failed) and the end of
-// the request need nine.
+// maxBufferedLines bounds the lines buffered for one request. Four attempts with three lines each (sent, failed, resend) and the
+// end of the request need thirteen.
 const maxBufferedLines = 16
 
 // line is one log line.
--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -202,13 +202,27 @@
 	if v != verdict.NotRun && (!a.route.MayRepeat() || a.ran >= max(1, a.route.MaxAttempts)) {
 		return false
 	}
-	if !a.budget.Take(clock.Now()) {
+	if !a.takeRetry(v.String()) {
 		return false
 	}
 	a.gateway.metrics.resends.Inc(1)
 	return true
 }
 
+// takeRetry takes a retry from the service's budget and reports whether it was granted. The log tells the reason for the retry
+// and what the decision was based on.
+func (a *activeRequest) takeRetry(reason string) bool {
+	state, granted := a.budget.Take(clock.Now())
+	event := "resend"
+	if !granted {
+		event = "resend refused"
+		a.gateway.metrics.resendsRefused.Inc(1)
+	}
+	a.log(event, false, "service", a.service.Name, "reason", reason, "begun", a.begun, "retries", state.Retries, "allowed", state.Allowed,
+		"requests", state.Requests, "nodes", state.Nodes.All, "busy_nodes", state.Nodes.Busy, "process_age_ms", state.Age.Milliseconds())
+	return granted
+}
+
 // exclude keeps further attempts away from the place's group or endpoint.
 func (a *activeRequest) exclude(place *picker.Place) {
 	if place.Group != "" {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -16,6 +16,8 @@
 	hedgeFraction = 0.6
 	// minServerErrorStatus is the lowest HTTP status that reports a failure of the endpoint itself.
 	minServerErrorStatus = 500
+	// hedgeReason is the logged reason of attempts that are sent although the one before may still be answered.
+	hedgeReason = "hedged"
 )
 
 // serveCall serves a request whose answer is read completely before it is passed on.
@@ -54,9 +56,8 @@
 	}
 	a.ran++
 	if head.Status >= minServerErrorStatus {
-		place.RecordFailure(false, now)
+		a.recordFailedAnswer(place, head)
 		if ctx.Err() == nil && a.mayResend(verdict.Ran) {
-			a.log("resend", false, "endpoint", place.Endpoint.ID, "status", head.Status)
 			return true
 		}
 	} else {
@@ -83,7 +84,7 @@
 	}
 	head, err := reply.Head(until)
 	if errors.Is(err, ErrNotYet) && until.Before(a.deadline) && ctx.Err() == nil {
-		if a.sends < maxSends && a.budget.Take(clock.Now()) {
+		if a.sends < maxSends && a.takeRetry(hedgeReason) {
 			return head, nil, errHedged
 		}
 		head, err = reply.Head(a.deadline)
@@ -150,10 +151,15 @@
 	a.log("failed", false, pairs...)
 }
 
+// recordFailedAnswer records an answer that counts as a failure of the endpoint.
+func (a *activeRequest) recordFailedAnswer(place *picker.Place, head Head) {
+	place.RecordFailure(false, clock.Now())
+	a.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", verdict.Ran.String(), "status", head.Status)
+}
+
 // afterNotRun handles an attempt that did not run. It reports whether to send the request again, and refuses it otherwise.
 func (a *activeRequest) afterNotRun(ctx context.Context, place *picker.Place) bool {
 	if ctx.Err() == nil && a.mayResend(verdict.NotRun) {
-		a.log("resend", false, "endpoint", place.Endpoint.ID, "verdict", verdict.NotRun.String())
 		return true
 	}
 	if a.ran > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -55,6 +56,18 @@
 	return b
 }
 
+// RetryBudgets returns the state of each service's retry budget.
+func (g *Gateway) RetryBudgets(now time.Time) map[string]retry.State {
+	g.mu.Lock()
+	budgets := maps.Clone(g.budgets)
+	g.mu.Unlock()
+	out := make(map[string]retry.State, len(budgets))
+	for service, b := range budgets {
+		out[service] = b.State(now)
+	}
+	return out
+}
+
 // Serve serves one request and answers it through x.
 func (g *Gateway) Serve(ctx context.Context, r *Request, x Exchange) {
 	a := &activeRequest{gateway: g, request: r, exchange: x, requestLog: g.RequestLog(r.ID)}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 	refused            map[Reason]tally.Counter
 	cutOff             tally.Counter // answers cut off
 	sends, resends     tally.Counter // attempts, and repeated ones other than hedged
+	resendsRefused     tally.Counter // repeated attempts, including hedged ones, that the retry budget did not allow
 	sendsLimited       tally.Counter // attempts at endpoints that announce a rate limit
 	sendsPaused        tally.Counter // attempts at endpoints whose pause has not ended
 	pauses             tally.Counter // pauses requested by endpoints
@@ -30,7 +31,7 @@
 	m := &metrics{
 		answered: scope.Counter("requests_answered"), failed: scope.Counter("requests_failed_by_endpoint"),
 		refused: make(map[Reason]tally.Counter), callersCut: make(map[readers.Reason]tally.Counter), cutOff: scope.Counter("answers_broken_off"),
-		sends: scope.Counter("sends"), resends: scope.Counter("resends"), sendsLimited: scope.Counter("sends_limited"),
+		sends: scope.Counter("sends"), resends: scope.Counter("resends"), resendsRefused: scope.Counter("resends_refused"), sendsLimited: scope.Counter("sends_limited"),
 		sendsPaused: scope.Counter("sends_paused"), pauses: scope.Counter("pauses_asked_for"),
 		stalls:     scope.Counter("stalls"),
 		heldBack:   scope.Counter("requests_held_back"),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -71,10 +71,9 @@
 // nonStreamAnswer handles an answer that is not a stream of events with a success status. It reports whether to send the request
 // again, and otherwise passes the answer on, or refuses the request if a stream has begun.
 func (a *activeRequest) nonStreamAnswer(ctx context.Context, place *picker.Place, reply Reply, head Head) bool {
-	place.RecordFailure(false, clock.Now())
+	a.recordFailedAnswer(place, head)
 	a.ran++
 	if head.Status >= minServerErrorStatus && ctx.Err() == nil && a.mayResend(verdict.Ran) {
-		a.log("resend", false, "endpoint", place.Endpoint.ID, "status", head.Status)
 		return true
 	}
 	if a.begun {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -37,6 +37,7 @@
 type Budget struct {
 	limits Limits
 	nodes  func() Nodes
+	start  time.Time
 
 	mu       sync.Mutex
 	requests *window.Counter
@@ -46,7 +47,10 @@
 // NewBudget returns a Budget. Times passed to its methods must not be before start. nodes returns the nodes that share the
 // slack at present.
 func NewBudget(limits Limits, nodes func() Nodes, start time.Time) *Budget {
-	return &Budget{limits: limits, nodes: nodes, requests: window.NewCounter(limits.Window, start), retries: window.NewCounter(limits.Window, start)}
+	return &Budget{
+		limits: limits, nodes: nodes, start: start,
+		requests: window.NewCounter(limits.Window, start), retries: window.NewCounter(limits.Window, start),
+	}
 }
 
 // Request counts a caller's request.
@@ -56,17 +60,40 @@
 	b.requests.Add(now)
 }
 
-// Take reports whether a retry is allowed, and counts it if so.
-func (b *Budget) Take(now time.Time) bool {
-	share := b.nodes().slackShare()
+// State is what a Budget's next decision is based on.
+type State struct {
+	Requests int           // in the window that ends now
+	Retries  int           // in the same window
+	Allowed  float64       // maximum of Retries
+	Nodes    Nodes         // among which the slack is divided
+	Age      time.Duration // of the process whose requests and retries are counted
+}
+
+// State returns the state at now.
+func (b *Budget) State(now time.Time) State {
+	nodes := b.nodes()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stateLocked(nodes, now)
+}
+
+func (b *Budget) stateLocked(nodes Nodes, now time.Time) State {
+	s := State{Requests: b.requests.Sum(now), Retries: b.retries.Sum(now), Nodes: nodes, Age: now.Sub(b.start)}
+	s.Allowed = ratioFactor*b.limits.Ratio*float64(s.Requests) + nodes.slackShare()*b.limits.Slack
+	return s
+}
+
+// Take reports whether a retry is allowed, and counts it if so. It also returns the state on which that was decided.
+func (b *Budget) Take(now time.Time) (State, bool) {
+	nodes := b.nodes()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	allowed := ratioFactor*b.limits.Ratio*float64(b.requests.Sum(now)) + share*b.limits.Slack
-	if float64(b.retries.Sum(now)+1) > allowed {
-		return false
+	s := b.stateLocked(nodes, now)
+	if float64(s.Retries+1) > s.Allowed {
+		return s, false
 	}
 	b.retries.Add(now)
-	return true
+	return s, true
 }
 
 // slackShare returns the fraction of the slack that this node may use.
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -12,20 +12,26 @@
 
 var origin = time.Unix(1000, 0)
 
+// take reports whether a retry is allowed.
+func take(b *retry.Budget, now time.Time) bool {
+	_, ok := b.Take(now)
+	return ok
+}
+
 var limits = retry.Limits{Ratio: 0.2, Slack: 90, Window: 10 * time.Second}
 
 func singleNode() retry.Nodes { return retry.Nodes{All: 1, Busy: 1} }
 
 func TestSlackAllowsInitialRetries(t *testing.T) {
 	b := retry.NewBudget(limits, singleNode, origin)
-	qt.Check(t, b.Take(origin), qt.IsTrue)
+	qt.Check(t, take(b, origin), qt.IsTrue)
 }
 
 func TestSlackIsDividedAmongNodes(t *testing.T) {
 	taken := func(nodes int) int {
 		b := retry.NewBudget(limits, func() retry.Nodes { return retry.Nodes{All: nodes, Busy: nodes} }, origin)
 		n := 0
-		for b.Take(origin) {
+		for take(b, origin) {
 			n++
 		}
 		return n
@@ -45,7 +51,7 @@
 				nodes.Busy = busy
 			}
 			b := retry.NewBudget(retry.Limits{Ratio: 0.2, Slack: 1040, Window: 10 * time.Second}, func() retry.Nodes { return nodes }, origin)
-			for b.Take(origin) {
+			for take(b, origin) {
 				n++
 			}
 		}
@@ -57,10 +63,10 @@
 
 func TestRetriesExpireAfterWindow(t *testing.T) {
 	b := retry.NewBudget(limits, singleNode, origin)
-	for b.Take(origin) { //nolint:revive // uses all retries
+	for take(b, origin) { //nolint:revive // uses all retries
 	}
-	qt.Check(t, b.Take(origin.Add(9*time.Second)), qt.IsFalse)
-	qt.Check(t, b.Take(origin.Add(11*time.Second)), qt.IsTrue)
+	qt.Check(t, take(b, origin.Add(9*time.Second)), qt.IsFalse)
+	qt.Check(t, take(b, origin.Add(11*time.Second)), qt.IsTrue)
 }
 
 // TestAllNodesTogetherStayWithinLimits simulates nodes that start at different times and use as many retries as they can. In
@@ -83,7 +89,7 @@
 				requests = append(requests, now)
 			}
 			for range rapid.IntRange(0, 30).Draw(t, "retries") {
-				if b.Take(now) {
+				if take(b, now) {
 					retries = append(retries, now)
 				}
 			}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -79,6 +79,14 @@
 		s.Gauge("requests_waiting").Update(float64(demand.Waiting))
 		s.Gauge("groups_suspected").Update(float64(len(status.Suspects)))
 		s.Gauge("held_bytes").Update(float64(n.platform.Held()))
+		for service, b := range n.gateway.RetryBudgets(now) {
+			tagged := s.Tagged(map[string]string{"service": service})
+			tagged.Gauge("retries_counted").Update(float64(b.Retries))
+			tagged.Gauge("retries_allowed").Update(b.Allowed)
+		}
+		nodes := n.nodeCounts()
+		s.Gauge("retry_nodes").Update(float64(nodes.All))
+		s.Gauge("retry_nodes_busy").Update(float64(nodes.Busy))
 		for _, needed := range n.controller.GroupsNeeded(now) {
 			tagged := s.Tagged(map[string]string{"service": needed.Service, "model": needed.Model})
 			tagged.Gauge("groups_needed").Update(needed.Present)
