--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	_ "moorrun.dev/moorrun/internal/rapidseed"
 	"moorrun.dev/moorrun/internal/retry"
 )
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -175,14 +175,7 @@
 	_ = level.Info(n.logger).Log("msg", "started", "caller", n.settings.CallerAddress, "peer", n.settings.PeerAddress, "store", n.settings.StoreAddress)
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	handler := n.platform.Callers(n.gateway, n.limits, n.leaving.Load)
-	callers := newHTTP(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.requests.Add(1)
-		if n.traffic.add(clock.Now()) {
-			n.gossip.Kick() // this node now needs the loads of the others
-		}
-		handler.ServeHTTP(w, r)
-	}))
+	callers := newHTTP(n.CallerHandler())
 	if n.listeners.caller != nil {
 		n.listeners.caller = n.platform.Listener(callers, n.listeners.caller)
 	}
@@ -220,6 +213,18 @@
 	return errors.Join(err, n.peerCaller.Close(), n.closeScope.Close())
 }
 
+// CallerHandler returns the handler of callers' requests.
+func (n *Server) CallerHandler() http.Handler {
+	handler := n.platform.Callers(n.gateway, n.limits, n.leaving.Load)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.requests.Add(1)
+		if n.traffic.add(clock.Now()) {
+			n.gossip.Kick() // this node now needs the loads of the others
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 func newHTTP(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -51,6 +51,22 @@
 	n.partitioned = map[[2]netip.AddrPort]bool{{a.address, b.address}: true, {b.address, a.address}: true}
 }
 
+// Split assigns nodes to a part of the network. Nodes in different parts cannot reach each other; all nodes begin in part 0.
+func (n *Network) Split(part int, ports ...*Port) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range ports {
+		p.part = part
+	}
+}
+
+// Part returns the part of the network that a node is in.
+func (n *Network) Part(p *Port) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return p.part
+}
+
 // SetUnreachable makes nodes unreachable, or reachable again.
 func (n *Network) SetUnreachable(unreachable bool, ports ...*Port) {
 	n.mu.Lock()
@@ -78,7 +94,7 @@
 	if datagrams > 0 {
 		from.sent.DatagramBytes += size
 	}
-	if other == nil || from.unreachable || other.unreachable || n.partitioned[[2]netip.AddrPort{from.address, to}] {
+	if other == nil || from.unreachable || other.unreachable || from.part != other.part || n.partitioned[[2]netip.AddrPort{from.address, to}] {
 		return nil, 0
 	}
 	if other.dataCentre == from.dataCentre {
--- a/internal/standin/network/port.go
+++ b/internal/standin/network/port.go
@@ -25,6 +25,7 @@
 	listenerClosed chan struct{} // closed when the listener is closed
 
 	unreachable bool
+	part        int // of a split network
 	sent        Traffic
 }
 
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -1,5 +1,5 @@
-// Package fleet runs many nodes of moorrund's gateway in virtual time, without callers, over a stand-in network and
-// against a stand-in store, and counts their store calls and the traffic between them.
+// Package fleet runs many nodes of moorrund's gateway in virtual time over a stand-in network and against a stand-in store. It
+// counts their store calls, the traffic between them, and the retries that endpoints receive from them.
 package fleet
 
 import (
@@ -14,6 +14,7 @@
 
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/httpcall"
+	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/server"
 	"moorrun.dev/moorrun/internal/settings"
 	"moorrun.dev/moorrun/internal/standin/network"
@@ -42,10 +43,14 @@
 	cancel   context.CancelFunc
 }
 
+// retryLimits are the limits on retries, which a fleet of any size shares.
+var retryLimits = retry.Limits{Ratio: 0.2, Slack: 132, Window: 10 * time.Second}
+
 // fleet is the nodes together with their network, store and endpoints.
 type fleet struct {
 	store     *store
 	endpoints *endpointSim
+	callers   *callers
 	network   *network.Network
 	processes []*process
 	tasks     errgroup.Group
@@ -55,7 +60,7 @@
 // newFleet starts the given number of nodes with a configuration and simulated endpoints.
 func newFleet(nodes int) *fleet {
 	s := newStore()
-	f := &fleet{store: s, endpoints: newEndpointSim(s), network: network.New(), processes: make([]*process, nodes), logger: log.NewNopLogger()}
+	f := &fleet{store: s, endpoints: newEndpointSim(s), callers: &callers{}, network: network.New(), processes: make([]*process, nodes), logger: log.NewNopLogger()}
 	f.endpoints.start(nodes*enginesPerNode, entryInterval)
 	s.write("accepted/main", configuration())
 	f.startAll(true)
@@ -87,7 +92,7 @@
 	s := &settings.Gateway{
 		VM: fmt.Sprintf("entry-%03d", i), DataCentre: dataCentreName(proc.port.DataCentre()), Region: "r", CallerAddress: proc.port.Address(), PeerAddress: proc.port.Address(),
 		Capacity: smallCapacity, CredentialProofMS: 5000, CredentialProofRequired: true, Evacuations: true, GraceMS: 1000, AddressLifetimeMS: 1000,
-		RepeatRatio: 0.2, RepeatSlack: 1000, RepeatWindowMS: 10000, LeaseTTLMS: 1500, FirstStart: firstStart, EndpointBeatMS: int(entryInterval / time.Millisecond), SampleOneIn: 20, FailureLinesSecond: 20,
+		RepeatRatio: retryLimits.Ratio, RepeatSlack: retryLimits.Slack, RepeatWindowMS: int(retryLimits.Window / time.Millisecond), LeaseTTLMS: 1500, FirstStart: firstStart, EndpointBeatMS: int(entryInterval / time.Millisecond), SampleOneIn: 20, FailureLinesSecond: 20,
 	}
 	if i < largeVMsPerDataCentre*network.DataCentres {
 		s.Capacity = largeCapacity
@@ -96,6 +101,7 @@
 		p := platform.New(s, calls)
 		client := storeClient{f.store, proc.storeCut}
 		p.Objects, p.Recent, p.Engine = client, client.listRecent, f.endpoints
+		p.Callers = f.callers.handler
 		return p
 	}
 	t := server.Transport{Datagrams: proc.port, Calls: proc.port.Listener(), Dial: proc.port.Dial}
@@ -200,6 +206,9 @@
 	return total, busiest
 }
 
+// workspaceKey returns the API key of a workspace.
+func workspaceKey(i int) string { return strings.Repeat(fmt.Sprintf("%04d", i), 5) }
+
 // configuration returns a configuration with a service of engines for two models, a plain service, and several hundred
 // routes and workspaces.
 func configuration() map[string]any {
@@ -211,7 +220,7 @@
 		})
 	}
 	for i := range 333 {
-		workspaces = append(workspaces, map[string]any{"name": fmt.Sprintf("w%d", i), "api_keys": []string{strings.Repeat(fmt.Sprintf("%04d", i), 5)}})
+		workspaces = append(workspaces, map[string]any{"name": fmt.Sprintf("w%d", i), "api_keys": []string{workspaceKey(i)}})
 	}
 	return map[string]any{
 		"version": 1, "routes": routes, "tenants": workspaces, "limits": map[string]any{"max_header_bytes": 8192, "max_body_bytes": 1 << 20},
