--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -52,7 +52,7 @@
 	now := clock.Now()
 	if head.NotRun {
 		a.recordNotRun(place, head)
-		return a.afterNotRun(ctx, place)
+		return a.afterNotRun(ctx)
 	}
 	a.ran++
 	if head.Status >= minServerErrorStatus {
@@ -129,7 +129,7 @@
 		return true
 	}
 	if v == verdict.NotRun {
-		return a.afterNotRun(ctx, place)
+		return a.afterNotRun(ctx)
 	}
 	a.ran++
 	if ctx.Err() == nil && a.mayResend(v) {
@@ -158,7 +158,7 @@
 }
 
 // afterNotRun handles an attempt that did not run. It reports whether to send the request again, and refuses it otherwise.
-func (a *activeRequest) afterNotRun(ctx context.Context, place *picker.Place) bool {
+func (a *activeRequest) afterNotRun(ctx context.Context) bool {
 	if ctx.Err() == nil && a.mayResend(verdict.NotRun) {
 		return true
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,7 +45,7 @@
 		return a.streamFailed(ctx, place, err, false)
 	case head.NotRun:
 		a.recordNotRun(place, head)
-		return a.afterNotRun(ctx, place)
+		return a.afterNotRun(ctx)
 	case !head.OK() || !head.Events:
 		return a.nonStreamAnswer(ctx, place, reply, head)
 	}
@@ -120,7 +120,7 @@
 		return true
 	case v == verdict.NotRun:
 		place.RecordFailure(true, clock.Now())
-		return a.afterNotRun(ctx, place)
+		return a.afterNotRun(ctx)
 	}
 	a.ran++
 	if ctx.Err() == nil {
