Count retries for longer than the window of their limits

Callers saw nothing of it by itself: endpoints that fail got more retries than the limits allow, 160 where 136 are, in two bursts 9.5 to 10 s apart at one process.

Cause: the counter drops the oldest twentieth of its window at once, so what was granted 9.5 s ago is granted again; and a retry arrives up to some tenths of a second after it was granted. Class: a limit over a window whose memory is shorter than the window.

Retries are counted for a tenth longer, at least 10.45 s of 10. Requests stay: too few of them allow less. TestBurstsLessThanAWindowApartStayWithinLimits failed before and passes.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -32,6 +32,10 @@
 	Window time.Duration
 }
 
+// countedFor returns the length of the window in which retries are counted. It is longer than the window of the limits, because
+// a counter drops events up to a slice early, and a retry arrives at its endpoint after it has been counted.
+func (l Limits) countedFor() time.Duration { return l.Window + l.Window/10 }
+
 // Budget is one node's share of the retries of one service. It needs no communication with other nodes: the ratio applies to
 // each node's own requests, and the slack is divided among the nodes.
 type Budget struct {
@@ -49,7 +53,7 @@
 func NewBudget(limits Limits, nodes func() Nodes, start time.Time) *Budget {
 	return &Budget{
 		limits: limits, nodes: nodes, start: start,
-		requests: window.NewCounter(limits.Window, start), retries: window.NewCounter(limits.Window, start),
+		requests: window.NewCounter(limits.Window, start), retries: window.NewCounter(limits.countedFor(), start),
 	}
 }
 
@@ -63,7 +67,7 @@
 // State is what a Budget's next decision is based on.
 type State struct {
 	Requests int           // in the window that ends now
-	Retries  int           // in the same window
+	Retries  int           // in a slightly longer window
 	Allowed  float64       // maximum of Retries
 	Nodes    Nodes         // among which the slack is divided
 	Age      time.Duration // of the process whose requests and retries are counted
