Limit retries by a token bucket that starts empty

Endpoints that fail got more retries than the limits allow when nodes started again or callers moved: 553 to 1,172 in ten seconds where 432 are allowed, 138 where 102.

Cause: each process counted its own requests and retries in a window of its own. The retries of the process before it on the VM, or of the nodes that callers used before, were in the same window and in nobody's count. Class: a bound of the fleet that rests on memory which ends with a process.

A bucket needs no memory of others: a new process holds nothing, a request earns 0.6 of the ratio, and the bucket holds at most 0.35 of the ratio of the requests of the last window. What is spent within a window was held at its start or earned within it, which the requests of that window and the one before bound, whatever a process believes. The slack flows in over a window; nothing flows in while the fleet is unknown. In a fleet of up to 12 nodes all share the slack alike, so that nodes with few requests can retry at all.

TestProcessesThatStartAgainStayWithinLimits, TestCallersThatMoveToOtherNodesStayWithinLimits and TestFleetStaysWithinLimitsWhateverHappens failed before and pass, the last with 3,000 draws. Three tests of the budget demanded what is at fault, slack at age zero or a window that empties at once; in their place stand one that no more slack is available than the age allows, one without any while the fleet is unknown, and one that what comes back within a window stays within the limits. The tests of the slack's division keep their bounds and give the process a window of age.

--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -218,8 +218,8 @@
 		event = "resend refused"
 		a.gateway.metrics.resendsRefused.Inc(1)
 	}
-	a.log(event, false, "service", a.service.Name, "reason", reason, "begun", a.begun, "retries", state.Retries, "allowed", state.Allowed,
-		"requests", state.Requests, "nodes", state.Nodes.All, "busy_nodes", state.Nodes.Busy, "process_age_ms", state.Age.Milliseconds())
+	a.log(event, false, "service", a.service.Name, "reason", reason, "begun", a.begun, "available", state.Available, "size", state.Size,
+		"retries", state.Retries, "requests", state.Requests, "nodes", state.Nodes.All, "busy_nodes", state.Nodes.Busy, "process_age_ms", state.Age.Milliseconds())
 	return granted
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,7 +30,6 @@
 // Gateway serves callers' requests according to the routes of the current configuration.
 type Gateway struct {
 	Options
-	started time.Time
 	metrics *metrics
 
 	shortages shortages
@@ -41,7 +40,7 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
-	return &Gateway{Options: o, started: clock.Now(), metrics: newMetrics(o.Scope), budgets: make(map[string]*retry.Budget)}
+	return &Gateway{Options: o, metrics: newMetrics(o.Scope), budgets: make(map[string]*retry.Budget)}
 }
 
 // budget returns the retry budget of a service.
@@ -50,7 +49,7 @@
 	defer g.mu.Unlock()
 	b, ok := g.budgets[service]
 	if !ok {
-		b = retry.NewBudget(g.Limits, g.Nodes, g.started)
+		b = retry.NewBudget(g.Limits, g.Nodes, g.Started)
 		g.budgets[service] = b
 	}
 	return b
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -25,6 +25,7 @@
 	Investigator *quarantine.Investigator
 	Limits       retry.Limits
 	Nodes        func() retry.Nodes
+	Started      time.Time                  // when the process started
 	RequestLog   func(id string) RequestLog // returns the log of a new request
 	Scope        tally.Scope
 }
--- a/internal/server/addresses.go
+++ b/internal/server/addresses.go
@@ -44,7 +44,10 @@
 func (n *Server) nodeCounts() retry.Nodes {
 	now := clock.Now()
 	out := retry.Nodes{All: 1 + n.gossip.KnownCount(now)}
-	if n.traffic.settled(now) {
+	switch {
+	case out.All <= gossip.SmallFleet:
+		out.Busy = out.All
+	case n.traffic.settled(now):
 		out.Busy = 1 + n.gossip.Others(now).Busy
 	}
 	return out
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -82,7 +82,7 @@
 		for service, b := range n.gateway.RetryBudgets(now) {
 			tagged := s.Tagged(map[string]string{"service": service})
 			tagged.Gauge("retries_counted").Update(float64(b.Retries))
-			tagged.Gauge("retries_allowed").Update(b.Allowed)
+			tagged.Gauge("retries_available").Update(b.Available)
 		}
 		nodes := n.nodeCounts()
 		s.Gauge("retry_nodes").Update(float64(nodes.All))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -156,7 +156,7 @@
 		Table: n.table.Load, Proof: func() time.Time { return n.follower.Current(keys.Accepted) }, ProofLimit: s.ProofLimit(),
 		ProofOptional: !s.CredentialProofRequired,
 		Picker:        n.picker, Quarantine: n.quarantine, Investigator: n.investigator, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
-		Nodes:      n.nodeCounts,
+		Nodes: n.nodeCounts, Started: n.started,
 		RequestLog: func(id string) gateway.RequestLog { return decisions.Request(id) },
 		Scope:      n.scope,
 	})
