Divide the slack of retry limits among the nodes of the fleet, not those heard now

Endpoints that fail got more retries than the limits allow from nodes that heard few others: 617 in ten seconds at nine nodes that hear no other, 861 after two starts, where 420 to 432 are allowed.

Cause: the divisor was the number of nodes heard within 40 s, one at a start, and of busy nodes heard within 0.8 s. Class: silence taken for absence.

The number of nodes is unknown until the registered nodes have been listed or a relay has reported it, and no slack is used until then; it falls only after ten minutes. Nodes that are not heard count as busy as often as the others; a relay extrapolates for the nodes that report to it.

TestNodesTogetherStayWithinRetryLimits failed before.

--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -85,6 +85,9 @@
 	// CapacityPerRequest is the capacity that one running request needs of the nodes that serve callers, in thousandths of a
 	// core.
 	CapacityPerRequest float64
+	// FleetSize returns the number of nodes in the fleet, also of those that are not heard at present; 0 or nil: unknown. It must
+	// not call the Node.
+	FleetSize func(now time.Time) int
 	// OnSent is called with the kind and the size in bytes of each beat sent; it must not block.
 	OnSent func(kind BeatKind, size int)
 
--- a/internal/gossip/relay.go
+++ b/internal/gossip/relay.go
@@ -143,7 +143,8 @@
 	}
 	b := toWire(n.self, total.applyTo(n.lastStatus), now)
 	b.Relay, b.WholeFleet = true, true
-	b.Nodes = uint32(1 + n.knownNow(now)) //nolint:gosec // fleets are smaller
+	b.Nodes = uint32(1 + n.knownNow(now))           //nolint:gosec // fleets are smaller
+	b.Busy = uint32(n.extrapolate(total.Busy, now)) //nolint:gosec // never negative
 	n.writeBeat(c, now, SubscriberBeat, n.marshalCommon(b), n.rosterFields(c, now, c.isReporter(now), n.refreshView(now)))
 }
 
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -93,6 +93,35 @@
 	return len(n.lastSeen)
 }
 
+// HearsRelay reports whether a relay reports the size of the fleet to this node.
+func (n *Node) HearsRelay(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.upstream(now) != nil
+}
+
+// BusyCount estimates how many nodes of the fleet have requests. This node is counted as one of them.
+func (n *Node) BusyCount(now time.Time) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	busy := 1 + n.othersNow(now).Busy
+	if n.upstream(now) != nil {
+		return busy // the relay has extrapolated it
+	}
+	return n.extrapolate(busy, now)
+}
+
+// extrapolate estimates a count over all nodes of the fleet from that over the live ones. Nodes that are not heard may be cut
+// off and still serve callers.
+func (n *Node) extrapolate(count int, now time.Time) int {
+	heard := 1 + len(n.live(now))
+	if n.FleetSize == nil {
+		return count
+	}
+	size := max(heard, n.FleetSize(now))
+	return (count*size + heard - 1) / heard
+}
+
 // Others returns the totals of all other nodes. The result is shared and must not be modified.
 func (n *Node) Others(now time.Time) *Totals {
 	n.mu.Lock()
--- a/internal/server/addresses.go
+++ b/internal/server/addresses.go
@@ -6,7 +6,6 @@
 
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/gossip"
-	"moorrun.dev/moorrun/internal/retry"
 )
 
 const (
@@ -39,20 +38,6 @@
 	return addressesFor(dataCentre, nodes, n.runningRequests(now))
 }
 
-// nodeCounts returns the number of nodes in the fleet and how many of them serve requests; Busy is zero until this node
-// has been busy for busyReportTime.
-func (n *Server) nodeCounts() retry.Nodes {
-	now := clock.Now()
-	out := retry.Nodes{All: 1 + n.gossip.KnownCount(now)}
-	switch {
-	case out.All <= gossip.SmallFleet:
-		out.Busy = out.All
-	case n.traffic.settled(now):
-		out.Busy = 1 + n.gossip.Others(now).Busy
-	}
-	return out
-}
-
 // runningRequests returns the number of requests that all nodes together are running at replica groups.
 func (n *Server) runningRequests(now time.Time) int {
 	return gossip.SumDemands(n.gossip.Others(now).Demands).Running + gossip.SumDemands(n.ownStatus(now).Demands).Running
--- a/internal/server/registration.go
+++ b/internal/server/registration.go
@@ -163,7 +163,9 @@
 		others = append(others, id)
 		n.gossip.Introduce(id)
 	}
-	n.fleetProfile.Store(newFleetProfile(n.gossip.Self(), others, n.isListed(objects)))
+	profile := newFleetProfile(n.gossip.Self(), others, n.isListed(objects))
+	n.fleetProfile.Store(profile)
+	n.fleetSize.observe(profile.nodes, true, clock.Now())
 	return len(others)
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -82,7 +82,8 @@
 	requests            atomic.Int64
 	traffic             traffic
 	fleetProfile        atomic.Pointer[fleetProfile] // nil until the registered nodes have been listed
-	startJitter         float64                      // random number from 0 to 1 that spreads the start delays of nodes
+	fleetSize           *fleetSize
+	startJitter         float64 // random number from 0 to 1 that spreads the start delays of nodes
 	leaving             atomic.Bool
 	registrationWritten bool                      // this process has written its registration; used by register only
 	appliedSequence     atomic.Uint64             // sequence of the mirror up to which changes are in the directory
@@ -125,6 +126,8 @@
 	n.election.delay = n.electionDelay
 	n.gossip = gossip.NewNode(self, t.Datagrams, n.status)
 	n.gossip.Add(s.Peers...)
+	n.fleetSize = newFleetSize(n.started)
+	n.gossip.FleetSize = n.fleetSize.value
 	n.setUpQuarantine()
 	leads := func() bool { return n.controller.Leads(clock.Now()) > 0 }
 	n.follower = follow.NewFollower(n.platform.Objects, n.peerCaller, s.VM, leads, n.gossip.Live, logger)
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -70,20 +70,25 @@
 // startAll starts a process of each node, all within startSpread. firstStart means that no node is registered in the store.
 func (f *fleet) startAll(firstStart bool) {
 	for i := range f.processes {
-		proc := f.newProcess(i)
-		f.processes[i] = proc
-		ctx, cancel := context.WithCancel(context.Background())
-		proc.cancel = cancel
-		f.tasks.Go(func() error {
-			time.Sleep(time.Duration(i*7919%1000) * startSpread / 1000)
-			n := f.newServer(i, proc, firstStart)
-			proc.server.Store(n)
-			return n.Run(ctx) // returns at once if the process has been killed in the meantime
-		})
+		f.processes[i] = f.start(i, firstStart)
 	}
 	time.Sleep(startSpread)
 }
 
+// start starts a process of a node within startSpread.
+func (f *fleet) start(i int, firstStart bool) *process {
+	proc := f.newProcess(i)
+	ctx, cancel := context.WithCancel(context.Background())
+	proc.cancel = cancel
+	f.tasks.Go(func() error {
+		time.Sleep(time.Duration(i*7919%1000) * startSpread / 1000)
+		n := f.newServer(i, proc, firstStart)
+		proc.server.Store(n)
+		return n.Run(ctx) // returns at once if the process has been killed in the meantime
+	})
+	return proc
+}
+
 func (f *fleet) newProcess(i int) *process {
 	return &process{port: f.network.Open(i), storeCut: new(bool)}
 }
@@ -108,9 +113,12 @@
 	return server.NewWithTransport(t, s, newPlatform, log.With(f.logger, "vm", s.VM))
 }
 
-// killAll kills all processes without a shutdown: nothing that they still send arrives.
-func (f *fleet) killAll() {
-	for _, proc := range f.processes {
+// killAll kills all processes.
+func (f *fleet) killAll() { f.kill(f.processes...) }
+
+// kill kills processes without a shutdown: nothing that they still send arrives.
+func (f *fleet) kill(processes ...*process) {
+	for _, proc := range processes {
 		f.network.SetUnreachable(true, proc.port)
 		f.cutFromStore(true, proc)
 		proc.cancel()
