Count retries that are sent, not those that find no place

A retry was counted when it was granted. One that then found no place was counted all the same, so that later requests were refused theirs (three counted for two sent in TestRetryWithoutAPlaceIsNotCounted, which failed before). One that waited longer, or whose process was suspended, arrived in a later window than it was counted in.

A retry that finds no place is given back.

--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -12,7 +12,6 @@
 	"moorrun.dev/moorrun/internal/readers"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
-	"moorrun.dev/moorrun/internal/verdict"
 )
 
 // maxSends bounds the attempts of one request, including those that did not run.
@@ -39,6 +38,8 @@
 	begun    bool     // the head of a stream has been passed on to the caller
 	lastID   string   // ID of the last event passed on
 
+	retryTaken time.Time // when a retry was taken for the next attempt; zero if none is needed
+
 	requestLog   RequestLog
 	delivery     delivery
 	unsuccessful bool // failed, refused or cut off
@@ -102,9 +103,26 @@
 	a.log("caller cut", true, "reason", reason, "route", a.route.Name, "workspace", a.workspace.Name, "last", a.lastID)
 }
 
-// acquire returns a place for the next attempt, unless the request is held back. It checks for that again after the wait for
-// the place.
+// errTooLate means that the retry taken for the next attempt no longer counts, and another is not allowed.
+var errTooLate = errors.New("a place was found too late for a retry")
+
+// acquire returns a place for the next attempt. If there is none, the retry taken for the attempt is given back.
 func (a *activeRequest) acquire(ctx context.Context) (*picker.Place, error) {
+	place, err := a.acquireUnlessHeld(ctx)
+	if err != nil {
+		a.returnRetry()
+		return nil, err
+	}
+	if !a.useRetry() {
+		place.Release()
+		return nil, errTooLate
+	}
+	return place, nil
+}
+
+// acquireUnlessHeld returns a place for the next attempt, unless the request is held back. It checks for that again after the
+// wait for the place.
+func (a *activeRequest) acquireUnlessHeld(ctx context.Context) (*picker.Place, error) {
 	a.trial = nil
 	if err := a.heldBack(); err != nil {
 		return nil, err
@@ -193,36 +211,6 @@
 	a.refuse(Refusal{Reason: reason, Detail: detail})
 }
 
-// mayResend reports whether the request may be sent again after an attempt that failed with verdict v, and takes the attempt
-// from the retry budget if so.
-func (a *activeRequest) mayResend(v verdict.Verdict) bool {
-	if a.sends >= maxSends || !clock.Now().Before(a.deadline) {
-		return false // the context may expire slightly after the deadline
-	}
-	if v != verdict.NotRun && (!a.route.MayRepeat() || a.ran >= max(1, a.route.MaxAttempts)) {
-		return false
-	}
-	if !a.takeRetry(v.String()) {
-		return false
-	}
-	a.gateway.metrics.resends.Inc(1)
-	return true
-}
-
-// takeRetry takes a retry from the service's budget and reports whether it was granted. The log tells the reason for the retry
-// and what the decision was based on.
-func (a *activeRequest) takeRetry(reason string) bool {
-	state, granted := a.budget.Take(clock.Now())
-	event := "resend"
-	if !granted {
-		event = "resend refused"
-		a.gateway.metrics.resendsRefused.Inc(1)
-	}
-	a.log(event, false, "service", a.service.Name, "reason", reason, "begun", a.begun, "available", state.Available, "size", state.Size,
-		"retries", state.Retries, "requests", state.Requests, "nodes", state.Nodes.All, "busy_nodes", state.Nodes.Busy, "process_age_ms", state.Age.Milliseconds())
-	return granted
-}
-
 // exclude keeps further attempts away from the place's group or endpoint.
 func (a *activeRequest) exclude(place *picker.Place) {
 	if place.Group != "" {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -350,3 +350,12 @@
 	s.serve("/again/a", script{silent: true}, script{head: okHead})
 	qt.Check(t, s.lastLog.loggedInFull, qt.IsTrue, qt.Commentf("sent twice"))
 }
+
+// Guards against retries that are counted although no place was found for them: the requests after it were refused theirs.
+func TestRetryWithoutAPlaceIsNotCounted(t *testing.T) {
+	s := newTestGateway()
+	x := s.serve("/again/x", script{head: gateway.Head{Status: 503, NotRun: true}})
+	qt.Check(t, x.attempts, qt.HasLen, 3, qt.Commentf("the service has three endpoints"))
+	qt.Assert(t, x.refusal, qt.IsNotNil)
+	qt.Check(t, s.gateway.RetryBudgets(clock.Now())["plain"].Retries, qt.Equals, 2)
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -125,6 +125,28 @@
 	return s, true
 }
 
+// Return gives back a retry that was taken at taken and has not been sent. After MaxDelay it is lost.
+func (b *Budget) Return(taken, now time.Time) {
+	nodes := b.nodes()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.update(nodes, now)
+	b.retries.Remove(taken, now)
+	if now.Sub(taken) <= b.limits.MaxDelay() {
+		b.tokens = min(b.tokens+1, b.size(now))
+	}
+}
+
+// Renew reports whether a retry that was taken at taken may be sent now. After MaxDelay it has to be taken again.
+func (b *Budget) Renew(taken, now time.Time) bool {
+	if now.Sub(taken) <= b.limits.MaxDelay() {
+		return true
+	}
+	b.Return(taken, now)
+	_, ok := b.Take(now)
+	return ok
+}
+
 // update adds the slack that has flowed into the bucket since the last update. That is the smaller of this node's parts of the
 // slack then and now, so that a part that has grown counts only from now on.
 func (b *Budget) update(nodes Nodes, now time.Time) {
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -92,6 +92,34 @@
 	qt.Check(t, take(b, origin.Add(limits.Window+time.Second)), qt.IsTrue)
 }
 
+// Guards against retries that wait for a place, or in a suspended process, and arrive in a later window than they were counted in.
+func TestRetryThatIsSentLateIsTakenAgain(t *testing.T) {
+	b := full(limits, singleNode())
+	qt.Assert(t, take(b, origin), qt.IsTrue)
+	qt.Check(t, b.Renew(origin, origin.Add(limits.MaxDelay())), qt.IsTrue)
+	later := origin.Add(limits.MaxDelay() + 1)
+	before := b.State(later).Available
+	qt.Check(t, b.Renew(origin, later), qt.IsTrue)
+	qt.Check(t, b.State(later).Available, qt.Equals, before-1)
+	exhaust(b, later)
+	qt.Check(t, b.Renew(origin, later), qt.IsFalse)
+}
+
+func TestReturnedRetryMayBeTakenAgain(t *testing.T) {
+	b := full(limits, singleNode())
+	exhaust(b, origin)
+	b.Return(origin, origin)
+	qt.Check(t, exhaust(b, origin), qt.Equals, 1)
+	late := origin.Add(limits.MaxDelay() + 1)
+	before := b.State(late).Available
+	b.Return(origin, late)
+	qt.Check(t, b.State(late).Available, qt.Equals, before, qt.Commentf("it is lost"))
+	later := origin.Add(time.Hour)
+	b.Return(later, later)
+	s := b.State(later)
+	qt.Check(t, s.Available, qt.Equals, s.Size, qt.Commentf("no more than the budget holds"))
+}
+
 // TestAllNodesTogetherStayWithinLimits simulates nodes that start at different times and use as many retries as they can. In
 // no window may they together exceed the limits.
 func TestAllNodesTogetherStayWithinLimits(t *testing.T) {
--- a/internal/window/counter.go
+++ b/internal/window/counter.go
@@ -28,6 +28,15 @@
 	c.counts[c.current%sliceCount]++
 }
 
+// Remove takes back an event that was added at the given time, if it still counts at now.
+func (c *Counter) Remove(added, now time.Time) {
+	c.advance(now)
+	slice := int64(added.Sub(c.start) / c.sliceLength)
+	if slice > c.current-sliceCount && c.counts[slice%sliceCount] > 0 {
+		c.counts[slice%sliceCount]--
+	}
+}
+
 // Sum returns the number of events in the window that ends at now.
 func (c *Counter) Sum(now time.Time) int {
 	c.advance(now)
--- a/internal/window/counter_test.go
+++ b/internal/window/counter_test.go
@@ -47,3 +47,17 @@
 	qt.Check(t, c.Sum(time.Unix(1001, 0)), qt.Equals, 1)
 	qt.Check(t, c.Sum(time.Unix(5000, 0)), qt.Equals, 0)
 }
+
+func TestRemovedEventNoLongerCounts(t *testing.T) {
+	start := time.Unix(1000, 0)
+	c := window.NewCounter(10*time.Second, start)
+	c.Add(start)
+	c.Add(start.Add(time.Second))
+	c.Remove(start, start.Add(2*time.Second))
+	qt.Check(t, c.Sum(start.Add(2*time.Second)), qt.Equals, 1)
+	c.Remove(start.Add(time.Second), start.Add(12*time.Second))
+	qt.Check(t, c.Sum(start.Add(12*time.Second)), qt.Equals, 0, qt.Commentf("the event had left the window"))
+	c.Add(start.Add(12 * time.Second))
+	c.Remove(start.Add(time.Second), start.Add(12*time.Second))
+	qt.Check(t, c.Sum(start.Add(12*time.Second)), qt.Equals, 1, qt.Commentf("events of a later slice stay"))
+}
