Keep the last retries for streams that callers have begun to receive

When few retries are left, a hedge, whose first attempt may still be answered, took the one that a cut stream needed to go on. Now half of the budget is kept from hedges and a fifth from all requests of which nothing has been passed on yet: these can be refused truthfully and come back, a cut stream is lost. A single retry may have any use, so that small budgets are not reserved away. What flows through the budget stays the same.

TestStreamsThatHaveBegunGetTheLastRetries and TestLastRetryIsNotReserved are new.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/picker"
+	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/verdict"
 )
 
@@ -84,7 +85,7 @@
 	}
 	head, err := reply.Head(until)
 	if errors.Is(err, ErrNotYet) && until.Before(a.deadline) && ctx.Err() == nil {
-		if a.sends < maxSends && a.takeRetry(hedgeReason) {
+		if a.sends < maxSends && a.takeRetry(retry.Hedge, hedgeReason) {
 			return head, nil, errHedged
 		}
 		head, err = reply.Head(a.deadline)
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/clock"
+	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/verdict"
 )
 
@@ -16,18 +17,26 @@
 	if v != verdict.NotRun && (!a.route.MayRepeat() || a.ran >= max(1, a.route.MaxAttempts)) {
 		return false
 	}
-	if !a.takeRetry(v.String()) {
+	if !a.takeRetry(a.retryUse(), v.String()) {
 		return false
 	}
 	a.gateway.metrics.resends.Inc(1)
 	return true
 }
 
+// retryUse returns what a retry after a failed attempt is for.
+func (a *activeRequest) retryUse() retry.Use {
+	if a.begun {
+		return retry.Resume
+	}
+	return retry.Resend
+}
+
 // takeRetry takes a retry from the service's budget for the next attempt and reports whether it was granted. The log tells the
 // reason for the retry and what the decision was based on.
-func (a *activeRequest) takeRetry(reason string) bool {
+func (a *activeRequest) takeRetry(use retry.Use, reason string) bool {
 	now := clock.Now()
-	state, granted := a.budget.Take(now)
+	state, granted := a.budget.Take(use, now)
 	event := "resend"
 	if granted {
 		a.retryTaken = now
@@ -54,5 +63,5 @@
 func (a *activeRequest) useRetry() bool {
 	taken := a.retryTaken
 	a.retryTaken = time.Time{}
-	return taken.IsZero() || a.budget.Renew(taken, clock.Now())
+	return taken.IsZero() || a.budget.Renew(a.retryUse(), taken, clock.Now())
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -35,6 +35,21 @@
 	maxDelayDivisor = 20
 )
 
+// Use is what a retry is for. When few retries are left, those that are worth most to callers get them.
+type Use int
+
+const (
+	// Hedge is an attempt beside one that may still be answered.
+	Hedge Use = iota
+	// Resend is an attempt after one that has failed before anything was passed on to the caller, who can still be told so.
+	Resend
+	// Resume is an attempt that continues a stream which the caller has begun to receive.
+	Resume
+)
+
+// reserves are the parts of the budget's size that are left for uses that are worth more.
+var reserves = [...]float64{Hedge: 0.5, Resend: 0.2, Resume: 0}
+
 // Nodes counts the nodes that share the slack.
 type Nodes struct {
 	All  int // 0 if the fleet is not known yet
@@ -110,14 +125,15 @@
 	}
 }
 
-// Take reports whether a retry is allowed, and takes it if so. It also returns the state on which that was decided.
-func (b *Budget) Take(now time.Time) (State, bool) {
+// Take reports whether a retry is allowed for the given use, and takes it if so. It also returns the state on which that was
+// decided.
+func (b *Budget) Take(use Use, now time.Time) (State, bool) {
 	nodes := b.nodes()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.update(nodes, now)
 	s := b.stateLocked(nodes, now)
-	if b.tokens < 1 {
+	if b.tokens < 1+reserves[use]*max(0, s.Size-1) {
 		return s, false
 	}
 	b.tokens--
@@ -138,12 +154,12 @@
 }
 
 // Renew reports whether a retry that was taken at taken may be sent now. After MaxDelay it has to be taken again.
-func (b *Budget) Renew(taken, now time.Time) bool {
+func (b *Budget) Renew(use Use, taken, now time.Time) bool {
 	if now.Sub(taken) <= b.limits.MaxDelay() {
 		return true
 	}
 	b.Return(taken, now)
-	_, ok := b.Take(now)
+	_, ok := b.Take(use, now)
 	return ok
 }
 
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -13,9 +13,9 @@
 
 var origin = time.Unix(1000, 0)
 
-// take reports whether a retry is allowed.
+// take reports whether a retry of the use that is worth most is allowed.
 func take(b *retry.Budget, now time.Time) bool {
-	_, ok := b.Take(now)
+	_, ok := b.Take(retry.Resume, now)
 	return ok
 }
 
@@ -92,17 +92,43 @@
 	qt.Check(t, take(b, origin.Add(limits.Window+time.Second)), qt.IsTrue)
 }
 
+// Guards against hedges and first answers that leave no retries for streams which callers have begun to receive.
+func TestStreamsThatHaveBegunGetTheLastRetries(t *testing.T) {
+	b := full(limits, singleNode())
+	size := b.State(origin).Size
+	count := func(use retry.Use) (n float64) {
+		for ; ; n++ {
+			if _, ok := b.Take(use, origin); !ok {
+				return n
+			}
+		}
+	}
+	hedges, resends, resumes := count(retry.Hedge), count(retry.Resend), count(retry.Resume)
+	qt.Check(t, hedges <= size/2, qt.IsTrue, qt.Commentf("%v hedges of %v", hedges, size))
+	qt.Check(t, resends > 0, qt.IsTrue)
+	qt.Check(t, resumes >= size/10, qt.IsTrue, qt.Commentf("%v resumed streams of %v", resumes, size))
+}
+
+// A single retry may have any use.
+func TestLastRetryIsNotReserved(t *testing.T) {
+	l := retry.Limits{Ratio: 0.2, Slack: 4, Window: 10 * time.Second}
+	for _, use := range []retry.Use{retry.Hedge, retry.Resend, retry.Resume} {
+		_, ok := full(l, singleNode()).Take(use, origin)
+		qt.Check(t, ok, qt.IsTrue, qt.Commentf("use %d", use))
+	}
+}
+
 // Guards against retries that wait for a place, or in a suspended process, and arrive in a later window than they were counted in.
 func TestRetryThatIsSentLateIsTakenAgain(t *testing.T) {
 	b := full(limits, singleNode())
 	qt.Assert(t, take(b, origin), qt.IsTrue)
-	qt.Check(t, b.Renew(origin, origin.Add(limits.MaxDelay())), qt.IsTrue)
+	qt.Check(t, b.Renew(retry.Resume, origin, origin.Add(limits.MaxDelay())), qt.IsTrue)
 	later := origin.Add(limits.MaxDelay() + 1)
 	before := b.State(later).Available
-	qt.Check(t, b.Renew(origin, later), qt.IsTrue)
+	qt.Check(t, b.Renew(retry.Resume, origin, later), qt.IsTrue)
 	qt.Check(t, b.State(later).Available, qt.Equals, before-1)
 	exhaust(b, later)
-	qt.Check(t, b.Renew(origin, later), qt.IsFalse)
+	qt.Check(t, b.Renew(retry.Resume, origin, later), qt.IsFalse)
 }
 
 func TestReturnedRetryMayBeTakenAgain(t *testing.T) {
