Own interface: fill the retry budget of a new process over ten seconds

A new process could retry ten times at once, whatever the process before it on the VM had just retried: ten starts in ten seconds allowed 100 retries where one process has 10. The same class as at the gateway: an allowance that a start renews.

The ten now flow in over the first ten seconds. What requests earn stays the same. TestRetriesOfProcessesThatStartAgainAreThoseOfOne; the integration tests pass.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -57,7 +57,7 @@
 		return notRun(fasthttp.StatusNotFound, "this workspace has no model "+strconv.Quote(r.Model))
 	}
 	s.metrics.requests.Inc(1)
-	s.budget.recordRequest()
+	s.budget.recordRequest(clock.Now())
 	f := s.completeWithRetries(c, model, r)
 	if f != nil {
 		s.countFailure(c, r.Model, f)
@@ -96,7 +96,7 @@
 		if c.remaining() <= 0 {
 			return &failure{fasthttp.StatusGatewayTimeout, verdict.Of(err), "the deadline passed: " + err.Error(), time.Second}
 		}
-		if !s.budget.tryTake() {
+		if !s.budget.tryTake(clock.Now()) {
 			return &failure{fasthttp.StatusBadGateway, verdict.Of(err), "the replica group failed: " + err.Error(), time.Second}
 		}
 		s.metrics.retries.Inc(1)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,6 +18,7 @@
 
 	"moorrun.dev/moorrun/internal/admission"
 	"moorrun.dev/moorrun/internal/burn"
+	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/config"
 	"moorrun.dev/moorrun/internal/httpcall"
 	"moorrun.dev/moorrun/internal/infra"
@@ -80,7 +81,7 @@
 // New returns a Server.
 func New(o Options) *Server {
 	s := &Server{
-		Options: o, budget: newRetryBudget(),
+		Options: o, budget: newRetryBudget(clock.Now()),
 		metrics: newMetrics(o.Scope),
 	}
 	s.investigator = &quarantine.Investigator{
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -50,7 +50,7 @@
 		p.path += "?" + string(query)
 	}
 	s.metrics.requests.Inc(1)
-	s.budget.recordRequest()
+	s.budget.recordRequest(clock.Now())
 	f := s.servePlain(p)
 	if f != nil {
 		s.countFailure(c, name, f)
@@ -171,7 +171,7 @@
 		s.Services.RecordFailure(endpoint.Name, clock.Now())
 		avoid = endpoint.Name
 		v := verdict.Of(err)
-		retry := (v == verdict.NotRun || p.repeatable) && p.remaining() > 0 && s.budget.tryTake()
+		retry := (v == verdict.NotRun || p.repeatable) && p.remaining() > 0 && s.budget.tryTake(clock.Now())
 		if !retry {
 			status := fasthttp.StatusBadGateway
 			if httpcall.IsTimeout(err) {
