Soak: engines that fail while a node is killed and started again

Half of the engines fail everything while a node starts twice. At the end of a run the completions that all engines received are compared with those that callers sent: 1.1 times as many, and ten for each process started.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -21,7 +21,7 @@
 	fault := linkFaults[w.faultRand.IntN(len(linkFaults))]
 	engine := w.lab.Engines[w.randomEngineVM()]
 	endpoint := w.lab.PlainEndpoints[[]string{"receipts-1", "receipts-2"}[w.faultRand.IntN(2)]]
-	switch w.faultRand.IntN(17) {
+	switch w.faultRand.IntN(18) {
 	case 0:
 		node.Kill()
 		time.Sleep(duration)
@@ -79,6 +79,8 @@
 		engine.Freeze(false)
 	case 15:
 		w.requestDeadlyCompletions(2 + w.faultRand.IntN(6))
+	case 16:
+		w.failEnginesDuringRestarts(i, duration)
 	default: // a paused node during a store outage
 		node.Pause(true)
 		w.lab.Objects.Down.Store(true)
@@ -116,6 +118,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.nodes[i] = n
+	w.processes++
 }
 
 // clearFaults ends the store faults, engine link faults and drains that are still in effect.
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -24,6 +24,7 @@
 	for n := 0; !w.stopped(); n++ {
 		prompt := fmt.Sprintf("c%d-%d", caller, n)
 		tokens := 3 + n%40
+		w.results.sentCompletions.Add(1)
 		reply := donors.Complete(w.callerAddress(caller+n), lab.Completion{Model: "letters-70b", Prompt: prompt, Tokens: tokens, DeadlineMS: 8000})
 		w.results.countRequest()
 		expected := lab.ExpectedText(prompt, tokens)
@@ -45,6 +46,7 @@
 	if cut.Resume == "" {
 		return
 	}
+	w.results.sentCompletions.Add(1)
 	remainder := c.Resume(w.callerAddress(node), cut.Resume, cut.Events)
 	if remainder.Status == http.StatusOK && remainder.Complete {
 		w.results.check(cut.Text+remainder.Text == lab.ExpectedText(prompt, tokens), "prompt %s resumed to %q + %q", prompt, cut.Text, remainder.Text)
@@ -113,6 +115,7 @@
 	for range count {
 		n := w.results.countDeadly()
 		prompt := fmt.Sprintf("Answer the letter.\n\n%s\n\nletter %d", standin.CrashPassage, n)
+		w.results.sentCompletions.Add(1)
 		reply := donors.Complete(w.callerAddress(n), lab.Completion{Model: "letters-70b", Prompt: prompt, Tokens: 3, DeadlineMS: 2000})
 		w.results.check(!reply.Complete, "deadly prompt %d got the whole answer %q", n, reply.Text)
 	}
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -38,6 +38,7 @@
 	mu         sync.Mutex
 	nodes      []*lab.Node
 	logFiles   map[string]bool
+	processes  int // started so far
 	results    results
 	keyedCalls keyedCalls
 	history    history
@@ -76,6 +77,7 @@
 	}
 	w.checkRunCounts()
 	w.checkDeadlyRuns()
+	w.checkRetries()
 	w.checkLinearizability()
 	checks := w.checkInvariants()
 	fmt.Printf("soak: seed %d, %d faults, %d requests, %d checks, %d violations\n", seed, w.results.faults, w.results.requests, checks, len(w.results.violations))
@@ -90,6 +92,7 @@
 		}
 		w.nodes = append(w.nodes, n)
 		w.logFiles[n.LogFile] = true
+		w.processes++
 	}
 	n, err := w.lab.StartInProcess("entry-5", "rvk-1", w.paths)
 	if err != nil {
@@ -97,6 +100,7 @@
 	}
 	w.cuttable = n
 	w.logFiles[n.LogFile] = true
+	w.processes++
 	const limit = 30 * time.Second
 	if err := lab.WaitUntil(limit, "an accepted configuration", func() bool { return w.lab.CLI("apply", w.lab.ConfigDir, "--wait").Code == 0 }); err != nil {
 		return err
--- a/test/soak/results.go
+++ b/test/soak/results.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 )
 
 // results counts the faults, requests and checks of a run and lists the violations.
@@ -15,6 +16,8 @@
 	checks     int64
 	deadly     int // requests that end engines
 	violations []string
+
+	sentCompletions atomic.Int64 // by callers, with those that resume a stream
 }
 
 // check counts a check and adds a violation unless ok.
