Own interface: accept no peers of another deployment

Cause: an address stands for the node that used to be there. A node that links to an address which a node of another deployment has now brings its own entry, which replaces that of the VM of the same name, and takes the state objects there for those of its own store. Class: an address taken for an identity.

The new setting deployment names what a node belongs to; links and calls carry it, and one that names another is refused. Nodes that name none are accepted, so a fleet can be upgraded node by node. The lab names each of its fleets.

--- a/internal/lab/in_process.go
+++ b/internal/lab/in_process.go
@@ -27,7 +27,7 @@
 func (l *Lab) StartInProcess(vm, dataCentre string, p *paths.Paths) (*InProcessNode, error) {
 	n := &InProcessNode{LogFile: filepath.Join(l.Dir, vm+".log"), done: make(chan error, 1)}
 	n.Settings = settings.Settings{
-		VM: vm, DataCentre: dataCentre, BootstrapOperatorSHA256: config.HashToken(OperatorToken),
+		Deployment: l.deployment(), VM: vm, DataCentre: dataCentre, BootstrapOperatorSHA256: config.HashToken(OperatorToken),
 		Platform:    settings.Platform{ObjectAPI: l.Objects.Address, VMList: l.VMs.Address, WeightStore: l.Weights.Address},
 		HeartbeatMS: 100, PollMS: 100, EvidenceMS: 1500, LeaseTTLMS: 2000, AddressLifetimeMS: 1000, ReloadMS: 1000, StoreReads: 50, StoreWrites: 20,
 		Listen:        settings.Listen{Caller: kernelChosenPort, Admin: kernelChosenPort, Peer: kernelChosenPort},
--- a/internal/lab/node.go
+++ b/internal/lab/node.go
@@ -39,7 +39,7 @@
 // StartNode starts moorrund for a VM. Its intervals and timeouts are short enough for tests.
 func (l *Lab) StartNode(vm, dataCentre string, options ...SettingsOption) (*Node, error) {
 	s := settings.Settings{
-		VM: vm, DataCentre: dataCentre, BootstrapOperatorSHA256: config.HashToken(OperatorToken),
+		Deployment: l.deployment(), VM: vm, DataCentre: dataCentre, BootstrapOperatorSHA256: config.HashToken(OperatorToken),
 		Platform:    settings.Platform{ObjectAPI: l.Objects.Address, VMList: l.VMs.Address, WeightStore: l.Weights.Address},
 		HeartbeatMS: 100, PollMS: 100, EvidenceMS: 1500, LeaseTTLMS: 2000, AddressLifetimeMS: 1000, ReloadMS: 1000, StoreReads: 50, StoreWrites: 20,
 	}
@@ -55,6 +55,9 @@
 	return l.start(s)
 }
 
+// deployment returns a name that differs from those of other labs, whose nodes may get ports that nodes of this one had.
+func (l *Lab) deployment() string { return strings.ReplaceAll(l.Objects.Address, ":", "-") }
+
 // addProxies puts fault proxies before the peer address of the node and between the node and the object API.
 func (l *Lab) addProxies(n *Node) error {
 	var err, err2 error
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -173,10 +173,11 @@
 		PeerAddress: s.PeerAddress, Incarnation: uuid.NewString()[:8], Heard: clock.Now(),
 	}
 	n.fleet = &peer.Fleet{
-		Mirror: mirror.New(), Observations: evidence.NewTable(), Reports: evidence.NewReports(),
+		Deployment: s.Deployment,
+		Mirror:     mirror.New(), Observations: evidence.NewTable(), Reports: evidence.NewReports(),
 		Members: membership.NewTable(self), Contact: &peer.Contact{}, Outgoing: peer.NewOutbox(), Quarantine: quarantine.NewTable(), Heartbeat: s.Heartbeat(),
 	}
-	n.caller = peer.NewCaller(s.Heartbeat())
+	n.caller = peer.NewCaller(s.Heartbeat(), s.Deployment)
 	n.links = relay.NewLinks(n.fleet, s.Peers)
 	n.watcher = relay.NewWatcher(n.objects, n.fleet, n.links, n.logger)
 }
--- a/internal/peer/caller.go
+++ b/internal/peer/caller.go
@@ -22,13 +22,15 @@
 type Caller struct {
 	pool        *drpcpool.Pool[string, drpcpool.Conn]
 	idleTimeout time.Duration
+	deployment  string
 }
 
-// NewCaller returns a Caller. It closes a connection after idleTimeoutHeartbeats times heartbeat without traffic.
-func NewCaller(heartbeat time.Duration) *Caller {
+// NewCaller returns a Caller of a node of the given deployment, which may be empty. It closes a connection after idleTimeoutHeartbeats times heartbeat without traffic.
+func NewCaller(heartbeat time.Duration, deployment string) *Caller {
 	return &Caller{
 		pool:        drpcpool.New[string, drpcpool.Conn](drpcpool.Options{KeyCapacity: maxPooledConnsPerPeer, Expiration: poolConnExpiry}),
 		idleTimeout: idleTimeoutHeartbeats * heartbeat,
+		deployment:  deployment,
 	}
 }
 
@@ -46,7 +48,7 @@
 
 // Parts fetches parts of the configuration from the node at address.
 func (c *Caller) Parts(ctx context.Context, address string, keys []string) ([]infra.Object, error) {
-	reply, err := c.client(ctx, address).Parts(ctx, &peerpb.PartsRequest{Keys: keys})
+	reply, err := c.client(ctx, address).Parts(withDeployment(ctx, c.deployment), &peerpb.PartsRequest{Keys: keys})
 	if err != nil {
 		return nil, err
 	}
@@ -59,7 +61,7 @@
 
 // Demand sends request to the allocator at address and returns its reply.
 func (c *Caller) Demand(ctx context.Context, address string, request *peerpb.DemandRequest) (*peerpb.DemandReply, error) {
-	return c.client(ctx, address).Demand(ctx, request)
+	return c.client(ctx, address).Demand(withDeployment(ctx, c.deployment), request)
 }
 
 // Close closes the pooled connections.
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -14,6 +14,8 @@
 
 // Fleet is the state that a node holds of the deployment and exchanges with its peers over its links.
 type Fleet struct {
+	// Deployment names the deployment that the node belongs to; empty if the settings do not.
+	Deployment   string
 	Mirror       *mirror.Mirror
 	Observations *evidence.Table
 	Reports      *evidence.Reports
--- a/internal/peer/link_client.go
+++ b/internal/peer/link_client.go
@@ -45,7 +45,7 @@
 	}
 	conn := drpcconn.New(idleTimeoutConn{raw, idleTimeoutHeartbeats * fleet.Heartbeat})
 	defer conn.Close() //nolint:errcheck // the link has ended
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(withDeployment(ctx, fleet.Deployment))
 	defer cancel()
 	stream, err := peerpb.NewDRPCPeerClient(conn).Link(ctx)
 	if err != nil {
--- a/internal/peer/link_server.go
+++ b/internal/peer/link_server.go
@@ -43,6 +43,9 @@
 
 // Link implements peerpb.DRPCPeerServer. It returns when the stream ends.
 func (s *Server) Link(stream peerpb.DRPCPeer_LinkStream) error {
+	if err := checkDeployment(stream.Context(), s.fleet.Deployment); err != nil {
+		return err
+	}
 	l := &linkServer{fleet: s.fleet, stream: stream}
 	first, err := stream.Recv()
 	if err != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -32,7 +32,10 @@
 }
 
 // Parts implements peerpb.DRPCPeerServer. Parts that this node does not have are left out of the reply.
-func (s *Server) Parts(_ context.Context, request *peerpb.PartsRequest) (*peerpb.PartsReply, error) {
+func (s *Server) Parts(ctx context.Context, request *peerpb.PartsRequest) (*peerpb.PartsReply, error) {
+	if err := checkDeployment(ctx, s.fleet.Deployment); err != nil {
+		return nil, err
+	}
 	reply := &peerpb.PartsReply{}
 	for _, key := range request.Keys {
 		if o, ok := s.parts.Part(key); ok {
@@ -44,5 +47,8 @@
 
 // Demand implements peerpb.DRPCPeerServer.
 func (s *Server) Demand(ctx context.Context, request *peerpb.DemandRequest) (*peerpb.DemandReply, error) {
+	if err := checkDeployment(ctx, s.fleet.Deployment); err != nil {
+		return nil, err
+	}
 	return s.allocator.Demand(ctx, request), nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,8 @@
 
 // Settings holds the settings that a process reads at its start.
 type Settings struct {
+	// Deployment names the deployment that the process belongs to. Nodes of other deployments are not accepted as peers.
+	Deployment    string `json:"deployment,omitempty"`
 	VM            string `json:"vm"`
 	DataCentre    string `json:"data_centre"`
 	CallerAddress string `json:"caller_address"` // published to callers
