--- a/internal/holder/controller.go
+++ b/internal/holder/controller.go
@@ -45,7 +45,7 @@
 // Controller writes the assignments of a data centre's fabric domains and sends orders to their VMs while
 // this node holds the data centre's lease.
 type Controller struct {
-	Keeper      *Keeper
+	LeaseClient *LeaseClient
 	Objects     infra.ObjectStore
 	Engine      infra.Engine
 	Mirror      *mirror.Mirror
@@ -86,7 +86,7 @@
 }
 
 func (c *Controller) step(ctx context.Context, now time.Time) {
-	epoch, until, held := c.Keeper.Held(now)
+	epoch, until, held := c.LeaseClient.Held(now)
 	current := c.Config()
 	if !held || current == nil {
 		return
@@ -205,7 +205,7 @@
 	if !c.Checker.Check(invariant.OneGroupPerVM, err == nil, func() []any { return []any{"err", err} }) {
 		return false
 	}
-	epoch, _, held := c.Keeper.Held(clock.Now())
+	epoch, _, held := c.LeaseClient.Held(clock.Now())
 	if !held || epoch != c.epoch {
 		return false
 	}
--- a/internal/holder/controller_test.go
+++ b/internal/holder/controller_test.go
@@ -34,8 +34,8 @@
 }
 
 func newController(checker *invariant.Checker, store infra.ObjectStore) *Controller {
-	k := NewKeeper(store, "dc", "vm", time.Minute, 0, func() bool { return true }, log.NewNopLogger())
-	return &Controller{Keeper: k, Objects: store, Mirror: mirror.New(), Checker: checker, Logger: log.NewNopLogger(), loadLimiter: rate.NewLimiter(1, 1)}
+	k := NewLeaseClient(store, "dc", "vm", time.Minute, 0, func() bool { return true }, log.NewNopLogger())
+	return &Controller{LeaseClient: k, Objects: store, Mirror: mirror.New(), Checker: checker, Logger: log.NewNopLogger(), loadLimiter: rate.NewLimiter(1, 1)}
 }
 
 func TestAssignmentWithVMInTwoGroupsIsReportedAndNotWritten(t *testing.T) {
@@ -77,8 +77,8 @@
 func holdLease(c *Controller, epoch int64) {
 	now := time.Now()
 	record := lease.Record{Holder: "vm", Epoch: epoch, Operation: "op", TTLMillis: time.Minute.Milliseconds()}
-	c.Keeper.lease.Sending(record, now)
-	c.Keeper.lease.Applied(1, record, now)
+	c.LeaseClient.lease.Sending(record, now)
+	c.LeaseClient.lease.Applied(1, record, now)
 	c.epoch = epoch
 }
 
--- a/internal/holder/keeper.go
+++ b/internal/holder/lease_client.go
@@ -23,8 +23,8 @@
 
 const leaseStepInterval = 200 * time.Millisecond
 
-// Keeper acquires, renews and releases one lease object in the platform's store and keeps this node's view of it.
-type Keeper struct {
+// LeaseClient acquires, renews and releases one lease object in the platform's store and keeps this node's view of it.
+type LeaseClient struct {
 	objects    infra.ObjectStore
 	key        string
 	ttl        time.Duration
@@ -38,102 +38,102 @@
 	lease *lease.Lease
 }
 
-// NewKeeper returns a Keeper for the lease with the given name, such as that of a data centre. shouldHold reports
+// NewLeaseClient returns a LeaseClient for the lease with the given name, such as that of a data centre. shouldHold reports
 // whether this node should hold the lease. Another process's lease counts as expired only after its time to
 // live and margin have passed.
-func NewKeeper(objects infra.ObjectStore, name, vm string, ttl, margin time.Duration, shouldHold func() bool, logger log.Logger) *Keeper {
-	return &Keeper{
+func NewLeaseClient(objects infra.ObjectStore, name, vm string, ttl, margin time.Duration, shouldHold func() bool, logger log.Logger) *LeaseClient {
+	return &LeaseClient{
 		objects: objects, key: keys.Lease(name), ttl: ttl, shouldHold: shouldHold, logger: logger,
 		lease: lease.New(vm, ttl, margin),
 	}
 }
 
 // Held returns the epoch and the expiry time of the lease; ok is false unless this node holds it at now.
-func (k *Keeper) Held(now time.Time) (epoch int64, until time.Time, ok bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.lease.Held(now)
+func (c *LeaseClient) Held(now time.Time) (epoch int64, until time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Held(now)
 }
 
 // Latest returns the object version and the record of the lease as last seen.
-func (k *Keeper) Latest() (int64, lease.Record) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.lease.Latest()
+func (c *LeaseClient) Latest() (int64, lease.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Latest()
 }
 
 // Reported records the object version and the record of the lease that its holder reported to this node.
-func (k *Keeper) Reported(version int64, record lease.Record) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.lease.Reported(version, record, clock.Now())
+func (c *LeaseClient) Reported(version int64, record lease.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Reported(version, record, clock.Now())
 }
 
 // Disclaimed records that the node by has reported that it does not hold the lease.
-func (k *Keeper) Disclaimed(by string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.lease.Disclaimed(by)
+func (c *LeaseClient) Disclaimed(by string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Disclaimed(by)
 }
 
 // HeldElsewhere reports whether another node holds the lease according to the version last seen.
-func (k *Keeper) HeldElsewhere(now time.Time) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.lease.HeldElsewhere(now)
+func (c *LeaseClient) HeldElsewhere(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.HeldElsewhere(now)
 }
 
 // Run acquires and renews the lease while this node should hold it. When ctx is done it releases the lease.
-func (k *Keeper) Run(ctx context.Context) error {
+func (c *LeaseClient) Run(ctx context.Context) error {
 	held := false
 	loop.Every(ctx, leaseStepInterval, func(now time.Time) {
-		shouldHold := k.shouldHold()
-		if _, _, ok := k.Held(now); shouldHold || ok {
-			k.step(ctx, shouldHold)
+		shouldHold := c.shouldHold()
+		if _, _, ok := c.Held(now); shouldHold || ok {
+			c.step(ctx, shouldHold)
 		}
-		if _, _, holds := k.Held(clock.Now()); holds != held {
+		if _, _, holds := c.Held(clock.Now()); holds != held {
 			held = holds
-			_ = level.Info(k.logger).Log("msg", "lease", "key", k.key, "held", held)
+			_ = level.Info(c.logger).Log("msg", "lease", "key", c.key, "held", held)
 		}
 	})
-	k.release()
+	c.release()
 	return nil
 }
 
 // release releases the lease if it is held, so that the next holder need not wait for it to expire.
-func (k *Keeper) release() {
-	if _, _, ok := k.Held(clock.Now()); !ok {
+func (c *LeaseClient) release() {
+	if _, _, ok := c.Held(clock.Now()); !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	k.step(ctx, false)
+	c.step(ctx, false)
 }
 
-func (k *Keeper) step(ctx context.Context, shouldHold bool) {
-	ctx, cancel := context.WithTimeout(rest.Urgent(ctx), k.ttl/2)
+func (c *LeaseClient) step(ctx context.Context, shouldHold bool) {
+	ctx, cancel := context.WithTimeout(rest.Urgent(ctx), c.ttl/2)
 	defer cancel()
 	operation := uuid.NewString()
-	k.mu.Lock()
-	if k.EpochsAbove != nil {
-		k.lease.RaiseEpochs(k.EpochsAbove())
+	c.mu.Lock()
+	if c.EpochsAbove != nil {
+		c.lease.RaiseEpochs(c.EpochsAbove())
 	}
-	action, record, ifVersion := k.lease.Next(clock.Now(), shouldHold, operation)
+	action, record, ifVersion := c.lease.Next(clock.Now(), shouldHold, operation)
 	if action == lease.Write {
-		k.lease.Sending(record, clock.Now())
+		c.lease.Sending(record, clock.Now())
 	}
-	k.mu.Unlock()
+	c.mu.Unlock()
 	switch action {
 	case lease.Read:
-		k.read(ctx)
+		c.read(ctx)
 	case lease.Write:
-		k.write(ctx, record, ifVersion)
+		c.write(ctx, record, ifVersion)
 	case lease.Wait:
 	}
 }
 
-func (k *Keeper) read(ctx context.Context) {
-	o, err := k.objects.Get(ctx, k.key)
+func (c *LeaseClient) read(ctx context.Context) {
+	o, err := c.objects.Get(ctx, c.key)
 	var record lease.Record
 	switch {
 	case errors.Is(err, infra.ErrNotFound):
@@ -141,24 +141,24 @@
 		return
 	default:
 		if err := json.Unmarshal(o.Value, &record); err != nil {
-			_ = level.Error(k.logger).Log("msg", "cannot decode lease object", "key", k.key, "err", err)
+			_ = level.Error(c.logger).Log("msg", "cannot decode lease object", "key", c.key, "err", err)
 			return
 		}
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.lease.Observed(o.Version, record, clock.Now())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Observed(o.Version, record, clock.Now())
 }
 
-func (k *Keeper) write(ctx context.Context, record lease.Record, ifVersion int64) {
-	outcome, version, _ := k.objects.Put(ctx, k.key, record, ifVersion)
-	k.mu.Lock()
-	defer k.mu.Unlock()
+func (c *LeaseClient) write(ctx context.Context, record lease.Record, ifVersion int64) {
+	outcome, version, _ := c.objects.Put(ctx, c.key, record, ifVersion)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch outcome {
 	case infra.Applied:
-		k.lease.Applied(version, record, clock.Now())
+		c.lease.Applied(version, record, clock.Now())
 	case infra.NotApplied:
-		k.lease.Refused(record.Operation)
+		c.lease.Refused(record.Operation)
 	case infra.Unknown: // the next step reads the object to see whether the write took effect
 	}
 }
--- a/internal/holder/orders.go
+++ b/internal/holder/orders.go
@@ -49,7 +49,7 @@
 
 func (c *Controller) sendOrder(ctx context.Context, vm config.VM, order infra.Order) {
 	epoch := c.epoch
-	_, until, held := c.Keeper.Held(clock.Now())
+	_, until, held := c.LeaseClient.Held(clock.Now())
 	if !held {
 		return
 	}
@@ -60,7 +60,7 @@
 	ctx, cancel := clock.WithDeadline(context.WithoutCancel(ctx), end)
 	c.inflight.Go(func() error {
 		defer cancel()
-		if now, _, held := c.Keeper.Held(clock.Now()); !held || now != epoch {
+		if now, _, held := c.LeaseClient.Held(clock.Now()); !held || now != epoch {
 			return nil
 		}
 		if err := c.Engine.Order(ctx, vm.Address, order); err != nil {
--- a/internal/node/managed_leases.go
+++ b/internal/node/managed_leases.go
@@ -16,22 +16,22 @@
 
 const leaseCheckInterval = 500 * time.Millisecond
 
-// leaseManager runs the keepers and controllers for the data centre leases of this node's region. The node contends for
+// leaseManager runs the lease clients and controllers for the data centre leases of this node's region. The node contends for
 // the lease of its own data centre while it is a relay, and for those of data centres that have lost all their nodes.
 type leaseManager struct {
 	node          *Node
-	newController func(dataCentre string, k *holder.Keeper) *holder.Controller
+	newController func(dataCentre string, k *holder.LeaseClient) *holder.Controller
 
-	mu      sync.Mutex
-	keepers map[string]*holder.Keeper // by data centre; nil until the keeper is created
+	mu           sync.Mutex
+	leaseClients map[string]*holder.LeaseClient // by data centre; nil until the lease client is created
 }
 
-// Run starts a lease keeper and a controller for each data centre whose lease this node should hold.
+// Run starts a lease client and a controller for each data centre whose lease this node should hold.
 func (m *leaseManager) Run(ctx context.Context) error {
 	var g errgroup.Group
 	loop.Every(ctx, leaseCheckInterval, func(now time.Time) {
 		for _, dataCentre := range m.claimUnstarted(now) {
-			k := m.newKeeper(dataCentre)
+			k := m.newLeaseClient(dataCentre)
 			c := m.newController(dataCentre, k)
 			g.Go(func() error { return k.Run(ctx) })
 			g.Go(func() error { return c.Run(ctx) })
@@ -40,7 +40,7 @@
 	return g.Wait()
 }
 
-// claimUnstarted returns the data centres whose lease this node should hold and that have no keeper yet, and marks
+// claimUnstarted returns the data centres whose lease this node should hold and that have no lease client yet, and marks
 // them as started. These are its own data centre and those without live nodes.
 func (m *leaseManager) claimUnstarted(now time.Time) []string {
 	c := m.node.configTracker.Current()
@@ -51,26 +51,26 @@
 	defer m.mu.Unlock()
 	var out []string
 	for _, d := range c.Domains() {
-		if _, started := m.keepers[d.DataCentre]; !started && m.shouldHold(d.DataCentre, c, now) {
+		if _, started := m.leaseClients[d.DataCentre]; !started && m.shouldHold(d.DataCentre, c, now) {
 			out = append(out, d.DataCentre)
-			m.keepers[d.DataCentre] = nil
+			m.leaseClients[d.DataCentre] = nil
 		}
 	}
 	return out
 }
 
-// newKeeper creates and stores the lease keeper of a data centre.
-func (m *leaseManager) newKeeper(dataCentre string) *holder.Keeper {
+// newLeaseClient creates and stores the lease client of a data centre.
+func (m *leaseManager) newLeaseClient(dataCentre string) *holder.LeaseClient {
 	n := m.node
 	want := func() bool {
 		c := n.configTracker.Current()
 		return c != nil && n.runCtx.Err() == nil && !n.draining() && m.shouldHold(dataCentre, c, clock.Now())
 	}
 	ttl := n.settings.LeaseTTL()
-	k := holder.NewKeeper(n.objects, dataCentre, n.settings.VM, ttl, ttl/leaseMarginDivisor, want, n.logger)
+	k := holder.NewLeaseClient(n.objects, dataCentre, n.settings.VM, ttl, ttl/leaseMarginDivisor, want, n.logger)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.keepers[dataCentre] = k
+	m.leaseClients[dataCentre] = k
 	return k
 }
 
@@ -98,7 +98,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Now()
-	for _, k := range m.keepers {
+	for _, k := range m.leaseClients {
 		if k == nil {
 			continue
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,16 +184,16 @@
 
 func (n *Node) buildHolder(assignments *domains.Reader, engine infra.Engine, current func() *config.Config, checker *invariant.Checker, losses *holder.LossMeter) {
 	s := n.settings
-	n.leases = &leaseManager{node: n, keepers: make(map[string]*holder.Keeper)}
+	n.leases = &leaseManager{node: n, leaseClients: make(map[string]*holder.LeaseClient)}
 	n.vms = holder.NewVMWatch(
 		rest.NewVMList(s.Platform.VMList, n.calls, platformTimeout),
 		rest.NewWeightStore(s.Platform.WeightStore, n.calls, platformTimeout), n.leases.holdsAny)
 	n.pruner = &holder.Pruner{Active: n.leases.holdsAny, Objects: n.objects, Mirror: n.fleet.Mirror, Members: n.fleet.Members, Logger: n.logger}
 	policy := replica.DefaultPolicy
 	policy.Reload = s.Reload()
-	n.leases.newController = func(dataCentre string, k *holder.Keeper) *holder.Controller {
+	n.leases.newController = func(dataCentre string, k *holder.LeaseClient) *holder.Controller {
 		return &holder.Controller{
-			Keeper: k, Objects: n.objects, Engine: engine, Mirror: n.fleet.Mirror, Assignments: assignments, Drains: n.drains, Reports: n.fleet.Reports,
+			LeaseClient: k, Objects: n.objects, Engine: engine, Mirror: n.fleet.Mirror, Assignments: assignments, Drains: n.drains, Reports: n.fleet.Reports,
 			VMs: n.vms, Config: current, Demand: n.places.Waiting, Checker: checker, Logger: n.logger, VM: s.VM,
 			DataCentre: dataCentre, Policy: policy, Losses: losses,
 		}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -67,7 +67,7 @@
 	follower            *follow.Follower
 	directory           *endpoint.Directory
 	table               atomic.Pointer[route.Table]
-	keeper              *holder.Keeper
+	leaseClient         *holder.LeaseClient
 	controller          *formation.Controller
 	rates               *ratelimit.Table
 	picker              *picker.Picker
@@ -148,10 +148,10 @@
 		Limits: n.rates, DataCentre: s.DataCentre, Directory: n.directory, Others: n.gossip.Others, Retiring: n.retiring, Lost: n.lost, OnStall: n.gossip.Kick,
 	})
 	ttl := s.LeaseTTL()
-	n.keeper = holder.NewKeeper(n.platform.Objects, leaseName, s.VM, ttl, ttl/leaseMarginDivisor, n.shouldLead, logger)
-	n.keeper.EpochsAbove = n.epochsBeforeEra
+	n.leaseClient = holder.NewLeaseClient(n.platform.Objects, leaseName, s.VM, ttl, ttl/leaseMarginDivisor, n.shouldLead, logger)
+	n.leaseClient.EpochsAbove = n.epochsBeforeEra
 	n.controller = formation.NewController(formation.Options{
-		Engine: n.platform.Engine, Directory: n.directory, Table: n.table.Load, Lease: n.keeper.Held, WriteInterval: s.EndpointBeat(),
+		Engine: n.platform.Engine, Directory: n.directory, Table: n.table.Load, Lease: n.leaseClient.Held, WriteInterval: s.EndpointBeat(),
 		CurrentAsOf: func() time.Time { return n.follower.Current(keys.Endpoints) }, ListedAsOf: n.endpointsListedAt, PeerTotals: n.gossip.Others, OwnStatus: n.ownStatus,
 		Busy: func() bool { return n.requests.Load() > 0 }, MayLead: n.gossip.Relaying, AskPeers: n.askPeers, OnGroupsAdded: n.gossip.Kick, Logger: logger,
 	})
@@ -202,7 +202,7 @@
 	g.Go(func() error { return n.tunnels.Serve(work, tunnels) })
 	g.Go(func() error { _ = n.rpc.Serve(work, calls); return nil })
 	for _, run := range []func(context.Context) error{
-		n.gossip.Run, n.follower.Run, n.keeper.Run, n.controller.Run, n.applyChanges, n.register, n.sweep, n.updateGauges, n.monitorProof, n.holdSyncer.Run,
+		n.gossip.Run, n.follower.Run, n.leaseClient.Run, n.controller.Run, n.applyChanges, n.register, n.sweep, n.updateGauges, n.monitorProof, n.holdSyncer.Run,
 	} {
 		g.Go(func() error { return run(work) })
 	}
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -41,7 +41,7 @@
 	if s.LeaderEpoch > 0 {
 		s.Retiring = n.controller.Retiring()
 		s.Lost = n.controller.Lost()
-		version, record := n.keeper.Latest()
+		version, record := n.leaseClient.Latest()
 		s.Lease = gossip.Lease{Version: version, Term: time.Duration(record.TTLMillis) * time.Millisecond}
 	}
 	return s
@@ -79,7 +79,7 @@
 	leads := n.controller.Leads(now) > 0
 	able := !n.leaving.Load() && n.table.Load() != nil && (n.follower.StoreAnswers() || leads && n.listedRecently(now))
 	shouldHold := n.election.shouldHoldLease(now, able, n.gossip.Relaying() && !n.isSmallerAtStart(), leads, n.gossip.Live(now))
-	return shouldHold && (leads || !n.keeper.HeldElsewhere(now))
+	return shouldHold && (leads || !n.leaseClient.HeldElsewhere(now))
 }
 
 // listedRecently reports whether the leader's list of endpoints is recent enough to decide on, although the store has not
@@ -95,9 +95,9 @@
 	n.follower.EnqueueBeat(p)
 	switch {
 	case p.LeaderEpoch == 0:
-		n.keeper.Disclaimed(p.VM)
+		n.leaseClient.Disclaimed(p.VM)
 	case p.Lease.Version > 0:
-		n.keeper.Reported(p.Lease.Version, lease.Record{Holder: p.VM, Epoch: p.LeaderEpoch, TTLMillis: p.Lease.Term.Milliseconds()})
+		n.leaseClient.Reported(p.Lease.Version, lease.Record{Holder: p.VM, Epoch: p.LeaderEpoch, TTLMillis: p.Lease.Term.Milliseconds()})
 	}
 	n.picker.GrantWaiting()
 }
