--- a/internal/server/fleet_profile.go
+++ b/internal/server/fleet_profile.go
@@ -10,7 +10,7 @@
 // fleetProfile is what a node derives from the list of registered nodes: the size of the fleet, and this node's place in
 // the order in which nodes query the store and stand for leader.
 type fleetProfile struct {
-	nodes int  // estimated number of nodes in the fleet, including this one
+	nodes int  // number of nodes in the fleet, including this one, as far as the registered ones tell
 	small bool // the fleet is small, and its nodes do not wait for each other
 	// cohort is the estimated number of other nodes that may query the store in the same period: those on VMs of the largest
 	// size if this node is on one too, else all.
@@ -31,7 +31,7 @@
 func newFleetProfile(self gossip.Identity, registered []gossip.Identity, listed bool) *fleetProfile {
 	all := estimateNodes(registered)
 	if all <= gossip.SmallFleet {
-		return &fleetProfile{nodes: 1 + all, small: true}
+		return &fleetProfile{nodes: 1 + sizeFromRegistered(registered), small: true}
 	}
 	largest := self.Capacity
 	for _, id := range registered {
@@ -40,9 +40,9 @@
 	largestNodes := slices.DeleteFunc(slices.Clone(registered), func(id gossip.Identity) bool { return id.Capacity < largest })
 	turnCount := min(len(largestNodes), maxTurns)
 	if self.Capacity < largest {
-		return &fleetProfile{nodes: 1 + all, cohort: all, hasLarger: true, turnsBefore: turnCount}
+		return &fleetProfile{nodes: 1 + sizeFromRegistered(registered), cohort: all, hasLarger: true, turnsBefore: turnCount}
 	}
-	c := &fleetProfile{nodes: 1 + all, cohort: estimateNodes(largestNodes), turnsBefore: turnCount}
+	c := &fleetProfile{nodes: 1 + sizeFromRegistered(registered), cohort: estimateNodes(largestNodes), turnsBefore: turnCount}
 	if rank := countBefore(self, largestNodes); listed && rank < maxTurns {
 		c.turnsBefore, c.hasTurn = rank, true
 	}
@@ -91,3 +91,12 @@
 	}
 	return max(len(registered), nodesPerRegistrar*registrars)
 }
+
+// sizeFromRegistered returns the number of registered nodes, or in a large fleet the estimate from its registrars. Two of nine nodes
+// being registrars by chance does not make a fleet of sixteen.
+func sizeFromRegistered(registered []gossip.Identity) int {
+	if estimate := estimateNodes(registered); estimate > 2*len(registered) {
+		return estimate
+	}
+	return len(registered)
+}
--- a/internal/server/fleet_profile_test.go
+++ b/internal/server/fleet_profile_test.go
@@ -105,3 +105,20 @@
 	var unknown *fleetProfile
 	qt.Check(t, unknown.confirmsRelay(1, time.Second), qt.IsTrue, qt.Commentf("the registered nodes have not been listed yet"))
 }
+
+// Guards against a small fleet of which some nodes are registrars by chance and that counts as a large one.
+func TestSmallFleetIsCountedExactly(t *testing.T) {
+	for registrars := range 3 {
+		var registered []gossip.Identity
+		for i := 0; len(registered) < 8; i++ {
+			id := gossip.Identity{VM: fmt.Sprint("vm-", i)}
+			if isRegistrar(id.VM) == (len(registered) < registrars) {
+				registered = append(registered, id)
+			}
+		}
+		qt.Check(t, sizeFromRegistered(registered), qt.Equals, 8, qt.Commentf("%d registrars", registrars))
+	}
+	large := registeredNodes(300, 0)
+	got := sizeFromRegistered(large)
+	qt.Check(t, got > 150 && got < 600, qt.IsTrue, qt.Commentf("%d of 300 nodes", got))
+}
