--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// Guards against a young process that refuses retries because its budget has not filled yet.
+func TestYoungProcessReservesLittle(t *testing.T) {
+	for _, use := range []retry.Use{retry.Hedge, retry.Resend, retry.Resume} {
+		for age := limits.Window / 10; age <= limits.Window; age += limits.Window / 10 {
+			b := retry.NewBudget(limits, singleNode, origin)
+			_, ok := b.Take(use, origin.Add(age))
+			qt.Check(t, ok, qt.IsTrue, qt.Commentf("use %d after %v", use, age))
+		}
+	}
+}
+
 // Guards against retries that wait for a place, or in a suspended process, and arrive in a later window than they were counted in.
 func TestRetryThatIsSentLateIsTakenAgain(t *testing.T) {
 	b := full(limits, singleNode())
