formation: end probes with their context

Cause: a probe without an answer waits until the other nodes have been asked, up to the delay before that, also after its context has ended. At a leader that stops it only keeps a goroutine for that time.

The wait ends with the context.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -321,17 +321,27 @@
 	answer := c.Engine.Probe(probeCtx, e)
 	switch answer {
 	case NoAnswer:
-		return answer, <-evidence
+		return answer, awaitEvidence(ctx, evidence)
 	case ConnectionRefused:
 		if ask.Stop() {
 			ask.Reset(0) // there is nothing to wait for
 		}
-		return answer, <-evidence
+		return answer, awaitEvidence(ctx, evidence)
 	default:
 		return answer, NoEvidence
 	}
 }
 
+// awaitEvidence waits for the evidence of the other nodes until ctx ends.
+func awaitEvidence(ctx context.Context, evidence <-chan PeerEvidence) PeerEvidence {
+	select {
+	case e := <-evidence:
+		return e
+	case <-ctx.Done():
+		return NoEvidence
+	}
+}
+
 // recordNoAnswer records a probe without an answer, or whose connection was refused. That alone may be the fault of this node's
 // path: only what other nodes find out as well counts against the endpoint. In a large fleet each probe asks different nodes;
 // whenever one of them can reach the endpoint, the wait restarts.
--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -341,3 +341,21 @@
 		qt.Check(t, len(e.joins()) < 20, qt.IsTrue, qt.Commentf("%d groups planned", len(e.joins())))
 	})
 }
+
+// Guards against probes that go on waiting for the answers of other nodes after the leader has stopped.
+func TestProbeEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController(&unreachableEngine{}, func(time.Time) (int64, time.Time, bool) { return 1, time.Now().Add(time.Hour), true })
+		c.AskPeers = func(context.Context, *endpoint.Endpoint) PeerEvidence { return NoEvidence }
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan time.Time, 1)
+		go func() {
+			c.probeWithPeers(ctx, &endpoint.Endpoint{ID: "e"})
+			ended <- time.Now()
+		}()
+		synctest.Wait()
+		stopped := time.Now()
+		cancel()
+		qt.Check(t, (<-ended).Equal(stopped), qt.IsTrue)
+	})
+}
