Review, case 3: a configuration that does not reach most gateways

A burst of users, beside the loss of other machines, uses up the leader's descriptors. The first peer connection that it cannot accept ends its peer listener for good, while its datagrams go on to say that it watches the store. The next configuration comes into force at the leader only, in one run at one more gateway; the others run requests at the old service, and with a key that was taken away (CONFIG).

--- a/review/reviewcase/main.go
+++ b/review/reviewcase/main.go
@@ -17,19 +17,20 @@
 
 // Values of TROUBLE for none or a part of the disruptions.
 const (
-	troubleNone = "0"
-	troublePath = "path" // relay: the gateway loses its path to the workers for a moment, and no gateway is killed
-	troubleKill = "kill" // relay: a gateway is killed through which the stream does not go
+	troubleNone  = "0"
+	troublePath  = "path"  // relay: the gateway loses its path to the workers for a moment, and no gateway is killed
+	troubleKill  = "kill"  // relay: a gateway is killed through which the stream does not go; descriptors: kills without a burst
+	troubleBurst = "burst" // descriptors: a burst without kills
 )
 
 // caseFunc plays a case with the disruptions that the value of TROUBLE names, all of them if it is empty and none if it is "0". It
 // returns what broke the rule, or "".
 type caseFunc func(daemon string, r *record, trouble string) (breach string, err error)
 
-var cases = map[string]caseFunc{"relay": playRelay}
+var cases = map[string]caseFunc{"relay": playRelay, "descriptors": playDescriptors}
 
 func main() {
-	name := flag.String("case", "", "the case: relay")
+	name := flag.String("case", "", "the case: relay or descriptors")
 	daemon := flag.String("daemon", "target/moorrund", "program of the gateway")
 	out := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
