--- a/review/reviewcase/descriptors.go
+++ b/review/reviewcase/descriptors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -53,6 +54,9 @@
 // playDescriptors shows whether a configuration comes into force at all gateways after a burst of users, beside the loss of machines,
 // has used up the descriptors of the leader.
 func playDescriptors(daemon string, r *record, trouble string) (breach string, err error) {
+	if err := checkOwnLimit(); err != nil {
+		return "", err
+	}
 	d, err := newDeployment(daemon, r, descriptorsPlan)
 	if err != nil {
 		return "", err
@@ -80,6 +84,18 @@
 	return d.checkConfiguration(acknowledged), nil
 }
 
+// checkOwnLimit returns an error if this process may not have as many connections as there are users.
+func checkOwnLimit() error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if wanted := uint64(usualRate*burstFactor*burstTime.Seconds()) + 500; limit.Cur < wanted {
+		return fmt.Errorf("%d descriptors are needed for the users, and %d are allowed", wanted, limit.Cur)
+	}
+	return nil
+}
+
 // loss is a number of machines that are killed at the same moment.
 type loss struct {
 	at    time.Duration // after the start of the burst
