tunnel: count how connections through other nodes end

1. the kernel of the killed node ends the connection between the nodes in the ordinary way, and the caller's node takes that for the end of the endpoint's answer; 2. the relaying node itself passes an end on (its copy loop, or its stop); 3. the caller's node closes the connection, for one that was made directly meanwhile; 4. the endpoint ends its answer early.

Neither logs nor metrics told these apart: the caller's node logs an ordinary answer, and nothing at all is known of the end of a tunnel. Both sides now count it: detour_ends where the answer is read, tunnel_ends where it is passed on. What breaks between the nodes is logged, ten lines and then one a second at most.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,7 +109,7 @@
 	}, metricsInterval)
 	n.metricsCloser = closer
 	checker := invariant.NewChecker(logger, scope)
-	n.buildPlatform()
+	n.buildPlatform(scope)
 	n.buildFleet()
 	current := func() *config.Config { return n.configTracker.Current() }
 	n.configTracker = inforce.NewTracker(n.fleet.Mirror, partSource{n.caller, n.links, n.objects}, checker, logger, n.configChanged)
@@ -159,10 +159,10 @@
 	return n, nil
 }
 
-func (n *Node) buildPlatform() {
+func (n *Node) buildPlatform(scope tally.Scope) {
 	s := n.settings
 	n.calls = httpcall.NewClient()
-	n.setUpReach()
+	n.setUpReach(scope)
 	n.objects = rest.NewObjectStore(s.Platform.ObjectAPI, n.calls, rest.NewBudget(s.StoreReads, s.StoreWrites), platformTimeout)
 }
 
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/uber-go/tally/v4"
 
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/reach"
@@ -17,13 +18,14 @@
 const peerDialTimeout = 300 * time.Millisecond
 
 // setUpReach creates the parts that connect to engines and endpoints, for this node and for others.
-func (n *Node) setUpReach() {
+func (n *Node) setUpReach(scope tally.Scope) {
+	ends := tunnel.NewReporter(scope, n.logger)
 	n.monitor = &reach.Monitor{Dial: n.dialEndpoint, Sample: n.sampleEndpoints, OnChange: n.logIsolation}
 	n.dialer = &reach.Dialer{
 		Monitor: n.monitor, DialPeer: dialPeer, Peers: n.peersToTunnelThrough, Usable: n.mayTunnelThrough,
-		OnDetour: func() {}, OnBroken: n.calls.Drop,
+		OnDetour: func() {}, OnDetourEnd: ends.DetourEnded, OnBroken: n.calls.Drop,
 	}
-	n.tunnels = &tunnel.Server{Dial: n.dialEndpoint, ReachesOthers: n.monitor.ReachesOthers, OnTunnel: func() {}}
+	n.tunnels = &tunnel.Server{Dial: n.dialEndpoint, ReachesOthers: n.monitor.ReachesOthers, OnTunnel: func() {}, OnEnd: ends.RelayEnded}
 	n.calls.DialEndpoint = n.dialer.Dial
 }
 
--- a/internal/reach/detour_conn.go
+++ b/internal/reach/detour_conn.go
@@ -1,10 +1,12 @@
 package reach
 
-import "net"
+import (
+	"moorrun.dev/moorrun/internal/tunnel"
+)
 
-// detourConn is a connection to an endpoint through another node. It keeps the methods of the TCP connection to that node.
+// detourConn is a connection to an endpoint through another node.
 type detourConn struct {
-	*net.TCPConn
+	*tunnel.Conn
 	dialer        *Dialer
 	address, peer string
 }
@@ -15,11 +17,8 @@
 	return (c.dialer.Monitor.Isolated() || c.dialer.paths.isBroken(c.address)) && c.dialer.Usable(c.peer)
 }
 
-// wrap returns the connection through a node, as one that can be reused if it is a TCP connection.
-func (d *Dialer) wrap(c net.Conn, address, peer string) net.Conn {
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c
-	}
-	return &detourConn{tcp, d, address, peer}
+// wrap returns the connection through a node as one whose end is reported.
+func (d *Dialer) wrap(c *tunnel.Conn, address, peer string) *detourConn {
+	c.OnEnd = func(e tunnel.End, err error) { d.OnDetourEnd(peer, address, e, err) }
+	return &detourConn{c, d, address, peer}
 }
--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -35,6 +35,8 @@
 	Usable func(peer string) bool
 	// OnDetour is called for each connection through another node; it must not block.
 	OnDetour func()
+	// OnDetourEnd is called when a connection through the node at a peer address ends other than by this node; it must not block.
+	OnDetourEnd func(peer, address string, e tunnel.End, err error)
 	// OnBroken is called when the direct path to an address is found to be broken; it must not block.
 	OnBroken func(address string)
 
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -35,7 +35,7 @@
 	m := &Monitor{Dial: s.dial, OnChange: func(bool) {}, Sample: func(string, int) []string { return nil }}
 	s.dialer = &Dialer{
 		Monitor: m, DialPeer: dialTCP, Peers: func(n int) []string { return s.peers[:min(n, len(s.peers))] }, Usable: func(string) bool { return s.usable },
-		OnDetour: func() {}, OnBroken: func(address string) { s.broken = append(s.broken, address) },
+		OnDetour: func() {}, OnDetourEnd: func(string, string, tunnel.End, error) {}, OnBroken: func(address string) { s.broken = append(s.broken, address) },
 	}
 	return s
 }
@@ -75,7 +75,7 @@
 			return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
 		}
 	}
-	server := &tunnel.Server{Dial: dial, ReachesOthers: func(context.Context, string) bool { return reachesOthers }, OnTunnel: func() {}}
+	server := &tunnel.Server{Dial: dial, ReachesOthers: func(context.Context, string) bool { return reachesOthers }, OnTunnel: func() {}, OnEnd: func(tunnel.End) {}}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.t.Cleanup(cancel)
 	go func() { _ = run(ctx) }()
--- a/internal/server/reach.go
+++ b/internal/server/reach.go
@@ -13,13 +13,16 @@
 
 // setUpReach creates the parts that connect to endpoints, for this node and for others.
 func (n *Server) setUpReach() {
+	ends := tunnel.NewReporter(n.scope, n.logger)
 	detours, tunnels := n.scope.Counter("detours"), n.scope.Counter("tunnels")
 	n.reach = &reach.Monitor{Dial: n.transport.Endpoints, Sample: n.sampleEndpoints, OnChange: n.isolationChanged}
 	n.dialer = &reach.Dialer{
 		Monitor: n.reach, DialPeer: reach.Dial(n.transport.Dial), Peers: n.nodesThatReachEndpoints, Usable: n.mayTunnelThrough,
-		OnDetour: func() { detours.Inc(1) }, OnBroken: n.pathBroken,
+		OnDetour: func() { detours.Inc(1) }, OnDetourEnd: ends.DetourEnded, OnBroken: n.pathBroken,
+	}
+	n.tunnels = &tunnel.Server{
+		Dial: n.transport.Endpoints, ReachesOthers: n.reach.ReachesOthers, OnTunnel: func() { tunnels.Inc(1) }, OnEnd: ends.RelayEnded,
 	}
-	n.tunnels = &tunnel.Server{Dial: n.transport.Endpoints, ReachesOthers: n.reach.ReachesOthers, OnTunnel: func() { tunnels.Inc(1) }}
 	n.calls.DialEndpoint = n.dialer.Dial
 }
 
--- a/internal/tunnel/dial.go
+++ b/internal/tunnel/dial.go
@@ -21,7 +21,7 @@
 const replyMargin = 5
 
 // Dial connects to the endpoint at address through the node at peer. ctx must have a deadline.
-func Dial(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), peer, address string) (net.Conn, error) {
+func Dial(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), peer, address string) (*Conn, error) {
 	deadline, _ := ctx.Deadline()
 	c, err := dial(ctx, peer)
 	if err != nil {
@@ -36,7 +36,7 @@
 		_ = c.Close()
 		return nil, err
 	}
-	return c, nil
+	return &Conn{Conn: c}, nil
 }
 
 func open(c net.Conn, address string, timeout time.Duration) error {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -31,6 +31,8 @@
 	ReachesOthers func(ctx context.Context, address string) bool
 	// OnTunnel is called for each tunnel that has been opened; it must not block.
 	OnTunnel func()
+	// OnEnd is called when a tunnel has ended; it must not block.
+	OnEnd func(End)
 
 	running sync.WaitGroup
 	open    atomic.Int64
@@ -93,7 +95,7 @@
 		_ = tcp.SetKeepAliveConfig(keepAlive)
 	}
 	s.OnTunnel()
-	splice(c, endpoint)
+	s.OnEnd(splice(c, endpoint))
 }
 
 func (s *Server) connect(r request) (net.Conn, result) {
--- a/internal/tunnel/splice.go
+++ b/internal/tunnel/splice.go
@@ -16,14 +16,16 @@
 
 // splice passes bytes between a node and an endpoint until one of them closes its connection. An end of the endpoint's answer
 // arrives as an end, and a broken connection as a broken one: the length of an answer may be told by its end alone.
-func splice(node, endpoint net.Conn) {
+func splice(node, endpoint net.Conn) End {
+	var end End
 	var both sync.WaitGroup
 	both.Go(func() {
 		_, _ = copyBytes(endpoint, node)
 		_ = endpoint.Close() // a node that closes has given the request up
 	})
 	both.Go(func() {
-		if _, err := copyBytes(node, endpoint); err != nil {
+		end = passOn(node, endpoint)
+		if end != EndpointClosed {
 			reset(node)
 			return
 		}
@@ -31,6 +33,29 @@
 		_ = node.SetReadDeadline(time.Now().Add(lingerTime))
 	})
 	both.Wait()
+	return end
+}
+
+// passOn passes bytes from the endpoint to the node until either connection ends.
+func passOn(node, endpoint net.Conn) End {
+	buffer := make([]byte, bufferSize)
+	for {
+		n, err := endpoint.Read(buffer)
+		if n > 0 {
+			if _, err := node.Write(buffer[:n]); err != nil {
+				return NodeClosed
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			return EndpointClosed
+		case errors.Is(err, net.ErrClosed): // by splice, once the node has closed
+			return NodeClosed
+		default:
+			return EndpointBroke
+		}
+	}
 }
 
 // copyBytes copies until from ends. It hides the types of the connections: io.Copy would use system calls that need a pipe for
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -39,7 +39,7 @@
 	t.Helper()
 	lis := listen(t)
 	tunnels, others, run := tunnel.Split(lis)
-	s := &tunnel.Server{Dial: dial, ReachesOthers: func(context.Context, string) bool { return reachesOthers }, OnTunnel: func() {}}
+	s := &tunnel.Server{Dial: dial, ReachesOthers: func(context.Context, string) bool { return reachesOthers }, OnTunnel: func() {}, OnEnd: func(tunnel.End) {}}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = run(ctx) }()
