tunnel: frame what endpoints send, so that a relay's death is no end of an answer

Callers saw a success that stops early: status 200, the endpoint's seal, 3 of 34 events of a stream and the last chunk, though the request could have gone on elsewhere.

Cause: an answer without a length ends with its connection, and a tunnel passed on bytes alone. When the process that carries it dies, its kernel ends the connection between the nodes in the ordinary way, as it does when the endpoint has finished.

Now the node that carries the answer sends frames, the last of which says how the endpoint's connection ended. Without that frame the answer is broken off, for whatever reason: killed, out of its grace, frozen and killed, out of memory, without power. The paths that follow exist already: a resumable stream goes on at another group, a request that may be repeated is repeated, any other fails as may-have-run. Plain answers and both front ends use the same connection. Reads can be repeated after a time-out.

Nodes of an earlier version ignore the offer of frames.

--- a/internal/reach/detour_conn.go
+++ b/internal/reach/detour_conn.go
@@ -14,7 +14,7 @@
 // Reusable reports whether the connection may carry another request. Requests return to the direct path as soon as it works, and
 // leave a node that is stopping.
 func (c *detourConn) Reusable() bool {
-	return (c.dialer.Monitor.Isolated() || c.dialer.paths.isBroken(c.address)) && c.dialer.Usable(c.peer)
+	return c.Drained() && (c.dialer.Monitor.Isolated() || c.dialer.paths.isBroken(c.address)) && c.dialer.Usable(c.peer)
 }
 
 // wrap returns the connection through a node as one whose end is reported.
--- a/internal/standin/estate/answer.go
+++ b/internal/standin/estate/answer.go
@@ -35,6 +35,21 @@
 	u.close(breakOff && reset)
 }
 
+// serveInTwoParts writes an unframed response that is no stream, with a pause within it.
+func (w *Worker) serveInTwoParts(rw http.ResponseWriter, r *http.Request, pause time.Duration) {
+	u, err := newUnframedWriter(rw)
+	if err != nil {
+		return
+	}
+	answer := "whole answer to " + r.Header.Get("X-Moorrun-Attempt-Id")
+	half := len(answer) / 2
+	_, _ = u.Write([]byte(answer[:half]))
+	u.Flush()
+	time.Sleep(pause)
+	_, _ = u.Write([]byte(answer[half:]))
+	u.close(false)
+}
+
 // crashesOn crashes the worker if the request holds what crashes workers, and reports whether it did.
 func (w *Worker) crashesOn(r *http.Request, body []byte) bool {
 	prompt := crashesOnPrompt(r)
--- a/internal/standin/estate/faults.go
+++ b/internal/standin/estate/faults.go
@@ -62,6 +62,9 @@
 	w.set(func() { w.breakOffs, w.resetsBrokenOff = n, reset })
 }
 
+// PauseWithinUnframed makes the worker pause within its unframed responses that are no streams.
+func (w *Worker) PauseWithinUnframed(d time.Duration) { w.set(func() { w.pauseWithin = d }) }
+
 // Drain announces in the entry and in responses that the worker is about to leave.
 func (w *Worker) Drain() {
 	w.set(func() { w.draining = true })
--- a/internal/standin/estate/worker.go
+++ b/internal/standin/estate/worker.go
@@ -65,12 +65,13 @@
 	draining         bool
 	announcesLeaving bool // announces in its responses, not in its entry, that it is leaving
 	refusing         bool
-	retryAfter       string // Retry-After, in seconds, of refusals; empty for none
-	dropResponses    int    // number of next requests to run without a response
-	unframed         bool   // its responses have neither a length nor chunks
-	breakOffs        int    // number of next unframed responses to end midway, within an event if they are streams
-	resetsBrokenOff  bool   // it resets the connections of those
-	announcedLimit   string // Server-Limit header of responses, in requests per second; empty for none
+	retryAfter       string        // Retry-After, in seconds, of refusals; empty for none
+	dropResponses    int           // number of next requests to run without a response
+	unframed         bool          // its responses have neither a length nor chunks
+	breakOffs        int           // number of next unframed responses to end midway, within an event if they are streams
+	resetsBrokenOff  bool          // it resets the connections of those
+	pauseWithin      time.Duration // how long it pauses within unframed responses that are no streams
+	announcedLimit   string        // Server-Limit header of responses, in requests per second; empty for none
 }
 
 func (w *Worker) start() {
@@ -157,11 +158,15 @@
 	}
 	rw.Header().Set("X-Moorrun-Server-Seal", "seal-"+attempt)
 	w.mu.Lock()
-	unframed, breakOff, reset := w.unframed, w.breakOffs > 0, w.resetsBrokenOff
+	unframed, breakOff, reset, pause := w.unframed, w.breakOffs > 0, w.resetsBrokenOff, w.pauseWithin
 	if breakOff {
 		w.breakOffs--
 	}
 	w.mu.Unlock()
+	if unframed && pause > 0 && !engine {
+		w.serveInTwoParts(rw, r, pause)
+		return
+	}
 	if unframed {
 		w.serveUnframed(rw, r, engine, breakOff, reset)
 		return
--- a/internal/standin/plain_endpoint.go
+++ b/internal/standin/plain_endpoint.go
@@ -18,6 +18,7 @@
 	FailAll           atomic.Bool  // responds 500 to every call without running it
 	RetryAfterSeconds atomic.Int64 // if not 0, refuses every call with 503 and this Retry-After
 	Refused           atomic.Int64 // calls refused because of RetryAfterSeconds
+	PauseWithinMillis atomic.Int64 // if not 0, responds without a length and pauses for this time within the response
 	AbortNext         atomic.Int64 // number of next calls that run without a response
 	Aborted           atomic.Int64 // calls aborted because of AbortNext
 
@@ -58,8 +59,28 @@
 		p.Aborted.Add(1)
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	_, _ = fmt.Fprintf(w, "%s %s %d bytes for %s\n", r.Method, r.URL.Path, len(body), r.Header.Get(MarkHeader))
+	id, answer := r.Header.Get("X-Request-Id"), fmt.Sprintf("%s %s %d bytes for %s\n", r.Method, r.URL.Path, len(body), r.Header.Get(MarkHeader))
+	if pause := p.PauseWithinMillis.Load(); pause > 0 {
+		respondInTwoParts(w, id, answer, time.Duration(pause)*time.Millisecond)
+		return
+	}
+	w.Header().Set("X-Request-Id", id)
+	_, _ = io.WriteString(w, answer)
+}
+
+// respondInTwoParts writes a response whose end is that of its connection, with a pause within the body.
+func respondInTwoParts(w http.ResponseWriter, id, answer string, pause time.Duration) {
+	conn, out, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close() //nolint:errcheck // the response ends with it
+	half := len(answer) / 2
+	_, _ = fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request-Id: %s\r\n\r\n%s", id, answer[:half])
+	_ = out.Flush()
+	time.Sleep(pause)
+	_, _ = out.WriteString(answer[half:])
+	_ = out.Flush()
 }
 
 func (p *PlainEndpoint) begin(mark string) {
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -1,13 +1,25 @@
 package tunnel
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"syscall"
 )
 
+// ErrBroken means that the connection to the other node ended before that node told how the endpoint's connection did.
+var ErrBroken = errors.New("the connection to the other node broke")
+
+// errEndpointBroke means that the connection between the other node and the endpoint broke.
+var errEndpointBroke = fmt.Errorf("the endpoint broke the connection of the other node: %w", syscall.ECONNRESET)
+
+// errNoEnd is returned if the connection to the other node ends in an ordinary way. A node of an earlier version ends all tunnels
+// like that.
+var errNoEnd = fmt.Errorf("%w without a word on the endpoint's connection: %w", ErrBroken, io.ErrUnexpectedEOF)
+
 // Conn is a connection to an endpoint through another node. Only one goroutine may read at a time.
 type Conn struct {
 	net.Conn
@@ -15,16 +27,70 @@
 	// set before the first Read and must not block.
 	OnEnd func(e End, err error)
 
-	ended bool
+	in     *bufio.Reader
+	framed bool // false with nodes of earlier versions
+	left   int  // unread bytes of the present frame's payload
+	ended  error
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns io.EOF only if the endpoint has closed its connection. It may be called again after a
+// timeout.
 func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.recordEnd(err)
+	if c.ended != nil {
+		return 0, c.ended
+	}
+	n, err := c.read(p)
+	if err == nil || isLocal(err) {
+		return n, err
+	}
+	c.ended = err
+	if c.OnEnd != nil {
+		c.OnEnd(endOf(err), err)
+	}
 	return n, err
 }
 
+func (c *Conn) read(p []byte) (int, error) {
+	if !c.framed {
+		n, err := c.in.Read(p)
+		return n, brokenBy(err)
+	}
+	if c.left == 0 {
+		if err := c.readHeader(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.in.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, brokenBy(err)
+}
+
+// readHeader reads the header of the next frame. Until it has arrived completely nothing is consumed, so that a read that timed
+// out can be repeated.
+func (c *Conn) readHeader() error {
+	b, err := c.in.Peek(headerSize)
+	if err != nil {
+		return brokenBy(err)
+	}
+	kind, length, err := parseHeader(b)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	_, _ = c.in.Discard(headerSize)
+	switch kind {
+	case frameClosed:
+		return io.EOF
+	case frameBroke:
+		return errEndpointBroke
+	default:
+		c.left = length
+		return nil
+	}
+}
+
+// Drained reports whether all bytes that have arrived were read. It must not be called during a Read.
+func (c *Conn) Drained() bool { return c.left == 0 && c.in.Buffered() == 0 && c.ended == nil }
+
 // SyscallConn implements syscall.Conn, if the connection to the other node does.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	s, ok := c.Conn.(syscall.Conn)
@@ -34,20 +100,30 @@
 	return s.SyscallConn()
 }
 
-// recordEnd reports the first error that ends the connection. A timeout does not, and neither does this node's own Close.
-func (c *Conn) recordEnd(err error) {
-	if c.ended || err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
-		return
-	}
-	c.ended = true
-	if c.OnEnd != nil {
-		c.OnEnd(endOf(err), err)
+// brokenBy wraps an error of the connection to the other node. An end of that connection says nothing about the endpoint's.
+func brokenBy(err error) error {
+	switch {
+	case err == nil, isLocal(err):
+		return err
+	case errors.Is(err, io.EOF):
+		return errNoEnd
+	default:
+		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 }
 
+// isLocal reports whether err is a timeout or this node's own Close.
+func isLocal(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
+}
+
 func endOf(err error) End {
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		return EndpointClosed
+	case errors.Is(err, errEndpointBroke):
+		return EndpointBroke
+	default:
+		return TunnelBroke
 	}
-	return TunnelBroke
 }
--- a/internal/tunnel/dial.go
+++ b/internal/tunnel/dial.go
@@ -1,6 +1,7 @@
 package tunnel
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -28,7 +29,8 @@
 		return nil, Error.Wrap(err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	err = open(c, address, clock.Until(deadline))
+	in := bufio.NewReader(c)
+	framing, err := open(c, in, address, clock.Until(deadline))
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
@@ -36,26 +38,30 @@
 		_ = c.Close()
 		return nil, err
 	}
-	return &Conn{Conn: c}, nil
+	return &Conn{Conn: c, in: in, framed: framing == framingLength}, nil
 }
 
-func open(c net.Conn, address string, timeout time.Duration) error {
+// open asks the node at the other end of c, which in reads, to connect to the endpoint. It returns the framing of the answer.
+func open(c net.Conn, in *bufio.Reader, address string, timeout time.Duration) (framing string, err error) {
 	if _, err := c.Write([]byte(Prefix)); err != nil {
-		return Error.Wrap(err)
+		return "", Error.Wrap(err)
 	}
-	if err := writeMessage(c, request{Address: address, Timeout: timeout - timeout/replyMargin}); err != nil {
-		return Error.Wrap(err)
+	r := request{Address: address, Timeout: timeout - timeout/replyMargin, Framings: []string{framingLength}}
+	if err := writeMessage(c, r); err != nil {
+		return "", Error.Wrap(err)
 	}
 	var answer reply
-	if err := readMessage(c, &answer); err != nil {
-		return Error.Wrap(err)
+	if err := readMessage(in, &answer); err != nil {
+		return "", Error.Wrap(err)
 	}
-	switch answer.Result {
-	case connected:
-		return nil
-	case refused:
-		return ErrRefused
+	switch {
+	case answer.Result == refused:
+		return "", ErrRefused
+	case answer.Result != connected:
+		return "", Error.New("the other node did not reach %s", address)
+	case answer.Framing != "" && answer.Framing != framingLength:
+		return "", Error.New("the other node answers with the unknown framing %q", answer.Framing)
 	default:
-		return Error.New("the other node did not reach %s", address)
+		return answer.Framing, nil
 	}
 }
--- a/internal/tunnel/end.go
+++ b/internal/tunnel/end.go
@@ -17,5 +17,5 @@
 // RelayEnds are the ends that a relaying node can see, and DialerEnds those that the node which opened the tunnel can.
 var (
 	RelayEnds  = []End{EndpointClosed, EndpointBroke, NodeClosed}
-	DialerEnds = []End{EndpointClosed, TunnelBroke}
+	DialerEnds = []End{EndpointClosed, EndpointBroke, TunnelBroke}
 )
--- a/internal/tunnel/message.go
+++ b/internal/tunnel/message.go
@@ -1,11 +1,11 @@
-// Package tunnel carries a TCP connection to an endpoint through another node. The nodes exchange one message each, and from
-// then on the bytes of the connection pass unchanged in both directions.
+// Package tunnel carries a TCP connection to an endpoint through another node. The nodes exchange one message each. From then on
+// the bytes to the endpoint pass unchanged, and those from the endpoint in frames, which tell its end from that of the tunnel.
 package tunnel
 
 import (
+	"bufio"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"time"
 )
@@ -13,15 +13,18 @@
 // Prefix begins each tunnel, to tell it from the drpc connections that arrive at the same listener.
 const Prefix = "MOORTUN1"
 
-// maxMessage is the largest message in bytes.
+// maxMessage is the largest message in bytes, including the end of its line.
 const maxMessage = 512
 
 var errMessageTooLong = errors.New("the message of the other node is too long")
 
-// request asks a node to connect to an endpoint. Each message is a line of JSON.
+// request asks a node to connect to an endpoint. Each message is a line of JSON, of which a node ignores fields that it does not
+// know.
 type request struct {
 	Address string        `json:"address"`
 	Timeout time.Duration `json:"timeout_ns"`
+	// Framings are the framings of the answer that the sender can read. Nodes of earlier versions know none.
+	Framings []string `json:"framings,omitempty"`
 }
 
 // result is how the connection attempt ended.
@@ -36,7 +39,8 @@
 )
 
 type reply struct {
-	Result result `json:"result"`
+	Result  result `json:"result"`
+	Framing string `json:"framing,omitempty"` // one of those in the request; empty for none
 }
 
 func writeMessage(to net.Conn, message any) error {
@@ -48,19 +52,14 @@
 	return err
 }
 
-// readMessage reads one line and nothing of what follows it.
-func readMessage(from net.Conn, message any) error {
-	var line []byte
-	var next [1]byte
-	for {
-		if _, err := io.ReadFull(from, next[:]); err != nil {
-			return err
-		}
-		if next[0] == '\n' {
-			return json.Unmarshal(line, message)
-		}
-		if line = append(line, next[0]); len(line) > maxMessage {
-			return errMessageTooLong
-		}
+// readMessage reads one line. The buffer of from must hold at least maxMessage bytes.
+func readMessage(from *bufio.Reader, message any) error {
+	line, err := from.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) || len(line) > maxMessage {
+		return errMessageTooLong
 	}
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(line, message)
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -1,9 +1,11 @@
 package tunnel
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -72,13 +74,14 @@
 func (s *Server) serve(c net.Conn) {
 	defer c.Close() //nolint:errcheck // the tunnel is over
 	_ = c.SetDeadline(time.Now().Add(requestTimeout))
+	in := bufio.NewReaderSize(c, maxMessage)
 	var r request
-	if err := readMessage(c, &r); err != nil {
+	if err := readMessage(in, &r); err != nil {
 		return
 	}
 	if s.open.Add(1) > maxTunnels {
 		s.open.Add(-1)
-		_ = writeMessage(c, reply{failed})
+		_ = writeMessage(c, reply{Result: failed})
 		return
 	}
 	defer s.open.Add(-1)
@@ -87,7 +90,8 @@
 		defer endpoint.Close() //nolint:errcheck // the tunnel is over
 	}
 	_ = c.SetDeadline(time.Now().Add(requestTimeout))
-	if err := writeMessage(c, reply{outcome}); err != nil || endpoint == nil {
+	framing := chooseFraming(r.Framings)
+	if err := writeMessage(c, reply{outcome, framing}); err != nil || endpoint == nil {
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
@@ -95,7 +99,15 @@
 		_ = tcp.SetKeepAliveConfig(keepAlive)
 	}
 	s.OnTunnel()
-	s.OnEnd(splice(c, endpoint))
+	s.OnEnd(splice(in, newSender(c, framing), endpoint))
+}
+
+// chooseFraming returns the framing to use with a node that can read the given ones; empty for none.
+func chooseFraming(readable []string) string {
+	if slices.Contains(readable, framingLength) {
+		return framingLength
+	}
+	return ""
 }
 
 func (s *Server) connect(r request) (net.Conn, result) {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -26,7 +26,7 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -35,7 +35,7 @@
 }
 
 // serve starts a node that connects others to endpoints with dial, and returns its address and the connections that are no tunnels.
-func serve(t *testing.T, dial func(ctx context.Context, address string) (net.Conn, error), reachesOthers bool) (string, net.Listener) {
+func serve(t testing.TB, dial func(ctx context.Context, address string) (net.Conn, error), reachesOthers bool) (string, net.Listener) {
 	t.Helper()
 	lis := listen(t)
 	tunnels, others, run := tunnel.Split(lis)
@@ -47,7 +47,7 @@
 	return lis.Addr().String(), others
 }
 
-func open(t *testing.T, node, endpoint string) (net.Conn, error) {
+func open(t *testing.T, node, endpoint string) (*tunnel.Conn, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	t.Cleanup(cancel)
@@ -55,7 +55,7 @@
 }
 
 // endpointThat starts an endpoint that handles one connection.
-func endpointThat(t *testing.T, handle func(c *net.TCPConn)) string {
+func endpointThat(t testing.TB, handle func(c *net.TCPConn)) string {
 	t.Helper()
 	lis := listen(t)
 	go func() {
--- a/test/reach/fleet_test.go
+++ b/test/reach/fleet_test.go
@@ -37,6 +37,7 @@
 	*server.Server
 	vm       string
 	settings settings.Gateway
+	accepted *acceptedConns // from other nodes
 	stop     context.CancelFunc
 	stopped  chan error
 }
@@ -107,6 +108,8 @@
 	t, err := server.ListenToNodes(&n.settings)
 	qt.Assert(f.t, err, qt.IsNil)
 	t.Endpoints = func(ctx context.Context, address string) (net.Conn, error) { return f.paths.Dial(ctx, n.vm, address) }
+	n.accepted = &acceptedConns{Listener: t.Calls}
+	t.Calls = n.accepted
 	n.Server = server.NewWithTransport(t, &n.settings, platform.New, f.logger(n.vm))
 	qt.Assert(f.t, n.Listen(), qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
