--- a/internal/tunnel/sender.go
+++ b/internal/tunnel/sender.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"moorrun.dev/moorrun/internal/netconn"
 )
 
 // lingerTime is how long the node on whose behalf the tunnel is open may take to close it once the endpoint has finished.
@@ -23,7 +25,7 @@
 	if framing == framingLength {
 		return &frameSender{node: node, frame: make([]byte, headerSize+maxPayload)}
 	}
-	resetOnExit(node, true)
+	netconn.ResetOnClose(node, true)
 	return &rawSender{node: node, bytes: make([]byte, bufferSize)}
 }
 
@@ -75,23 +77,9 @@
 
 func (s *rawSender) finish(e End) {
 	if e == EndpointClosed {
-		resetOnExit(s.node, false)
+		netconn.ResetOnClose(s.node, false)
 		closeOrderly(s.node)
 		return
 	}
 	_ = s.node.Close()
 }
-
-// resetOnExit determines whether closing the connection resets it, however it comes to be closed.
-func resetOnExit(c net.Conn, on bool) {
-	const zero, kernelDefault = 0, -1
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	seconds := kernelDefault
-	if on {
-		seconds = zero
-	}
-	_ = tcp.SetLinger(seconds)
-}
