tunnel: close and report bad input at the port between nodes

Found while looking at what ends a tunnel.

Now the first bytes must come within five seconds, openings of other versions are closed at once, and what is closed is counted (peer_connections_rejected) and logged, ten lines and then one a second at most. Garbage that is neither is still left to drpc, which closes what breaks its protocol and else waits, on the own interface 8 heartbeats at most.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -230,7 +230,7 @@
 	var g errgroup.Group
 	g.Go(func() error { return n.entry.Serve(l.caller) })
 	g.Go(func() error { return n.admin.Serve(l.admin) })
-	tunnels, peers, split := tunnel.Split(l.peer)
+	tunnels, peers, split := tunnel.Split(l.peer, n.tunnels.OnRejected)
 	g.Go(func() error { _ = split(n.runCtx); return nil })
 	g.Go(func() error { return n.tunnels.Serve(n.runCtx, tunnels) })
 	g.Go(func() error { return ignoreErrorAfterEnd(n.runCtx, n.peerServer.Serve(n.runCtx, peers)) })
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -68,14 +68,14 @@
 // addPeer adds a node that reaches endpoints, or that is refused by all of them.
 func (s *site) addPeer(reaches, reachesOthers bool) {
 	lis := s.listen()
-	tunnels, _, run := tunnel.Split(lis)
+	tunnels, _, run := tunnel.Split(lis, func(net.Addr, error) {})
 	dial := dialTCP
 	if !reaches {
 		dial = func(context.Context, string) (net.Conn, error) {
 			return nil, os.NewSyscallError("connect", syscall.ECONNREFUSED)
 		}
 	}
-	server := &tunnel.Server{Dial: dial, ReachesOthers: func(context.Context, string) bool { return reachesOthers }, OnTunnel: func() {}, OnEnd: func(tunnel.End) {}}
+	server := &tunnel.Server{Dial: dial, ReachesOthers: func(context.Context, string) bool { return reachesOthers }, OnTunnel: func() {}, OnEnd: func(tunnel.End) {}, OnRejected: func(net.Addr, error) {}}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.t.Cleanup(cancel)
 	go func() { _ = run(ctx) }()
--- a/internal/server/reach.go
+++ b/internal/server/reach.go
@@ -22,6 +22,7 @@
 	}
 	n.tunnels = &tunnel.Server{
 		Dial: n.transport.Endpoints, ReachesOthers: n.reach.ReachesOthers, OnTunnel: func() { tunnels.Inc(1) }, OnEnd: ends.RelayEnded,
+		OnRejected: ends.Rejected,
 	}
 	n.calls.DialEndpoint = n.dialer.Dial
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -197,7 +197,7 @@
 			g.Go(func() error { return ignoreServerClosed(l.server.Serve(l.on)) })
 		}
 	}
-	tunnels, calls, split := tunnel.Split(n.transport.Calls)
+	tunnels, calls, split := tunnel.Split(n.transport.Calls, n.tunnels.OnRejected)
 	g.Go(func() error { _ = split(work); return nil })
 	g.Go(func() error { return n.tunnels.Serve(work, tunnels) })
 	g.Go(func() error { _ = n.rpc.Serve(work, calls); return nil })
--- /dev/null
+++ b/internal/tunnel/export_test.go
@@ -0,0 +1,4 @@
+package tunnel
+
+// PrefixTimeout is prefixTimeout for tests.
+const PrefixTimeout = prefixTimeout
--- a/internal/tunnel/message.go
+++ b/internal/tunnel/message.go
@@ -11,7 +11,7 @@
 )
 
 // Prefix begins each tunnel, to tell it from the drpc connections that arrive at the same listener.
-const Prefix = "MOORTUN1"
+const Prefix = prefixFamily + "1"
 
 // maxMessage is the largest message in bytes, including the end of its line.
 const maxMessage = 512
--- a/internal/tunnel/relay_process_test.go
+++ b/internal/tunnel/relay_process_test.go
@@ -39,8 +39,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
-	tunnels, _, run := tunnel.Split(lis)
-	s := &tunnel.Server{Dial: dialTCP, ReachesOthers: func(context.Context, string) bool { return true }, OnTunnel: func() {}, OnEnd: func(tunnel.End) {}}
+	tunnels, _, run := tunnel.Split(lis, func(net.Addr, error) {})
+	s := &tunnel.Server{Dial: dialTCP, ReachesOthers: func(context.Context, string) bool { return true }, OnTunnel: func() {}, OnEnd: func(tunnel.End) {}, OnRejected: func(net.Addr, error) {}}
 	go func() { _ = run(ctx) }()
 	go func() { _ = s.Serve(ctx, tunnels) }()
 	fmt.Println(lis.Addr())
--- a/internal/tunnel/reporter.go
+++ b/internal/tunnel/reporter.go
@@ -1,6 +1,8 @@
 package tunnel
 
 import (
+	"net"
+
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
@@ -19,14 +21,16 @@
 	limiter *rate.Limiter
 	relayed map[End]tally.Counter
 	dialed  map[End]tally.Counter
+	rejects tally.Counter
 }
 
-// NewReporter returns a Reporter with the counters tunnel_ends, of tunnels through this node, and detour_ends, of those that this
-// node has opened.
+// NewReporter returns a Reporter with the counters tunnel_ends, of tunnels through this node, detour_ends, of those that this node
+// has opened, and peer_connections_rejected.
 func NewReporter(scope tally.Scope, logger log.Logger) *Reporter {
 	return &Reporter{
 		logger: logger, limiter: rate.NewLimiter(linesPerSecond, lineBurst),
 		relayed: counters(scope, "tunnel_ends", RelayEnds), dialed: counters(scope, "detour_ends", DialerEnds),
+		rejects: scope.Counter("peer_connections_rejected"),
 	}
 }
 
@@ -48,3 +52,11 @@
 		_ = level.Warn(r.logger).Log("msg", "connection through another node broke", "peer", peer, "address", address, "err", err)
 	}
 }
+
+// Rejected records a connection from remote that was closed because of its first bytes.
+func (r *Reporter) Rejected(remote net.Addr, err error) {
+	r.rejects.Inc(1)
+	if r.limiter.Allow() {
+		_ = level.Warn(r.logger).Log("msg", "connection of another node rejected", "remote", remote, "err", err)
+	}
+}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -35,6 +35,8 @@
 	OnTunnel func()
 	// OnEnd is called when a tunnel has ended; it must not block.
 	OnEnd func(End)
+	// OnRejected is called for a connection that asks for no valid tunnel and is closed; it must not block.
+	OnRejected func(remote net.Addr, err error)
 
 	running sync.WaitGroup
 	open    atomic.Int64
@@ -77,6 +79,7 @@
 	in := bufio.NewReaderSize(c, maxMessage)
 	var r request
 	if err := readMessage(in, &r); err != nil {
+		s.OnRejected(c.RemoteAddr(), err)
 		return
 	}
 	if s.open.Add(1) > maxTunnels {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -38,8 +38,8 @@
 func serve(t testing.TB, dial func(ctx context.Context, address string) (net.Conn, error), reachesOthers bool) (string, net.Listener) {
 	t.Helper()
 	lis := listen(t)
-	tunnels, others, run := tunnel.Split(lis)
-	s := &tunnel.Server{Dial: dial, ReachesOthers: func(context.Context, string) bool { return reachesOthers }, OnTunnel: func() {}, OnEnd: func(tunnel.End) {}}
+	tunnels, others, run := tunnel.Split(lis, func(net.Addr, error) {})
+	s := &tunnel.Server{Dial: dial, ReachesOthers: func(context.Context, string) bool { return reachesOthers }, OnTunnel: func() {}, OnEnd: func(tunnel.End) {}, OnRejected: func(net.Addr, error) {}}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = run(ctx) }()
