gateway: a path that breaks between nodes is no failure of the endpoint

Cause: each failed attempt counts against its endpoint or group and keeps the request away from it. tunnel.ErrBroken tells that the connection broke between the nodes, which says nothing about the endpoint.

Such a failure no longer counts, and the request may go to the same place again, within its attempts and the retry budget as before. What may have run still counts as run.

The own interface still records such a failure in a group's health and prefers another group; not changed, not measured.

--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -12,6 +12,8 @@
 	"moorrun.dev/moorrun/internal/readers"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
+	"moorrun.dev/moorrun/internal/tunnel"
+	"moorrun.dev/moorrun/internal/verdict"
 )
 
 // maxSends bounds the attempts of one request, including those that did not run.
@@ -32,11 +34,12 @@
 	signature quarantine.Signature
 	trial     []quarantine.Fingerprint // holds that the next attempt is sent in spite of
 
-	sends    int      // attempts, to any endpoint
-	ran      int      // attempts that may have run
-	excluded []string // groups and endpoints that have failed the request
-	begun    bool     // the head of a stream has been passed on to the caller
-	lastID   string   // ID of the last event passed on
+	sends     int      // attempts, to any endpoint
+	ran       int      // attempts that may have run
+	excluded  []string // groups and endpoints that have failed the request
+	pathBroke bool     // the last attempt failed on the way through another node, which says nothing about its endpoint
+	begun     bool     // the head of a stream has been passed on to the caller
+	lastID    string   // ID of the last event passed on
 
 	retryTaken time.Time // when a retry was taken for the next attempt; zero if none is needed
 
@@ -53,6 +56,7 @@
 // recordSend counts and logs an attempt that is about to be sent and returns the current time. pairs are logged in addition.
 func (a *activeRequest) recordSend(place *picker.Place, pairs ...any) time.Time {
 	a.sends++
+	a.pathBroke = false
 	a.gateway.metrics.sends.Inc(1)
 	pairs = append(pairs, "endpoint", place.Endpoint.ID, "send", a.sends)
 	if limit := place.Limit(); limit.Named {
@@ -211,8 +215,19 @@
 	a.refuse(Refusal{Reason: reason, Detail: detail})
 }
 
-// exclude keeps further attempts away from the place's group or endpoint.
+// recordPlaceFailure records that an attempt failed at the place, unless it failed on the way there.
+func (a *activeRequest) recordPlaceFailure(place *picker.Place, err error) {
+	a.pathBroke = errors.Is(err, tunnel.ErrBroken)
+	if !a.pathBroke {
+		place.RecordFailure(verdict.Of(err) == verdict.NotRun, clock.Now())
+	}
+}
+
+// exclude keeps further attempts away from the place's group or endpoint, unless the last one failed on the way there.
 func (a *activeRequest) exclude(place *picker.Place) {
+	if a.pathBroke {
+		return
+	}
 	if place.Group != "" {
 		a.excluded = append(a.excluded, place.Group)
 		return
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -120,10 +120,9 @@
 var errHedged = errors.New("no answer within the hedging delay; another endpoint is tried")
 
 func (a *activeRequest) callFailed(ctx context.Context, place *picker.Place, err error) bool {
-	now := clock.Now()
 	v := verdict.Of(err)
 	a.reportFailure(ctx, place, err, false)
-	place.RecordFailure(v == verdict.NotRun, now)
+	a.recordPlaceFailure(place, err)
 	a.log("failed", false, "endpoint", place.Endpoint.ID, "verdict", v.String(), "fingerprint", a.signature.Request, "prompt_parts", a.request.PromptParts, "err", err)
 	if errors.Is(err, errHedged) {
 		a.ran++
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -139,7 +139,10 @@
 	return s.lastLog
 }
 
-func newTestGateway() *testGateway {
+func newTestGateway() *testGateway { return newTestGatewayOf(3) }
+
+// newTestGatewayOf returns a gateway with the given number of replica groups and standalone endpoints.
+func newTestGatewayOf(endpoints int) *testGateway {
 	s := &testGateway{scope: tally.NewTestScope("", nil), proof: time.Now(), quarantine: quarantine.NewTable(), finding: quarantine.Alive}
 	second := time.Second
 	s.table = route.NewTable(1, 1, []*route.Route{
@@ -154,7 +157,7 @@
 	s.table.AddWorkspace(&route.Workspace{Name: "w", Priority: 3, HasPriority: true}, []string{"key"})
 	d := endpoint.NewDirectory(time.Second)
 	var list []*endpoint.Endpoint
-	for i := range 3 {
+	for i := range endpoints {
 		id := fmt.Sprintf("g%d", i)
 		list = append(list, &endpoint.Endpoint{ID: id, Service: "lm", Models: []string{"m"}, Membership: &endpoint.Membership{Group: id, Epoch: 1, State: endpoint.Open}})
 		list = append(list, &endpoint.Endpoint{ID: fmt.Sprintf("p%d", i), Service: "plain"})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -119,12 +119,12 @@
 		a.ran++
 		return true
 	case v == verdict.NotRun:
-		place.RecordFailure(true, clock.Now())
+		a.recordPlaceFailure(place, err)
 		return a.afterNotRun(ctx)
 	}
 	a.ran++
 	if ctx.Err() == nil {
-		place.RecordFailure(false, clock.Now())
+		a.recordPlaceFailure(place, err)
 		if a.mayResend(v) {
 			return true
 		}
