tunnel: tell the ends of tunnels through nodes of an earlier version apart

What callers would see during a release: a node of this version that reaches an endpoint only through nodes of an earlier one breaks off every answer that ends with its connection, also whole ones, since those nodes send no frames and the end of such a tunnel proved nothing.

A process that dies ends all its connections. The node that dials now opens a second connection before it uses such a tunnel, and asks on it once the tunnel has ended; a node that still answers was alive when it ended the tunnel, which it does only at the endpoint's own end. A restarted process cannot answer, since the connection is older. It costs one connection a tunnel, during a release only.

--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -16,8 +16,8 @@
 // errEndpointBroke means that the connection between the other node and the endpoint broke.
 var errEndpointBroke = fmt.Errorf("the endpoint broke the connection of the other node: %w", syscall.ECONNRESET)
 
-// errNoEnd is returned if the connection to the other node ends in an ordinary way. A node of an earlier version ends all tunnels
-// like that.
+// errNoEnd is returned if the connection to the other node ends in an ordinary way, as the kernel ends it when that node's process
+// dies.
 var errNoEnd = fmt.Errorf("%w without a word on the endpoint's connection: %w", ErrBroken, io.ErrUnexpectedEOF)
 
 // Conn is a connection to an endpoint through another node. Only one goroutine may read at a time.
@@ -27,10 +27,10 @@
 	// set before the first Read and must not block.
 	OnEnd func(e End, err error)
 
-	in     *bufio.Reader
-	framed bool // false with nodes of earlier versions
-	left   int  // unread bytes of the present frame's payload
-	ended  error
+	in      *bufio.Reader
+	witness *witness // of a node of an earlier version, which sends no frames; nil otherwise
+	left    int      // unread bytes of the present frame's payload
+	ended   error
 }
 
 // Read implements net.Conn. It returns io.EOF only if the endpoint has closed its connection. It may be called again after a
@@ -51,8 +51,11 @@
 }
 
 func (c *Conn) read(p []byte) (int, error) {
-	if !c.framed {
+	if c.witness != nil {
 		n, err := c.in.Read(p)
+		if errors.Is(err, io.EOF) && c.witness.isAlive() {
+			return n, io.EOF
+		}
 		return n, brokenBy(err)
 	}
 	if c.left == 0 {
@@ -88,6 +91,14 @@
 	}
 }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	if c.witness != nil {
+		c.witness.close()
+	}
+	return c.Conn.Close()
+}
+
 // Drained reports whether all bytes that have arrived were read. It must not be called during a Read.
 func (c *Conn) Drained() bool { return c.left == 0 && c.in.Buffered() == 0 && c.ended == nil }
 
--- a/internal/tunnel/conn_test.go
+++ b/internal/tunnel/conn_test.go
@@ -56,7 +56,7 @@
 		{"payload too long", framedReply + "D\xff\xff" + strings.Repeat("a", 1<<16), "", tunnel.TunnelBroke, tunnel.ErrBroken},
 		{"empty payload", framedReply + "D\x00\x00", "", tunnel.TunnelBroke, tunnel.ErrBroken},
 		{"end with a payload", framedReply + "C\x00\x01a", "", tunnel.TunnelBroke, tunnel.ErrBroken},
-		{"node of an earlier version", `{"result":"connected"}` + "\nabc", "abc", tunnel.TunnelBroke, tunnel.ErrBroken},
+		{"node of an earlier version that is gone", `{"result":"connected"}` + "\nabc", "abc", tunnel.TunnelBroke, tunnel.ErrBroken},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := openTo(t, test.sent)
@@ -121,21 +121,17 @@
 
 // FuzzConn checks that no bytes of another node but a frame that says so end an answer as complete.
 func FuzzConn(f *testing.F) {
-	f.Add([]byte("D\x00\x03abcC\x00\x00"), true)
-	f.Add([]byte("D\x00\x03abc"), true)
-	f.Add([]byte("abc"), false)
-	f.Fuzz(func(t *testing.T, sent []byte, framed bool) {
+	f.Add([]byte("D\x00\x03abcC\x00\x00"))
+	f.Add([]byte("D\x00\x03abc"))
+	f.Add([]byte("abc"))
+	f.Fuzz(func(t *testing.T, sent []byte) {
 		near, far := net.Pipe()
 		go func() {
 			defer far.Close() //nolint:errcheck // the tunnel is over
 			if _, err := bufio.NewReader(far).ReadString('\n'); err != nil {
 				return
 			}
-			reply := `{"result":"connected"}` + "\n"
-			if framed {
-				reply = framedReply
-			}
-			_, _ = far.Write(append([]byte(reply), sent...))
+			_, _ = far.Write(append([]byte(framedReply), sent...))
 		}()
 		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 		defer cancel()
@@ -145,7 +141,7 @@
 		got, err := io.ReadAll(c)
 		qt.Assert(t, len(got) <= len(sent), qt.IsTrue)
 		if err == nil {
-			qt.Assert(t, framed && strings.Contains(string(sent), "C\x00\x00"), qt.IsTrue)
+			qt.Assert(t, strings.Contains(string(sent), "C\x00\x00"), qt.IsTrue)
 		}
 	})
 }
--- a/internal/tunnel/dial.go
+++ b/internal/tunnel/dial.go
@@ -29,16 +29,19 @@
 		return nil, Error.Wrap(err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	in := bufio.NewReader(c)
-	framing, err := open(c, in, address, clock.Until(deadline))
+	out := &Conn{Conn: c, in: bufio.NewReader(c)}
+	framing, err := open(c, out.in, address, clock.Until(deadline))
+	if err == nil && framing == "" {
+		out.witness, err = openWitness(ctx, dial, peer)
+	}
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
 	if err != nil {
-		_ = c.Close()
+		_ = out.Close()
 		return nil, err
 	}
-	return &Conn{Conn: c, in: in, framed: framing == framingLength}, nil
+	return out, nil
 }
 
 // open asks the node at the other end of c, which in reads, to connect to the endpoint. It returns the framing of the answer.
