Listeners go on after a lack of descriptors, and end the process if they end

What callers saw: after a burst a new configuration is in force at the leader only; the other nodes go on with the old one.

Cause: the multiplexer of the port between nodes ends at the first error of accept, EMFILE in the case, and its error was dropped. The process went on without that listener, led and was taken for sound. The own interface had the same at its ports for callers and operators: fasthttp's server ends at EMFILE too (by reading).

Now errors of accept that pass are retried with a pause of 5 ms to 0.5 s, counted (accepts_failed) and logged within a limit, at the port between nodes and at all ports of the own interface; net/http does so by itself. A listener that ends for good ends the process, with its cause in the log, after the running requests.

Not mended here: nodes still trust the heartbeats of a leader from which nothing can be fetched, and no descriptors are kept for peers.

--- a/internal/netconn/reset.go
+++ b/internal/netconn/reset.go
@@ -1,4 +1,5 @@
-// Package netconn sets options of network connections.
+// Package netconn holds what servers need of connections and listeners beyond the standard library: how connections end, and which
+// errors of accept pass.
 package netconn
 
 import "net"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
@@ -33,6 +34,7 @@
 	"moorrun.dev/moorrun/internal/membership"
 	"moorrun.dev/moorrun/internal/metrics"
 	"moorrun.dev/moorrun/internal/mirror"
+	"moorrun.dev/moorrun/internal/netconn"
 	"moorrun.dev/moorrun/internal/observer"
 	"moorrun.dev/moorrun/internal/once"
 	"moorrun.dev/moorrun/internal/peer"
@@ -71,6 +73,7 @@
 	monitor       *reach.Monitor
 	dialer        *reach.Dialer
 	tunnels       *tunnel.Server
+	accepts       *netconn.AcceptReporter
 	caller        *peer.Caller
 	links         *relay.Links
 	watcher       *relay.Watcher
@@ -108,6 +111,7 @@
 		Prefix: "moorrun", Reporter: n.reporter, Separator: "_", Tags: map[string]string{"data_centre": s.DataCentre},
 	}, metricsInterval)
 	n.metricsCloser = closer
+	n.accepts = netconn.NewAcceptReporter(scope, logger)
 	checker := invariant.NewChecker(logger, scope)
 	n.buildPlatform(scope)
 	n.buildFleet()
@@ -227,13 +231,27 @@
 	// written at every log level.
 	_ = n.logger.Log("level", "info", "msg", "started", "caller", n.settings.CallerAddress, "admin", n.settings.AdminAddress,
 		"peer", n.settings.PeerAddress, "peer_listen", l.peer.Addr().String())
+	ctx, end := context.WithCancel(ctx)
+	defer end()
 	var g errgroup.Group
-	g.Go(func() error { return n.entry.Serve(l.caller) })
-	g.Go(func() error { return n.admin.Serve(l.admin) })
-	tunnels, peers, split := tunnel.Split(l.peer, n.tunnels.OnRejected)
-	g.Go(func() error { _ = split(n.runCtx); return nil })
+	// A listener that ends before the process does ends the process: without it the node would be taken for sound.
+	serve := func(name string, run func() error) {
+		g.Go(func() error {
+			err := run()
+			if err == nil || n.runCtx.Err() != nil {
+				return nil
+			}
+			_ = level.Error(n.logger).Log("msg", "listener ended; stopping", "listener", name, "err", err)
+			end()
+			return err
+		})
+	}
+	serve("caller", func() error { return n.entry.Serve(n.accepts.Listener("caller", l.caller)) })
+	serve("admin", func() error { return n.admin.Serve(n.accepts.Listener("admin", l.admin)) })
+	tunnels, peers, split := tunnel.Split(n.accepts.Listener("peer", l.peer), n.tunnels.OnRejected)
+	serve("peer", func() error { return split(n.runCtx) })
 	g.Go(func() error { return n.tunnels.Serve(n.runCtx, tunnels) })
-	g.Go(func() error { return ignoreErrorAfterEnd(n.runCtx, n.peerServer.Serve(n.runCtx, peers)) })
+	serve("calls", func() error { return n.peerServer.Serve(n.runCtx, peers) })
 	for _, run := range []func(context.Context) error{
 		n.links.Run, n.watcher.Run, n.configTracker.Run, n.leases.Run, n.vms.Run, n.observer.Run,
 		n.register, n.pruner.Run, n.sweep, n.syncDraining, n.places.Run, n.holdSyncer.Run,
@@ -247,14 +265,6 @@
 	return errors.Join(err, n.caller.Close(), n.metricsCloser.Close())
 }
 
-// ignoreErrorAfterEnd returns err, or nil if ctx has ended.
-func ignoreErrorAfterEnd(ctx context.Context, err error) error {
-	if ctx.Err() == nil {
-		return err
-	}
-	return nil
-}
-
 // sweep periodically removes expired entries from the node's tables.
 func (n *Node) sweep(ctx context.Context) error {
 	loop.Every(ctx, sweepInterval, func(now time.Time) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -28,6 +28,7 @@
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/metrics"
+	"moorrun.dev/moorrun/internal/netconn"
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/quarantine"
 	"moorrun.dev/moorrun/internal/ratelimit"
@@ -177,6 +178,8 @@
 // Run serves until ctx ends, and then finishes the running requests.
 func (n *Server) Run(ctx context.Context) error {
 	_ = level.Info(n.logger).Log("msg", "started", "caller", n.settings.CallerAddress, "peer", n.settings.PeerAddress, "store", n.settings.StoreAddress)
+	ctx, end := context.WithCancel(ctx)
+	defer end()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	callers := newHTTP(n.CallerHandler())
@@ -186,21 +189,36 @@
 	registry := newHTTP(n.platform.Registry(n.addresses, n.settings.AddressLifetime()))
 	readiness := newHTTP(n.platform.Readiness(n.ready))
 	var g errgroup.Group
+	// A listener that ends before the process does ends the process: without it the node would be taken for sound.
+	serve := func(name string, run func() error) {
+		g.Go(func() error {
+			err := run()
+			if err == nil || work.Err() != nil {
+				return nil
+			}
+			_ = level.Error(n.logger).Log("msg", "listener ended; stopping", "listener", name, "err", err)
+			end()
+			return err
+		})
+	}
 	metricsServer := newHTTP(n.metricsHandler())
 	for _, l := range []struct {
+		name   string
 		server *http.Server
 		on     net.Listener
 	}{
-		{callers, n.listeners.caller}, {registry, n.listeners.registry}, {readiness, n.listeners.readiness}, {metricsServer, n.listeners.metrics},
+		{"caller", callers, n.listeners.caller}, {"registry", registry, n.listeners.registry},
+		{"readiness", readiness, n.listeners.readiness}, {"metrics", metricsServer, n.listeners.metrics},
 	} {
 		if l.on != nil {
-			g.Go(func() error { return ignoreServerClosed(l.server.Serve(l.on)) })
+			serve(l.name, func() error { return ignoreServerClosed(l.server.Serve(l.on)) })
 		}
 	}
-	tunnels, calls, split := tunnel.Split(n.transport.Calls, n.tunnels.OnRejected)
-	g.Go(func() error { _ = split(work); return nil })
+	peers := netconn.NewAcceptReporter(n.scope, n.logger).Listener("peer", n.transport.Calls)
+	tunnels, calls, split := tunnel.Split(peers, n.tunnels.OnRejected)
+	serve("peer", func() error { return split(work) })
 	g.Go(func() error { return n.tunnels.Serve(work, tunnels) })
-	g.Go(func() error { _ = n.rpc.Serve(work, calls); return nil })
+	serve("calls", func() error { return n.rpc.Serve(work, calls) })
 	for _, run := range []func(context.Context) error{
 		n.gossip.Run, n.follower.Run, n.leaseClient.Run, n.controller.Run, n.applyChanges, n.register, n.sweep, n.updateGauges, n.monitorProof, n.holdSyncer.Run,
 	} {
