soak: kill the nodes that relay answers without a length

A nineteenth fault: one node reaches endpoints through the others only, the plain endpoints answer without a length and pause within their answers, and the other nodes are killed one after the other. Each answer to a call with a key must end with that call's mark.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -21,7 +21,7 @@
 	fault := linkFaults[w.faultRand.IntN(len(linkFaults))]
 	engine := w.lab.Engines[w.randomEngineVM()]
 	endpoint := w.lab.PlainEndpoints[[]string{"receipts-1", "receipts-2"}[w.faultRand.IntN(2)]]
-	switch w.faultRand.IntN(18) {
+	switch w.faultRand.IntN(19) {
 	case 0:
 		node.Kill()
 		time.Sleep(duration)
@@ -81,6 +81,8 @@
 		w.requestDeadlyCompletions(2 + w.faultRand.IntN(6))
 	case 16:
 		w.failEnginesDuringRestarts(i, duration)
+	case 17:
+		w.killRelayingNodes(duration)
 	default: // a paused node during a store outage
 		node.Pause(true)
 		w.lab.Objects.Down.Store(true)
@@ -102,6 +104,28 @@
 	}
 }
 
+// pauseWithinAnswers is how long plain endpoints pause within their answers while the nodes that relay these are killed.
+const pauseWithinAnswers = 150 * time.Millisecond
+
+// killRelayingNodes kills one node after the other while a node reaches endpoints through these only, and the endpoints answer
+// without a length.
+func (w *workload) killRelayingNodes(d time.Duration) {
+	for _, e := range w.lab.PlainEndpoints {
+		e.PauseWithinMillis.Store(pauseWithinAnswers.Milliseconds())
+	}
+	w.paths.Set(w.cuttable.Settings.VM, paths.Refused, nil)
+	for i, n := range w.nodes {
+		time.Sleep(d / 4)
+		n.Kill()
+		time.Sleep(d / 4)
+		w.restartNode(i)
+	}
+	w.paths.Set(w.cuttable.Settings.VM, paths.Open, nil)
+	for _, e := range w.lab.PlainEndpoints {
+		e.PauseWithinMillis.Store(0)
+	}
+}
+
 // randomEngineVM returns the name of a randomly chosen engine VM.
 func (w *workload) randomEngineVM() string {
 	prefix := []string{"rvk-1-a-", "rvk-2-a-"}[w.faultRand.IntN(2)]
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -78,6 +78,8 @@
 		} else {
 			verdict = "may-have-run"
 		}
+		whole := strings.HasSuffix(reply.Text, " for "+mark+"\n")
+		w.results.check(reply.Err != nil || reply.Status != http.StatusOK || whole, "call %s got %q as its whole answer", mark, reply.Text)
 		if reply.Status == http.StatusOK || reply.Status == http.StatusConflict {
 			break
 		}
