--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -238,11 +238,13 @@
 	serve := func(name string, run func() error) {
 		g.Go(func() error {
 			err := run()
-			if err == nil || n.runCtx.Err() != nil {
-				return nil
+			if n.runCtx.Err() != nil {
+				err = nil
+			}
+			if err != nil {
+				_ = level.Error(n.logger).Log("msg", "listener ended; stopping", "listener", name, "err", err)
+				end()
 			}
-			_ = level.Error(n.logger).Log("msg", "listener ended; stopping", "listener", name, "err", err)
-			end()
 			return err
 		})
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -193,11 +193,13 @@
 	serve := func(name string, run func() error) {
 		g.Go(func() error {
 			err := run()
-			if err == nil || work.Err() != nil {
-				return nil
+			if work.Err() != nil {
+				err = nil
+			}
+			if err != nil {
+				_ = level.Error(n.logger).Log("msg", "listener ended; stopping", "listener", name, "err", err)
+				end()
 			}
-			_ = level.Error(n.logger).Log("msg", "listener ended; stopping", "listener", name, "err", err)
-			end()
 			return err
 		})
 	}
