gateway: log and count what ended an attempt or an answer

The logs did not tell an attempt that the gateway gave up from one that its endpoint, the path through another node, the deadline or the caller ended, nor whether the configuration had changed since the request was admitted. Lines failed and refused now say by, configuration and configuration_now; answers_broken_off and attempts_ended carry the label by. No change of behaviour.

--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -45,7 +45,8 @@
 
 	requestLog   RequestLog
 	delivery     delivery
-	unsuccessful bool // failed, refused or cut off
+	unsuccessful bool     // failed, refused or cut off
+	endCause     endCause // of the last attempt that ended without a complete answer
 }
 
 // log adds an entry to the request's log.
@@ -72,6 +73,26 @@
 	return now
 }
 
+// recordEnd records what ended an attempt without a complete answer, and logs it with pairs.
+func (a *activeRequest) recordEnd(ctx context.Context, err error, pairs ...any) {
+	a.endCause = endCauseOf(ctx, a.deadline, err)
+	a.gateway.metrics.attemptsEnded[a.endCause].Inc(1)
+	a.log("failed", false, append(append(pairs, "err", err, "by", string(a.endCause)), a.configurations()...)...)
+}
+
+// configurations returns the versions of the configuration by which the request was admitted, and of the present one if that differs,
+// as pairs for the log.
+func (a *activeRequest) configurations() []any {
+	if a.table == nil {
+		return nil
+	}
+	pairs := []any{"configuration", a.table.Version}
+	if now := a.gateway.Table(); now != nil && now.Version != a.table.Version {
+		pairs = append(pairs, "configuration_now", now.Version)
+	}
+	return pairs
+}
+
 // finish ends the request's log. Requests that were late, unsuccessful or sent more than once are always logged in full.
 func (a *activeRequest) finish() {
 	late := a.route != nil && a.delivery.late(a.request.Received, a.route)
@@ -83,11 +104,14 @@
 
 // refuse answers the caller with a refusal, or cuts the answer off if its head has been passed on.
 func (a *activeRequest) refuse(r Refusal) {
-	a.log("refused", true, "reason", r.Reason.String(), "detail", r.Detail, "retry_after_ms", r.RetryAfter.Milliseconds(),
-		"sends", a.sends, "begun", a.begun)
+	pairs := []any{"reason", r.Reason.String(), "detail", r.Detail, "retry_after_ms", r.RetryAfter.Milliseconds(), "sends", a.sends, "begun", a.begun}
+	if a.endCause != "" {
+		pairs = append(pairs, "by", string(a.endCause))
+	}
+	a.log("refused", true, append(pairs, a.configurations()...)...)
 	a.unsuccessful = true
 	if a.begun {
-		a.gateway.metrics.cutOff.Inc(1)
+		a.gateway.metrics.cutOff[a.endCause].Inc(1)
 		a.exchange.Abort()
 		return
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -123,7 +123,7 @@
 	v := verdict.Of(err)
 	a.reportFailure(ctx, place, err, false)
 	a.recordPlaceFailure(place, err)
-	a.log("failed", false, "endpoint", place.Endpoint.ID, "verdict", v.String(), "fingerprint", a.signature.Request, "prompt_parts", a.request.PromptParts, "err", err)
+	a.recordEnd(ctx, err, "endpoint", place.Endpoint.ID, "verdict", v.String(), "fingerprint", a.signature.Request, "prompt_parts", a.request.PromptParts)
 	if errors.Is(err, errHedged) {
 		a.ran++
 		return true
@@ -148,12 +148,14 @@
 	} else {
 		place.RecordRefusal(clock.Now())
 	}
+	a.endCause = endedByEndpoint
 	a.log("failed", false, pairs...)
 }
 
 // recordFailedAnswer records an answer that counts as a failure of the endpoint.
 func (a *activeRequest) recordFailedAnswer(place *picker.Place, head Head) {
 	place.RecordFailure(false, clock.Now())
+	a.endCause = endedByEndpoint
 	a.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", verdict.Ran.String(), "status", head.Status)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,16 +12,17 @@
 type metrics struct {
 	answered, failed   tally.Counter // answers passed on with a status below 500, and with 500 or above
 	refused            map[Reason]tally.Counter
-	cutOff             tally.Counter // answers cut off
-	sends, resends     tally.Counter // attempts, and repeated ones other than hedged
-	resendsRefused     tally.Counter // repeated attempts, including hedged ones, that the retry budget did not allow
-	sendsLimited       tally.Counter // attempts at endpoints that announce a rate limit
-	sendsPaused        tally.Counter // attempts at endpoints whose pause has not ended
-	pauses             tally.Counter // pauses requested by endpoints
-	stalls             tally.Counter // streams that timed out
-	heldBack           tally.Counter // requests refused because endpoints have ended while they ran them
-	stopped            tally.Counter // attempts stopped before they began, for the same reason
-	late               tally.Counter // answers that missed an objective
+	cutOff             map[endCause]tally.Counter // answers cut off
+	attemptsEnded      map[endCause]tally.Counter // attempts that ended without a complete answer
+	sends, resends     tally.Counter              // attempts, and repeated ones other than hedged
+	resendsRefused     tally.Counter              // repeated attempts, including hedged ones, that the retry budget did not allow
+	sendsLimited       tally.Counter              // attempts at endpoints that announce a rate limit
+	sendsPaused        tally.Counter              // attempts at endpoints whose pause has not ended
+	pauses             tally.Counter              // pauses requested by endpoints
+	stalls             tally.Counter              // streams that timed out
+	heldBack           tally.Counter              // requests refused because endpoints have ended while they ran them
+	stopped            tally.Counter              // attempts stopped before they began, for the same reason
+	late               tally.Counter              // answers that missed an objective
 	callersCut         map[readers.Reason]tally.Counter
 	firstEvent, answer tally.Timer // time to the first event of a stream, and to the end of an answer
 	placeWait          tally.Timer // wait for a place
@@ -30,7 +31,8 @@
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{
 		answered: scope.Counter("requests_answered"), failed: scope.Counter("requests_failed_by_endpoint"),
-		refused: make(map[Reason]tally.Counter), callersCut: make(map[readers.Reason]tally.Counter), cutOff: scope.Counter("answers_broken_off"),
+		refused: make(map[Reason]tally.Counter), callersCut: make(map[readers.Reason]tally.Counter),
+		cutOff: make(map[endCause]tally.Counter), attemptsEnded: make(map[endCause]tally.Counter),
 		sends: scope.Counter("sends"), resends: scope.Counter("resends"), resendsRefused: scope.Counter("resends_refused"), sendsLimited: scope.Counter("sends_limited"),
 		sendsPaused: scope.Counter("sends_paused"), pauses: scope.Counter("pauses_asked_for"),
 		stalls:     scope.Counter("stalls"),
@@ -42,6 +44,10 @@
 	for _, r := range readers.Reasons {
 		m.callersCut[r] = scope.Tagged(map[string]string{"reason": string(r)}).Counter("callers_cut")
 	}
+	for _, c := range endCauses {
+		tagged := scope.Tagged(map[string]string{"by": string(c)})
+		m.cutOff[c], m.attemptsEnded[c] = tagged.Counter("answers_broken_off"), tagged.Counter("attempts_ended")
+	}
 	for r := NoRoute; r <= TimedOut; r++ {
 		m.refused[r] = scope.Tagged(map[string]string{"reason": r.String()}).Counter("requests_refused")
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -105,8 +105,8 @@
 func (a *activeRequest) streamFailed(ctx context.Context, place *picker.Place, err error, begun bool) bool {
 	v := verdict.Of(err)
 	a.reportFailure(ctx, place, err, begun)
-	a.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", v.String(), "fingerprint", a.signature.Request,
-		"prompt_parts", a.request.PromptParts, "begun", begun, "err", err, "last", a.lastID)
+	a.recordEnd(ctx, err, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", v.String(), "fingerprint", a.signature.Request,
+		"prompt_parts", a.request.PromptParts, "begun", begun, "last", a.lastID)
 	switch {
 	case errors.Is(err, errCallerGone):
 		a.exchange.Abort()
