--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,6 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,15 +33,22 @@
 	headErr error // returned by Reply.Head
 	silent  bool  // no head ever arrives
 	events  []string
-	stall   bool  // nothing arrives after the events
-	broken  error // returned by Body, or by Next after the events
+	pause   time.Duration // how long nothing arrives after the events
+	later   []string      // events after the pause
+	late    bool          // the head arrives only after the pause
+	stall   bool          // nothing arrives after all events
+	broken  error         // returned by Body, or by Next after the events
 	body    string
 }
 
 // exchange is an Exchange that answers each attempt by the next script and records what the caller gets.
 type exchange struct {
-	scripts  []script
+	scripts []script
+
+	mu       sync.Mutex
 	attempts []gateway.Attempt
+	replies  []*reply
+
 	status   int
 	body     string
 	events   []string
@@ -49,16 +59,23 @@
 
 type reply struct {
 	script script
+	ctx    context.Context //nolint:containedctx // of the attempt
 	next   int
+	resume time.Time // end of the pause; zero before it
+	closed atomic.Bool
 }
 
-func (x *exchange) Send(_ context.Context, a gateway.Attempt) (gateway.Reply, error) {
+func (x *exchange) Send(ctx context.Context, a gateway.Attempt) (gateway.Reply, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	s := x.scripts[min(len(x.attempts), len(x.scripts)-1)]
 	x.attempts = append(x.attempts, a)
 	if s.sendErr != nil {
 		return nil, s.sendErr
 	}
-	return &reply{script: s}, nil
+	r := &reply{script: s, ctx: ctx}
+	x.replies = append(x.replies, r)
+	return r, nil
 }
 
 func (x *exchange) WriteAnswer(r gateway.Reply, body []byte) error {
@@ -76,33 +93,65 @@
 func (x *exchange) Refuse(r gateway.Refusal) { x.refusal = &r }
 func (x *exchange) Abort()                   { x.aborted = true }
 
-// waitUntil sleeps until the given time and returns ErrNotYet.
-func waitUntil(until time.Time) error {
-	time.Sleep(time.Until(until))
-	return gateway.ErrNotYet
+// waitUntil waits until the given time and returns ErrNotYet, or another error if the attempt ends before.
+func (r *reply) waitUntil(until time.Time) error {
+	select {
+	case <-time.After(time.Until(until)):
+		return gateway.ErrNotYet
+	case <-r.ctx.Done():
+		return verdict.New(verdict.MayHaveRun, r.ctx.Err())
+	}
+}
+
+// awaitPause waits for the end of the script's pause, but not beyond until.
+func (r *reply) awaitPause(until time.Time) error {
+	if r.resume.IsZero() {
+		r.resume = time.Now().Add(r.script.pause)
+	}
+	if until.Before(r.resume) {
+		return r.waitUntil(until)
+	}
+	if err := r.waitUntil(r.resume); !errors.Is(err, gateway.ErrNotYet) {
+		return err
+	}
+	return nil
 }
 
 func (r *reply) Head(until time.Time) (gateway.Head, error) {
 	if r.script.silent {
-		return gateway.Head{}, waitUntil(until)
+		return gateway.Head{}, r.waitUntil(until)
+	}
+	if r.script.late {
+		if err := r.awaitPause(until); err != nil {
+			return gateway.Head{}, err
+		}
 	}
 	return r.script.head, r.script.headErr
 }
+
 func (r *reply) Body(time.Time) ([]byte, error) { return []byte(r.script.body), r.script.broken }
+
 func (r *reply) Next(until time.Time) (gateway.Event, error) {
-	if r.next < len(r.script.events) {
+	all := append(slices.Clone(r.script.events), r.script.later...)
+	if r.next == len(r.script.events) && r.script.pause > 0 {
+		if err := r.awaitPause(until); err != nil {
+			return gateway.Event{}, err
+		}
+	}
+	if r.next < len(all) {
 		r.next++
-		return gateway.Event{ID: r.script.events[r.next-1]}, nil
+		return gateway.Event{ID: all[r.next-1]}, nil
 	}
 	switch {
 	case r.script.stall:
-		return gateway.Event{}, waitUntil(until)
+		return gateway.Event{}, r.waitUntil(until)
 	case r.script.broken != nil:
 		return gateway.Event{}, r.script.broken
 	}
 	return gateway.Event{}, io.EOF
 }
-func (r *reply) Close() {}
+
+func (r *reply) Close() { r.closed.Store(true) }
 
 // requestLog is a recorded request log.
 type requestLog struct {
