gateway: keep a silent attempt until another has brought something

Callers saw answers end in the middle: status 200, some events, then the end of the connection. Their endpoints were sound and had been silent for about a second.

Cause: silence was treated as a failed attempt. After 0.6 to 1 s without an event (1.5 s before the first one, 0.6 of the objective for calls) the connection to the endpoint was closed and only then another one was looked for. If there was none, or if it refused, failed, broke off or was silent as well, the answer was cut: the route's attempts were spent, on an endpoint that would have gone on.

Now the next attempt runs beside the silent one. The first to bring the next event, the end of the stream or the answer is taken, and the other is closed then. Each event is taken from one attempt only, and the second attempt resumes after the last event passed on, so that none is repeated or missing. If one of the two fails, the other goes on. An attempt that finds no place, or no retry in the budget, is tried again while the first waits. The limits on attempts and retries are unchanged; a retry is now taken when its place is held. The head of a stream is passed on with its first event, so a stream that fails before that is refused with a status.

--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -34,12 +34,11 @@
 	signature quarantine.Signature
 	trial     []quarantine.Fingerprint // holds that the next attempt is sent in spite of
 
-	sends     int      // attempts, to any endpoint
-	ran       int      // attempts that may have run
-	excluded  []string // groups and endpoints that have failed the request
-	pathBroke bool     // the last attempt failed on the way through another node, which says nothing about its endpoint
-	begun     bool     // the head of a stream has been passed on to the caller
-	lastID    string   // ID of the last event passed on
+	sends    int      // attempts, to any endpoint
+	ran      int      // attempts that may have run, or still run
+	excluded []string // groups and endpoints that have failed the request
+	begun    bool     // the head of a stream has been passed on to the caller
+	lastID   string   // ID of the last event passed on
 
 	retryTaken time.Time // when a retry was taken for the next attempt; zero if none is needed
 
@@ -54,12 +53,29 @@
 	a.requestLog.Decision(event, failure, pairs...)
 }
 
-// recordSend counts and logs an attempt that is about to be sent and returns the current time. pairs are logged in addition.
-func (a *activeRequest) recordSend(place *picker.Place, pairs ...any) time.Time {
+// isStream reports whether the answer is passed on event by event.
+func (a *activeRequest) isStream() bool { return a.route.Kind == route.Streaming }
+
+// newAttempt returns an attempt at the place, which is about to be sent.
+func (a *activeRequest) newAttempt(ctx context.Context, place *picker.Place) *activeAttempt {
+	now := a.recordSend(place)
+	t := &activeAttempt{
+		gateway: a.gateway, exchange: a.exchange, place: place, attempt: a.attempt(place), deadline: a.deadline,
+		signature: &a.signature, trial: a.trial, sent: now, last: now,
+	}
+	t.ctx, t.cancel = context.WithCancel(ctx)
+	return t
+}
+
+// recordSend counts and logs an attempt that is about to be sent and returns the current time.
+func (a *activeRequest) recordSend(place *picker.Place) time.Time {
 	a.sends++
-	a.pathBroke = false
+	a.ran++
 	a.gateway.metrics.sends.Inc(1)
-	pairs = append(pairs, "endpoint", place.Endpoint.ID, "send", a.sends)
+	pairs := []any{"endpoint", place.Endpoint.ID, "send", a.sends}
+	if a.isStream() {
+		pairs = append(pairs, "group", place.Group, "resume_after", a.resumeAfter(), "prompt_tokens", a.request.PromptTokens, "requests", place.Requests)
+	}
 	if limit := place.Limit(); limit.Named {
 		a.gateway.metrics.sendsLimited.Inc(1)
 		pairs = append(pairs, "limit", limit.PerSecond)
@@ -168,6 +184,18 @@
 
 // awaitPlace chooses an endpoint for the request and waits for a place there.
 func (a *activeRequest) awaitPlace(ctx context.Context) (*picker.Place, error) {
+	w, err := a.requirements()
+	if err != nil {
+		return nil, err
+	}
+	began := clock.Now()
+	place, err := a.gateway.Picker.Acquire(ctx, w)
+	a.gateway.metrics.placeWait.Record(clock.Since(began))
+	return place, err
+}
+
+// requirements returns what the next attempt needs of a place.
+func (a *activeRequest) requirements() (*picker.Requirements, error) {
 	w := &picker.Requirements{
 		Service: a.service.Name, ColdFor: a.service.ColdFor, ColdPerSecond: a.service.ColdPerSecond, Workspace: a.workspace.Name, Priority: a.priority(), Exclude: a.excluded,
 		MaxWait: time.Duration(placeWaitFraction * float64(a.route.Objective)),
@@ -184,10 +212,7 @@
 	if a.begun {
 		w.MaxWait = a.route.GapObjective / 2
 	}
-	began := clock.Now()
-	place, err := a.gateway.Picker.Acquire(ctx, w)
-	a.gateway.metrics.placeWait.Record(clock.Since(began))
-	return place, err
+	return w, nil
 }
 
 var errNoModel = errors.New("the service has no such model")
@@ -199,10 +224,10 @@
 	return a.route.Priority
 }
 
-func (a *activeRequest) attempt(place *picker.Place, stream bool) Attempt {
+func (a *activeRequest) attempt(place *picker.Place) Attempt {
 	return Attempt{
 		Endpoint: place.Endpoint, Remaining: clock.Until(a.deadline), Workspace: a.workspace, Priority: a.priority(),
-		ResumeAfter: a.resumeAfter(), Once: !a.route.MayRepeat(), Stream: stream,
+		ResumeAfter: a.resumeAfter(), Once: !a.route.MayRepeat(), Stream: a.isStream(),
 	}
 }
 
@@ -239,22 +264,21 @@
 	a.refuse(Refusal{Reason: reason, Detail: detail})
 }
 
-// recordPlaceFailure records that an attempt failed at the place, unless it failed on the way there.
-func (a *activeRequest) recordPlaceFailure(place *picker.Place, err error) {
-	a.pathBroke = errors.Is(err, tunnel.ErrBroken)
-	if !a.pathBroke {
-		place.RecordFailure(verdict.Of(err) == verdict.NotRun, clock.Now())
+// recordPlaceFailure records that an attempt failed at the place, unless it failed on the way there or was given up for its silence,
+// which the picker has been told already.
+func (a *activeRequest) recordPlaceFailure(ctx context.Context, place *picker.Place, err error) {
+	v := verdict.Of(err)
+	switch {
+	case errors.Is(err, tunnel.ErrBroken), errors.Is(err, errStalled), errors.Is(err, errHeldBack), errors.Is(err, errCallerGone):
+	case a.isStream() && v != verdict.NotRun && ctx.Err() != nil:
+	default:
+		place.RecordFailure(v == verdict.NotRun, clock.Now())
 	}
 }
 
-// exclude keeps further attempts away from the place's group or endpoint, unless the last one failed on the way there.
-func (a *activeRequest) exclude(place *picker.Place) {
-	if a.pathBroke {
-		return
-	}
-	if place.Group != "" {
-		a.excluded = append(a.excluded, place.Group)
-		return
+// exclude keeps further attempts away from the group or endpoint of a failed attempt, unless that failed on the way there.
+func (a *activeRequest) exclude(o *outcome) {
+	if !errors.Is(o.err, tunnel.ErrBroken) {
+		a.excluded = append(a.excluded, o.attempt.place.Key())
 	}
-	a.excluded = append(a.excluded, place.Endpoint.ID)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,7 +7,6 @@
 
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/picker"
-	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/verdict"
 )
 
@@ -29,114 +28,64 @@
 			a.refuseWithoutPlace(ctx, err)
 			return
 		}
-		again := a.callOnce(ctx, place)
-		place.Release()
+		t := a.newAttempt(ctx, place)
+		o := t.awaitAnswer(a.hedgeTime(t))
+		if errors.Is(o.err, errHedged) {
+			o = a.race(ctx, t)
+		}
+		again := a.callEnded(ctx, &o)
+		o.attempt.close()
 		if !again {
 			return
 		}
-		a.exclude(place)
+		a.exclude(&o)
 	}
 }
 
-// callOnce sends the request to the place's endpoint and reports whether to send it again elsewhere.
-func (a *activeRequest) callOnce(ctx context.Context, place *picker.Place) bool {
-	sent := a.recordSend(place)
-	reply, err := a.exchange.Send(ctx, a.attempt(place, false))
-	if err != nil {
-		return a.callFailed(ctx, place, err)
-	}
-	defer reply.Close()
-	head, body, err := a.awaitAnswer(ctx, place, reply, sent)
-	if err != nil {
-		return a.callFailed(ctx, place, err)
-	}
-	now := clock.Now()
-	if head.NotRun {
-		a.recordNotRun(place, head)
-		return a.afterNotRun(ctx)
-	}
-	a.ran++
-	if head.Status >= minServerErrorStatus {
-		a.recordFailedAnswer(place, head)
-		if ctx.Err() == nil && a.mayResend(verdict.Ran) {
-			return true
-		}
-	} else {
-		place.RecordFirstEvent(now.Sub(sent), now)
-		a.reportBegun(now)
-		a.reportAnswered(now)
-	}
-	err = a.exchange.WriteAnswer(reply, body)
-	a.delivery.record(now)
-	a.recordWriteError(err)
-	a.unsuccessful = err != nil || head.Status >= minServerErrorStatus
-	a.gateway.metrics.recordAnswer(head.Status, now.Sub(a.request.Received))
-	a.log("answered", err != nil, "endpoint", place.Endpoint.ID, "status", head.Status, "sends", a.sends,
-		"ms", now.Sub(a.request.Received).Milliseconds(), "err", err)
-	return false
+// hedgeTime returns when another attempt may be started beside the given one if it has not been answered by then; the deadline if none
+// may.
+func (a *activeRequest) hedgeTime(t *activeAttempt) time.Time {
+	at := t.sent.Add(time.Duration(hedgeFraction * float64(a.route.Objective)))
+	if !a.mayHedge(t) || at.After(a.deadline) {
+		return a.deadline
+	}
+	return at
 }
 
-// awaitAnswer waits for the whole answer until the request's deadline. If the request may be hedged, it waits for the head only
-// until the hedging delay has passed, and then returns errHedged if the retry budget allows another attempt.
-func (a *activeRequest) awaitAnswer(ctx context.Context, place *picker.Place, reply Reply, sent time.Time) (Head, []byte, error) {
-	until := a.deadline
-	if hedge := sent.Add(time.Duration(hedgeFraction * float64(a.route.Objective))); a.route.MayRepeat() && a.ran+1 < a.route.MaxAttempts && hedge.Before(until) {
-		until = hedge
-	}
-	head, err := reply.Head(until)
-	if errors.Is(err, ErrNotYet) && until.Before(a.deadline) && ctx.Err() == nil {
-		if a.sends < maxSends && a.takeRetry(retry.Hedge, hedgeReason) {
-			return head, nil, errHedged
+// callEnded handles the outcome of the last attempt that was running, and reports whether to send the request again.
+func (a *activeRequest) callEnded(ctx context.Context, o *outcome) bool {
+	if o.err != nil || !isEndpointsWord(o.attempt.head) {
+		v := a.recordFailedAttempt(ctx, o)
+		switch {
+		case v == verdict.NotRun:
+			return a.afterNotRun(ctx)
+		case ctx.Err() == nil && a.mayResend(v):
+			return true
+		case o.err != nil:
+			a.fail(ctx, o.err.Error())
+			return false
 		}
-		head, err = reply.Head(a.deadline)
-	}
-	a.recordAnnouncements(place, head, sent)
-	if err != nil || head.NotRun {
-		return head, nil, err
 	}
-	body, err := reply.Body(a.deadline)
-	return head, body, err
+	a.passOnAnswer(o.attempt)
+	return false
 }
 
-// recordAnnouncements records the rate limit, leaving and pause that the endpoint announced in the answer to a request sent at
-// sent. It does nothing if no answer has arrived.
-func (a *activeRequest) recordAnnouncements(place *picker.Place, head Head, sent time.Time) {
-	if head.Status == 0 {
-		return
-	}
+// passOnAnswer passes on a whole answer.
+func (a *activeRequest) passOnAnswer(t *activeAttempt) {
 	now := clock.Now()
-	place.RecordLimit(head.Limit, sent, now)
-	if head.Leaving {
-		place.RecordLeaving(now)
-	}
-	if head.RetryAfter > 0 {
-		a.gateway.metrics.pauses.Inc(1)
-		place.RecordPause(head.RetryAfter, now)
-	}
-}
-
-// errHedged means that no answer came within the hedging delay and the request is to be sent to another endpoint. The attempt
-// has already been taken from the retry budget.
-var errHedged = errors.New("no answer within the hedging delay; another endpoint is tried")
-
-func (a *activeRequest) callFailed(ctx context.Context, place *picker.Place, err error) bool {
-	v := verdict.Of(err)
-	a.reportFailure(ctx, place, err, false)
-	a.recordPlaceFailure(place, err)
-	a.recordEnd(ctx, err, "endpoint", place.Endpoint.ID, "verdict", v.String(), "fingerprint", a.signature.Request, "prompt_parts", a.request.PromptParts)
-	if errors.Is(err, errHedged) {
-		a.ran++
-		return true
-	}
-	if v == verdict.NotRun {
-		return a.afterNotRun(ctx)
-	}
-	a.ran++
-	if ctx.Err() == nil && a.mayResend(v) {
-		return true
+	failed := t.head.Status >= minServerErrorStatus
+	if !failed {
+		t.place.RecordFirstEvent(now.Sub(t.sent), now)
+		a.gateway.Quarantine.Begun(a.signature.Parts, now)
+		a.reportAnswered(now)
 	}
-	a.fail(ctx, err.Error())
-	return false
+	err := a.exchange.WriteAnswer(t.reply, t.body)
+	a.delivery.record(now)
+	a.recordWriteError(err)
+	a.unsuccessful = err != nil || failed
+	a.gateway.metrics.recordAnswer(t.head.Status, now.Sub(a.request.Received))
+	a.log("answered", err != nil, "endpoint", t.place.Endpoint.ID, "status", t.head.Status, "sends", a.sends,
+		"ms", now.Sub(a.request.Received).Milliseconds(), "err", err)
 }
 
 // recordNotRun records that an endpoint answered that it did not run the request. Retry-After does not count as a refusal: the
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,7 +6,8 @@
 
 // Exchange sends one caller's request to endpoints and passes the answer back to the caller.
 type Exchange interface {
-	// Send sends the request and returns without waiting for the answer. The error is a *verdict.Error.
+	// Send sends the request and returns without waiting for the answer. The error is a *verdict.Error. When ctx ends, what waits for
+	// the reply returns an error. Send may be called while an earlier attempt still runs.
 	Send(ctx context.Context, a Attempt) (Reply, error)
 	// WriteAnswer passes on a complete answer that is not a stream.
 	WriteAnswer(r Reply, body []byte) error
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,7 @@
 	sendsPaused        tally.Counter              // attempts at endpoints whose pause has not ended
 	pauses             tally.Counter              // pauses requested by endpoints
 	stalls             tally.Counter              // streams that timed out
+	overtaken          tally.Counter              // attempts that were closed because one sent before them has gone on
 	heldBack           tally.Counter              // requests refused because endpoints have ended while they ran them
 	stopped            tally.Counter              // attempts stopped before they began, for the same reason
 	late               tally.Counter              // answers that missed an objective
@@ -36,6 +37,7 @@
 		sends: scope.Counter("sends"), resends: scope.Counter("resends"), resendsRefused: scope.Counter("resends_refused"), sendsLimited: scope.Counter("sends_limited"),
 		sendsPaused: scope.Counter("sends_paused"), pauses: scope.Counter("pauses_asked_for"),
 		stalls:     scope.Counter("stalls"),
+		overtaken:  scope.Counter("attempts_overtaken"),
 		heldBack:   scope.Counter("requests_held_back"),
 		stopped:    scope.Counter("attempts_stopped"),
 		late:       scope.Counter("requests_late"),
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -40,15 +40,6 @@
 	return nil
 }
 
-// mustStop reports whether the attempt that waits to be answered must be stopped.
-func (a *activeRequest) mustStop(now time.Time) bool {
-	stop := a.gateway.Quarantine.MustStop(&a.signature, a.trial, now)
-	if stop {
-		a.gateway.metrics.stopped.Inc(1)
-	}
-	return stop
-}
-
 // refuseHeld refuses a request that is held back and has not run.
 func (a *activeRequest) refuseHeld(held *heldError) {
 	a.gateway.metrics.heldBack.Inc(1)
@@ -68,7 +59,7 @@
 	switch {
 	case verdict.Of(err) == verdict.NotRun:
 		investigator.Refused(place.Endpoint)
-	case ctx.Err() != nil, errors.Is(err, errHedged), errors.Is(err, errStalled), errors.Is(err, errCallerGone), errors.Is(err, errHeldBack):
+	case ctx.Err() != nil, errors.Is(err, errHedged), errors.Is(err, errStalled), errors.Is(err, errOvertaken), errors.Is(err, errCallerGone), errors.Is(err, errHeldBack):
 		investigator.Abandoned(place.Endpoint, failed)
 	default:
 		investigator.Failed(place.Endpoint, failed)
@@ -79,8 +70,3 @@
 func (a *activeRequest) reportAnswered(now time.Time) {
 	a.gateway.Quarantine.Answered(a.signature.Request, now)
 }
-
-// reportBegun records in the quarantine table that an answer to the request has begun.
-func (a *activeRequest) reportBegun(now time.Time) {
-	a.gateway.Quarantine.Begun(a.signature.Parts, now)
-}
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -41,7 +41,7 @@
 func (p *Place) update(now time.Time, change func(*health)) {
 	p.picker.mu.Lock()
 	defer p.picker.mu.Unlock()
-	h := p.picker.healthOf(p.key(), now)
+	h := p.picker.healthOf(p.Key(), now)
 	h.lastProgress = now
 	h.suspectSince, h.refusedUntil = time.Time{}, time.Time{}
 	h.stalls, h.refusals = 0, 0
@@ -65,7 +65,7 @@
 func (p *Place) RecordFailure(unreachable bool, now time.Time) {
 	p.picker.mu.Lock()
 	defer p.picker.mu.Unlock()
-	h := p.picker.healthOf(p.key(), now)
+	h := p.picker.healthOf(p.Key(), now)
 	h.failureRate += smoothing * (1 - h.failureRate)
 	switch {
 	case !unreachable:
@@ -86,7 +86,7 @@
 	}
 	p.picker.mu.Lock()
 	defer p.picker.mu.Unlock()
-	p.picker.healthOf(p.key(), now).backOffRefusal(now)
+	p.picker.healthOf(p.Key(), now).backOffRefusal(now)
 }
 
 // StallDeadlines returns when the group is to be suspected and when the stream times out, for a request whose last event came
@@ -95,7 +95,7 @@
 func (p *Place) StallDeadlines(since time.Time, begun bool) (suspectAt, timeoutAt time.Time) {
 	p.picker.mu.Lock()
 	defer p.picker.mu.Unlock()
-	h := p.picker.healthOf(p.key(), since)
+	h := p.picker.healthOf(p.Key(), since)
 	if !begun {
 		if h.lastProgress.After(since) {
 			since = h.lastProgress
@@ -115,7 +115,7 @@
 func (p *Place) RecordStall(now time.Time) {
 	p.picker.mu.Lock()
 	defer p.picker.mu.Unlock()
-	h := p.picker.healthOf(p.key(), now)
+	h := p.picker.healthOf(p.Key(), now)
 	firstStall := h.suspectSince.IsZero()
 	if firstStall {
 		h.suspectSince = now
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -107,6 +107,23 @@
 	return place, err
 }
 
+// AcquireBeside returns a place for another attempt of a request that still waits at an endpoint, or nil if there is none now. It does
+// not wait. With useQueue set it also takes a place in the queue of a full replica group, and one for which other requests wait.
+func (p *Picker) AcquireBeside(w *Requirements, useQueue bool) *Place {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !useQueue && p.hasWaiterFor(w) {
+		return nil
+	}
+	now := clock.Now()
+	place, err := p.tryAcquire(w, now, useQueue)
+	if err != nil || place == nil {
+		return nil
+	}
+	p.recordArrival(w, now)
+	return place
+}
+
 // recordArrival counts a request in its model's arrival rates. Requests without a model are not counted.
 func (p *Picker) recordArrival(w *Requirements, now time.Time) {
 	if w.Model == "" {
@@ -159,7 +176,7 @@
 
 func (p *Picker) reserve(w *Requirements, c *candidate, now time.Time) *Place {
 	place := &Place{Endpoint: c.endpoint, Group: c.group, Requests: c.load, picker: p, workspace: w.Workspace, model: w.Model}
-	h := p.healthOf(place.key(), now)
+	h := p.healthOf(place.Key(), now)
 	h.running++
 	p.runningByWorkspace[w.Workspace]++
 	p.runningByModel[w.Model]++
@@ -170,7 +187,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
-	p.healthOf(place.key(), now).running--
+	p.healthOf(place.Key(), now).running--
 	p.runningByModel[place.model]--
 	if p.runningByWorkspace[place.workspace]--; p.runningByWorkspace[place.workspace] <= 0 {
 		delete(p.runningByWorkspace, place.workspace)
--- a/internal/picker/place.go
+++ b/internal/picker/place.go
@@ -21,8 +21,8 @@
 // Release frees the place. Further calls have no effect.
 func (p *Place) Release() { p.releaseOnce.Do(func() { p.picker.release(p) }) }
 
-// key returns the key of the place's health: the name of the replica group, or the ID of the standalone endpoint.
-func (p *Place) key() string {
+// Key returns the key of the place's health: the name of the replica group, or the ID of the standalone endpoint.
+func (p *Place) Key() string {
 	if p.Group != "" {
 		return p.Group
 	}
