gateway: second attempts go to no group that is known to stall

When several groups are silent at once, each stream that stalled was sent to another silent group: its prompt was read anew there, the route's attempts were spent, and what failed next ended the answer. A second attempt now takes only a group that neither this node nor another one suspects, and the silent attempt waits until there is one.

TestStreamsStayWhereTheyAreWhileAllGroupsAreSilent: two attempts a stream before, one after.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -169,6 +169,8 @@
 	scope   tally.TestScope
 	proof   time.Time
 	table   *route.Table
+
+	mu      sync.Mutex
 	lastLog *requestLog // log of the last request
 
 	quarantine *quarantine.Table
@@ -184,6 +186,8 @@
 }
 
 func (s *testGateway) newRequestLog(string) gateway.RequestLog {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.lastLog = &requestLog{}
 	return s.lastLog
 }
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -70,7 +70,8 @@
 	return time.After(max(0, clock.Until(r.hedgeAt)))
 }
 
-// hedge starts another attempt if there is a place for it.
+// hedge starts another attempt if there is a place for it at a group that is not known to have stalled. If all have, moving streams among
+// them would only let each read prompts anew.
 func (r *race) hedge(ctx context.Context) {
 	a, now := r.request, clock.Now()
 	r.hedgeAt = now.Add(hedgePollInterval)
@@ -78,6 +79,7 @@
 	if err != nil {
 		return
 	}
+	w.SkipStalled = true
 	w.Exclude = append(slices.Clone(w.Exclude), r.running[0].place.Key())
 	place := a.gateway.Picker.AcquireBeside(w, now.Sub(r.began) >= w.MaxWait)
 	if place == nil {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -133,6 +133,21 @@
 	qt.Check(t, x.events, qt.HasLen, 4)
 }
 
+// Guards against moving streams among groups that are all silent, where each reads the prompts anew and the route's attempts are spent.
+func TestStreamsStayWhereTheyAreWhileAllGroupsAreSilent(t *testing.T) {
+	t.Parallel()
+	g := newTestGatewayOf(2)
+	var running sync.WaitGroup
+	for range 2 { // one at each group
+		running.Go(func() {
+			x := g.serve("/stream/a", silentWithin)
+			qt.Check(t, x.attempts, qt.HasLen, 1)
+			qt.Check(t, x.events, qt.DeepEquals, []string{"1", "2", "3", "4"})
+		})
+	}
+	running.Wait()
+}
+
 func TestSilentStreamsAreHedgedAcrossSeeds(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(8) {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -141,6 +141,9 @@
 	others := p.options.Others(now)
 	p.options.Limits.MergeReports(others.Limits, now)
 	candidates := p.candidates(w, others, now)
+	if w.SkipStalled {
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.avoidance == avoidStalled })
+	}
 	if len(candidates) == 0 {
 		return nil, ErrNoEndpoint
 	}
