gateway: a pause of the process itself is no silence of endpoints

A node that was stopped for a second, or got no processor time, took that time for a silence of every endpoint: each of its streams was sent again, although the events of the first attempts lay in the sockets' buffers, and the groups were reported as stalled to all nodes. A wait that ends over 0.1 s late does not count as silence any more, and what has arrived is read first.

TestPauseOfTheProcessIsNoSilenceOfEndpoints: two attempts before, one after, for streams and for hedged calls.

--- a/internal/gateway/active_attempt.go
+++ b/internal/gateway/active_attempt.go
@@ -17,6 +17,8 @@
 	stopPollInterval = 30 * time.Millisecond
 	// lostPollInterval is how often a stalled stream checks whether the leader has found that its group has lost a member.
 	lostPollInterval = 100 * time.Millisecond
+	// maxWakeDelay is how late a wait may end on a busy machine. If one ends later, this process was stopped meanwhile.
+	maxWakeDelay = 100 * time.Millisecond
 )
 
 // activeAttempt is one attempt of a request while it is served. Several attempts of a request may run side by side, each used by one
@@ -82,6 +84,9 @@
 		return outcome{attempt: t, err: err}
 	}
 	head, err := t.reply.Head(hedgeAt)
+	if errors.Is(err, ErrNotYet) && clock.Since(hedgeAt) > maxWakeDelay {
+		head, err = t.reply.Head(clock.Now().Add(maxWakeDelay)) // what has arrived while this process was stopped
+	}
 	if errors.Is(err, ErrNotYet) && hedgeAt.Before(t.deadline) && t.ctx.Err() == nil {
 		return outcome{attempt: t, err: errHedged}
 	}
@@ -98,7 +103,8 @@
 		return outcome{attempt: t, err: err}
 	}
 	for {
-		event, err := t.poll(t.nextCheck())
+		until := t.nextCheck()
+		event, err := t.poll(until)
 		switch {
 		case err == nil:
 			t.recordEvent(clock.Now())
@@ -106,6 +112,9 @@
 		case !errors.Is(err, ErrNotYet):
 			return outcome{attempt: t, err: err}
 		}
+		if late := clock.Since(until); late > maxWakeDelay {
+			t.last = t.last.Add(late + maxWakeDelay) // nothing could be received while this process was stopped
+		}
 		if err := t.checkStall(hedge); err != nil {
 			return outcome{attempt: t, err: err}
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -36,6 +36,7 @@
 	pause   time.Duration // how long nothing arrives after the events
 	later   []string      // events after the pause
 	late    bool          // the head arrives only after the pause
+	asleep  time.Duration // how much longer than asked for the first wait takes, as if this process had been stopped
 	stall   bool          // nothing arrives after all events
 	broken  error         // returned by Body, or by Next after the events
 	body    string
@@ -62,6 +63,7 @@
 	ctx    context.Context //nolint:containedctx // of the attempt
 	next   int
 	resume time.Time // end of the pause; zero before it
+	slept  bool      // script.asleep has been waited
 	closed atomic.Bool
 }
 
@@ -95,6 +97,10 @@
 
 // waitUntil waits until the given time and returns ErrNotYet, or another error if the attempt ends before.
 func (r *reply) waitUntil(until time.Time) error {
+	if !r.slept {
+		r.slept = true
+		until = until.Add(r.script.asleep)
+	}
 	select {
 	case <-time.After(time.Until(until)):
 		return gateway.ErrNotYet
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -148,6 +148,24 @@
 	running.Wait()
 }
 
+// Guards against taking a pause of this process for a silence of the endpoints, whose answers have arrived meanwhile.
+func TestPauseOfTheProcessIsNoSilenceOfEndpoints(t *testing.T) {
+	t.Parallel()
+	for path, s := range map[string]script{
+		"/stream/a": {head: streamHead, events: []string{"1"}, pause: 300 * time.Millisecond, later: []string{"2"}, asleep: 2 * time.Second},
+		"/again/a":  {head: okHead, late: true, pause: 70 * time.Millisecond, body: "answer", asleep: 400 * time.Millisecond},
+	} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			g := newTestGateway()
+			x := g.serve(path, s)
+			qt.Check(t, x.refusal, qt.IsNil)
+			qt.Check(t, x.attempts, qt.HasLen, 1)
+			qt.Check(t, g.scope.Snapshot().Counters()["stalls+"].Value(), qt.Equals, int64(0))
+		})
+	}
+}
+
 func TestSilentStreamsAreHedgedAcrossSeeds(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(8) {
