platform: a silence within an event or a header ends no answer

Two seconds without a byte after the first ones of a header, of a chunk's size or before a chunk's end counted as a broken connection: a stream was cut, or its attempt spent, although the worker would have gone on. Such a read cannot be interrupted and continued, so it had a time-out of its own. Reads of what has arrived whole need no goroutine, as before.

--- a/internal/httpcall/answer.go
+++ b/internal/httpcall/answer.go
@@ -1,8 +1,10 @@
 package httpcall
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -24,6 +26,7 @@
 	stopCancelWatch func() bool
 	complete        bool
 	received        bool // part of the response has arrived
+	header          bool // its header has been read
 	sent            time.Time
 }
 
@@ -59,6 +62,34 @@
 	return err
 }
 
+// PartArrived reports whether what has arrived is enough for Receive, or for the next Read, to return without waiting for more: the whole
+// header of a response, or the next chunk of a body in chunks. It may return false although it is enough.
+func (a *Answer) PartArrived() bool {
+	arrived, _ := a.conn.reader.Peek(a.conn.reader.Buffered())
+	switch {
+	case !a.header:
+		header, _, whole := bytes.Cut(arrived, []byte("\r\n\r\n"))
+		return whole && !bytes.Contains(bytes.ToLower(header), []byte("content-length"))
+	case a.Response.Header.ContentLength() == chunkedLength:
+		return holdsChunk(arrived)
+	default:
+		return len(arrived) > 0
+	}
+}
+
+// chunkedLength is what fasthttp reports as the length of a body in chunks.
+const chunkedLength = -1
+
+// holdsChunk reports whether b begins with a whole chunk.
+func holdsChunk(b []byte) bool {
+	size, rest, found := bytes.Cut(b, []byte("\r\n"))
+	n, err := strconv.ParseUint(string(size), 16, 31)
+	return found && err == nil && uint64(len(rest)) >= n+uint64(len("\r\n"))
+}
+
+// Interrupt makes a read that is in progress in another goroutine fail, and those after it.
+func (a *Answer) Interrupt() { _ = a.conn.SetReadDeadline(pastDeadline) }
+
 // Close returns the connection to the client if the response was read completely, and closes it otherwise.
 func (a *Answer) Close() error {
 	if a.conn == nil {
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -124,7 +124,8 @@
 	a.Response.StreamBody = o.Stream
 	if o.Stream {
 		err := a.Response.Read(a.conn.reader)
-		a.received = a.received || err == nil
+		a.header = err == nil
+		a.received = a.received || a.header
 		return err
 	}
 	limit := o.MaxBody
