gateway: a worker that does not read a body for two seconds ends no request

A request whose body did not fit into the sockets' buffers failed as may-have-run after two seconds in which its worker read nothing, on routes that allow one attempt with 502.

TestWorkerMayBeSilentWhileABodyIsSent: 502 before, the whole answer after. TestBodyIsSentElsewhereIfAWorkerDoesNotReadIt guards the other side: a worker that never reads is found as soon as before.

--- a/internal/gateway/active_attempt.go
+++ b/internal/gateway/active_attempt.go
@@ -17,6 +17,11 @@
 	stopPollInterval = 30 * time.Millisecond
 	// lostPollInterval is how often a stalled stream checks whether the leader has found that its group has lost a member.
 	lostPollInterval = 100 * time.Millisecond
+	// longBody is the size of a request's body, in bytes, from which sending it may wait for the endpoint to read. The kernel takes more
+	// than that at once.
+	longBody = 64 << 10
+	// sendStallTime is how long a long body may take to be sent before another attempt is made beside it.
+	sendStallTime = 2 * time.Second
 	// maxWakeDelay is how late a wait may end on a busy machine. If one ends later, this process was stopped meanwhile.
 	maxWakeDelay = 100 * time.Millisecond
 )
@@ -35,12 +40,14 @@
 	ctx    context.Context //nolint:containedctx // of this attempt, which ends before its request if another one answers
 	cancel context.CancelFunc
 
-	reply Reply // nil until the request has been sent
-	sent  time.Time
-	head  *Head     // nil until it has arrived
-	body  []byte    // of a whole answer
-	last  time.Time // last event, or when the request was sent
-	begun bool      // an event has arrived
+	long    bool       // the request's body is long
+	sending chan error // receives the result of sending a long body; nil if that has not begun, or is not done in the background
+	reply   Reply      // nil until the request has been sent
+	sent    time.Time
+	head    *Head     // nil until it has arrived
+	body    []byte    // of a whole answer
+	last    time.Time // last event, or when the request was sent
+	begun   bool      // an event has arrived
 }
 
 // outcome is what waiting for an attempt has led to: an event or a whole answer, or an error.
@@ -80,7 +87,7 @@
 
 // awaitAnswer waits for a whole answer. It returns errHedged if its head has not arrived by hedgeAt and that is before the deadline.
 func (t *activeAttempt) awaitAnswer(hedgeAt time.Time) outcome {
-	if err := t.send(); err != nil {
+	if err := t.send(hedgeAt.Before(t.deadline)); err != nil {
 		return outcome{attempt: t, err: err}
 	}
 	head, err := t.reply.Head(hedgeAt)
@@ -99,7 +106,7 @@
 
 // awaitEvent waits for the next event. With hedge set it returns errStalled when the group may have stalled, and can be called again.
 func (t *activeAttempt) awaitEvent(hedge bool) outcome {
-	if err := t.send(); err != nil {
+	if err := t.send(hedge); err != nil {
 		return outcome{attempt: t, err: err}
 	}
 	for {
@@ -121,17 +128,36 @@
 	}
 }
 
-// send sends the request unless that has been done.
-func (t *activeAttempt) send() error {
+// send sends the request unless that has been done. With hedge set it returns errHedged if sending a long body takes long, and can be
+// called again.
+func (t *activeAttempt) send(hedge bool) error {
 	if t.reply != nil {
 		return nil
 	}
-	reply, err := t.exchange.Send(t.ctx, t.attempt)
-	if err != nil {
+	if t.sending == nil {
+		if !hedge || !t.long {
+			return t.sendNow()
+		}
+		t.sending = make(chan error, 1)
+		go func() { t.sending <- t.sendNow() }()
+	}
+	if !hedge {
+		return <-t.sending
+	}
+	select {
+	case err := <-t.sending:
 		return err
+	case <-time.After(sendStallTime):
+		return errHedged
+	}
+}
+
+func (t *activeAttempt) sendNow() error {
+	reply, err := t.exchange.Send(t.ctx, t.attempt)
+	if err == nil {
+		t.reply = reply
 	}
-	t.reply = reply
-	return nil
+	return err
 }
 
 // poll waits for the head of a stream and its next event until the given time.
--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -61,7 +61,7 @@
 	now := a.recordSend(place)
 	t := &activeAttempt{
 		gateway: a.gateway, exchange: a.exchange, place: place, attempt: a.attempt(place), deadline: a.deadline,
-		signature: &a.signature, trial: a.trial, sent: now, last: now,
+		signature: &a.signature, trial: a.trial, long: len(a.request.Body) >= longBody, sent: now, last: now,
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,7 +31,7 @@
 func (a *activeRequest) relayEvents(ctx context.Context, t *activeAttempt) bool {
 	for {
 		o := t.awaitEvent(a.mayHedge(t))
-		if errors.Is(o.err, errStalled) {
+		if errors.Is(o.err, errStalled) || errors.Is(o.err, errHedged) {
 			o = a.race(ctx, t)
 		}
 		t = o.attempt
