entry: evidence that ends is no proof that an answer has ended

At the own interface a stream was cut when its engine had been silent for one to two seconds and there was no evidence that all VMs of its group were present. The evidence ends 1.9 s after the last answer of any of them, although the lease holder may still keep the group, and there never is any for a group that drains. A stream now ends early only once the assignments have no such group any more, after 5 s without evidence, or after 20 s. New requests are kept from such a group as before. What a caller loses: the answer of a VM without power is cut when its group is ended (2.5 s after its last answer) instead of 1.9 s after it.

The stand-in of the engine learns silence: nothing moves in a group while one of its members is frozen. It aborted such answers before.

--- a/internal/entry/stream_body.go
+++ b/internal/entry/stream_body.go
@@ -24,12 +24,17 @@
 )
 
 const (
-	// maxSilence is how long an engine may send nothing within an answer.
+	// maxSilence is how long an engine may send nothing within an answer, and maxUnseenSilence how long it may do so while there is no
+	// evidence that all VMs of its group are present. That bounds the wait where nobody can end the group, because the store is down or
+	// this node is cut off.
 	maxSilence             = 20 * time.Second
+	maxUnseenSilence       = 5 * time.Second
 	tailBytes              = 16
 	timeoutRefreshInterval = time.Second
 	awaitTimeout           = 2 * time.Second
-	cancelTimeout          = 500 * time.Millisecond
+	// silentPollInterval is how often a silent stream checks whether its group has been ended.
+	silentPollInterval = 250 * time.Millisecond
+	cancelTimeout      = 500 * time.Millisecond
 )
 
 // streamBody relays an engine's answer to the caller as it arrives. A truncated answer never looks complete: the
@@ -83,30 +88,45 @@
 	}
 }
 
-// awaitBytes waits for the next bytes until the deadline passes, the engine has sent nothing
-// for maxSilence, or a VM of the replica group is missing: a group that has lost a VM does not continue.
+// awaitBytes waits for the next bytes until the deadline passes or the group cannot be expected to continue.
 func (b *streamBody) awaitBytes() error {
 	since := clock.Now()
 	if b.marker == nil { // no byte follows the last of a body with a length, so there is none to wait for
 		return b.answer.SetReadTimeout(min(maxSilence, b.attempt.call.deadline.Sub(since)))
 	}
+	if err := b.refreshTimeout(since); err != nil {
+		return err
+	}
 	for {
-		now := clock.Now()
-		if err := b.refreshTimeout(now); err != nil {
-			return err
-		}
 		err := b.answer.Await()
 		if err == nil || !httpcall.IsTimeout(err) {
 			return err
 		}
-		now = clock.Now()
-		allPresent := now.Before(b.server.Router.AllPresentUntil(b.attempt.target))
-		if !allPresent || now.Sub(since) > maxSilence || now.After(b.attempt.call.deadline) {
+		now := clock.Now()
+		if b.isLost(now.Sub(since), now) {
+			return err
+		}
+		b.timeoutSetAt = time.Time{} // to be set again for the next bytes
+		if err := b.answer.SetReadTimeout(min(silentPollInterval, b.attempt.call.deadline.Sub(now))); err != nil {
 			return err
 		}
 	}
 }
 
+// isLost reports whether nothing more is to be expected after the given silence. A VM that does not answer may only be silent for a while,
+// so the end of the evidence alone does not tell; the lease holder ends groups that have lost a VM.
+func (b *streamBody) isLost(silence time.Duration, now time.Time) bool {
+	router, target := b.server.Router, b.attempt.target
+	switch {
+	case now.After(b.attempt.call.deadline), silence > maxSilence:
+		return true
+	case silence > maxUnseenSilence && !now.Before(router.AllPresentUntil(target)):
+		return true
+	default:
+		return !router.Assigned(target.Group, target.Birth)
+	}
+}
+
 // refreshTimeout limits the wait for the next bytes. Setting a timer for each event costs more than it is worth,
 // so the timeout is set at most once per timeoutRefreshInterval.
 func (b *streamBody) refreshTimeout(now time.Time) error {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -88,6 +88,18 @@
 	return ok
 }
 
+// Assigned reports whether the assignments still contain the group with that birth number, also if it is draining and gets no new requests.
+func (r *Router) Assigned(group string, birth int64) bool {
+	for _, a := range r.assignments.All() {
+		for _, g := range a.Groups {
+			if g.ID == group && g.Birth == birth {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // allPresent reports whether there is evidence that all VMs of the group are present.
 func (r *Router) allPresent(t Target, now time.Time) bool {
 	return now.Before(r.AllPresentUntil(t))
--- a/internal/standin/engine_registry.go
+++ b/internal/standin/engine_registry.go
@@ -25,6 +25,18 @@
 	r.engines[address] = e
 }
 
+// anyFrozen reports whether a member is frozen. One that has been killed is not.
+func (r *EngineRegistry) anyFrozen(members []string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, address := range members {
+		if e, ok := r.engines[address]; ok && e.isFrozen() {
+			return true
+		}
+	}
+	return false
+}
+
 // allInGroup reports whether every member is alive, ready and in the given group.
 func (r *EngineRegistry) allInGroup(members []string, group string, birth int64) bool {
 	r.mu.Lock()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -79,6 +79,13 @@
 	return s.http != nil && s.frozen == nil
 }
 
+// isFrozen reports whether the server is frozen and has not been killed.
+func (s *Server) isFrozen() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.http != nil && s.frozen != nil
+}
+
 // WaitWhileFrozen blocks until the server is not frozen or ctx is done.
 func (s *Server) WaitWhileFrozen(ctx context.Context) {
 	s.mu.Lock()
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -38,6 +38,8 @@
 	prefixHitSpeedup = 5 // divides the prefill time on a prefix cache hit
 	defaultTokens    = 16
 	resumeWindow     = 20 * time.Second
+	// frozenPollInterval is how often a stream checks whether the members of its group are frozen.
+	frozenPollInterval = 10 * time.Millisecond
 )
 
 // EventText returns the text of the prompt's event number index. Callers use it to check that a response is theirs.
@@ -111,7 +113,8 @@
 	return 0
 }
 
-// generate produces the tokens at the engine's speed; it aborts the stream if a member of the group fails.
+// generate produces the tokens at the engine's speed. Nothing moves while a member of the group is frozen, and the stream is aborted if one
+// fails.
 func (e *Engine) generate(s *stream) {
 	prefill := e.Prefill
 	if e.PrefixCacheSize > 0 && e.Cache.Touch(s.prompt, e.PrefixCacheSize) {
@@ -125,6 +128,9 @@
 		e.mu.Lock()
 		members, group, birth := e.order.Members, e.state.Group, e.state.GroupBirth
 		e.mu.Unlock()
+		for e.Registry.anyFrozen(members) && !s.isCancelled() {
+			time.Sleep(frozenPollInterval)
+		}
 		if !s.addEvent(e.Registry.allInGroup(members, group, birth)) {
 			break
 		}
@@ -146,6 +152,12 @@
 	})
 }
 
+func (s *stream) isCancelled() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cancelled
+}
+
 func (s *stream) addEvent(groupIntact bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
