formation: a pause of the leader is no silence of endpoints

A leader that was stopped for 1.5 s or more while it waited for the answers to its probes took that time for a silence of the endpoints, and ended their groups as soon as it ran again. A probe that took longer than probes can take counts as failed from the end of that time on.

TestPauseOfTheLeaderIsNoSilenceOfEndpoints: down at once before, after another 1.5 s without an answer now.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -25,6 +25,9 @@
 	// probeInterval is the least time between two probes of one endpoint.
 	probeInterval = 250 * time.Millisecond
 	probeTimeout  = 300 * time.Millisecond
+	// maxProbeTime is how long a probe takes at most, with the questions to other nodes. While it took longer, this process was stopped,
+	// which says nothing about the endpoint.
+	maxProbeTime = time.Second
 	// peerProbeDelay is the time without an answer after which the other nodes are asked too: live endpoints answer
 	// within about ten milliseconds. A lost member is detected 200 ms sooner than if they were asked only after
 	// probeTimeout.
@@ -292,6 +295,9 @@
 	k.probing = false
 	c.activeProbes--
 	wasAnswering := k.FailedSince.IsZero()
+	if late := clock.Since(sent) - maxProbeTime; answer == NoAnswer && late > 0 {
+		sent = sent.Add(late)
+	}
 	switch answer {
 	case Answered, AnsweredBusy:
 		k.Contact = Contact{LastAnswer: sent, Busy: answer == AnsweredBusy}
--- a/internal/formation/controller_test.go
+++ b/internal/formation/controller_test.go
@@ -313,6 +313,28 @@
 	})
 }
 
+// stoppedEngine is asked by a process that is stopped while it waits for the answers to its probes.
+type stoppedEngine struct{ fakeEngine }
+
+func (s *stoppedEngine) Probe(context.Context, *endpoint.Endpoint) ProbeResult {
+	time.Sleep(2 * downAfter)
+	return NoAnswer
+}
+
+// Guards against ending groups because the leader itself was stopped while it waited for the answers of their members.
+func TestPauseOfTheLeaderIsNoSilenceOfEndpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController(&stoppedEngine{}, nil)
+		c.AskPeers = func(context.Context, *endpoint.Endpoint) PeerEvidence { return Unreachable }
+		k := c.contactOf("a")
+		c.runProbe(t.Context(), &endpoint.Endpoint{ID: "a"}, k)
+		v := &View{Now: time.Now(), Snapshot: c.Directory.Read(), Contacts: map[string]Contact{"a": k.Contact}}
+		qt.Check(t, v.isDown("a"), qt.IsFalse)
+		v.Now = v.Now.Add(downAfter)
+		qt.Check(t, v.isDown("a"), qt.IsTrue, qt.Commentf("it has not answered since"))
+	})
+}
+
 // unreachableEngine can connect to no endpoint: orders are not sent.
 type unreachableEngine struct{ fakeEngine }
 
