gateway: the end of a connection before a head is no complete stream

The caller got an empty success. Only the end that the reply itself reports after the last event counts now.

TestStreamWhoseConnectionEndsBeforeItsHeadIsNotWhole failed before; no test of a stream had an endpoint that ends the connection so.

--- a/internal/gateway/active_attempt.go
+++ b/internal/gateway/active_attempt.go
@@ -54,10 +54,12 @@
 type outcome struct {
 	attempt *activeAttempt
 	event   Event
-	err     error // io.EOF after the last event; errNotStream if the answer is not the expected stream
+	err     error // errWhole after the last event; errNotStream if the answer is not the expected stream
 }
 
 var (
+	// errWhole means that the stream is complete.
+	errWhole = errors.New("the stream is complete")
 	// errNotStream means that the head of an answer has arrived and is not that of a stream of events with a success status.
 	errNotStream = errors.New("the answer is not a stream of events")
 	// errStalled means that nothing has arrived for so long that the group may have stalled.
@@ -175,7 +177,11 @@
 	if t.head.NotRun || !t.head.OK() || !t.head.Events {
 		return Event{}, errNotStream
 	}
-	return t.reply.Next(until)
+	event, err := t.reply.Next(until)
+	if err == io.EOF { //nolint:errorlint // an end of the connection that is no end of the stream may be wrapped
+		return Event{}, errWhole
+	}
+	return event, err
 }
 
 // recordHead records the head of the answer and the rate limit, leaving and pause that the endpoint announced in it, if an answer has
@@ -258,4 +264,4 @@
 }
 
 // isWhole reports whether the outcome is a complete stream.
-func (o *outcome) isWhole() bool { return errors.Is(o.err, io.EOF) }
+func (o *outcome) isWhole() bool { return errors.Is(o.err, errWhole) }
