platform: connections may rest for as long as the configuration allows

idle_timeout_ms was read into the table and used nowhere: a connection was closed after 30 s, also where the configuration allows callers to take it up later. It may rest for the longer of the two now. A shorter one is not enforced, so a change closes no resting connection.

TestChangesOfTheConfigurationReachRequestsAndConnections changes each field under a running stream and a resting connection. With the rest bounded by the server alone, all of its cases failed on the resting connection.

--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -32,8 +32,9 @@
 	// Callers returns the handler that serves callers through the gateway. While leaving returns true, the handler asks them to
 	// connect to another node.
 	Callers func(g *gateway.Gateway, limits func() route.Limits, leaving func() bool) http.Handler
-	// Listener prepares the server of callers and returns the listener that it is to serve instead of l.
-	Listener func(s *http.Server, l net.Listener) net.Listener
+	// Listener prepares the server of callers and returns the listener that it is to serve instead of l. Connections may rest as long as
+	// limits allows, and at least for the server's idle timeout.
+	Listener func(s *http.Server, l net.Listener, limits func() route.Limits) net.Listener
 	// Held returns the bytes held for callers and endpoints.
 	Held func() int64
 	// Registry returns the handler that answers which addresses callers of a data centre should use, and for how long.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -184,7 +184,7 @@
 	defer stop()
 	callers := newHTTP(n.CallerHandler())
 	if n.listeners.caller != nil {
-		n.listeners.caller = n.platform.Listener(callers, n.listeners.caller)
+		n.listeners.caller = n.platform.Listener(callers, n.listeners.caller, n.limits)
 	}
 	registry := newHTTP(n.platform.Registry(n.addresses, n.settings.AddressLifetime()))
 	readiness := newHTTP(n.platform.Readiness(n.ready))
