--- a/test/gateway/silence_soak_test.go
+++ b/test/gateway/silence_soak_test.go
@@ -62,6 +62,14 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{fleet: newFleet(t), random: rand.New(rand.NewPCG(seed, 1)), version: 1} //nolint:gosec // a seeded test
 	s.configure()
+	s.await("the routes' timeout is in force", func() bool {
+		for _, n := range s.nodes {
+			if n.countLogged(fmt.Sprintf(`"version":%d}`, s.version)) == 0 && n.countLogged(fmt.Sprintf(`"version":%d,`, s.version)) == 0 {
+				return false
+			}
+		}
+		return true
+	})
 	var callers sync.WaitGroup
 	for i := range 12 {
 		callers.Go(func() { s.call(i) })
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"moorrun.dev/moorrun/internal/lab"
@@ -21,7 +23,7 @@
 	fault := linkFaults[w.faultRand.IntN(len(linkFaults))]
 	engine := w.lab.Engines[w.randomEngineVM()]
 	endpoint := w.lab.PlainEndpoints[[]string{"receipts-1", "receipts-2"}[w.faultRand.IntN(2)]]
-	switch w.faultRand.IntN(19) {
+	switch w.faultRand.IntN(20) {
 	case 0:
 		node.Kill()
 		time.Sleep(duration)
@@ -83,6 +85,8 @@
 		w.failEnginesDuringRestarts(i, duration)
 	case 17:
 		w.killRelayingNodes(duration)
+	case 18:
+		w.pauseInSeries()
 	default: // a paused node during a store outage
 		node.Pause(true)
 		w.lab.Objects.Down.Store(true)
@@ -93,6 +97,34 @@
 	time.Sleep(time.Duration(w.faultRand.IntN(400)) * time.Millisecond)
 }
 
+// pauseInSeries pauses engines and nodes, one, most or all at a time, for 0.5 to 2 s each.
+func (w *workload) pauseInSeries() {
+	vms := slices.Sorted(maps.Keys(w.lab.Engines))
+	for range 2 + w.faultRand.IntN(3) {
+		engines, nodes := w.some(len(vms)), w.some(len(w.nodes))
+		pauseNodes := w.faultRand.IntN(2) == 0
+		for _, i := range engines {
+			w.lab.Engines[vms[i]].Freeze(true)
+		}
+		for _, i := range nodes {
+			w.nodes[i].Pause(pauseNodes)
+		}
+		time.Sleep(time.Duration(500+w.faultRand.IntN(1500)) * time.Millisecond)
+		for _, i := range nodes {
+			w.nodes[i].Pause(false)
+		}
+		for _, i := range engines {
+			w.lab.Engines[vms[i]].Freeze(false)
+		}
+		time.Sleep(time.Duration(w.faultRand.IntN(500)) * time.Millisecond)
+	}
+}
+
+// some returns the indexes of one, most or all of n things.
+func (w *workload) some(n int) []int {
+	return w.faultRand.Perm(n)[:[]int{1, n - 1, n}[w.faultRand.IntN(3)]]
+}
+
 // cutPaths cuts the paths of one node to all engines and endpoints for a while, twice.
 func (w *workload) cutPaths(d time.Duration) {
 	modes := []paths.Mode{paths.Refused, paths.Silent, paths.Reset}
