--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -6,14 +6,11 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/clock"
-	"moorrun.dev/moorrun/internal/engine"
 	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/quarantine"
 	"moorrun.dev/moorrun/internal/readers"
 	"moorrun.dev/moorrun/internal/retry"
 	"moorrun.dev/moorrun/internal/route"
-	"moorrun.dev/moorrun/internal/tunnel"
-	"moorrun.dev/moorrun/internal/verdict"
 )
 
 // maxSends bounds the attempts of one request, including those that did not run.
@@ -89,13 +86,6 @@
 	return now
 }
 
-// recordEnd records what ended an attempt without a complete answer, and logs it with pairs.
-func (a *activeRequest) recordEnd(ctx context.Context, err error, pairs ...any) {
-	a.endCause = endCauseOf(ctx, a.deadline, err)
-	a.gateway.metrics.attemptsEnded[a.endCause].Inc(1)
-	a.log("failed", false, append(append(pairs, "err", err, "by", string(a.endCause)), a.configurations()...)...)
-}
-
 // configurations returns the versions of the configuration by which the request was admitted, and of the present one if that differs,
 // as pairs for the log.
 func (a *activeRequest) configurations() []any {
@@ -147,76 +137,6 @@
 	a.log("caller cut", true, "reason", reason, "route", a.route.Name, "workspace", a.workspace.Name, "last", a.lastID)
 }
 
-// errTooLate means that the retry taken for the next attempt no longer counts, and another is not allowed.
-var errTooLate = errors.New("a place was found too late for a retry")
-
-// acquire returns a place for the next attempt. If there is none, the retry taken for the attempt is given back.
-func (a *activeRequest) acquire(ctx context.Context) (*picker.Place, error) {
-	place, err := a.acquireUnlessHeld(ctx)
-	if err != nil {
-		a.returnRetry()
-		return nil, err
-	}
-	if !a.useRetry() {
-		place.Release()
-		return nil, errTooLate
-	}
-	return place, nil
-}
-
-// acquireUnlessHeld returns a place for the next attempt, unless the request is held back. It checks for that again after the
-// wait for the place.
-func (a *activeRequest) acquireUnlessHeld(ctx context.Context) (*picker.Place, error) {
-	a.trial = nil
-	if err := a.heldBack(); err != nil {
-		return nil, err
-	}
-	place, err := a.awaitPlace(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if err := a.heldBack(); err != nil {
-		place.Release()
-		return nil, err
-	}
-	return place, nil
-}
-
-// awaitPlace chooses an endpoint for the request and waits for a place there.
-func (a *activeRequest) awaitPlace(ctx context.Context) (*picker.Place, error) {
-	w, err := a.requirements()
-	if err != nil {
-		return nil, err
-	}
-	began := clock.Now()
-	place, err := a.gateway.Picker.Acquire(ctx, w)
-	a.gateway.metrics.placeWait.Record(clock.Since(began))
-	return place, err
-}
-
-// requirements returns what the next attempt needs of a place.
-func (a *activeRequest) requirements() (*picker.Requirements, error) {
-	w := &picker.Requirements{
-		Service: a.service.Name, ColdFor: a.service.ColdFor, ColdPerSecond: a.service.ColdPerSecond, Workspace: a.workspace.Name, Priority: a.priority(), Exclude: a.excluded,
-		MaxWait: time.Duration(placeWaitFraction * float64(a.route.Objective)),
-	}
-	if e := a.service.Engine; e != nil {
-		model, ok := e.Model(a.request.Model)
-		if !ok {
-			return nil, errNoModel
-		}
-		w.Model, w.Slots, w.Size = model.Name, e.Slots, model.Size
-		w.PromptTokens, w.Objective = a.request.PromptTokens, a.route.Objective
-		w.Engine = engine.Model{Figures: e.Figures, Pace: model.Pace}
-	}
-	if a.begun {
-		w.MaxWait = a.route.GapObjective / 2
-	}
-	return w, nil
-}
-
-var errNoModel = errors.New("the service has no such model")
-
 func (a *activeRequest) priority() int {
 	if a.workspace.HasPriority {
 		return a.workspace.Priority
@@ -238,23 +158,6 @@
 	return a.request.ResumeAfter
 }
 
-// refuseWithoutPlace refuses a request that got no place. A request that may have run is not refused as NotRun.
-func (a *activeRequest) refuseWithoutPlace(ctx context.Context, err error) {
-	var held *heldError
-	var paused *picker.PausedError
-	switch {
-	case a.ran > 0:
-		a.fail(ctx, "no place for another attempt: "+err.Error())
-	case errors.As(err, &held):
-		a.refuseHeld(held)
-	case errors.As(err, &paused):
-		a.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: addJitter(paused.Remaining)})
-	default:
-		after := a.gateway.shortages.recordRefusal(a.service.Name+"/"+a.request.Model, clock.Now())
-		a.refuse(Refusal{Reason: NotRun, Detail: err.Error(), RetryAfter: after})
-	}
-}
-
 // fail refuses a request that may have run.
 func (a *activeRequest) fail(ctx context.Context, detail string) {
 	reason := Failed
@@ -263,22 +166,3 @@
 	}
 	a.refuse(Refusal{Reason: reason, Detail: detail})
 }
-
-// recordPlaceFailure records that an attempt failed at the place, unless it failed on the way there or was given up for its silence,
-// which the picker has been told already.
-func (a *activeRequest) recordPlaceFailure(ctx context.Context, place *picker.Place, err error) {
-	v := verdict.Of(err)
-	switch {
-	case errors.Is(err, tunnel.ErrBroken), errors.Is(err, errStalled), errors.Is(err, errHeldBack), errors.Is(err, errCallerGone):
-	case a.isStream() && v != verdict.NotRun && ctx.Err() != nil:
-	default:
-		place.RecordFailure(v == verdict.NotRun, clock.Now())
-	}
-}
-
-// exclude keeps further attempts away from the group or endpoint of a failed attempt, unless that failed on the way there.
-func (a *activeRequest) exclude(o *outcome) {
-	if !errors.Is(o.err, tunnel.ErrBroken) {
-		a.excluded = append(a.excluded, o.attempt.place.Key())
-	}
-}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/clock"
-	"moorrun.dev/moorrun/internal/picker"
 	"moorrun.dev/moorrun/internal/verdict"
 )
 
@@ -54,7 +53,7 @@
 
 // callEnded handles the outcome of the last attempt that was running, and reports whether to send the request again.
 func (a *activeRequest) callEnded(ctx context.Context, o *outcome) bool {
-	if o.err != nil || !isEndpointsWord(o.attempt.head) {
+	if o.err != nil || !isConclusive(o.attempt.head) {
 		v := a.recordFailedAttempt(ctx, o)
 		switch {
 		case v == verdict.NotRun:
@@ -88,26 +87,6 @@
 		"ms", now.Sub(a.request.Received).Milliseconds(), "err", err)
 }
 
-// recordNotRun records that an endpoint answered that it did not run the request. Retry-After does not count as a refusal: the
-// endpoint gets its share of requests again after the pause.
-func (a *activeRequest) recordNotRun(place *picker.Place, head Head) {
-	pairs := []any{"endpoint", place.Endpoint.ID, "group", place.Group, "verdict", verdict.NotRun.String(), "status", head.Status}
-	if head.RetryAfter > 0 {
-		pairs = append(pairs, "retry_after_ms", head.RetryAfter.Milliseconds())
-	} else {
-		place.RecordRefusal(clock.Now())
-	}
-	a.endCause = endedByEndpoint
-	a.log("failed", false, pairs...)
-}
-
-// recordFailedAnswer records an answer that counts as a failure of the endpoint.
-func (a *activeRequest) recordFailedAnswer(place *picker.Place, head Head) {
-	place.RecordFailure(false, clock.Now())
-	a.endCause = endedByEndpoint
-	a.log("failed", false, "endpoint", place.Endpoint.ID, "group", place.Group, "verdict", verdict.Ran.String(), "status", head.Status)
-}
-
 // afterNotRun handles an attempt that did not run. It reports whether to send the request again, and refuses it otherwise.
 func (a *activeRequest) afterNotRun(ctx context.Context) bool {
 	if ctx.Err() == nil && a.mayResend(verdict.NotRun) {
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -8,13 +8,13 @@
 
 	"moorrun.dev/moorrun/internal/clock"
 	"moorrun.dev/moorrun/internal/retry"
-	"moorrun.dev/moorrun/internal/verdict"
 )
 
 const (
 	// hedgePollInterval is how often a place for another attempt is looked for.
 	hedgePollInterval = 50 * time.Millisecond
-	// hedgeRefusedInterval is how long no other attempt is tried after the retry budget has refused one. It doubles each time.
+	// hedgeRefusedInterval is how long no other attempt is tried after one was held back or the retry budget has refused one. It doubles with
+	// each refusal.
 	hedgeRefusedInterval = 600 * time.Millisecond
 )
 
@@ -88,6 +88,7 @@
 	a.trial = nil
 	if a.heldBack() != nil {
 		place.Release()
+		r.hedgeAt = now.Add(hedgeRefusedInterval)
 		return
 	}
 	if !a.takeHedge() {
@@ -108,7 +109,7 @@
 		t := (<-r.outcomes).attempt
 		o := &outcome{attempt: t, err: errOvertaken}
 		if t == silent {
-			o.err = r.request.silence()
+			o.err = r.request.silenceError()
 			r.request.recordFailedAttempt(ctx, o)
 			r.request.exclude(o)
 		} else {
@@ -118,8 +119,8 @@
 	}
 }
 
-// silence returns why an attempt was hedged.
-func (a *activeRequest) silence() error {
+// silenceError returns why another attempt runs beside a silent one.
+func (a *activeRequest) silenceError() error {
 	if a.isStream() {
 		return errStalled
 	}
@@ -151,43 +152,13 @@
 func (a *activeRequest) settles(o *outcome) bool {
 	switch {
 	case errors.Is(o.err, errNotStream):
-		return !a.begun && isEndpointsWord(o.attempt.head)
+		return !a.begun && isConclusive(o.attempt.head)
 	case o.err == nil && !a.isStream():
-		return isEndpointsWord(o.attempt.head)
+		return isConclusive(o.attempt.head)
 	default:
 		return o.err == nil || o.isWhole()
 	}
 }
 
-// isEndpointsWord reports whether an answer is to be passed on even if another attempt still runs.
-func isEndpointsWord(h *Head) bool { return !h.NotRun && h.Status < minServerErrorStatus }
-
-// recordFailedAttempt records an attempt that has brought nothing to pass on, and returns its verdict.
-func (a *activeRequest) recordFailedAttempt(ctx context.Context, o *outcome) verdict.Verdict {
-	t := o.attempt
-	if o.err == nil || errors.Is(o.err, errNotStream) {
-		if t.head.NotRun {
-			a.ran--
-			a.recordNotRun(t.place, *t.head)
-			return verdict.NotRun
-		}
-		a.recordFailedAnswer(t.place, *t.head)
-		return verdict.Ran
-	}
-	v := verdict.Of(o.err)
-	if v == verdict.NotRun {
-		a.ran--
-	}
-	a.reportFailure(ctx, t.place, o.err, t.begun)
-	a.recordPlaceFailure(ctx, t.place, o.err)
-	a.recordEnd(ctx, o.err, "endpoint", t.place.Endpoint.ID, "group", t.place.Group, "verdict", v.String(), "fingerprint", a.signature.Request,
-		"prompt_parts", a.request.PromptParts, "begun", t.begun, "last", a.lastID, "silent_ms", clock.Since(t.last).Milliseconds())
-	return v
-}
-
-// recordOvertaken records an attempt that is closed because another one, which was sent before it, has gone on.
-func (a *activeRequest) recordOvertaken(ctx context.Context, o *outcome) {
-	a.gateway.metrics.overtaken.Inc(1)
-	a.reportFailure(ctx, o.attempt.place, o.err, o.attempt.begun)
-	a.log("overtaken", false, "endpoint", o.attempt.place.Endpoint.ID, "group", o.attempt.place.Group)
-}
+// isConclusive reports whether an answer is passed on even if another attempt still runs.
+func isConclusive(h *Head) bool { return !h.NotRun && h.Status < minServerErrorStatus }
