entry: evidence that expires before a request is sent is no breach

The evidence had expired 55 ms before, the request was refused as not run, and that refusal was reported as a breach of whole_group. The check now passes over evidence that has merely expired since the group was chosen; less evidence than then, or none, is a breach as before. Nothing is sent without evidence, as before. The trace is what allows it: the request was not sent.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -37,6 +37,8 @@
 	place  *admission.Place
 	target routing.Target
 	sentAt time.Time
+	// presentUntil is until when there was evidence of all VMs when the group was found usable; zero if it was not.
+	presentUntil time.Time
 
 	signature quarantine.Signature
 	life      *endpoint.Endpoint // the leader as it was when the request was sent; nil for a resumed stream
@@ -125,6 +127,7 @@
 			a.place.Release(false)
 			return nil, f
 		}
+		a.presentUntil = s.Router.AllPresentUntil(a.target)
 		if s.Router.Usable(a.place.Group, a.place.Birth, clock.Now()) {
 			return a, nil
 		}
@@ -194,11 +197,8 @@
 	request.Header.Set(deadlineHeader, strconv.FormatInt(max(1, c.remaining().Milliseconds()), 10))
 	request.SetBodyRaw(c.ctx.PostBody())
 	a.sentAt = clock.Now()
-	until := s.Router.AllPresentUntil(a.target)
-	if !s.Checker.Check(invariant.GroupComplete, a.sentAt.Before(until), func() []any {
-		return []any{"group", a.target.Group, "request_id", c.id, "whole_until", until}
-	}) {
-		return nil, verdict.New(verdict.NotRun, errors.New("the group is no longer whole"))
+	if err := s.checkPresent(a); err != nil {
+		return nil, err
 	}
 	answer, err := s.Calls.Do(context.WithoutCancel(c.ctx), a.target.Leader, request, httpcall.Options{Timeout: c.remaining(), Endpoint: true, Stream: true})
 	if err != nil {
@@ -211,6 +211,21 @@
 	return answer, nil
 }
 
+// checkPresent returns an error unless there is evidence that all VMs of the group are present when the request is sent. It is no breach
+// if the evidence by which the group was chosen has merely expired since, as after a pause of this process.
+func (s *Server) checkPresent(a *attempt) error {
+	until := s.Router.AllPresentUntil(a.target)
+	present := a.sentAt.Before(until)
+	expired := !present && !a.presentUntil.IsZero() && !until.Before(a.presentUntil)
+	s.Checker.Check(invariant.GroupComplete, present || expired, func() []any {
+		return []any{"group", a.target.Group, "request_id", a.call.id, "whole_until", until}
+	})
+	if !present {
+		return verdict.New(verdict.NotRun, errors.New("the group is no longer whole"))
+	}
+	return nil
+}
+
 // checkAnswer returns an error if the answer carries the ID of another request, or if the engine refused or
 // failed the request.
 func (s *Server) checkAnswer(c *call, answer *httpcall.Answer) error {
