--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -38,6 +38,8 @@
 func (a *activeRequest) race(ctx context.Context, silent *activeAttempt) outcome {
 	now := clock.Now()
 	r := &race{request: a, began: now, hedgeAt: now, outcomes: make(chan outcome, maxSends)}
+	a.log("silent", false, "endpoint", silent.place.Endpoint.ID, "group", silent.place.Group, "err", a.silenceError(), "begun", silent.begun,
+		"last", a.lastID, "silent_ms", now.Sub(silent.last).Milliseconds())
 	r.start(silent)
 	for {
 		select {
