--- a/internal/eventlog/request_log.go
+++ b/internal/eventlog/request_log.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// maxBufferedLines bounds the lines buffered for one request. Four attempts with three lines each (sent, failed, resend), silences and the
-// end of the request need up to seventeen, mostly less than ten.
+// maxBufferedLines bounds the lines buffered for one request. Four attempts with three lines each (sent, failed, resend), two silences and
+// the end of the request need fifteen.
 const maxBufferedLines = 16
 
 // line is one log line.
