standin: a member that freezes while a token is made aborts no stream

The stand-in looked for frozen members first and then whether all were alive, and one that froze in between counted as lost. Only a killed one does now.

--- a/internal/standin/engine_registry.go
+++ b/internal/standin/engine_registry.go
@@ -37,13 +37,13 @@
 	return false
 }
 
-// allInGroup reports whether every member is alive, ready and in the given group.
+// allInGroup reports whether every member is in the given group and none has been killed.
 func (r *EngineRegistry) allInGroup(members []string, group string, birth int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, address := range members {
 		e, ok := r.engines[address]
-		if !ok || !e.Alive() || !e.inGroup(group, birth) {
+		if !ok || !e.isRunning() || !e.inGroup(group, birth) {
 			return false
 		}
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -72,11 +72,11 @@
 	}
 }
 
-// Alive reports whether the server is neither killed nor frozen.
-func (s *Server) Alive() bool {
+// isRunning reports whether the server has not been killed. It may be frozen.
+func (s *Server) isRunning() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.http != nil && s.frozen == nil
+	return s.http != nil
 }
 
 // isFrozen reports whether the server is frozen and has not been killed.
