--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -85,7 +85,7 @@
 
 // crash kills the engine because of what a request held, and restarts it later.
 func (e *Engine) crash() {
-	if !e.Alive() {
+	if !e.isRunning() {
 		return
 	}
 	e.Crashes.Add(1)
