--- /dev/null
+++ b/test/gateway/stop_test.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/settings"
+)
+
+// stopGraces are the grace periods with which planned stops are tested.
+var stopGraces = []time.Duration{time.Second, 2500 * time.Millisecond, 8 * time.Second}
+
+// maxSilence is how long engines are silent at most; a stream may still end within its own time.
+const maxSilence = 5500 * time.Millisecond
+
+// stopTimeout is the timeout of the routes, which is longer than what is left of most of these grace periods.
+const stopTimeout = 7 * time.Second
+
+// newStoppingFleet returns a fleet whose nodes are killed after the given grace period.
+func newStoppingFleet(t *testing.T, grace time.Duration) *fleet {
+	t.Helper()
+	f := newFleetWith(t, func(s *settings.Gateway) { s.GraceMS = int(grace.Milliseconds()) })
+	f.platform.Configure(2, int(stopTimeout.Milliseconds()), "key-1", "key-2")
+	for _, n := range f.nodes {
+		f.await("the routes' timeout is in force", func() bool { return n.countLogged(`"version":2`) > 0 })
+	}
+	return f
+}
+
+// Guards against a node that takes a request after SIGTERM which its grace period does not leave time for, and then cuts off the
+// answer.
+func TestRequestsTakenAfterSIGTERMAreNotCutOff(t *testing.T) {
+	for _, grace := range stopGraces {
+		for _, fraction := range []float64{0.02, 0.15, 0.3, 0.42} {
+			t.Run(fmt.Sprintf("grace %v, sent after %v", grace, time.Duration(fraction*float64(grace))), func(t *testing.T) {
+				t.Parallel()
+				f := newStoppingFleet(t, grace)
+				leaving := f.nodes[1]
+				leaving.signal(syscall.SIGTERM)
+				time.Sleep(time.Duration(fraction * float64(grace)))
+				results := f.streamsDuringSilence(leaving, min(grace, maxSilence))
+				for _, r := range results {
+					f.checkTruthfulEnd(r)
+				}
+				qt.Check(t, <-leaving.exited, qt.IsNil)
+				leaving.exited <- nil
+			})
+		}
+	}
+}
+
+// streamsDuringSilence sends six requests for streams to a node and makes all engines silent for the given time once some events have
+// been sent.
+func (f *fleet) streamsDuringSilence(n *node, silence time.Duration) []*result {
+	results := make([]*result, 6)
+	var wg sync.WaitGroup
+	for i := range results {
+		wg.Go(func() { results[i] = f.stream(n, "key-1") })
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, w := range f.engineWorkers() {
+		w.Freeze(silence)
+	}
+	wg.Wait()
+	return results
+}
+
+// checkTruthfulEnd checks that a request got its whole answer, a refusal that is true and tells when to come back, or no connection at all.
+func (f *fleet) checkTruthfulEnd(r *result) {
+	f.t.Helper()
+	runs := len(f.platform.Runs(r.id))
+	comment := qt.Commentf("%s: status %d, %d events, %d runs, %v", r.id, r.status, len(r.events), runs, r.err)
+	switch {
+	case r.isComplete():
+	case r.err == nil && r.status == http.StatusServiceUnavailable:
+		qt.Check(f.t, runs, qt.Equals, 0, comment)
+		qt.Check(f.t, r.header.Get("Retry-After") != "", qt.IsTrue, comment)
+	default:
+		qt.Check(f.t, errors.Is(r.err, syscall.ECONNREFUSED), qt.IsTrue, comment)
+	}
+}
