gateway, server: log and count what the stop of a node ends

A request that the node itself gave up at the end of its grace period was logged with by=caller, and nothing told what ran at SIGTERM or was left at the end. Now: by=stop in the log and the metrics; 'stopping' with the number of requests, the longest time that one may last, and how many may outlive the grace period; a line for each request that is left, with id, age and the time to its deadline. No decision is changed: the contexts that closing the server cancelled are cancelled just before it, with a cause.

--- a/internal/gateway/end_cause.go
+++ b/internal/gateway/end_cause.go
@@ -18,14 +18,20 @@
 	endedByPath     endCause = "path"     // the connection through another node broke
 	endedByDeadline endCause = "deadline"
 	endedByCaller   endCause = "caller" // the caller has left, or could not be written to
+	endedByStop     endCause = "stop"   // this process ends
 )
 
+// ErrStopping is the cause with which the contexts of requests are cancelled when this process ends before they do.
+var ErrStopping = errors.New("this node is stopping")
+
 // endCauses lists all causes.
-var endCauses = []endCause{endedByGateway, endedByEndpoint, endedByPath, endedByDeadline, endedByCaller}
+var endCauses = []endCause{endedByGateway, endedByEndpoint, endedByPath, endedByDeadline, endedByCaller, endedByStop}
 
 // endCauseOf returns the cause of err, the error of an attempt of a request with the given context and deadline.
 func endCauseOf(ctx context.Context, deadline time.Time, err error) endCause {
 	switch {
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		return endedByStop
 	case errors.Is(ctx.Err(), context.Canceled), errors.Is(err, errCallerGone):
 		return endedByCaller
 	case ctx.Err() != nil, !clock.Now().Before(deadline):
--- a/internal/gateway/end_cause_test.go
+++ b/internal/gateway/end_cause_test.go
@@ -38,3 +38,13 @@
 	g.gateway.Serve(ctx, &gateway.Request{ID: "r", Host: "h", Path: "/lost/a", Credential: "key", Model: "m", Received: time.Now()}, x)
 	qt.Check(t, g.scope.Snapshot().Counters()["attempts_ended+by=caller"].Value(), qt.Equals, int64(1))
 }
+
+// Guards against a log that blames the caller for an answer that the stop of this node cuts off.
+func TestMetricsTellThatTheNodeWasStopped(t *testing.T) {
+	g := newTestGateway()
+	ctx, stop := context.WithCancelCause(context.Background())
+	x := &exchange{scripts: []script{{head: streamHead, events: []string{"1"}, broken: errMayHaveRun}}}
+	stop(gateway.ErrStopping)
+	g.gateway.Serve(ctx, &gateway.Request{ID: "r", Host: "h", Path: "/lost/a", Credential: "key", Model: "m", Received: time.Now()}, x)
+	qt.Check(t, g.scope.Snapshot().Counters()["attempts_ended+by=stop"].Value(), qt.Equals, int64(1))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	metrics *metrics
 
 	shortages shortages
+	running   requestSet
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // retry budgets by service
@@ -86,6 +87,8 @@
 	a.deadline = r.Received.Add(timeout)
 	ctx, cancel := clock.WithDeadline(ctx, a.deadline)
 	defer cancel()
+	g.running.add(a)
+	defer g.running.remove(a)
 	a.budget = g.budget(a.service.Name)
 	a.budget.Request(r.Received)
 	if a.route.Kind == route.Streaming {
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"moorrun.dev/moorrun/internal/clock"
 )
 
@@ -24,13 +22,13 @@
 	since := clock.Now()
 	n.leaving.Store(true)
 	n.gossip.Kick()
-	_ = level.Info(n.logger).Log("msg", "stopping", "grace_ms", n.settings.GraceMS)
 	grace := n.settings.Grace()
+	n.logStopping(since.Add(time.Duration(finishFraction * float64(grace))))
 	time.Sleep(time.Duration(acceptFraction * float64(grace)))
 	ctx, cancel := clock.WithDeadline(context.Background(), since.Add(time.Duration(finishFraction*float64(grace))))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
-		_ = level.Warn(n.logger).Log("msg", "grace period ended before all requests had finished", "err", err)
+		n.logUnfinished()
 	}
 	n.tunnels.Wait(ctx)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -182,7 +182,10 @@
 	defer end()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
+	requests, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(nil)
 	callers := newHTTP(n.CallerHandler())
+	callers.BaseContext = func(net.Listener) context.Context { return requests }
 	if n.listeners.caller != nil {
 		n.listeners.caller = n.platform.Listener(callers, n.listeners.caller, n.limits)
 	}
@@ -229,6 +232,7 @@
 	g.Go(func() error {
 		<-ctx.Done()
 		n.leave(callers)
+		endRequests(gateway.ErrStopping)
 		stop()
 		return errors.Join(registry.Close(), readiness.Close(), callers.Close(), metricsServer.Close())
 	})
