gateway: a stopping node begins only requests that end before it does

Callers saw: a stream sent to a node after its SIGTERM has status 200, some events and then the end of the connection, although its endpoint is sound.

Cause: for 0.45 of the grace period the node took whatever came, without a look at how long it might last, and gave up what still ran at 0.94. A stream with 7 s of time, taken 3.15 s after SIGTERM, had 4.4 s of them.

Change: a request whose deadline lies beyond the end of the node is refused as not run before its body is read, with Retry-After and Connection: close. The same holds for one that waits for a place or that an endpoint refused; answers that have begun are still resumed. Callers come back at once if another node takes requests. Nothing depends on the length of the grace or on how long requests usually take: a silent endpoint may use all of a request's time.

--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -39,13 +39,22 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := a.heldBack(); err != nil {
+	if err := a.mayBegin(); err != nil {
 		place.Release()
 		return nil, err
 	}
 	return place, nil
 }
 
+// mayBegin returns why an attempt must not begin although there is a place for it. A request that has run is tried again even if this
+// node is stopping: nothing else can complete its answer.
+func (a *activeRequest) mayBegin() error {
+	if a.ran == 0 && !a.leavesTime() {
+		return errNoTime
+	}
+	return a.heldBack()
+}
+
 // awaitPlace chooses an endpoint for the request and waits for a place there.
 func (a *activeRequest) awaitPlace(ctx context.Context) (*picker.Place, error) {
 	w, err := a.requirements()
@@ -95,6 +104,8 @@
 	switch {
 	case a.ran > 0:
 		a.fail(ctx, "no place for another attempt: "+err.Error())
+	case errors.Is(err, errNoTime), errors.Is(context.Cause(ctx), ErrStopping):
+		a.refuseStopping()
 	case errors.As(err, &held):
 		a.refuseHeld(held)
 	case errors.As(err, &paused):
--- a/internal/gateway/end_cause.go
+++ b/internal/gateway/end_cause.go
@@ -21,9 +21,6 @@
 	endedByStop     endCause = "stop"   // this process ends
 )
 
-// ErrStopping is the cause with which the contexts of requests are cancelled when this process ends before they do.
-var ErrStopping = errors.New("this node is stopping")
-
 // endCauses lists all causes.
 var endCauses = []endCause{endedByGateway, endedByEndpoint, endedByPath, endedByDeadline, endedByCaller, endedByStop}
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,9 @@
 
 // New returns a Gateway.
 func New(o Options) *Gateway {
+	if o.Stop == nil {
+		o.Stop = func() Stop { return Stop{} }
+	}
 	return &Gateway{Options: o, metrics: newMetrics(o.Scope), budgets: make(map[string]*retry.Budget)}
 }
 
@@ -77,14 +80,11 @@
 		return
 	}
 	a.setSignature()
-	timeout := a.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if r.CallerTimeout > 0 {
-		timeout = min(timeout, r.CallerTimeout)
+	a.deadline = r.deadline(a.route)
+	if !a.leavesTime() {
+		a.refuseStopping()
+		return
 	}
-	a.deadline = r.Received.Add(timeout)
 	ctx, cancel := clock.WithDeadline(ctx, a.deadline)
 	defer cancel()
 	g.running.add(a)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -175,6 +175,7 @@
 	scope   tally.TestScope
 	proof   time.Time
 	table   *route.Table
+	stop    func() gateway.Stop // the planned stop of the process; nil if it is not stopped
 
 	mu      sync.Mutex
 	lastLog *requestLog // log of the last request
@@ -228,6 +229,12 @@
 		Picker:     picker.New(picker.Options{Directory: d, Others: noOthers, Retiring: func(time.Time) map[string]bool { return nil }, Lost: func(string, time.Time) bool { return s.lost }}),
 		Quarantine: s.quarantine, Investigator: s.newInvestigator(d),
 		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() retry.Nodes { return retry.Nodes{All: 1, Busy: 1} }, Started: clock.Now().Add(-time.Minute), RequestLog: s.newRequestLog, Scope: s.scope,
+		Stop: func() gateway.Stop {
+			if s.stop == nil {
+				return gateway.Stop{}
+			}
+			return s.stop()
+		},
 	})
 	return s
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,7 @@
 	overtaken          tally.Counter              // attempts that were closed because one sent before them has gone on
 	heldBack           tally.Counter              // requests refused because endpoints have ended while they ran them
 	stopped            tally.Counter              // attempts stopped before they began, for the same reason
+	refusedStopping    tally.Counter              // requests refused because this node is stopping
 	late               tally.Counter              // answers that missed an objective
 	callersCut         map[readers.Reason]tally.Counter
 	firstEvent, answer tally.Timer // time to the first event of a stream, and to the end of an answer
@@ -36,12 +37,14 @@
 		cutOff: make(map[endCause]tally.Counter), attemptsEnded: make(map[endCause]tally.Counter),
 		sends: scope.Counter("sends"), resends: scope.Counter("resends"), resendsRefused: scope.Counter("resends_refused"), sendsLimited: scope.Counter("sends_limited"),
 		sendsPaused: scope.Counter("sends_paused"), pauses: scope.Counter("pauses_asked_for"),
-		stalls:     scope.Counter("stalls"),
-		overtaken:  scope.Counter("attempts_overtaken"),
-		heldBack:   scope.Counter("requests_held_back"),
-		stopped:    scope.Counter("attempts_stopped"),
-		late:       scope.Counter("requests_late"),
-		firstEvent: scope.Timer("first_event"), answer: scope.Timer("answer"), placeWait: scope.Timer("queue_wait"),
+		stalls:    scope.Counter("stalls"),
+		overtaken: scope.Counter("attempts_overtaken"),
+		heldBack:  scope.Counter("requests_held_back"),
+		stopped:   scope.Counter("attempts_stopped"),
+		late:      scope.Counter("requests_late"),
+
+		refusedStopping: scope.Counter("requests_refused_stopping"),
+		firstEvent:      scope.Timer("first_event"), answer: scope.Timer("answer"), placeWait: scope.Timer("queue_wait"),
 	}
 	for _, r := range readers.Reasons {
 		m.callersCut[r] = scope.Tagged(map[string]string{"reason": string(r)}).Counter("callers_cut")
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -26,6 +26,7 @@
 	Limits       retry.Limits
 	Nodes        func() retry.Nodes
 	Started      time.Time                  // when the process started
+	Stop         func() Stop                // the planned stop of the process; nil if it is never stopped
 	RequestLog   func(id string) RequestLog // returns the log of a new request
 	Scope        tally.Scope
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"moorrun.dev/moorrun/internal/route"
+)
 
 // Request is a caller's request as the gateway needs it.
 type Request struct {
@@ -20,3 +24,15 @@
 	Received      time.Time
 	CallerTimeout time.Duration // how long the caller waits for the answer; zero if not specified
 }
+
+// deadline returns by when the request must have been answered on the given route.
+func (r *Request) deadline(on *route.Route) time.Time {
+	timeout := on.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if r.CallerTimeout > 0 {
+		timeout = min(timeout, r.CallerTimeout)
+	}
+	return r.Received.Add(timeout)
+}
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -6,29 +6,63 @@
 	"time"
 
 	"moorrun.dev/moorrun/internal/clock"
+	"moorrun.dev/moorrun/internal/gateway"
 )
 
 const (
-	// acceptFraction is the fraction of the grace period during which requests are still accepted from callers that were given
+	// acceptFraction is the fraction of the grace period during which connections are still accepted from callers that were given
 	// this node's address earlier.
 	acceptFraction = 0.45
-	// finishFraction is the fraction of the grace period by which running requests should have finished.
+	// finishFraction is the fraction of the grace period by which running requests have to finish.
 	finishFraction = 0.94
 )
 
-// leave announces that this node is leaving, so that no new callers are sent to it, later stops accepting requests, and waits
-// for running requests to finish, also those that other nodes send through this one.
+// stopSchedule holds the times of a planned stop.
+type stopSchedule struct {
+	accept time.Time // until when connections are accepted
+	finish time.Time // when requests that still run are ended
+}
+
+// newStopSchedule returns the schedule of a stop that begins at the given time.
+func newStopSchedule(began time.Time, grace time.Duration) *stopSchedule {
+	after := func(fraction float64) time.Time { return began.Add(time.Duration(fraction * float64(grace))) }
+	return &stopSchedule{accept: after(acceptFraction), finish: after(finishFraction)}
+}
+
+// leave announces that this node is leaving, so that no new callers are sent to it, and serves those requests that end before it does.
+// Later it stops accepting connections and waits for the running requests, also those that other nodes send through this one.
 func (n *Server) leave(callers *http.Server) {
-	since := clock.Now()
-	n.leaving.Store(true)
+	schedule := newStopSchedule(clock.Now(), n.settings.Grace())
+	n.stop.Store(schedule)
 	n.gossip.Kick()
-	grace := n.settings.Grace()
-	n.logStopping(since.Add(time.Duration(finishFraction * float64(grace))))
-	time.Sleep(time.Duration(acceptFraction * float64(grace)))
-	ctx, cancel := clock.WithDeadline(context.Background(), since.Add(time.Duration(finishFraction*float64(grace))))
+	n.logStopping(schedule.finish)
+	time.Sleep(clock.Until(schedule.accept))
+	finish, cancel := clock.WithDeadline(context.Background(), schedule.finish)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := callers.Shutdown(finish); err != nil {
 		n.logUnfinished()
 	}
-	n.tunnels.Wait(ctx)
+	n.tunnels.Wait(finish)
+}
+
+// leaving reports whether this node has been told to stop.
+func (n *Server) leaving() bool { return n.stop.Load() != nil }
+
+// plannedStop returns the planned stop of this process for its requests.
+func (n *Server) plannedStop() gateway.Stop {
+	s := n.stop.Load()
+	if s == nil {
+		return gateway.Stop{}
+	}
+	return gateway.Stop{End: s.finish, Elsewhere: n.servedElsewhere()}
+}
+
+// servedElsewhere reports whether another node accepts requests.
+func (n *Server) servedElsewhere() bool {
+	for _, p := range n.gossip.Live(clock.Now()) {
+		if p.Serving && !p.Leaving {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -85,11 +85,11 @@
 	fleetProfile        atomic.Pointer[fleetProfile] // nil until the registered nodes have been listed
 	fleetSize           *fleetSize
 	cachedNodeCounts    atomic.Pointer[cachedNodeCounts]
-	startJitter         float64 // random number from 0 to 1 that spreads the start delays of nodes
-	leaving             atomic.Bool
-	registrationWritten bool                      // this process has written its registration; used by register only
-	appliedSequence     atomic.Uint64             // sequence of the mirror up to which changes are in the directory
-	listedAt            atomic.Pointer[time.Time] // the directory holds all endpoints that the store held at that time
+	startJitter         float64                      // random number from 0 to 1 that spreads the start delays of nodes
+	stop                atomic.Pointer[stopSchedule] // nil until this node is told to stop
+	registrationWritten bool                         // this process has written its registration; used by register only
+	appliedSequence     atomic.Uint64                // sequence of the mirror up to which changes are in the directory
+	listedAt            atomic.Pointer[time.Time]    // the directory holds all endpoints that the store held at that time
 	relayTenure         relayTenure
 	election            *election
 
@@ -161,7 +161,7 @@
 		Table: n.table.Load, Proof: func() time.Time { return n.follower.Current(keys.Accepted) }, ProofLimit: s.ProofLimit(),
 		ProofOptional: !s.CredentialProofRequired,
 		Picker:        n.picker, Quarantine: n.quarantine, Investigator: n.investigator, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
-		Nodes: n.nodeCounts, Started: n.started,
+		Nodes: n.nodeCounts, Started: n.started, Stop: n.plannedStop,
 		RequestLog: func(id string) gateway.RequestLog { return decisions.Request(id) },
 		Scope:      n.scope,
 	})
@@ -243,7 +243,7 @@
 
 // CallerHandler returns the handler of callers' requests.
 func (n *Server) CallerHandler() http.Handler {
-	handler := n.platform.Callers(n.gateway, n.limits, n.leaving.Load)
+	handler := n.platform.Callers(n.gateway, n.limits, n.leaving)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.requests.Add(1)
 		if n.traffic.add(clock.Now()) {
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -27,7 +27,7 @@
 // status returns the status that this node sends to the others.
 func (n *Server) status(now time.Time) gossip.Status {
 	s := n.ownStatus(now)
-	s.Leaving = n.leaving.Load()
+	s.Leaving = n.leaving()
 	s.Serving = n.serving(now)
 	s.Isolated = n.reach.Isolated()
 	s.Eligible = !s.Leaving && !s.Isolated && n.follower.StoreAnswers() && n.gossip.Relaying()
@@ -70,14 +70,14 @@
 }
 
 // ready reports whether this node accepts new callers.
-func (n *Server) ready() bool { return !n.leaving.Load() && n.serving(clock.Now()) }
+func (n *Server) ready() bool { return !n.leaving() && n.serving(clock.Now()) }
 
 // shouldLead reports whether this node should hold the leader's lease. While another node holds it, this one does not query
 // the store for it, even if it has not heard from the holder yet.
 func (n *Server) shouldLead() bool {
 	now := clock.Now()
 	leads := n.controller.Leads(now) > 0
-	able := !n.leaving.Load() && n.table.Load() != nil && (n.follower.StoreAnswers() || leads && n.listedRecently(now))
+	able := !n.leaving() && n.table.Load() != nil && (n.follower.StoreAnswers() || leads && n.listedRecently(now))
 	shouldHold := n.election.shouldHoldLease(now, able, n.gossip.Relaying() && !n.isSmallerAtStart(), leads, n.gossip.Live(now))
 	return shouldHold && (leads || !n.leaseClient.HeldElsewhere(now))
 }
