server: requests that outlive the grace period get an answer

Callers saw: at the end of the grace period every connection ended without a word, also those of calls and of streams that had not begun; an upload that was half read likewise.

The process logged 'stopped' and exited beside them.

Change: at 0.94 of the grace period the contexts are cancelled first. What has run is answered with 502 (may have run), what waits or is still being read with 503 and Retry-After, a stream that has begun is cut off; until 0.97 the answers are written.

TestRequestsLeftAtTheEndOfTheGracePeriodAreAnswered, with real processes: on the code before EOF for all four requests, now 502, 502, 502 and 503, each named in the log.

--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -13,25 +13,36 @@
 	// acceptFraction is the fraction of the grace period during which connections are still accepted from callers that were given
 	// this node's address earlier.
 	acceptFraction = 0.45
-	// finishFraction is the fraction of the grace period by which running requests have to finish.
+	// finishFraction is the fraction of the grace period by which requests have to finish by themselves. Those that still run are ended
+	// then.
 	finishFraction = 0.94
+	// answerFraction is the fraction of the grace period by which the answers to requests that were ended are written.
+	answerFraction = 0.97
+	// minAnswerTime is the least time for writing these answers.
+	minAnswerTime = 50 * time.Millisecond
 )
 
 // stopSchedule holds the times of a planned stop.
 type stopSchedule struct {
 	accept time.Time // until when connections are accepted
 	finish time.Time // when requests that still run are ended
+	answer time.Time // until when their answers are written
 }
 
 // newStopSchedule returns the schedule of a stop that begins at the given time.
 func newStopSchedule(began time.Time, grace time.Duration) *stopSchedule {
 	after := func(fraction float64) time.Time { return began.Add(time.Duration(fraction * float64(grace))) }
-	return &stopSchedule{accept: after(acceptFraction), finish: after(finishFraction)}
+	s := &stopSchedule{accept: after(acceptFraction), finish: after(finishFraction), answer: after(answerFraction)}
+	if least := s.finish.Add(minAnswerTime); s.answer.Before(least) {
+		s.answer = least
+	}
+	return s
 }
 
 // leave announces that this node is leaving, so that no new callers are sent to it, and serves those requests that end before it does.
-// Later it stops accepting connections and waits for the running requests, also those that other nodes send through this one.
-func (n *Server) leave(callers *http.Server) {
+// Later it stops accepting connections and waits for the running requests, also those that other nodes send through this one. At the
+// end it calls endRequests, which cancels those that still run, and waits for their answers.
+func (n *Server) leave(callers *http.Server, endRequests func()) {
 	schedule := newStopSchedule(clock.Now(), n.settings.Grace())
 	n.stop.Store(schedule)
 	n.gossip.Kick()
@@ -43,6 +54,10 @@
 		n.logUnfinished()
 	}
 	n.tunnels.Wait(finish)
+	endRequests()
+	answer, cancelAnswer := clock.WithDeadline(context.Background(), schedule.answer)
+	defer cancelAnswer()
+	_ = callers.Shutdown(answer) // what it leaves is closed with the listeners
 }
 
 // leaving reports whether this node has been told to stop.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -231,8 +231,7 @@
 	}
 	g.Go(func() error {
 		<-ctx.Done()
-		n.leave(callers)
-		endRequests(gateway.ErrStopping)
+		n.leave(callers, func() { endRequests(gateway.ErrStopping) })
 		stop()
 		return errors.Join(registry.Close(), readiness.Close(), callers.Close(), metricsServer.Close())
 	})
--- a/test/gateway/stop_test.go
+++ b/test/gateway/stop_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -86,3 +89,58 @@
 		qt.Check(f.t, errors.Is(r.err, syscall.ECONNREFUSED), qt.IsTrue, comment)
 	}
 }
+
+// Guards against connections that end without a word at the end of the grace period, and against a log that does not name what was
+// ended.
+func TestRequestsLeftAtTheEndOfTheGracePeriodAreAnswered(t *testing.T) {
+	f := newStoppingFleet(t, time.Second)
+	leaving := f.nodes[1]
+	for _, w := range f.platform.Workers() {
+		w.Freeze(maxSilence)
+	}
+	var wg sync.WaitGroup
+	running := make([]*result, 3)
+	for i, path := range []string{"/once/x", "/again/x", "/lm/x"} {
+		wg.Go(func() { running[i] = f.call(leaving, path, "key-1") })
+	}
+	upload := f.beginUpload(leaving)
+	time.Sleep(200 * time.Millisecond)
+	leaving.signal(syscall.SIGTERM)
+	status, retryAfter, err := upload()
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("an upload that has not been read"))
+	qt.Check(t, retryAfter != "", qt.IsTrue)
+	wg.Wait()
+	for _, r := range running {
+		comment := qt.Commentf("%s: status %d, %v", r.id, r.status, r.err)
+		qt.Check(t, r.err, qt.IsNil, comment)
+		qt.Check(t, r.status, qt.Equals, http.StatusBadGateway, comment)
+		qt.Check(t, r.header.Get("Retry-After"), qt.Equals, "", comment)
+	}
+	qt.Check(t, <-leaving.exited, qt.IsNil)
+	leaving.exited <- nil
+	qt.Check(t, leaving.countLogged(`"msg":"request ended by the stop"`), qt.Equals, len(running))
+	qt.Check(t, leaving.countLogged(`"by":"stop"`) >= len(running), qt.IsTrue)
+	qt.Check(t, leaving.countLogged(`"by":"caller"`), qt.Equals, 0)
+	qt.Check(t, leaving.countLogged(`"beyond_grace":3`), qt.Equals, 1)
+}
+
+// beginUpload sends the head of a request and half of its body, and returns a function that waits for the answer and returns its status and
+// Retry-After.
+func (f *fleet) beginUpload(n *node) func() (status int, retryAfter string, err error) {
+	f.t.Helper()
+	c, err := net.Dial("tcp", n.settings.CallerAddress)
+	qt.Assert(f.t, err, qt.IsNil)
+	f.t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Moorrun-Attempt-Id: upload\r\nAuthorization: Bearer key-1\r\nContent-Length: 8\r\n\r\nhalf")
+	qt.Assert(f.t, err, qt.IsNil)
+	return func() (int, string, error) {
+		_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+		answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			return 0, "", err
+		}
+		_ = answer.Body.Close()
+		return answer.StatusCode, answer.Header.Get("Retry-After"), nil
+	}
+}
