server: addresses are held no longer than a stop accepts connections; short grace periods

Callers that hold an address for address_lifetime_ms met a closed port if the grace period was short: 10 s of lifetime against 3.6 s during which a node with a grace of 8 s accepts connections. The lifetime given out is now bounded by that.

With a grace of 0.5 s the answers of ended requests were to be written until 0.52 s: requests are ended earlier if 50 ms would not be left. TestScheduleOfAStopFitsItsGracePeriod (graces of 0 to 1 h) failed for 0.5 s before that; the test of the lifetime does not compile on the code before, which returns the setting as it is.

--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -14,7 +14,7 @@
 	// this node's address earlier.
 	acceptFraction = 0.45
 	// finishFraction is the fraction of the grace period by which requests have to finish by themselves. Those that still run are ended
-	// then.
+	// then, or earlier if the grace period is so short that minAnswerTime would not be left.
 	finishFraction = 0.94
 	// answerFraction is the fraction of the grace period by which the answers to requests that were ended are written.
 	answerFraction = 0.97
@@ -31,12 +31,11 @@
 
 // newStopSchedule returns the schedule of a stop that begins at the given time.
 func newStopSchedule(began time.Time, grace time.Duration) *stopSchedule {
-	after := func(fraction float64) time.Time { return began.Add(time.Duration(fraction * float64(grace))) }
-	s := &stopSchedule{accept: after(acceptFraction), finish: after(finishFraction), answer: after(answerFraction)}
-	if least := s.finish.Add(minAnswerTime); s.answer.Before(least) {
-		s.answer = least
+	part := func(fraction float64) time.Duration { return time.Duration(fraction * float64(grace)) }
+	finish := max(0, min(part(finishFraction), part(answerFraction)-minAnswerTime))
+	return &stopSchedule{
+		accept: began.Add(min(part(acceptFraction), finish)), finish: began.Add(finish), answer: began.Add(max(part(answerFraction), finish+minAnswerTime)),
 	}
-	return s
 }
 
 // leave announces that this node is leaving, so that no new callers are sent to it, and serves those requests that end before it does.
@@ -81,3 +80,13 @@
 	}
 	return false
 }
+
+// addressLifetime returns for how long callers may cache this node's answer with addresses: not longer than a node accepts connections after
+// it was told to stop.
+func (n *Server) addressLifetime() time.Duration {
+	accepting := time.Duration(acceptFraction * float64(n.settings.Grace()))
+	if accepting == 0 {
+		return n.settings.AddressLifetime() // no address is safe for any time
+	}
+	return min(n.settings.AddressLifetime(), accepting)
+}
--- /dev/null
+++ b/internal/server/lifecycle_test.go
@@ -0,0 +1,36 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/settings"
+)
+
+// Guards against a stop that leaves no time for its steps, or takes longer than its grace period, however long that is.
+func TestScheduleOfAStopFitsItsGracePeriod(t *testing.T) {
+	began := time.Now()
+	for _, grace := range []time.Duration{0, 500 * time.Millisecond, time.Second, 2500 * time.Millisecond, 8 * time.Second, time.Minute, time.Hour} {
+		s := newStopSchedule(began, grace)
+		comment := qt.Commentf("%v: %+v", grace, s)
+		qt.Check(t, s.accept.Before(began), qt.IsFalse, comment)
+		qt.Check(t, s.finish.Before(s.accept), qt.IsFalse, comment)
+		qt.Check(t, s.answer.Sub(s.finish) >= minAnswerTime, qt.IsTrue, comment)
+		qt.Check(t, s.answer.Sub(began) <= max(grace, minAnswerTime), qt.IsTrue, comment)
+	}
+}
+
+// Guards against callers that still hold a node's address when it no longer accepts connections.
+func TestAddressesAreHeldNoLongerThanAStopAcceptsConnections(t *testing.T) {
+	for _, test := range []struct {
+		graceMS, lifetimeMS float64
+		want                time.Duration
+	}{
+		{8000, 1000, time.Second}, {8000, 10000, 3600 * time.Millisecond}, {2500, 5000, 1125 * time.Millisecond}, {0, 1000, time.Second},
+	} {
+		n := &Server{settings: &settings.Gateway{GraceMS: int(test.graceMS), AddressLifetimeMS: int(test.lifetimeMS)}}
+		qt.Check(t, n.addressLifetime(), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -189,7 +189,7 @@
 	if n.listeners.caller != nil {
 		n.listeners.caller = n.platform.Listener(callers, n.listeners.caller, n.limits)
 	}
-	registry := newHTTP(n.platform.Registry(n.addresses, n.settings.AddressLifetime()))
+	registry := newHTTP(n.platform.Registry(n.addresses, n.addressLifetime()))
 	readiness := newHTTP(n.platform.Readiness(n.ready))
 	var g errgroup.Group
 	// A listener that ends before the process does ends the process: without it the node would be taken for sound.
