tunnel: a node that is stopping opens no tunnel

It answers 'failed' now, which says nothing about the endpoint, and the other node asks the next one. Tunnels that are open go on until the end. Also at the own interface.

TestLeavingNodeOpensNoTunnel; test/reach passes.

--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -25,7 +25,7 @@
 		Monitor: n.monitor, DialPeer: dialPeer, Peers: n.peersToTunnelThrough, Usable: n.mayTunnelThrough,
 		OnDetour: func() {}, OnDetourEnd: ends.DetourEnded, OnBroken: n.calls.Drop,
 	}
-	n.tunnels = &tunnel.Server{Dial: n.dialEndpoint, ReachesOthers: n.monitor.ReachesOthers, OnTunnel: func() {}, OnEnd: ends.RelayEnded, OnRejected: ends.Rejected}
+	n.tunnels = &tunnel.Server{Dial: n.dialEndpoint, ReachesOthers: n.monitor.ReachesOthers, OnTunnel: func() {}, OnEnd: ends.RelayEnded, OnRejected: ends.Rejected, Leaving: n.stopping.Load}
 	n.calls.DialEndpoint = n.dialer.Dial
 }
 
--- a/internal/server/reach.go
+++ b/internal/server/reach.go
@@ -22,7 +22,7 @@
 	}
 	n.tunnels = &tunnel.Server{
 		Dial: n.transport.Endpoints, ReachesOthers: n.reach.ReachesOthers, OnTunnel: func() { tunnels.Inc(1) }, OnEnd: ends.RelayEnded,
-		OnRejected: ends.Rejected,
+		OnRejected: ends.Rejected, Leaving: n.leaving,
 	}
 	n.calls.DialEndpoint = n.dialer.Dial
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -31,6 +31,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// ReachesOthers reports whether this node can connect to endpoints other than the one at the given address.
 	ReachesOthers func(ctx context.Context, address string) bool
+	// Leaving reports whether this node is about to end, along with its tunnels: no new ones are opened. Nil is never.
+	Leaving func() bool
 	// OnTunnel is called for each tunnel that has been opened; it must not block.
 	OnTunnel func()
 	// OnEnd is called when a tunnel has ended; it must not block.
@@ -82,12 +84,11 @@
 		s.OnRejected(c.RemoteAddr(), err)
 		return
 	}
-	if s.open.Add(1) > maxTunnels {
-		s.open.Add(-1)
+	defer s.open.Add(-1)
+	if s.open.Add(1) > maxTunnels || s.Leaving != nil && s.Leaving() {
 		_ = writeMessage(c, reply{Result: failed})
 		return
 	}
-	defer s.open.Add(-1)
 	endpoint, outcome := s.connect(r)
 	if endpoint != nil {
 		defer endpoint.Close() //nolint:errcheck // the tunnel is over
