settings: grace_ms may be zero or have any form of a number

A grace period that is no whole number of seconds made the template write 2.5000 (2.5 ms, and no whole number), one of zero 0000 (no JSON), and less than 0.5 s was refused: no node started. TestAnyGracePeriodIsAccepted fails on the code before.

--- a/internal/server/lifecycle_test.go
+++ b/internal/server/lifecycle_test.go
@@ -25,12 +25,13 @@
 // Guards against callers that still hold a node's address when it no longer accepts connections.
 func TestAddressesAreHeldNoLongerThanAStopAcceptsConnections(t *testing.T) {
 	for _, test := range []struct {
-		graceMS, lifetimeMS float64
-		want                time.Duration
+		graceMS    settings.Milliseconds
+		lifetimeMS int
+		want       time.Duration
 	}{
 		{8000, 1000, time.Second}, {8000, 10000, 3600 * time.Millisecond}, {2500, 5000, 1125 * time.Millisecond}, {0, 1000, time.Second},
 	} {
-		n := &Server{settings: &settings.Gateway{GraceMS: int(test.graceMS), AddressLifetimeMS: int(test.lifetimeMS)}}
+		n := &Server{settings: &settings.Gateway{GraceMS: test.graceMS, AddressLifetimeMS: test.lifetimeMS}}
 		qt.Check(t, n.addressLifetime(), qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -65,15 +65,15 @@
 	HeldShare        float64 `json:"held_share,omitempty"`
 	HeldRequestShare float64 `json:"held_request_share,omitempty"`
 
-	GraceMS            int     `json:"grace_ms"` // from the stop signal until the process is killed
-	AddressLifetimeMS  int     `json:"address_lifetime_ms"`
-	RepeatRatio        float64 `json:"repeat_ratio"`
-	RepeatSlack        float64 `json:"repeat_slack"`
-	RepeatWindowMS     int     `json:"repeat_window_ms"`
-	LeaseTTLMS         int     `json:"lease_ttl_ms,omitempty"`
-	LogLevel           string  `json:"log_level,omitempty"`
-	SampleOneIn        int     `json:"sample_one_in,omitempty"`
-	FailureLinesSecond float64 `json:"failure_lines_per_second,omitempty"`
+	GraceMS            Milliseconds `json:"grace_ms"` // from the stop signal until the process is killed
+	AddressLifetimeMS  int          `json:"address_lifetime_ms"`
+	RepeatRatio        float64      `json:"repeat_ratio"`
+	RepeatSlack        float64      `json:"repeat_slack"`
+	RepeatWindowMS     Milliseconds `json:"repeat_window_ms"`
+	LeaseTTLMS         int          `json:"lease_ttl_ms,omitempty"`
+	LogLevel           string       `json:"log_level,omitempty"`
+	SampleOneIn        int          `json:"sample_one_in,omitempty"`
+	FailureLinesSecond float64      `json:"failure_lines_per_second,omitempty"`
 }
 
 // gatewayDefaults holds the values of settings that the file omits. A third of the memory held for requests becomes more than half
@@ -137,7 +137,7 @@
 func (s *Gateway) HeldRequestBytes() int64 { return int64(s.HeldRequestShare * float64(s.HeldBytes())) }
 
 // Grace returns the time from the stop signal until the process is killed.
-func (s *Gateway) Grace() time.Duration { return millis(s.GraceMS) }
+func (s *Gateway) Grace() time.Duration { return s.GraceMS.duration() }
 
 // AddressLifetime returns how long callers may cache the list of addresses to use.
 func (s *Gateway) AddressLifetime() time.Duration { return millis(s.AddressLifetimeMS) }
@@ -146,4 +146,4 @@
 func (s *Gateway) LeaseTTL() time.Duration { return millis(s.LeaseTTLMS) }
 
 // RepeatWindow returns the window in which retries are counted.
-func (s *Gateway) RepeatWindow() time.Duration { return millis(s.RepeatWindowMS) }
+func (s *Gateway) RepeatWindow() time.Duration { return s.RepeatWindowMS.duration() }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -80,3 +80,14 @@
 		qt.Check(t, err, qt.ErrorMatches, `(?s)s\.json: .*/stall_ms.*`, qt.Commentf(value))
 	}
 }
+
+// Guards against a node that does not start because the grace period is zero or no whole number of seconds.
+func TestAnyGracePeriodIsAccepted(t *testing.T) {
+	for text, want := range map[string]time.Duration{"0": 0, "0e3": 0, "0.25e3": 250 * time.Millisecond, "2.5e3": 2500 * time.Millisecond, "8e3": 8 * time.Second, "60000": time.Minute} {
+		s, err := settings.ParseGateway("s.json", []byte(strings.Replace(validGateway, `"grace_ms":5000`, `"grace_ms":`+text, 1)))
+		qt.Assert(t, err, qt.IsNil, qt.Commentf(text))
+		qt.Check(t, s.Grace(), qt.Equals, want, qt.Commentf(text))
+	}
+	_, err := settings.ParseGateway("s.json", []byte(strings.Replace(validGateway, `"grace_ms":5000`, `"grace_ms":-1`, 1)))
+	qt.Check(t, err, qt.ErrorMatches, `(?s).*/grace_ms.*`)
+}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -97,7 +97,7 @@
 	s := &settings.Gateway{
 		VM: fmt.Sprintf("entry-%03d", i), DataCentre: dataCentreName(proc.port.DataCentre()), Region: "r", CallerAddress: proc.port.Address(), PeerAddress: proc.port.Address(),
 		Capacity: smallCapacity, CredentialProofMS: 5000, CredentialProofRequired: true, Evacuations: true, GraceMS: 1000, AddressLifetimeMS: 1000,
-		RepeatRatio: retryLimits.Ratio, RepeatSlack: retryLimits.Slack, RepeatWindowMS: int(retryLimits.Window / time.Millisecond), LeaseTTLMS: 1500, FirstStart: firstStart, EndpointBeatMS: int(entryInterval / time.Millisecond), SampleOneIn: 20, FailureLinesSecond: 20,
+		RepeatRatio: retryLimits.Ratio, RepeatSlack: retryLimits.Slack, RepeatWindowMS: settings.Milliseconds(retryLimits.Window / time.Millisecond), LeaseTTLMS: 1500, FirstStart: firstStart, EndpointBeatMS: int(entryInterval / time.Millisecond), SampleOneIn: 20, FailureLinesSecond: 20,
 	}
 	if i < largeVMsPerDataCentre*network.DataCentres {
 		s.Capacity = largeCapacity
--- a/test/gateway/silence_test.go
+++ b/test/gateway/silence_test.go
@@ -69,7 +69,7 @@
 
 // Guards against cutting off, at a planned stop, the answers of endpoints that are silent for a second.
 func TestStreamsOutliveASilenceWhileTheirNodesStop(t *testing.T) {
-	for name, graceMS := range map[string]int{"usual grace": 6000, "short grace": 2500} {
+	for name, graceMS := range map[string]settings.Milliseconds{"usual grace": 6000, "short grace": 2500} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleetWith(t, func(s *settings.Gateway) { s.GraceMS = graceMS })
 			f.awaitRetries()
--- a/test/gateway/stop_test.go
+++ b/test/gateway/stop_test.go
@@ -29,7 +29,7 @@
 // newStoppingFleet returns a fleet whose nodes are killed after the given grace period.
 func newStoppingFleet(t *testing.T, grace time.Duration) *fleet {
 	t.Helper()
-	f := newFleetWith(t, func(s *settings.Gateway) { s.GraceMS = int(grace.Milliseconds()) })
+	f := newFleetWith(t, func(s *settings.Gateway) { s.GraceMS = settings.Milliseconds(grace.Milliseconds()) })
 	f.platform.Configure(2, int(stopTimeout.Milliseconds()), "key-1", "key-2")
 	for _, n := range f.nodes {
 		f.await("the routes' timeout is in force", func() bool { return n.countLogged(`"version":2`) > 0 })
