--- a/internal/standin/estate/platform.go
+++ b/internal/standin/estate/platform.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// PlainTimeout is the timeout of the routes to workers that form no groups.
+const PlainTimeout = 1500 * time.Millisecond
+
 // Platform emulates the users' platform: a metadata store and workers.
 type Platform struct {
 	Store *Store
@@ -183,8 +186,8 @@
 func (p *Platform) Configure(version, streamTimeoutMS int, keys ...string) {
 	routes := []map[string]any{
 		{"name": "lm", "hostname": "h.example", "path_prefix": "/lm/", "route_kind": "streaming", "resumable": true, "sticky": true, "service": "engines", "timeout_ms": streamTimeoutMS, "slo_ms": 500, "gap_target_ms": 300, "max_attempts": 2, "priority": 1},
-		{"name": "once", "hostname": "h.example", "path_prefix": "/once/", "route_kind": "non_idempotent", "service": "plain", "timeout_ms": 1500, "slo_ms": 300, "max_attempts": 1, "priority": 2},
-		{"name": "again", "hostname": "h.example", "path_prefix": "/again/", "route_kind": "idempotent", "service": "plain", "timeout_ms": 1500, "slo_ms": 300, "max_attempts": 2, "priority": 2},
+		{"name": "once", "hostname": "h.example", "path_prefix": "/once/", "route_kind": "non_idempotent", "service": "plain", "timeout_ms": PlainTimeout.Milliseconds(), "slo_ms": 300, "max_attempts": 1, "priority": 2},
+		{"name": "again", "hostname": "h.example", "path_prefix": "/again/", "route_kind": "idempotent", "service": "plain", "timeout_ms": PlainTimeout.Milliseconds(), "slo_ms": 300, "max_attempts": 2, "priority": 2},
 	}
 	engine := map[string]any{
 		"slots": 4, "loads_per_s": 5, "loads_at_once": 7, "form_ms": 10,
--- a/test/gateway/silence_soak_test.go
+++ b/test/gateway/silence_soak_test.go
@@ -48,15 +48,25 @@
 // Guards against answers that are cut off, lost or mixed while endpoints and nodes are silent, one, most or all at a time, beside changes of
 // the configuration, reloads and restarts. MOORRUN_SOAK_SEEDS names other seeds, separated by commas.
 func TestSoakOfSilences(t *testing.T) {
-	seeds := []string{"1", "2"}
-	if list := os.Getenv("MOORRUN_SOAK_SEEDS"); list != "" {
-		seeds = strings.Split(list, ",")
+	for _, seed := range soakSeeds(t, 1, 2) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSoak(t, seed) })
 	}
-	for _, text := range seeds {
+}
+
+// soakSeeds returns the seeds in the environment variable MOORRUN_SOAK_SEEDS, separated by commas, or the given ones if it is not set.
+func soakSeeds(t *testing.T, usual ...uint64) []uint64 {
+	t.Helper()
+	list := os.Getenv("MOORRUN_SOAK_SEEDS")
+	if list == "" {
+		return usual
+	}
+	var out []uint64
+	for text := range strings.SplitSeq(list, ",") {
 		seed, err := strconv.ParseUint(text, 10, 64)
 		qt.Assert(t, err, qt.IsNil)
-		t.Run("seed "+text, func(t *testing.T) { runSoak(t, seed) })
+		out = append(out, seed)
 	}
+	return out
 }
 
 func runSoak(t *testing.T, seed uint64) {
