httpcall: a bound on what is read without becoming part of a response

An endpoint that sent the extension of a chunk without end was read until the deadline of the request, at full speed; the text of errors held what it had sent, which is told to callers.

Cause: only headers (4 KB) and bodies were bounded, not what lies between. Now at most 64 KB are read without a byte of a body among them, and twice the body's limit for calls that are read whole. Errors of headers name their cause only.

--- a/internal/httpcall/answer.go
+++ b/internal/httpcall/answer.go
@@ -32,7 +32,13 @@
 
 // Read reads the streamed body and reports io.EOF only after all of it has arrived.
 func (a *Answer) Read(p []byte) (int, error) {
-	n, err := a.Response.BodyStream().Read(p)
+	body := a.Response.BodyStream()
+	if body == nil { // the status allows none
+		a.complete = true
+		return 0, io.EOF
+	}
+	a.conn.allowance.left = maxOverhead + len(p)
+	n, err := body.Read(p)
 	if err == io.EOF {
 		a.complete = true
 	}
@@ -54,6 +60,7 @@
 // Await waits until bytes can be read, within the read timeout. Unlike Read it may be called again after a timeout, because it
 // consumes nothing.
 func (a *Answer) Await() error {
+	a.conn.allowance.left = max(a.conn.allowance.left, 1)
 	_, err := a.conn.reader.Peek(1)
 	if err == io.EOF {
 		return nil // Read reports whether this is the end of the body
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -123,17 +123,19 @@
 func (a *Answer) receive(o Options) error {
 	a.Response.StreamBody = o.Stream
 	if o.Stream {
+		a.conn.allowance.left = maxOverhead
 		err := a.Response.Read(a.conn.reader)
 		a.header = err == nil
 		a.received = a.received || a.header
-		return err
+		return newHeadError(err)
 	}
 	limit := o.MaxBody
 	if limit == 0 {
 		limit = DefaultMaxBody
 	}
+	a.conn.allowance.left = maxOverhead + 2*limit // chunks may take as much again
 	if err := a.Response.ReadLimitBody(a.conn.reader, limit); err != nil {
-		return err
+		return newHeadError(err)
 	}
 	a.complete, a.received = true, true
 	return nil
--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -11,6 +11,7 @@
 type conn struct {
 	net.Conn
 	address   string
+	allowance *allowance // of what reader may read
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleSince time.Time
@@ -18,7 +19,8 @@
 }
 
 func newConn(c net.Conn, address string) *conn {
-	return &conn{Conn: c, address: address, reader: bufio.NewReader(c), writer: bufio.NewWriter(c)}
+	a := &allowance{Conn: c, left: maxOverhead}
+	return &conn{Conn: c, address: address, allowance: a, reader: bufio.NewReader(a), writer: bufio.NewWriter(c)}
 }
 
 // keepable reports whether the connection may stay in the pool. What Client.DialEndpoint returns may say that it is not to be
