platform: an answer that does not end holds up no other attempt, and all share the memory for requests

Callers saw: 504 at the deadline although another endpoint was sound, if an endpoint sent the head or body of a call byte by byte; 502 if it sent a body where a stream is due. 48 calls to endpoints that sent bodies without end took 332 MB, more than a VM has.

Cause: for calls the head and body were read in one step that could not be interrupted, so the time after which another attempt is made beside it did not count; a body in place of a stream was read only after the attempt had been chosen, and its failure ended the request. What was read counted against the budget only once it was whole.

Change: all answers are read as streams are, in a goroutine of their own unless they have arrived whole; the body of an answer that is no stream comes with its head, so its failure is one of the attempt. It is counted while it grows; beyond 64 KB an answer is held only while the budget has room.

A NotRun answer is read only if its body has arrived.

--- a/internal/httpcall/answer.go
+++ b/internal/httpcall/answer.go
@@ -69,14 +69,13 @@
 	return err
 }
 
-// PartArrived reports whether what has arrived is enough for Receive, or for the next Read, to return without waiting for more: the whole
-// header of a response, or the next chunk of a body in chunks. It may return false although it is enough.
+// PartArrived reports whether what has arrived is enough for the next step to return without waiting for more: the whole header of a
+// stream of events, a whole response with a length, or the next chunk of a body in chunks. It may return false although it is enough.
 func (a *Answer) PartArrived() bool {
 	arrived, _ := a.conn.reader.Peek(a.conn.reader.Buffered())
 	switch {
 	case !a.header:
-		header, _, whole := bytes.Cut(arrived, []byte("\r\n\r\n"))
-		return whole && !bytes.Contains(bytes.ToLower(header), []byte("content-length"))
+		return holdsResponse(arrived)
 	case a.Response.Header.ContentLength() == chunkedLength:
 		return holdsChunk(arrived)
 	default:
@@ -84,6 +83,28 @@
 	}
 }
 
+// BodyArrived reports whether the whole body of a response with a length has arrived.
+func (a *Answer) BodyArrived() bool {
+	n := a.Response.Header.ContentLength()
+	return n >= 0 && a.conn.reader.Buffered() >= n
+}
+
+// holdsResponse reports whether b begins with the header of a stream of events, or with a whole response that has a length.
+func holdsResponse(b []byte) bool {
+	header, body, whole := bytes.Cut(b, []byte("\r\n\r\n"))
+	if !whole {
+		return false
+	}
+	header = bytes.ToLower(header)
+	_, length, found := bytes.Cut(header, []byte("\r\ncontent-length:"))
+	if !found {
+		return bytes.Contains(header, []byte("\r\ncontent-type: text/event-stream"))
+	}
+	length, _, _ = bytes.Cut(length, []byte("\r\n"))
+	n, err := strconv.ParseUint(string(bytes.TrimSpace(length)), 10, 31)
+	return err == nil && uint64(len(body)) >= n
+}
+
 // chunkedLength is what fasthttp reports as the length of a body in chunks.
 const chunkedLength = -1
 
--- a/internal/readers/body.go
+++ b/internal/readers/body.go
@@ -21,11 +21,8 @@
 	if length > int64(limit) {
 		return nil, ErrBodyTooLong
 	}
-	if length == 0 {
-		return nil, nil
-	}
 	longest := limit + 1 // one byte more than the body, to read its end without growing
-	if length > 0 {
+	if length >= 0 {
 		longest = int(length) + 1
 	}
 	var body []byte
--- a/internal/readers/budget.go
+++ b/internal/readers/budget.go
@@ -83,6 +83,18 @@
 	return nil
 }
 
+// smallAnswer is the size in bytes up to which an answer is held beyond the budget.
+const smallAnswer = 64 << 10
+
+// TakePart counts n bytes more of an answer, of which held bytes are counted already. A small answer is held as by Take; of a longer one,
+// which may have no end, more is held only while the budget has room, as by Hold.
+func (a *Account) TakePart(held, n int) error {
+	if held+n <= smallAnswer {
+		return a.Take(n)
+	}
+	return a.Hold(n)
+}
+
 func (a *Account) exceeds(n int) bool {
 	limit := a.budget.perRequest
 	return limit > 0 && a.held.Load()+int64(n) > limit
