gateway: only events that follow the one before are passed on

Callers saw: comments, blank lines, events without an ID or with the same one again and again, up to 13.9 MB in 4 s, as parts of their stream, which was then cut off at the deadline although another endpoint was sound.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -15,13 +15,15 @@
 // ErrTruncated is returned when a stream ends within an event.
 var ErrTruncated = errors.New("the stream ends within an event")
 
-// errTooLong is returned for an event longer than maxEvent.
+// errTooLong is returned for an event longer than maxEvent, and if empty events of more than that come one after the other.
 var errTooLong = errors.New("an event is too long")
 
 // Event is one complete event.
 type Event struct {
 	ID  string
 	Raw []byte // includes the empty line that ends the event; valid until the next call
+	// Empty means that it holds only comments and blank lines.
+	Empty bool
 }
 
 // Reader splits a stream into events. Buffered returns events that have arrived completely; Fill reads more of the stream.
@@ -29,6 +31,7 @@
 	in     io.Reader
 	buffer []byte
 	start  int // offset in buffer of the first byte not yet returned
+	empty  int // bytes of empty events since the last other one
 	ended  bool
 }
 
@@ -41,8 +44,12 @@
 	rest := r.buffer[r.start:]
 	if end := eventLength(rest); end > 0 {
 		r.start += end
-		raw := rest[:end]
-		return Event{ID: eventID(raw), Raw: raw}, true, nil
+		e := Event{ID: eventID(rest[:end]), Raw: rest[:end], Empty: !hasField(rest[:end])}
+		r.empty += end
+		if !e.Empty {
+			r.empty = 0
+		}
+		return e, true, nil
 	}
 	switch {
 	case !r.ended:
@@ -61,7 +68,7 @@
 func (r *Reader) Fill() error {
 	r.buffer = append(r.buffer[:0], r.buffer[r.start:]...)
 	r.start = 0
-	if len(r.buffer) > maxEvent {
+	if len(r.buffer)+r.empty > maxEvent {
 		return errTooLong
 	}
 	unread := len(r.buffer)
@@ -90,6 +97,16 @@
 	}
 }
 
+// hasField reports whether the event has more than comments and blank lines.
+func hasField(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the value of the event's id field, or "" if it has none.
 func eventID(raw []byte) string {
 	for line := range bytes.Lines(raw) {
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -76,3 +76,31 @@
 		}
 	})
 }
+
+// Guards against comments and blank lines that are taken for events, or read without end.
+func TestCommentsAreEmptyEvents(t *testing.T) {
+	r := eventstream.NewReader(strings.NewReader(":\n\n\n\n: a\r\n:b\r\n\r\nid: 1\ndata: x\n\n:\n\n:\ndata: y\n\n"))
+	qt.Assert(t, r.Fill(), qt.IsNil)
+	for _, empty := range []bool{true, true, true, false, true, false} {
+		e, ok, err := r.Buffered()
+		qt.Assert(t, ok && err == nil, qt.IsTrue)
+		qt.Check(t, e.Empty, qt.Equals, empty, qt.Commentf("%q", e.Raw))
+	}
+	r = eventstream.NewReader(endless(":\n\n"))
+	for err := error(nil); err == nil; {
+		if _, ok, _ := r.Buffered(); !ok {
+			err = r.Fill()
+		}
+	}
+}
+
+// endless repeats a text.
+type endless string
+
+func (e endless) Read(p []byte) (int, error) {
+	n := 0
+	for n+len(e) <= len(p) {
+		n += copy(p[n:], e)
+	}
+	return n, nil
+}
--- a/internal/gateway/active_attempt.go
+++ b/internal/gateway/active_attempt.go
@@ -48,6 +48,7 @@
 	body    []byte    // of a whole answer
 	last    time.Time // last event, or when the request was sent
 	begun   bool      // an event has arrived
+	order   eventOrder
 }
 
 // outcome is what waiting for an attempt has led to: an event or a whole answer, or an error.
@@ -178,6 +179,10 @@
 		return Event{}, errNotStream
 	}
 	event, err := t.reply.Next(until)
+	if err == nil {
+		err = t.order.next(event.ID)
+		t.begun = t.begun || err != nil // the endpoint has begun to answer, wrongly
+	}
 	if err == io.EOF { //nolint:errorlint // an end of the connection that is no end of the stream may be wrapped
 		return Event{}, errWhole
 	}
--- /dev/null
+++ b/internal/gateway/event_order.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"errors"
+	"strconv"
+
+	"moorrun.dev/moorrun/internal/verdict"
+)
+
+var (
+	// errNoEventID means that an event of a stream that may be resumed has no ID to resume after.
+	errNoEventID = errors.New("an event of a resumable stream has no ID")
+	// errEventOrder means that the ID of an event does not follow that of the event before it.
+	errEventOrder = errors.New("the ID of an event does not follow that of the one before it")
+)
+
+// eventOrder checks that the IDs of a stream's events rise.
+type eventOrder struct {
+	required bool   // each event must have an ID
+	last     string // ID of the last event; empty if none had one
+}
+
+// next returns an error, with the verdict MayHaveRun, if an event with the given ID cannot be the next one of the stream.
+func (o *eventOrder) next(id string) error {
+	switch {
+	case id == "" && o.required:
+		return verdict.New(verdict.MayHaveRun, errNoEventID)
+	case id == "":
+		return nil
+	case o.last != "" && !follows(id, o.last):
+		return verdict.New(verdict.MayHaveRun, errEventOrder)
+	}
+	o.last = id
+	return nil
+}
+
+// follows reports whether an ID may come after another: numbers rise, and others differ.
+func follows(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	before, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != last
+	}
+	return n > before
+}
