picker: an endpoint that answers with bytes that are no answer is avoided

Of twelve further streams up to eight met the endpoint again: a group that fails requests is not avoided for it, because a group that has died is found otherwise, and one that sends garbage was counted like that.

Change: what is no answer (a head, chunk or event that cannot be read, one without end, IDs that do not rise) is told from a broken connection, and counts like a refusal: the endpoint is avoided for 0.4 s, doubling up to 1.6 s, until it answers.

--- a/internal/gateway/event_order.go
+++ b/internal/gateway/event_order.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"errors"
+	"fmt"
 	"strconv"
 
 	"moorrun.dev/moorrun/internal/verdict"
@@ -9,9 +9,9 @@
 
 var (
 	// errNoEventID means that an event of a stream that may be resumed has no ID to resume after.
-	errNoEventID = errors.New("an event of a resumable stream has no ID")
+	errNoEventID = fmt.Errorf("%w: an event of a resumable stream has no ID", ErrNoAnswer)
 	// errEventOrder means that the ID of an event does not follow that of the event before it.
-	errEventOrder = errors.New("the ID of an event does not follow that of the one before it")
+	errEventOrder = fmt.Errorf("%w: the ID of an event does not follow that of the one before it", ErrNoAnswer)
 )
 
 // eventOrder checks that the IDs of a stream's events rise.
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -8,6 +8,9 @@
 // ErrNotYet is returned by a Reply when no data has arrived in time.
 var ErrNotYet = errors.New("no data received in time")
 
+// ErrNoAnswer is returned by a Reply when the endpoint sends bytes that are no answer.
+var ErrNoAnswer = errors.New("the endpoint sends bytes that are no answer")
+
 // Reason is the reason why the gateway refuses a request.
 type Reason uint8
 
--- a/internal/httpcall/allowance.go
+++ b/internal/httpcall/allowance.go
@@ -34,12 +34,18 @@
 // headError is the error of reading a response's header, without what the endpoint has sent: errors may be told to callers.
 type headError struct{ err error }
 
-func newHeadError(err error) error {
+// errBlankLines means that nothing but blank lines has arrived.
+var errBlankLines = errors.New("blank lines in place of a response")
+
+// headError returns the error to report for one that reading the response has returned.
+func (a *Answer) headError(err error) error {
 	var tooLong *fasthttp.ErrSmallBuffer
 	cause := errors.Unwrap(err)
 	switch {
 	case errors.As(err, &tooLong):
 		return headError{ErrEndless}
+	case errors.Is(err, io.EOF) && a.conn.reader.Buffered() > 0: // fasthttp takes blank lines for the end of the connection
+		return headError{errBlankLines}
 	case cause == nil, errors.Is(err, io.EOF):
 		return err
 	default:
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -127,7 +128,7 @@
 		err := a.Response.Read(a.conn.reader)
 		a.header = err == nil
 		a.received = a.received || a.header
-		return newHeadError(err)
+		return a.headError(err)
 	}
 	limit := o.MaxBody
 	if limit == 0 {
@@ -135,7 +136,7 @@
 	}
 	a.conn.allowance.left = maxOverhead + 2*limit // chunks may take as much again
 	if err := a.Response.ReadLimitBody(a.conn.reader, limit); err != nil {
-		return newHeadError(err)
+		return a.headError(err)
 	}
 	a.complete, a.received = true, true
 	return nil
@@ -247,6 +248,12 @@
 	}
 }
 
+// IsBroken reports whether err is the end or the failure of a connection, or a timeout, rather than an answer that cannot be read.
+func IsBroken(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) || IsTimeout(err) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed)
+}
+
 // IsTimeout reports whether err is an exceeded deadline rather than a broken connection. ETIMEDOUT is the latter, although its method
 // Timeout says otherwise: the kernel has given the peer up.
 func IsTimeout(err error) bool {
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -89,6 +89,14 @@
 	p.picker.healthOf(p.Key(), now).backOffRefusal(now)
 }
 
+// RecordNoAnswer records that the endpoint answered the request with bytes that are no answer. It is avoided as one that refuses.
+func (p *Place) RecordNoAnswer(now time.Time) {
+	p.RecordFailure(false, now)
+	p.picker.mu.Lock()
+	defer p.picker.mu.Unlock()
+	p.picker.healthOf(p.Key(), now).backOffRefusal(now)
+}
+
 // StallDeadlines returns when the group is to be suspected and when the stream times out, for a request whose last event came
 // (or that was sent) at since. As long as the request has had no event, any event of the same group extends both, since its
 // prompt may be waiting to be read.
