platform, rest: answers to orders and questions of nodes are read up to 64 KB

A leader asks many endpoints at a time, and read up to 8 MB of each answer: 48 endpoints that answered with bytes without end took 756 MB of a VM of 284 MB.

--- a/internal/httpcall/endless_test.go
+++ b/internal/httpcall/endless_test.go
@@ -79,3 +79,38 @@
 		}
 	}
 }
+
+// Guards against bytes that come after a whole response and are taken for the next one.
+func TestBytesAfterAResponseAreNotTheNextOne(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close() //nolint:errcheck // the client has closed it
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				for err == nil {
+					_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+				}
+			}()
+		}
+	}()
+	client, address := httpcall.NewClient(), lis.Addr().String()
+	for range 20 {
+		var request fasthttp.Request
+		request.SetHost(address)
+		answer, err := client.Do(context.Background(), address, &request, httpcall.Options{Timeout: time.Minute})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, string(answer.Response.Body()), qt.Equals, "ok")
+		_ = answer.Close()
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/httpcall/options.go
+++ b/internal/httpcall/options.go
@@ -16,5 +16,9 @@
 	MaxBody int
 }
 
+// MaxControlBody is the limit in bytes on an endpoint's answer to what a node itself asks it, such as a report of its state or an order. Many
+// endpoints may be asked at a time.
+const MaxControlBody = 64 << 10
+
 // DefaultMaxBody is the default limit on responses read into memory, in bytes.
 const DefaultMaxBody = 8 << 20
--- a/internal/infra/rest/caller.go
+++ b/internal/infra/rest/caller.go
@@ -41,7 +41,11 @@
 		request.Header.SetContentType("application/json")
 		request.SetBody(body)
 	}
-	answer, err := c.client.Do(ctx, address, request, httpcall.Options{Timeout: c.timeout, Endpoint: c.endpoint})
+	o := httpcall.Options{Timeout: c.timeout, Endpoint: c.endpoint}
+	if c.endpoint {
+		o.MaxBody = httpcall.MaxControlBody
+	}
+	answer, err := c.client.Do(ctx, address, request, o)
 	if err != nil {
 		return 0, err
 	}
