--- a/internal/tunnel/endless_test.go
+++ b/internal/tunnel/endless_test.go
@@ -2,15 +2,12 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	"moorrun.dev/moorrun/internal/tunnel"
 )
 
 // Guards against a node that goes on carrying what an endpoint sends without end after the other node has given the answer up.
@@ -24,17 +21,8 @@
 			}
 		}
 	})
-	lis := listen(t)
-	tunnels, _, run := tunnel.Split(lis, func(net.Addr, error) {})
-	s := &tunnel.Server{
-		Dial: dialTCP, ReachesOthers: func(context.Context, string) bool { return true },
-		OnTunnel: func() {}, OnEnd: func(tunnel.End) {}, OnRejected: func(net.Addr, error) {},
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go func() { _ = run(ctx) }()
-	go func() { _ = s.Serve(ctx, tunnels) }()
-	c, err := open(t, lis.Addr().String(), endpoint)
+	node, _ := serve(t, dialTCP, true)
+	c, err := open(t, node, endpoint)
 	qt.Assert(t, err, qt.IsNil)
 	_, err = io.ReadFull(c, make([]byte, 64<<10))
 	qt.Assert(t, err, qt.IsNil)
