gateway: a stream has no more events than its answer may have tokens

Countless events whose IDs rise could not be told from an answer and were passed on until the deadline. Callers name the most tokens that may come out, and an event holds one at least: an event beyond that number is no answer. TestStreamHasNoMoreEventsThanItsAnswerMayHaveTokens fails on the code before (100 of 100 events passed on, 20 asked for). Requests that name no number are as before.

Soak of stops: a request that arrives between the signal and the moment at which the node notices it counts as one from before the stop.

--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -59,7 +59,7 @@
 	t := &activeAttempt{
 		gateway: a.gateway, exchange: a.exchange, place: place, attempt: a.attempt(place), deadline: a.deadline,
 		signature: &a.signature, trial: a.trial, long: len(a.request.Body) >= longBody, sent: now, last: now,
-		order: eventOrder{required: a.route.Resumable, last: a.resumeAfter()},
+		order: eventOrder{required: a.route.Resumable, last: a.resumeAfter(), most: a.request.MaxTokens, count: a.delivery.events},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -10,6 +10,7 @@
 type delivery struct {
 	first, last time.Time     // times of the first and the last event, or of the whole answer; zero if none
 	longestGap  time.Duration // longest gap between two events
+	events      int           // number of events, 1 for a whole answer
 }
 
 // record records an event, or a whole answer, passed on at now.
@@ -20,6 +21,7 @@
 		d.longestGap = max(d.longestGap, now.Sub(d.last))
 	}
 	d.last = now
+	d.events++
 }
 
 // late reports whether the answer has begun but missed one of the route's objectives.
--- a/internal/gateway/event_order_test.go
+++ b/internal/gateway/event_order_test.go
@@ -1,9 +1,14 @@
 package gateway_test
 
 import (
+	"context"
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"moorrun.dev/moorrun/internal/clock"
+	"moorrun.dev/moorrun/internal/gateway"
 )
 
 // Guards against bytes that are no event of the stream and are passed on as one: without an ID to resume after, or with one that does not
@@ -32,3 +37,24 @@
 	qt.Check(t, x.events, qt.HasLen, 3)
 	qt.Check(t, x.aborted, qt.IsFalse)
 }
+
+// Guards against countless events, with IDs that rise, in place of an answer.
+func TestStreamHasNoMoreEventsThanItsAnswerMayHaveTokens(t *testing.T) {
+	var endless []string
+	for i := range 100 {
+		endless = append(endless, fmt.Sprint(i+1))
+	}
+	serve := func(maxTokens int) *exchange {
+		x := &exchange{scripts: []script{{head: streamHead, events: endless}}}
+		newTestGateway().gateway.Serve(context.Background(), &gateway.Request{ID: "r", Host: "h", Path: "/stream/a", Credential: "key", Model: "m", MaxTokens: maxTokens, Received: clock.Now()}, x)
+		return x
+	}
+	x := serve(20)
+	qt.Check(t, x.events, qt.HasLen, 20)
+	qt.Check(t, x.aborted, qt.IsTrue)
+	for _, unbounded := range []int{0, 100} {
+		x = serve(unbounded)
+		qt.Check(t, x.events, qt.HasLen, 100)
+		qt.Check(t, x.aborted, qt.IsFalse)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -18,6 +18,8 @@
 	Model      string
 	// PromptTokens is the length of the prompt in tokens; zero if unknown.
 	PromptTokens int
+	// MaxTokens is the largest number of tokens that the answer may have; zero if unknown. An event holds one token at least.
+	MaxTokens int
 	// PromptParts are the IDs of the parts of the prompt, in order. Different requests may have parts in common.
 	PromptParts   []string
 	ResumeAfter   string // ID of the last event that the caller has received; empty for a new stream
--- a/internal/httpcall/answer.go
+++ b/internal/httpcall/answer.go
@@ -28,6 +28,7 @@
 	received        bool // part of the response has arrived
 	header          bool // its header has been read
 	sent            time.Time
+	reading         chan error // receives the result of the step that is in progress in ReadWithin; nil if none is
 }
 
 // Read reads the streamed body and reports io.EOF only after all of it has arrived.
@@ -69,6 +70,49 @@
 	return err
 }
 
+// ReadWithin waits for bytes and then for step, which reads on, for at most the given time. It reports whether step has ended, with its error; if
+// not, the error is nil or that of the wait. A read that has begun cannot be interrupted and continued, so step runs on then, and the next call
+// waits for the same one. The reads of step fail after rest.
+func (a *Answer) ReadWithin(wait, rest time.Duration, step func() error) (done bool, err error) {
+	end := time.Now().Add(wait)
+	if a.reading == nil {
+		if err := a.awaitFor(wait, rest); err != nil {
+			if IsTimeout(err) && !a.Cancelled() {
+				err = nil
+			}
+			return false, err
+		}
+		if a.PartArrived() {
+			return true, step()
+		}
+		a.reading = make(chan error, 1)
+		go func() { a.reading <- step() }()
+	}
+	timer := time.NewTimer(time.Until(end))
+	defer timer.Stop()
+	select {
+	case err := <-a.reading:
+		a.reading = nil
+		return true, err
+	case <-timer.C:
+		return false, nil
+	}
+}
+
+// Reading reports whether a step of ReadWithin is in progress.
+func (a *Answer) Reading() bool { return a.reading != nil }
+
+// awaitFor waits for bytes for the given time, and then sets the read timeout to rest.
+func (a *Answer) awaitFor(wait, rest time.Duration) error {
+	if err := a.SetReadTimeout(wait); err != nil {
+		return err
+	}
+	if err := a.Await(); err != nil {
+		return err
+	}
+	return a.SetReadTimeout(rest)
+}
+
 // PartArrived reports whether what has arrived is enough for the next step to return without waiting for more: the whole header of a
 // stream of events, a whole response with a length, or the next chunk of a body in chunks. It may return false although it is enough.
 func (a *Answer) PartArrived() bool {
@@ -115,14 +159,19 @@
 	return found && err == nil && uint64(len(rest)) >= n+uint64(len("\r\n"))
 }
 
-// Interrupt makes a read that is in progress in another goroutine fail, and those after it.
-func (a *Answer) Interrupt() { _ = a.conn.SetReadDeadline(pastDeadline) }
+// interrupt makes a read that is in progress in another goroutine fail, and those after it.
+func (a *Answer) interrupt() { _ = a.conn.SetReadDeadline(pastDeadline) }
 
 // Close returns the connection to the client if the response was read completely, and closes it otherwise.
 func (a *Answer) Close() error {
 	if a.conn == nil {
 		return nil
 	}
+	if a.reading != nil {
+		a.interrupt()
+		<-a.reading //nolint:errcheck // the response is given up
+		a.reading = nil
+	}
 	c := a.conn
 	a.conn = nil
 	notCancelled := a.stopCancelWatch()
--- a/test/gateway/stop_soak_test.go
+++ b/test/gateway/stop_soak_test.go
@@ -23,12 +23,17 @@
 	nearStop = time.Second
 )
 
+// stoppingLine is a part of the line that a node logs when it notices SIGTERM.
+const stoppingLine = `"msg":"stopping"`
+
 // stopSoakGraces are the grace periods of soaks of stops, one for each seed in turn.
 var stopSoakGraces = []time.Duration{2500 * time.Millisecond, time.Second, 8 * time.Second, 0}
 
 // nodeStop is a SIGTERM or SIGKILL of a node.
 type nodeStop struct {
 	signalled, killed, exited time.Time // zero for what has not happened
+	// told is when the node is known to have noticed the signal; zero while it is not.
+	told time.Time
 }
 
 // stopSoak is a random walk of stops of one, two or all nodes, beside reloads, changes of the configuration, pauses of nodes and silences of
@@ -152,7 +157,12 @@
 	s.mu.Lock()
 	s.stops[n.settings.CallerAddress] = append(s.stops[n.settings.CallerAddress], stop)
 	s.mu.Unlock()
+	before := n.countLogged(stoppingLine)
 	n.signal(syscall.SIGTERM)
+	s.await("the node stops", func() bool { return n.countLogged(stoppingLine) > before })
+	s.mu.Lock()
+	stop.told = time.Now()
+	s.mu.Unlock()
 	time.Sleep(s.grace / 10)
 	switch kind {
 	case 0:
