server: callers refused by a stopping node wait longer while other nodes stop too

Cause: they came back within 10 ms, with the same addresses. Retry-After is now the lifetime of addresses times the part of the other nodes that are stopping: nothing for a stop of one node.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -10,7 +10,7 @@
 const (
 	// stopShortage is the key of the shortage at a node that is stopping while no other node accepts requests.
 	stopShortage = "stop"
-	// elsewhereRetryAfter is the Retry-After of requests that other nodes accept at once.
+	// elsewhereRetryAfter is the least Retry-After of requests that other nodes accept.
 	elsewhereRetryAfter = 10 * time.Millisecond
 )
 
@@ -24,6 +24,9 @@
 type Stop struct {
 	End       time.Time // when the requests that still run are ended; zero unless the process is stopping
 	Elsewhere bool      // another node accepts requests
+	// Wait is how long callers should wait before they go to another node: longer if more of the nodes whose addresses they hold are
+	// stopping, too.
+	Wait time.Duration
 }
 
 // leavesTime reports whether a request with the given deadline ends before the process does. How long it is likely to take does not
@@ -55,8 +58,9 @@
 // refuseStopping refuses a request that has not been sent because this node is stopping.
 func (a *activeRequest) refuseStopping() {
 	g := a.gateway
-	after := elsewhereRetryAfter
-	if !g.Stop().Elsewhere {
+	stop := g.Stop()
+	after := max(elsewhereRetryAfter, stop.Wait)
+	if !stop.Elsewhere {
 		after = g.shortages.recordRefusal(stopShortage, clock.Now())
 	}
 	a.endCause = endedByStop
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -92,6 +92,16 @@
 	qt.Check(t, alone.refusal.RetryAfter > elsewhere.refusal.RetryAfter, qt.IsTrue)
 }
 
+// Guards against callers that are refused by one stopping node after the other, because most of the addresses that they hold are of such nodes.
+func TestCallersWaitWhileOtherNodesStopToo(t *testing.T) {
+	g := newTestGateway()
+	stop := gateway.Stop{End: clock.Now(), Elsewhere: true, Wait: time.Second}
+	g.stop = func() gateway.Stop { return stop }
+	x := g.serve("/once/a", script{head: okHead})
+	qt.Assert(t, x.refusal, qt.IsNotNil)
+	qt.Check(t, x.refusal.RetryAfter >= stop.Wait, qt.IsTrue)
+}
+
 // stopAtFirstAttempt makes the process stop once the exchange has sent its first attempt.
 func (s *testGateway) stopAtFirstAttempt(x *exchange) {
 	s.stop = func() gateway.Stop {
--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -68,17 +68,25 @@
 	if s == nil {
 		return gateway.Stop{}
 	}
-	return gateway.Stop{End: s.finish, Elsewhere: n.servedElsewhere()}
+	serving, stopping := n.otherNodes()
+	wait := time.Duration(0)
+	if stopping > 0 {
+		wait = n.addressLifetime() * time.Duration(stopping) / time.Duration(serving+stopping)
+	}
+	return gateway.Stop{End: s.finish, Elsewhere: serving > 0, Wait: wait}
 }
 
-// servedElsewhere reports whether another node accepts requests.
-func (n *Server) servedElsewhere() bool {
+// otherNodes returns how many other nodes accept requests, and how many are stopping.
+func (n *Server) otherNodes() (serving, stopping int) {
 	for _, p := range n.gossip.Live(clock.Now()) {
-		if p.Serving && !p.Leaving {
-			return true
+		switch {
+		case p.Leaving:
+			stopping++
+		case p.Serving:
+			serving++
 		}
 	}
-	return false
+	return serving, stopping
 }
 
 // addressLifetime returns for how long callers may cache this node's answer with addresses: not longer than a node accepts connections after
