--- a/internal/httpcall/answer.go
+++ b/internal/httpcall/answer.go
@@ -61,7 +61,7 @@
 // Await waits until bytes can be read, within the read timeout. Unlike Read it may be called again after a timeout, because it
 // consumes nothing.
 func (a *Answer) Await() error {
-	a.conn.allowance.left = max(a.conn.allowance.left, 1)
+	a.conn.allowance.left = max(a.conn.allowance.left, maxOverhead)
 	_, err := a.conn.reader.Peek(1)
 	if err == io.EOF {
 		return nil // Read reports whether this is the end of the body
