gateway: what another node sends is no failure of the endpoint

A tunnel whose frames cannot be read broke, and also counted as an endpoint that sends no answer, so a sound endpoint was avoided. The break of the path comes first. TestOnlyTheEndpointThatSentNoAnswerIsAvoided fails on the code before for the other node (0 of 20 further requests met the endpoint).

--- a/internal/gateway/failed_attempt.go
+++ b/internal/gateway/failed_attempt.go
@@ -72,9 +72,9 @@
 func (a *activeRequest) recordPlaceFailure(ctx context.Context, place *picker.Place, err error) {
 	v := verdict.Of(err)
 	switch {
+	case errors.Is(err, tunnel.ErrBroken), errors.Is(err, errStalled), errors.Is(err, errHeldBack), errors.Is(err, errCallerGone):
 	case errors.Is(err, ErrNoAnswer):
 		place.RecordNoAnswer(clock.Now())
-	case errors.Is(err, tunnel.ErrBroken), errors.Is(err, errStalled), errors.Is(err, errHeldBack), errors.Is(err, errCallerGone):
 	case a.isStream() && v != verdict.NotRun && ctx.Err() != nil:
 	default:
 		place.RecordFailure(v == verdict.NotRun, clock.Now())
