--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -35,6 +35,7 @@
 	events  []string
 	pause   time.Duration // how long nothing arrives after the events
 	later   []string      // events after the pause
+	others  *barrier      // whose pauses begin with this one; nil for none
 	late    bool          // the head arrives only after the pause
 	asleep  time.Duration // how much longer than asked for the first wait takes, as if this process had been stopped
 	stall   bool          // nothing arrives after all events
@@ -95,6 +96,28 @@
 func (x *exchange) Refuse(r gateway.Refusal) { x.refusal = &r }
 func (x *exchange) Abort()                   { x.aborted = true }
 
+// barrier lets replies go on together once all of them have reached it.
+type barrier struct {
+	missing atomic.Int32
+	reached chan bool
+}
+
+func newBarrier(replies int32) *barrier {
+	b := &barrier{reached: make(chan bool)}
+	b.missing.Store(replies)
+	return b
+}
+
+func (b *barrier) await() {
+	if b == nil {
+		return
+	}
+	if b.missing.Add(-1) == 0 {
+		close(b.reached)
+	}
+	<-b.reached
+}
+
 // waitUntil waits until the given time and returns ErrNotYet, or another error if the attempt ends before.
 func (r *reply) waitUntil(until time.Time) error {
 	if !r.slept {
@@ -112,6 +135,7 @@
 // awaitPause waits for the end of the script's pause, but not beyond until.
 func (r *reply) awaitPause(until time.Time) error {
 	if r.resume.IsZero() {
+		r.script.others.await()
 		r.resume = time.Now().Add(r.script.pause)
 	}
 	if until.Before(r.resume) {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -136,10 +136,12 @@
 func TestStreamsStayWhereTheyAreWhileAllGroupsAreSilent(t *testing.T) {
 	t.Parallel()
 	g := newTestGatewayOf(2)
+	together := silentWithin
+	together.others = newBarrier(2)
 	var running sync.WaitGroup
 	for range 2 { // one at each group
 		running.Go(func() {
-			x := g.serve("/stream/a", silentWithin)
+			x := g.serve("/stream/a", together)
 			qt.Check(t, x.attempts, qt.HasLen, 1)
 			qt.Check(t, x.events, qt.DeepEquals, []string{"1", "2", "3", "4"})
 		})
