formation: tell what keeps endpoints from a model, what loads are for and why plans are given up

For the report on the large deployment (too little served of the class of the model of eight) the log cannot tell whether a short model waits for loads, for members of its domains, for conversions, or for plans that fail: the endpoints' reasons are counted for all models together, loads are one number, and a plan that is given up does not say for how long it held how many endpoints.

No decision changes.

The simulation of the planner now records answered probes. Without them no endpoint counted as answering, so a silent one was never found lost while several groups were.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -120,6 +120,38 @@
 	return out
 }
 
+// Shortages returns what keeps endpoints from serving each model, as of the last summary, or nil if this node does not hold the
+// leader lease.
+func (c *Controller) Shortages(now time.Time) []Shortage {
+	if c.Leads(now) == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []Shortage
+	for _, p := range c.planners {
+		out = append(out, p.shortages...)
+	}
+	return out
+}
+
+// LoadsInProgress returns the number of loads in progress of all services by purpose, as of the last summary, or nil if this node
+// does not hold the leader lease.
+func (c *Controller) LoadsInProgress(now time.Time) map[LoadPurpose]int {
+	if c.Leads(now) == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[LoadPurpose]int)
+	for _, p := range c.planners {
+		for purpose, n := range p.loadCounts {
+			out[purpose] += n
+		}
+	}
+	return out
+}
+
 func loadNames(list *atomic.Pointer[[]string]) []string {
 	if names := list.Load(); names != nil {
 		return *names
@@ -166,7 +198,7 @@
 		p := c.planners[s.Name]
 		if p == nil {
 			p = NewPlanner(epoch, now)
-			p.Note = c.logDecision
+			p.Note, p.OnPlanFailed = c.logDecision, c.OnPlanFailed
 			p.demand = c.demandOf(s.Name)
 			c.planners[s.Name] = p
 		}
--- a/internal/formation/convert.go
+++ b/internal/formation/convert.go
@@ -26,28 +26,48 @@
 	until time.Time
 }
 
+// ConversionObstacle is why no groups are ended for a model that needs more.
+type ConversionObstacle string
+
+const (
+	// NoObstacle means that groups were ended, or that no model needs them.
+	NoObstacle ConversionObstacle = ""
+	// ConversionTooSoon means that the last conversion, or the start of the tenure, is too recent.
+	ConversionTooSoon ConversionObstacle = "too_soon"
+	// NoConvertibleDomain means that in no domain the members of ended groups could form a group of the model.
+	NoConvertibleDomain ConversionObstacle = "no_domain"
+	// DonorNeedsGroups means that the other model would lose more than the model in need would gain.
+	DonorNeedsGroups ConversionObstacle = "donor_needs"
+)
+
 // convert ends groups of the model least in need if their members let a group of the model most in need form.
 func (p *Planner) convert(v *View, free map[string][]*endpoint.Endpoint, have map[string]int) {
 	models := p.modelsByNeed(v, have)
-	if len(models) < 2 || !v.Busy || v.Now.Sub(p.lastConversion) < conversionInterval || v.Now.Sub(p.started) < firstLoadDelay {
+	p.conversionObstacle = NoObstacle
+	if len(models) < 2 || !v.Busy {
+		return
+	}
+	if v.Now.Sub(p.lastConversion) < conversionInterval || v.Now.Sub(p.started) < firstLoadDelay {
+		p.conversionObstacle = ConversionTooSoon
 		return
 	}
 	expected := p.withPendingConversions(v, have)
-	if c := p.findConversion(v, free, models[0], models[len(models)-1], expected, have); c != nil {
+	c, obstacle := p.findConversion(v, free, models[0], models[len(models)-1], expected, have)
+	if p.conversionObstacle = obstacle; c != nil {
 		p.carryOut(v, c)
 	}
 }
 
-// findConversion returns an allowed conversion from the donor to the recipient, or nil.
-func (p *Planner) findConversion(v *View, free map[string][]*endpoint.Endpoint, recipient, donor route.Model, expected, have map[string]int) *conversion {
+// findConversion returns an allowed conversion from the donor to the recipient, or nil and what prevents it.
+func (p *Planner) findConversion(v *View, free map[string][]*endpoint.Endpoint, recipient, donor route.Model, expected, have map[string]int) (*conversion, ConversionObstacle) {
 	chosen := p.groupsToConvert(v, free, recipient, donor)
 	if len(chosen) == 0 {
-		return nil
+		return nil, NoConvertibleDomain
 	}
 	if c := p.newConversion(v, recipient, donor, chosen, expected, have); p.allows(c) {
-		return c
+		return c, NoObstacle
 	}
-	return nil
+	return nil, DonorNeedsGroups
 }
 
 // carryOut ends the donor's groups and reserves their members for the recipient.
--- a/internal/formation/options.go
+++ b/internal/formation/options.go
@@ -32,5 +32,8 @@
 	AskPeers func(ctx context.Context, e *endpoint.Endpoint) PeerEvidence
 	// OnGroupsAdded is called when Retiring or Lost have gained a group; it must not block. It may be nil.
 	OnGroupsAdded func()
-	Logger        log.Logger
+	// OnPlanFailed is called with each plan that is given up, the number of its endpoints and the time for which it held them; it
+	// must not block. It may be nil.
+	OnPlanFailed func(reason PlanFailure, endpoints int, held time.Duration)
+	Logger       log.Logger
 }
--- a/internal/formation/plan.go
+++ b/internal/formation/plan.go
@@ -19,18 +19,37 @@
 	joinAnswerTimeout = 500 * time.Millisecond
 )
 
+// PlanFailure is why a plan is given up.
+type PlanFailure string
+
+const (
+	// PlanRefused means that a member refused to join.
+	PlanRefused PlanFailure = "a member refused to join"
+	// PlanMemberGone means that a member is no longer listed.
+	PlanMemberGone PlanFailure = "a member is no longer listed"
+	// PlanMemberLeaving means that a member drains.
+	PlanMemberLeaving PlanFailure = "a member is leaving"
+	// PlanMemberSilent means that a member does not answer.
+	PlanMemberSilent PlanFailure = "a member does not answer"
+	// PlanHeadBroken means that the group was not ready in time and that its head is broken.
+	PlanHeadBroken PlanFailure = "the head is broken"
+	// PlanNotReady means that the group was not ready in time for no known reason.
+	PlanNotReady PlanFailure = "the group did not become ready in time"
+)
+
 // plan is a group whose members this tenure has ordered to join.
 type plan struct {
 	name          string
 	epoch         int64
 	model         string
 	members       []*endpoint.Endpoint // the head first
-	readyTimeout  time.Duration        // time to become ready after the last member has accepted its join
-	deadline      time.Time            // the plan is abandoned after this time
-	joined        map[string]bool      // members that have accepted their join
-	openOrderedAt time.Time            // time of the last order to open; zero if none was sent
-	refused       bool                 // a member has declined its join
-	ready         bool                 // all members have been seen ready
+	plannedAt     time.Time
+	readyTimeout  time.Duration   // time to become ready after the last member has accepted its join
+	deadline      time.Time       // the plan is abandoned after this time
+	joined        map[string]bool // members that have accepted their join
+	openOrderedAt time.Time       // time of the last order to open; zero if none was sent
+	refused       bool            // a member has declined its join
+	ready         bool            // all members have been seen ready
 }
 
 // recordJoin records that a member has accepted its join. The ready timeout starts at the last one: with a slow leader
@@ -69,8 +88,8 @@
 			p.dropPlan(pl) // the group is running now
 			continue
 		}
-		if reason := p.failureReason(v, pl, g); reason != "" {
-			p.abandonPlan(v, pl, reason)
+		if reason, member := p.failureReason(v, pl, g); reason != "" {
+			p.abandonPlan(v, pl, reason, member)
 			continue
 		}
 		if pl.ready && v.Now.Sub(pl.openOrderedAt) >= openRetryInterval {
@@ -86,10 +105,10 @@
 	p.commitments.removePlan(pl)
 }
 
-// failureReason returns why the plan cannot become a running group, or "".
-func (p *Planner) failureReason(v *View, pl *plan, g *endpoint.Group) string {
+// failureReason returns why the plan cannot become a running group, or "", and the ID of the member that is the reason, if one is.
+func (p *Planner) failureReason(v *View, pl *plan, g *endpoint.Group) (reason PlanFailure, member string) {
 	if pl.refused {
-		return "a member refused to join"
+		return PlanRefused, ""
 	}
 	for _, m := range pl.members {
 		e, listed := v.Snapshot.Endpoints[m.ID]
@@ -99,30 +118,35 @@
 		}
 		switch {
 		case !listed:
-			return "a member is no longer listed"
+			return PlanMemberGone, m.ID
 		case e.Draining:
-			return "a member is leaving"
+			return PlanMemberLeaving, m.ID
 		case v.isDown(m.ID), !pl.joined[m.ID] && unanswered >= joinAnswerTimeout:
-			return "a member does not answer"
+			return PlanMemberSilent, m.ID
 		}
 	}
 	if v.Now.After(pl.deadline) {
 		p.requestProbe(pl.memberIDs()...) // the next plan leaves out members that do not answer
 		if g != nil && g.Head != nil && g.Head.Membership.State == endpoint.Broken {
-			return "the head is broken"
+			return PlanHeadBroken, ""
 		}
-		return "the group did not become ready in time"
+		return PlanNotReady, ""
 	}
-	return ""
+	return "", ""
 }
 
 // abandonPlan frees the members of a plan. If the order to open may have been sent, the head has to leave first.
-func (p *Planner) abandonPlan(v *View, pl *plan, reason string) {
+func (p *Planner) abandonPlan(v *View, pl *plan, reason PlanFailure, member string) {
 	p.dropPlan(pl)
-	p.note("plan given up", pl.name, "reason", reason, "opened", !pl.openOrderedAt.IsZero())
+	held := v.Now.Sub(pl.plannedAt)
+	p.note("plan given up", pl.name, "reason", string(reason), "model", pl.model, "member", member, "joined", len(pl.joined), "endpoints", len(pl.members),
+		"held_ms", held.Milliseconds(), "opened", !pl.openOrderedAt.IsZero())
+	if p.OnPlanFailed != nil {
+		p.OnPlanFailed(reason, len(pl.members), held)
+	}
 	if pl.openOrderedAt.IsZero() {
 		p.ended[pl.name] = v.Now
 		return
 	}
-	p.retire(v, pl.name, pl.epoch, pl.members[0], reason, 0)
+	p.retire(v, pl.name, pl.epoch, pl.members[0], string(reason), 0)
 }
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -49,12 +49,18 @@
 	// allows reports whether a conversion may be carried out. It is a field so that a test can compare other rules.
 	allows func(*conversion) bool
 
-	endpointCount        int                // endpoints of the service at the last step
-	endpointCountChanged time.Time          // when endpointCount last changed
-	lastSummary          time.Time          // when the last summary was logged
-	freeCounts           map[FreeReason]int // free endpoints at the last summary
-	orders               []Order
-	toProbe              map[string]bool
+	endpointCount        int                 // endpoints of the service at the last step
+	endpointCountChanged time.Time           // when endpointCount last changed
+	lastSummary          time.Time           // when the last summary was logged
+	freeCounts           map[FreeReason]int  // free endpoints at the last summary
+	shortages            []Shortage          // of each model at the last summary
+	loadCounts           map[LoadPurpose]int // loads in progress at the last summary
+	conversionObstacle   ConversionObstacle  // why the last step ended no groups for another model
+	// OnPlanFailed is called with each plan that is given up, the number of its endpoints and the time for which it held them. It
+	// may be nil.
+	OnPlanFailed func(reason PlanFailure, endpoints int, held time.Duration)
+	orders       []Order
+	toProbe      map[string]bool
 	// Note is called with each decision; pairs are alternating keys and values.
 	Note func(event, group string, pairs ...any)
 }
@@ -146,7 +152,7 @@
 	case Stage:
 		switch {
 		case outcome == Refused: // the endpoint is loading something else
-			p.stagings[o.Endpoint.ID] = staging{since: now, until: p.stagings[o.Endpoint.ID].until}
+			p.stagings[o.Endpoint.ID] = staging{since: now, until: p.stagings[o.Endpoint.ID].until, purpose: LoadFound}
 		case outcome.Declined():
 			delete(p.stagings, o.Endpoint.ID)
 		}
@@ -173,13 +179,13 @@
 func (p *Planner) planGroup(v *View, model string, members []*endpoint.Endpoint, readyTimeout time.Duration) {
 	p.counter++
 	pl := &plan{
-		epoch: p.tenure*maxGroupsPerTenure + p.counter, model: model, members: members, readyTimeout: readyTimeout, deadline: v.Now.Add(readyTimeout), joined: make(map[string]bool),
+		epoch: p.tenure*maxGroupsPerTenure + p.counter, model: model, members: members, plannedAt: v.Now, readyTimeout: readyTimeout, deadline: v.Now.Add(readyTimeout), joined: make(map[string]bool),
 	}
 	pl.name = fmt.Sprintf("r%d-%d", p.tenure, p.counter)
 	p.plans[pl.name] = pl
 	p.commitments.addPlan(pl)
 	p.copies.removeEvicted(v, pl)
-	p.note("group planned", pl.name, "model", model, "members", pl.memberIDs(), "epoch", pl.epoch, "within_ms", readyTimeout.Milliseconds())
+	p.note("group planned", pl.name, "model", model, "domain", members[0].Domain, "members", pl.memberIDs(), "epoch", pl.epoch, "within_ms", readyTimeout.Milliseconds())
 	for _, m := range members {
 		p.addOrder(Order{Kind: Join, Endpoint: m, Group: pl.name, Epoch: pl.epoch, Model: model, Members: pl.memberIDs()})
 	}
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -31,7 +31,8 @@
 	lostAt          time.Time
 	maxEpoch        int64     // highest epoch of an accepted join
 	readyAt         time.Time // when the join in progress ends
-	firstUnanswered time.Time // first unanswered probe of the leader
+	lastAnswer      time.Time // last answered probe of the leader
+	firstUnanswered time.Time // first unanswered probe of the leader since
 	loading         string    // model being loaded onto the host
 	loadedAt        time.Time // when that load ends
 }
@@ -214,11 +215,11 @@
 	snapshot := w.history[at]
 	v := &View{Now: w.now, CurrentSince: origin.Add(-time.Hour), CurrentAt: w.now.Add(-time.Duration(len(w.history)-1-at) * tick), Service: w.service, Snapshot: snapshot, Contacts: make(map[string]Contact), Loads: make(map[string]int), SuspectGroups: make(map[string]bool), Demand: w.demand, Busy: w.busy}
 	for id, x := range w.endpoints {
-		if !x.firstUnanswered.IsZero() {
-			contact := Contact{FailedSince: x.firstUnanswered}
-			if !x.up {
-				contact.UnheardSince = x.firstUnanswered
-			}
+		contact := Contact{LastAnswer: x.lastAnswer, FailedSince: x.firstUnanswered}
+		if !x.up {
+			contact.UnheardSince = x.firstUnanswered
+		}
+		if contact != (Contact{}) {
 			v.Contacts[id] = contact
 		}
 		if !x.up && x.Membership != nil {
@@ -247,7 +248,7 @@
 		switch {
 		case x == nil:
 		case x.up && !x.leaderCut:
-			x.firstUnanswered = time.Time{}
+			x.lastAnswer, x.firstUnanswered = w.now, time.Time{}
 		case x.firstUnanswered.IsZero():
 			x.firstUnanswered = w.now
 		}
--- a/internal/formation/spare.go
+++ b/internal/formation/spare.go
@@ -16,7 +16,7 @@
 		}
 		for _, m := range v.Service.Engine.Models {
 			if !e.HasLoaded(m.Name) {
-				p.stageModel(v, e, m)
+				p.stageModel(v, e, m, LoadSecond)
 				break
 			}
 		}
@@ -37,7 +37,7 @@
 	members, spares := p.membersByDomain(v), p.sparesByDomain(v)
 	for _, e := range cold {
 		if m, found := spareModel(v, members[e.Domain], spares[e.Domain]); found {
-			p.stageModel(v, e, m)
+			p.stageModel(v, e, m, LoadFirst)
 			addCount(spares, e.Domain, m.Name, 1)
 		}
 	}
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -20,9 +20,36 @@
 
 // staging is a model being loaded onto an endpoint's host.
 type staging struct {
-	model string    // empty if unknown, because an earlier leader ordered it
-	since time.Time // when it was ordered or found to be in progress
-	until time.Time // when it should have ended
+	model   string    // empty if unknown, because an earlier leader ordered it
+	since   time.Time // when it was ordered or found to be in progress
+	until   time.Time // when it should have ended
+	purpose LoadPurpose
+}
+
+// LoadPurpose is what a model is loaded for.
+type LoadPurpose string
+
+const (
+	// LoadForGroup means that a domain lacks the copy for a group of a model in need.
+	LoadForGroup LoadPurpose = "group"
+	// LoadFirst means that a free endpoint has no model.
+	LoadFirst LoadPurpose = "first"
+	// LoadSecond means that the endpoint has only one model.
+	LoadSecond LoadPurpose = "second"
+	// LoadFound means that an earlier leader ordered the load.
+	LoadFound LoadPurpose = "found"
+)
+
+// LoadPurposes lists all purposes.
+var LoadPurposes = []LoadPurpose{LoadForGroup, LoadFirst, LoadSecond, LoadFound}
+
+// countLoads counts the loads in progress by purpose.
+func (p *Planner) countLoads() map[LoadPurpose]int {
+	out := make(map[LoadPurpose]int, len(LoadPurposes))
+	for _, s := range p.stagings {
+		out[s.purpose]++
+	}
+	return out
 }
 
 // stageModels loads models onto hosts. Before the first request it stages a first model for free endpoints without one,
@@ -39,18 +66,18 @@
 	running := p.updateStagings(v)
 	for _, c := range p.shortfalls(v) {
 		for _, e := range c.loadable[:c.missing] {
-			if _, busy := p.stagings[e.ID]; !busy && !p.stageIfAllowed(v, &running, e, c.model) {
+			if _, busy := p.stagings[e.ID]; !busy && !p.stageIfAllowed(v, &running, e, c.model, LoadForGroup) {
 				return
 			}
 		}
 	}
 	for _, l := range p.coldTargets(v) {
-		if !p.stageIfAllowed(v, &running, l.endpoint, l.model) {
+		if !p.stageIfAllowed(v, &running, l.endpoint, l.model, LoadFirst) {
 			return
 		}
 	}
 	for _, l := range p.secondModelTargets(v) {
-		if !p.stageIfAllowed(v, &running, l.endpoint, l.model) {
+		if !p.stageIfAllowed(v, &running, l.endpoint, l.model, LoadSecond) {
 			return
 		}
 	}
@@ -93,11 +120,11 @@
 }
 
 // stageIfAllowed stages the model and returns true, or returns false if a limit on loads is reached.
-func (p *Planner) stageIfAllowed(v *View, running *int, e *endpoint.Endpoint, m route.Model) bool {
+func (p *Planner) stageIfAllowed(v *View, running *int, e *endpoint.Endpoint, m route.Model, purpose LoadPurpose) bool {
 	if *running >= max(1, v.Service.Engine.LoadsAtOnce) || !p.loadAllowed(v) {
 		return false
 	}
-	p.stageModel(v, e, m)
+	p.stageModel(v, e, m, purpose)
 	*running++
 	return true
 }
@@ -172,10 +199,10 @@
 	return false
 }
 
-func (p *Planner) stageModel(v *View, e *endpoint.Endpoint, m route.Model) {
-	p.stagings[e.ID] = staging{m.Name, v.Now, v.Now.Add(m.Load + stageGrace)}
+func (p *Planner) stageModel(v *View, e *endpoint.Endpoint, m route.Model, purpose LoadPurpose) {
+	p.stagings[e.ID] = staging{m.Name, v.Now, v.Now.Add(m.Load + stageGrace), purpose}
 	p.loadStarts = append(p.loadStarts, v.Now)
-	p.note("model staged", "", "endpoint", e.ID, "model", m.Name)
+	p.note("model staged", "", "endpoint", e.ID, "domain", e.Domain, "model", m.Name, "purpose", string(purpose))
 	p.addOrder(Order{Kind: Stage, Endpoint: e, Model: m.Name})
 }
 
--- a/internal/formation/summary.go
+++ b/internal/formation/summary.go
@@ -16,7 +16,9 @@
 	}
 	p.lastSummary = v.Now
 	have := p.assignedEndpoints(v)
+	p.shortages = nil
 	for _, m := range v.Service.Engine.Models {
+		p.summariseShortage(p.shortage(v, m))
 		open, load := 0, 0
 		for name, g := range v.Snapshot.Groups {
 			if g.Model != m.Name || g.Head == nil || g.Head.Membership.State != endpoint.Open || p.retiring[name] != nil {
@@ -29,6 +31,7 @@
 			"pressure", p.pressure(v, m, have), "needed", p.demand.present(v.Service.Engine, m), "needed_peak", p.demand.peak(v.Service.Engine, m, v.Now))
 	}
 	p.freeCounts = p.freeReasons(v)
+	p.loadCounts = p.countLoads()
 	pairs := []any{"listed", len(v.Snapshot.Services[v.Service.Name])}
 	free := 0
 	for _, r := range FreeReasons {
@@ -36,4 +39,19 @@
 		pairs = append(pairs, string(r), p.freeCounts[r])
 	}
 	p.note("endpoints", "", append(pairs, "free", free, "plans", len(p.plans), "retiring", len(p.retiring), "staging", len(p.stagings))...)
+	loads := []any{"at_once", v.Service.Engine.LoadsAtOnce, "conversion_obstacle", string(p.conversionObstacle)}
+	for _, purpose := range LoadPurposes {
+		loads = append(loads, string(purpose), p.loadCounts[purpose])
+	}
+	p.note("loads", "", loads...)
+}
+
+// summariseShortage logs what keeps endpoints from serving a model.
+func (p *Planner) summariseShortage(s Shortage) {
+	p.shortages = append(p.shortages, s)
+	pairs := []any{"model", s.Model, "possible", s.Possible}
+	for _, cause := range Causes {
+		pairs = append(pairs, string(cause), s.Endpoints[cause])
+	}
+	p.note("shortage", "", pairs...)
 }
--- a/internal/formation/survey.go
+++ b/internal/formation/survey.go
@@ -32,7 +32,7 @@
 		}
 		p.surveyed[e.ID] = true
 		if c.Busy && (e.Membership == nil || e.Membership.State != endpoint.Joining) {
-			p.stagings[e.ID] = staging{since: v.Now, until: v.Now.Add(longestLoad(v.Service.Engine) + stageGrace)}
+			p.stagings[e.ID] = staging{since: v.Now, until: v.Now.Add(longestLoad(v.Service.Engine) + stageGrace), purpose: LoadFound}
 			p.note("found a model load started by an earlier leader", "", "endpoint", e.ID)
 		}
 	}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -10,7 +10,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"moorrun.dev/moorrun/internal/endpoint"
-	"moorrun.dev/moorrun/internal/formation"
 	"moorrun.dev/moorrun/internal/gossip"
 	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
@@ -69,10 +68,7 @@
 		s.Gauge("endpoints_pausing").Update(float64(n.picker.Pausing(now)))
 		s.Gauge("endpoints_limited").Update(float64(n.rates.CountNamed()))
 		s.Gauge("endpoints").Update(float64(len(snapshot.Endpoints)))
-		free := n.controller.FreeEndpoints(now)
-		for _, r := range formation.FreeReasons {
-			s.Tagged(map[string]string{"reason": string(r)}).Gauge("endpoints_free").Update(float64(free[r]))
-		}
+		n.updateFormationGauges(now)
 		status := n.ownStatus(now)
 		demand := gossip.SumDemands(status.Demands)
 		s.Gauge("requests_running").Update(float64(demand.Running))
@@ -87,11 +83,6 @@
 		nodes := n.nodeCounts()
 		s.Gauge("retry_nodes").Update(float64(nodes.All))
 		s.Gauge("retry_nodes_busy").Update(float64(nodes.Busy))
-		for _, needed := range n.controller.GroupsNeeded(now) {
-			tagged := s.Tagged(map[string]string{"service": needed.Service, "model": needed.Model})
-			tagged.Gauge("groups_needed").Update(needed.Present)
-			tagged.Gauge("groups_needed_peak").Update(needed.Peak)
-		}
 		s.Gauge("goroutines").Update(float64(runtime.NumGoroutine()))
 	})
 	return nil
