formation: log and count what the leader itself does each second

New: line work and the metrics leader_steps, leader_step_seconds, leader_orders, leader_order_seconds and leader_unanswered. No decision changes.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -60,6 +60,9 @@
 	trafficSeen  bool                // some node has received a request
 	currentSince time.Time           // since when the list has been current without an outage of the store; zero if it is not current
 	wake         chan struct{}
+
+	work, lastWork Work // in progress, and of the last whole workInterval
+	workSince      time.Time
 }
 
 // contact is the probe state of one endpoint.
@@ -194,6 +197,8 @@
 		c.followDemand(table, ok, now)
 		return
 	}
+	defer c.reportWork(now)
+	defer c.work.addStep(now)
 	for _, s := range table.Engines() {
 		p := c.planners[s.Name]
 		if p == nil {
@@ -257,6 +262,7 @@
 
 // executeOrder waits for a free slot and sends the order, unless the lease has ended meanwhile.
 func (c *Controller) executeOrder(ctx context.Context, p *Planner, o Order) {
+	began := clock.Now()
 	select {
 	case c.orderSlots <- struct{}{}:
 	case <-ctx.Done():
@@ -274,6 +280,12 @@
 		"endpoint", o.Endpoint.ID, "outcome", outcome.String(), "ms", clock.Since(sent).Milliseconds())
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.work.Orders++
+	c.work.OrderTime += clock.Since(sent)
+	c.work.OrderWait += sent.Sub(began)
+	if outcome == Unknown {
+		c.work.Unanswered++
+	}
 	p.RecordOutcome(o, outcome, clock.Now())
 	if o.Kind == Join && (outcome == Unknown || outcome == WrongEndpoint) {
 		c.recordUnansweredJoin(o.Endpoint.ID, sent)
@@ -326,6 +338,10 @@
 	defer c.mu.Unlock()
 	k.probing = false
 	c.activeProbes--
+	c.work.Probes++
+	if answer == NoAnswer {
+		c.work.Unanswered++
+	}
 	wasAnswering := k.FailedSince.IsZero()
 	if late := clock.Since(sent) - maxProbeTime; answer == NoAnswer && late > 0 {
 		sent = sent.Add(late)
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -61,6 +61,7 @@
 	fail       func(format string, args ...any)
 	history    []*endpoint.Snapshot // of earlier steps, for planners with an outdated view
 	opened     int
+	suspects   func() map[string]bool // groups that nodes notice to stand still; nil for those that have lost a member
 	log        func(format string, args ...any)
 }
 
@@ -214,6 +215,9 @@
 	at := max(0, len(w.history)-1-stepsBehind)
 	snapshot := w.history[at]
 	v := &View{Now: w.now, CurrentSince: origin.Add(-time.Hour), CurrentAt: w.now.Add(-time.Duration(len(w.history)-1-at) * tick), Service: w.service, Snapshot: snapshot, Contacts: make(map[string]Contact), Loads: make(map[string]int), SuspectGroups: make(map[string]bool), Demand: w.demand, Busy: w.busy}
+	if w.suspects != nil {
+		v.SuspectGroups = w.suspects()
+	}
 	for id, x := range w.endpoints {
 		contact := Contact{LastAnswer: x.lastAnswer, FailedSince: x.firstUnanswered}
 		if !x.up {
@@ -222,7 +226,7 @@
 		if contact != (Contact{}) {
 			v.Contacts[id] = contact
 		}
-		if !x.up && x.Membership != nil {
+		if w.suspects == nil && !x.up && x.Membership != nil {
 			v.SuspectGroups[x.Membership.Group] = true
 		}
 		if w.timed && x.Membership != nil && x.Membership.Rank == 0 {
--- a/internal/server/formation_metrics.go
+++ b/internal/server/formation_metrics.go
@@ -28,6 +28,12 @@
 	for _, purpose := range formation.LoadPurposes {
 		s.Tagged(map[string]string{"purpose": string(purpose)}).Gauge("loads_in_progress").Update(float64(loads[purpose]))
 	}
+	work := n.controller.LastWork(now)
+	s.Gauge("leader_steps").Update(float64(work.Steps))
+	s.Gauge("leader_step_seconds").Update(work.StepTime.Seconds())
+	s.Gauge("leader_orders").Update(float64(work.Orders))
+	s.Gauge("leader_order_seconds").Update(work.OrderTime.Seconds())
+	s.Gauge("leader_unanswered").Update(float64(work.Unanswered))
 	shortages := n.controller.Shortages(now)
 	for _, needed := range n.controller.GroupsNeeded(now) {
 		tagged := s.Tagged(map[string]string{"service": needed.Service, "model": needed.Model})
