formation: the leader's steps take an eighth of its time at most

Cause: each answer to an order or probe woke the loop, and each step looks at the whole fleet (1.1 to 5 ms at 760 endpoints). Trouble brings answers: from the first eleven lost endpoints on steps took 316 to 445 ms of the leader's second, and 480 to 660 ms from second 18 on, of the 800 that its VM has. What was left did not suffice to read answers in time, so live endpoints counted as silent, plans with them were given up, and more orders and probes were sent: with 128 probes in progress and 100 to 210 unanswered a second it did not end before the trouble did.

Class: work for each event that grows with the fleet, in a loop that its own results wake.

Now a step delays the next one by seven times its own duration, and answers that come meanwhile cause one step. At 760 endpoints this is 10 to 15 ms. Fleets of any size keep seven eighths of the leader's time for the answers.

--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -87,7 +87,7 @@
 
 // Run plans and carries out the plans until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	loop.EveryOrWake(ctx, stepInterval, c.wake, func(now time.Time) { c.step(ctx, now) })
+	loop.EveryOrWakeWithin(ctx, stepInterval, maxStepShare, c.wake, func(now time.Time) { c.step(ctx, now) })
 	return nil
 }
 
--- a/internal/loop/every.go
+++ b/internal/loop/every.go
@@ -16,6 +16,12 @@
 
 // EveryOrWake is like Every, but also calls step whenever a value arrives on wake.
 func EveryOrWake(ctx context.Context, interval time.Duration, wake <-chan struct{}, step func(now time.Time)) {
+	EveryOrWakeWithin(ctx, interval, 1, wake, step)
+}
+
+// EveryOrWakeWithin is like EveryOrWake, but steps take no more than the given share of the time, which is above 0 and at most 1:
+// a step that takes long delays the next one, and values that arrive meanwhile cause one step.
+func EveryOrWakeWithin(ctx context.Context, interval time.Duration, share float64, wake <-chan struct{}, step func(now time.Time)) {
 	due := clock.Now()
 	for {
 		now := clock.Now()
@@ -23,6 +29,7 @@
 			due = due.Add(late - late%interval + interval)
 		}
 		step(now)
+		Sleep(ctx, time.Duration(float64(clock.Since(now))*(1/share-1)))
 		SleepOrWake(ctx, clock.Until(due), wake)
 		if ctx.Err() != nil {
 			return
--- a/internal/loop/every_test.go
+++ b/internal/loop/every_test.go
@@ -83,3 +83,27 @@
 		qt.Check(t, began, qt.DeepEquals, []time.Duration{0, 300 * time.Millisecond, interval})
 	})
 }
+
+func TestStepsTakeNoMoreThanTheirShare(t *testing.T) {
+	const interval, stepTime, share = 50 * time.Millisecond, 4 * time.Millisecond, 0.25
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		wake := make(chan struct{}, 1)
+		go func() {
+			for ctx.Err() == nil {
+				select {
+				case wake <- struct{}{}:
+				default:
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		var busy time.Duration
+		EveryOrWakeWithin(ctx, interval, share, wake, func(time.Time) {
+			time.Sleep(stepTime)
+			busy += stepTime
+		})
+		qt.Check(t, busy > 200*time.Millisecond && busy <= 256*time.Millisecond, qt.IsTrue, qt.Commentf("%v of a second", busy))
+	})
+}
