--- a/internal/formation/slow_leader_test.go
+++ b/internal/formation/slow_leader_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,38 +22,62 @@
 
 // slowLeader is an engine whose answers need the leader's only processor, as its steps do. Endpoints carry out every order at once.
 type slowLeader struct {
-	processor chan struct{}
-	waiting   atomic.Int32 // steps that wait for the processor
-	directory *endpoint.Directory
-	mu        sync.Mutex // serialises changes of entries
+	steps, answers chan chan struct{} // what waits for the processor; each is closed when it has had it
+	directory      *endpoint.Directory
+	mu             sync.Mutex // serialises changes of entries
 }
 
-// step occupies the processor for a step. It goes before answers, as the runtime lets a goroutine run next that has just been woken.
-func (s *slowLeader) step() {
-	s.waiting.Add(1)
-	s.processor <- struct{}{}
-	s.waiting.Add(-1)
-	time.Sleep(slowStepTime)
-	<-s.processor
+func newSlowLeader() *slowLeader {
+	return &slowLeader{steps: make(chan chan struct{}, 1), answers: make(chan chan struct{}, maxConcurrentOrders+maxConcurrentProbes)}
 }
 
-// answer occupies the processor to read an answer. It returns false if ctx ends before that.
-func (s *slowLeader) answer(ctx context.Context) bool {
-	for {
+// run gives the processor to steps first, as the runtime runs a goroutine next that has just been woken, and then to the answers in
+// order, until ctx ends.
+func (s *slowLeader) run(ctx context.Context) {
+	for ctx.Err() == nil {
 		select {
-		case s.processor <- struct{}{}:
-		case <-ctx.Done():
-			return false
+		case done := <-s.steps:
+			time.Sleep(slowStepTime)
+			close(done)
+			continue
+		default:
 		}
-		if s.waiting.Load() == 0 {
-			break
+		select {
+		case done := <-s.steps:
+			time.Sleep(slowStepTime)
+			close(done)
+		case done := <-s.answers:
+			time.Sleep(slowAnswerTime)
+			close(done)
+		case <-ctx.Done():
 		}
-		<-s.processor
-		time.Sleep(time.Microsecond)
 	}
-	time.Sleep(slowAnswerTime)
-	<-s.processor
-	return ctx.Err() == nil
+}
+
+// step takes the processor for a step.
+func (s *slowLeader) step(ctx context.Context) {
+	done := make(chan struct{})
+	s.steps <- done // has room: there is one step at a time
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// answer takes the processor to read an answer. It returns false if ctx ends before that.
+func (s *slowLeader) answer(ctx context.Context) bool {
+	done := make(chan struct{})
+	select {
+	case s.answers <- done:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 func (s *slowLeader) Probe(ctx context.Context, _ *endpoint.Endpoint) ProbeResult {
@@ -91,6 +114,9 @@
 		}
 		e.Models, e.Membership = []string{o.Model}, &endpoint.Membership{Group: o.Group, Epoch: o.Epoch, Rank: rank, State: endpoint.Ready}
 	case Open:
+		if e.Membership == nil || e.Membership.Group != o.Group {
+			return
+		}
 		m := *e.Membership
 		m.State = endpoint.Open
 		e.Membership = &m
@@ -107,7 +133,7 @@
 func TestSlowLeaderLosesNoPlan(t *testing.T) {
 	const domains, size = 24, 12
 	synctest.Test(t, func(t *testing.T) {
-		engine := &slowLeader{processor: make(chan struct{}, 1)}
+		engine := newSlowLeader()
 		c := newTestController(engine, func(time.Time) (int64, time.Time, bool) { return 1, time.Now().Add(time.Hour), true })
 		engine.directory = c.Directory
 		var all []*endpoint.Endpoint
@@ -120,15 +146,16 @@
 		demand := newDemand()
 		demand.since, demand.updated, demand.requests["big"], demand.requests["small"] = time.Now(), time.Now().Add(time.Hour), 2000, 1
 		c.demands["lm"] = demand
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		go engine.run(ctx)
 		table := c.Table()
 		c.Table = func() *route.Table {
-			engine.step()
+			engine.step(ctx)
 			return table
 		}
 		failed := 0
 		c.OnPlanFailed = func(PlanFailure, int, time.Duration) { failed++ }
-		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
-		defer cancel()
 		qt.Check(t, c.Run(ctx), qt.IsNil)
 		open := 0
 		for _, g := range c.Directory.Read().Groups {
--- a/internal/loop/every.go
+++ b/internal/loop/every.go
@@ -19,8 +19,11 @@
 	EveryOrWakeWithin(ctx, interval, 1, wake, step)
 }
 
+// maxRestIntervals limits the rest after one step, as a multiple of the interval.
+const maxRestIntervals = 4
+
 // EveryOrWakeWithin is like EveryOrWake, but steps take no more than the given share of the time, which is above 0 and at most 1:
-// a step that takes long delays the next one, and values that arrive meanwhile cause one step.
+// a step that takes long delays the next one, by maxRestIntervals at most, and values that arrive meanwhile cause one step.
 func EveryOrWakeWithin(ctx context.Context, interval time.Duration, share float64, wake <-chan struct{}, step func(now time.Time)) {
 	due := clock.Now()
 	for {
@@ -29,7 +32,8 @@
 			due = due.Add(late - late%interval + interval)
 		}
 		step(now)
-		Sleep(ctx, time.Duration(float64(clock.Since(now))*(1/share-1)))
+		rest := time.Duration(float64(clock.Since(now)) * (1/share - 1))
+		Sleep(ctx, min(rest, maxRestIntervals*interval))
 		SleepOrWake(ctx, clock.Until(due), wake)
 		if ctx.Err() != nil {
 			return
--- a/internal/loop/every_test.go
+++ b/internal/loop/every_test.go
@@ -84,6 +84,22 @@
 	})
 }
 
+func TestOneLongStepDelaysTheNextByAFewIntervals(t *testing.T) {
+	const interval, stepTime = 50 * time.Millisecond, 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var starts []time.Time
+		EveryOrWakeWithin(ctx, interval, 0.1, nil, func(now time.Time) {
+			if starts = append(starts, now); len(starts) == 2 {
+				cancel()
+				return
+			}
+			time.Sleep(stepTime)
+		})
+		qt.Check(t, starts[1].Sub(starts[0]), qt.Equals, stepTime+maxRestIntervals*interval)
+	})
+}
+
 func TestStepsTakeNoMoreThanTheirShare(t *testing.T) {
 	const interval, stepTime, share = 50 * time.Millisecond, 4 * time.Millisecond, 0.25
 	synctest.Test(t, func(t *testing.T) {
