formation: all members of groups have a second model before the first request

The line shortage shows it: from second 16 on all copies of that model could form 33 to 44 groups, of which 28 to 35 are needed, and those of the other one 109 to 128; in the first four seconds of traffic all 95 loads at once bring second models.

Cause: in fleets of more than some 400 endpoints only as many members got a second model before the first request as conversions can use (424 of 640 here). But a second model is needed after each loss as well, and a load that takes 1.2 to 1.6 s before the first request, without delay for others, takes 12 to 16 s and a place among the loads at once later.

--- a/internal/formation/domain_selection.go
+++ b/internal/formation/domain_selection.go
@@ -15,7 +15,7 @@
 // one load. Conversions end the groups with the fewest requests, so they need more groups to choose from than they end.
 const conversionMargin = 2
 
-// convertibleEndpoints returns how many group members should have a second model while no model is in need. Conversions
+// convertibleEndpoints returns how many group members should have a second model once requests arrive, while no model is in need. Conversions
 // are at least conversionInterval apart, so even in a large fleet only some hundred endpoints can change their model
 // before a load ordered when the need arises has ended. Giving every endpoint of a large fleet a second model would
 // have no benefit.
--- a/internal/formation/spare.go
+++ b/internal/formation/spare.go
@@ -5,13 +5,12 @@
 	"moorrun.dev/moorrun/internal/route"
 )
 
-// stageBeforeTraffic stages a second model for group members, as many as conversions can use, and a first model for
-// endpoints without one.
+// stageBeforeTraffic stages a second model for all group members and a first model for endpoints without one. Loads are fast then,
+// and the survivors of a broken group that have one model only can serve with no others of their domain until a load has ended.
 func (p *Planner) stageBeforeTraffic(v *View) {
 	p.stageCold(v)
-	selected := p.selectedDomains(v)
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
-		if e.Membership == nil || !selected[e.Domain] || !p.canTakeSecondModel(e) {
+		if e.Membership == nil || !p.canTakeSecondModel(e) {
 			continue
 		}
 		for _, m := range v.Service.Engine.Models {
