--- a/internal/formation/controller.go
+++ b/internal/formation/controller.go
@@ -10,7 +10,6 @@
 	"github.com/go-kit/log/level"
 
 	"moorrun.dev/moorrun/internal/clock"
-	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/route"
 )
@@ -22,24 +21,12 @@
 	// storeOutageAfter is the age of the copy from which the store counts as unavailable. It is less than the age from
 	// which package follow holds removals back.
 	storeOutageAfter = 2 * time.Second
-	// probeInterval is the least time between two probes of one endpoint.
-	probeInterval = 250 * time.Millisecond
-	probeTimeout  = 300 * time.Millisecond
-	// maxProbeTime is how long a probe takes at most, with the questions to other nodes. While it took longer, this process was stopped,
-	// which says nothing about the endpoint.
-	maxProbeTime = time.Second
-	// peerProbeDelay is the time without an answer after which the other nodes are asked too: live endpoints answer
-	// within about ten milliseconds. A lost member is detected 200 ms sooner than if they were asked only after
-	// probeTimeout.
-	peerProbeDelay = 80 * time.Millisecond
-	orderTimeout   = 700 * time.Millisecond
+	orderTimeout     = 700 * time.Millisecond
 	// maxConcurrentOrders and maxConcurrentProbes limit the orders and probes in progress. The leader of a starting
 	// fleet sends an order to every endpoint, and a new leader a probe. If thousands start at once, all are late, and so
 	// is the renewal of the lease, which competes with them for the processor.
 	maxConcurrentOrders = 128
 	maxConcurrentProbes = 128
-	// contactRetention is how long the results of probes are kept.
-	contactRetention = 30 * time.Second
 )
 
 // Controller plans replica groups and carries out the plans while this node is the leader.
@@ -65,13 +52,6 @@
 	workSince      time.Time
 }
 
-// contact is the probe state of one endpoint.
-type contact struct {
-	Contact
-	lastProbe time.Time
-	probing   bool
-}
-
 // NewController returns a Controller.
 func NewController(o Options) *Controller {
 	return &Controller{Options: o, planners: make(map[string]*Planner), demands: make(map[string]*demand), contacts: make(map[string]*contact), orderSlots: make(chan struct{}, maxConcurrentOrders), wake: make(chan struct{}, 1)}
@@ -106,55 +86,6 @@
 // Lost returns the groups that this tenure recently found to have lost a member.
 func (c *Controller) Lost() []string { return loadNames(&c.lost) }
 
-// FreeEndpoints returns the number of free endpoints of all services by reason, as of the last summary, or nil if this
-// node does not hold the leader lease.
-func (c *Controller) FreeEndpoints(now time.Time) map[FreeReason]int {
-	if c.Leads(now) == 0 {
-		return nil
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := make(map[FreeReason]int)
-	for _, p := range c.planners {
-		for r, n := range p.freeCounts {
-			out[r] += n
-		}
-	}
-	return out
-}
-
-// Shortages returns what keeps endpoints from serving each model, as of the last summary, or nil if this node does not hold the
-// leader lease.
-func (c *Controller) Shortages(now time.Time) []Shortage {
-	if c.Leads(now) == 0 {
-		return nil
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []Shortage
-	for _, p := range c.planners {
-		out = append(out, p.shortages...)
-	}
-	return out
-}
-
-// LoadsInProgress returns the number of loads in progress of all services by purpose, as of the last summary, or nil if this node
-// does not hold the leader lease.
-func (c *Controller) LoadsInProgress(now time.Time) map[LoadPurpose]int {
-	if c.Leads(now) == 0 {
-		return nil
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := make(map[LoadPurpose]int)
-	for _, p := range c.planners {
-		for purpose, n := range p.loadCounts {
-			out[purpose] += n
-		}
-	}
-	return out
-}
-
 func loadNames(list *atomic.Pointer[[]string]) []string {
 	if names := list.Load(); names != nil {
 		return *names
@@ -294,127 +225,3 @@
 		c.Wake()
 	}
 }
-
-// recordUnansweredJoin counts a join without an answer from its endpoint as a failed probe, and lets the next step probe the
-// endpoint at once. The endpoint may be dead or out of reach, or may have accepted the join and lost the answer.
-func (c *Controller) recordUnansweredJoin(id string, sent time.Time) {
-	k := c.contactOf(id)
-	if k.LastAnswer.After(sent) {
-		return
-	}
-	k.recordFailure(sent)
-	k.lastProbe = time.Time{}
-}
-
-func (c *Controller) contactOf(id string) *contact {
-	k := c.contacts[id]
-	if k == nil {
-		k = &contact{}
-		c.contacts[id] = k
-	}
-	return k
-}
-
-// startProbe starts a probe of the endpoint. It does nothing if the endpoint is unknown or was found to be absent from its
-// address, if a probe of it is in progress or recent, or if the limit is reached.
-func (c *Controller) startProbe(ctx context.Context, snapshot *endpoint.Snapshot, id string, now time.Time) {
-	k := c.contactOf(id)
-	e := snapshot.Endpoints[id]
-	if gone, ok := snapshot.Gone[id]; ok && e == nil {
-		e = gone.Endpoint
-	}
-	if k.probing || e == nil || now.Sub(k.lastProbe) < probeInterval || k.Refused || c.activeProbes >= maxConcurrentProbes {
-		return // the next step requests the probe again if it is still needed
-	}
-	k.probing, k.lastProbe = true, now
-	c.activeProbes++
-	go c.runProbe(ctx, e, k)
-}
-
-func (c *Controller) runProbe(ctx context.Context, e *endpoint.Endpoint, k *contact) {
-	sent := clock.Now()
-	answer, evidence := c.probeWithPeers(ctx, e)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	k.probing = false
-	c.activeProbes--
-	c.work.Probes++
-	if answer == NoAnswer {
-		c.work.Unanswered++
-	}
-	wasAnswering := k.FailedSince.IsZero()
-	if late := clock.Since(sent) - maxProbeTime; answer == NoAnswer && late > 0 {
-		sent = sent.Add(late)
-	}
-	switch answer {
-	case Answered, AnsweredBusy:
-		k.Contact = Contact{LastAnswer: sent, Busy: answer == AnsweredBusy}
-	case Replaced:
-		k.Refused = true
-		k.recordFailure(sent)
-	default:
-		k.recordNoAnswer(answer, evidence, sent)
-	}
-	if wasAnswering != k.FailedSince.IsZero() {
-		_ = level.Info(c.Logger).Log("msg", "endpoint asked", "endpoint", e.ID, "address", e.Address, "answered", answer.Heard(),
-			"refused", k.Refused, "alone", !k.UnheardSince.IsZero())
-	}
-	c.Wake()
-}
-
-// probeWithPeers probes an endpoint and, if the answer is late or the connection is refused, asks the other nodes whether they
-// can reach it.
-func (c *Controller) probeWithPeers(ctx context.Context, e *endpoint.Endpoint) (ProbeResult, PeerEvidence) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	evidence := make(chan PeerEvidence, 1)
-	ask := time.AfterFunc(peerProbeDelay, func() { evidence <- c.AskPeers(ctx, e) })
-	defer ask.Stop()
-	probeCtx, done := context.WithTimeout(ctx, probeTimeout)
-	defer done()
-	answer := c.Engine.Probe(probeCtx, e)
-	switch answer {
-	case NoAnswer:
-		return answer, awaitEvidence(ctx, evidence)
-	case ConnectionRefused:
-		if ask.Stop() {
-			ask.Reset(0) // there is nothing to wait for
-		}
-		return answer, awaitEvidence(ctx, evidence)
-	default:
-		return answer, NoEvidence
-	}
-}
-
-// awaitEvidence waits for the evidence of the other nodes until ctx ends.
-func awaitEvidence(ctx context.Context, evidence <-chan PeerEvidence) PeerEvidence {
-	select {
-	case e := <-evidence:
-		return e
-	case <-ctx.Done():
-		return NoEvidence
-	}
-}
-
-// recordNoAnswer records a probe without an answer, or whose connection was refused. That alone may be the fault of this node's
-// path: only what other nodes find out as well counts against the endpoint. In a large fleet each probe asks different nodes;
-// whenever one of them can reach the endpoint, the wait restarts.
-func (k *contact) recordNoAnswer(answer ProbeResult, evidence PeerEvidence, sent time.Time) {
-	switch evidence {
-	case NoEvidence:
-	case Reachable:
-		k.Contact = Contact{LastAnswer: sent, Busy: k.Busy}
-	case Unreachable:
-		k.Refused = answer == ConnectionRefused
-		k.recordFailure(sent)
-		if k.UnheardSince.IsZero() {
-			k.UnheardSince = sent
-		}
-	}
-}
-
-func (k *contact) recordFailure(at time.Time) {
-	if k.FailedSince.IsZero() {
-		k.FailedSince = at
-	}
-}
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -26,32 +26,6 @@
 	purpose LoadPurpose
 }
 
-// LoadPurpose is what a model is loaded for.
-type LoadPurpose string
-
-const (
-	// LoadForGroup means that a domain lacks the copy for a group of a model in need.
-	LoadForGroup LoadPurpose = "group"
-	// LoadFirst means that a free endpoint has no model.
-	LoadFirst LoadPurpose = "first"
-	// LoadSecond means that the endpoint has only one model.
-	LoadSecond LoadPurpose = "second"
-	// LoadFound means that an earlier leader ordered the load.
-	LoadFound LoadPurpose = "found"
-)
-
-// LoadPurposes lists all purposes.
-var LoadPurposes = []LoadPurpose{LoadForGroup, LoadFirst, LoadSecond, LoadFound}
-
-// countLoads counts the loads in progress by purpose.
-func (p *Planner) countLoads() map[LoadPurpose]int {
-	out := make(map[LoadPurpose]int, len(LoadPurposes))
-	for _, s := range p.stagings {
-		out[s.purpose]++
-	}
-	return out
-}
-
 // stageModels loads models onto hosts. Before the first request it stages a first model for free endpoints without one,
 // and a second model for the endpoints that conversions can use, so that they can soon serve either. Later it stages what
 // a domain lacks for a group of a model in need, then a first model for free endpoints without one, and then a second
