formation: a head that has left a retiring group does not crash the leader's summary

The line shortage looked up the group of every endpoint that is neither free nor in a plan. The head of a group that is being ended counts as such while it is already listed without a group, and the lookup crashed the leader.

TestHeadThatHasLeftItsRetiringGroupHasACause failed before.

--- a/internal/formation/shortage.go
+++ b/internal/formation/shortage.go
@@ -61,6 +61,9 @@
 		return busyCause(e, m, pl.model == m.Name, CauseJoining)
 	}
 	if !p.isUnassigned(e) {
+		if e.Membership == nil {
+			return CauseEnding // the head of a group that is being ended
+		}
 		if g := v.Snapshot.Groups[e.Membership.Group]; g == nil || g.Head == nil || p.retiring[g.Name] != nil {
 			return CauseEnding
 		}
--- a/internal/formation/shortage_test.go
+++ b/internal/formation/shortage_test.go
@@ -31,6 +31,18 @@
 	qt.Check(t, p.countLoads(), qt.DeepEquals, map[LoadPurpose]int{LoadFirst: 1})
 }
 
+// Guards against a crash of the leader in the second in which the head of a group that is being ended is listed without a group.
+func TestHeadThatHasLeftItsRetiringGroupHasACause(t *testing.T) {
+	s := &fleetListing{demand: map[string]int{"big": 9, "small": 1}}
+	s.group("a", "d1", "big", "", 3)
+	head := s.add("d2", "big", "")
+	p := s.newSettledPlanner()
+	v := s.view()
+	p.retire(v, "x", 1, head, "a member is leaving", time.Minute)
+	big, _ := v.Service.Engine.Model("big")
+	qt.Check(t, p.shortage(v, big).Endpoints, qt.DeepEquals, map[Cause]int{CauseEnding: 1})
+}
+
 func TestFailedPlansAreReported(t *testing.T) {
 	s := &fleetListing{demand: map[string]int{"big": 9, "small": 1}}
 	s.group("a", "d1", "big", "", 3)
