--- a/internal/formation/work_test.go
+++ b/internal/formation/work_test.go
@@ -23,7 +23,9 @@
 		for range 80 {
 			c.step(t.Context(), time.Now())
 			time.Sleep(tick)
+			c.mu.Lock()
 			orders += c.work.Orders
+			c.mu.Unlock()
 		}
 		work := c.LastWork(time.Now())
 		qt.Check(t, work.Steps, qt.Equals, int(workInterval/tick))
