formation: a leader that follows another keeps to the limits on loads before its first request

Now such a leader, which finds groups of an earlier tenure, loads within LoadsAtOnce and half of the store's rate, as it does while requests arrive. TestLeaderThatFindsGroupsKeepsToTheLimitsOnLoads fails without it.

--- a/internal/formation/domain_selection_test.go
+++ b/internal/formation/domain_selection_test.go
@@ -65,3 +65,29 @@
 	runFor(w, p, 20*time.Second)
 	qt.Check(t, countSecondModels(w) > before+10, qt.IsTrue, qt.Commentf("%d have a second model, %d before", countSecondModels(w), before))
 }
+
+// Guards against more loads than the weight store starts, by a leader that takes a restart of all nodes for the start of the fleet.
+func TestLeaderThatFindsGroupsKeepsToTheLimitsOnLoads(t *testing.T) {
+	_, w, _ := settleFleet(t, 10)
+	for _, x := range w.endpoints {
+		x.Staged = nil
+	}
+	p := NewPlanner(2, w.now)
+	w.timed = true
+	var starts []time.Time
+	for range 100 {
+		w.advance(tick)
+		before := len(p.stagings)
+		w.step(p, 0, deliverNow)
+		w.deliver()
+		for range len(p.stagings) - before {
+			starts = append(starts, w.now)
+		}
+		qt.Assert(t, len(p.stagings) <= w.service.Engine.LoadsAtOnce, qt.IsTrue)
+	}
+	limit := int(maxLoadRateFraction*w.service.Engine.LoadsPerSecond) + 1
+	for i := limit; i < len(starts); i++ {
+		qt.Assert(t, starts[i].Sub(starts[i-limit]) >= time.Second-tick, qt.IsTrue, qt.Commentf("more than %d loads start within a second", limit))
+	}
+	qt.Check(t, len(starts) > 0, qt.IsTrue)
+}
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -28,6 +28,8 @@
 	tenure  int64
 	counter int64
 	started time.Time
+	// succeeds means that groups of an earlier leader have been seen.
+	succeeds bool
 
 	plans             map[string]*plan
 	retiring          map[string]*retirement
--- a/internal/formation/running.go
+++ b/internal/formation/running.go
@@ -24,7 +24,11 @@
 // and joins of the members to other groups may still be on their way.
 func (p *Planner) reviewGroups(v *View) {
 	for name, g := range v.Snapshot.Groups {
-		if g.Service != v.Service.Name || p.plans[name] != nil || p.retiring[name] != nil {
+		if g.Service != v.Service.Name {
+			continue
+		}
+		p.succeeds = p.succeeds || g.Epoch < p.tenure*maxGroupsPerTenure
+		if p.plans[name] != nil || p.retiring[name] != nil {
 			continue
 		}
 		if _, done := p.ended[name]; done {
--- a/internal/formation/spare.go
+++ b/internal/formation/spare.go
@@ -7,23 +7,33 @@
 
 // stageBeforeTraffic stages a second model for all group members and a first model for endpoints without one. Loads are fast then,
 // and the survivors of a broken group that have one model only can serve with no others of their domain until a load has ended.
-func (p *Planner) stageBeforeTraffic(v *View) {
-	p.stageCold(v)
+func (p *Planner) stageBeforeTraffic(v *View, running int) {
+	p.stageCold(v, &running)
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
 		if e.Membership == nil || !p.canTakeSecondModel(e) {
 			continue
 		}
 		for _, m := range v.Service.Engine.Models {
 			if !e.HasLoaded(m.Name) {
-				p.stageModel(v, e, m, LoadSecond)
+				p.stageEarly(v, &running, e, m, LoadSecond)
 				break
 			}
 		}
 	}
 }
 
+// stageEarly stages a model before the first request that this leader knows of. One that follows another leader cannot tell whether
+// requests have been sent before, so that loads are slow and count, and keeps to the limits on loads.
+func (p *Planner) stageEarly(v *View, running *int, e *endpoint.Endpoint, m route.Model, purpose LoadPurpose) {
+	if p.succeeds {
+		p.stageIfAllowed(v, running, e, m, purpose)
+		return
+	}
+	p.stageModel(v, e, m, purpose)
+}
+
 // stageCold stages a first model for the free endpoints that have none.
-func (p *Planner) stageCold(v *View) {
+func (p *Planner) stageCold(v *View, running *int) {
 	var cold []*endpoint.Endpoint
 	for _, e := range v.Snapshot.Services[v.Service.Name] {
 		if p.isCold(v, e) {
@@ -36,7 +46,7 @@
 	members, spares := p.membersByDomain(v), p.sparesByDomain(v)
 	for _, e := range cold {
 		if m, found := spareModel(v, members[e.Domain], spares[e.Domain]); found {
-			p.stageModel(v, e, m, LoadFirst)
+			p.stageEarly(v, running, e, m, LoadFirst)
 			addCount(spares, e.Domain, m.Name, 1)
 		}
 	}
--- a/internal/formation/stage.go
+++ b/internal/formation/stage.go
@@ -32,8 +32,7 @@
 // model for endpoints that have only one.
 func (p *Planner) stageModels(v *View) {
 	if !v.Busy {
-		p.updateStagings(v)
-		p.stageBeforeTraffic(v)
+		p.stageBeforeTraffic(v, p.updateStagings(v))
 		return
 	}
 	p.survey(v)
