--- a/internal/formation/domain_selection.go
+++ b/internal/formation/domain_selection.go
@@ -17,8 +17,8 @@
 
 // convertibleEndpoints returns how many group members should have a second model once requests arrive, while no model is in need. Conversions
 // are at least conversionInterval apart, so even in a large fleet only some hundred endpoints can change their model
-// before a load ordered when the need arises has ended. Giving every endpoint of a large fleet a second model would
-// have no benefit.
+// before a load ordered when the need arises has ended. Each further load would only
+// take a place at the weight store.
 func convertibleEndpoints(e *route.Engine) int {
 	size := 0
 	for _, m := range e.Models {
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -28,8 +28,8 @@
 	tenure  int64
 	counter int64
 	started time.Time
-	// succeeds means that groups of an earlier leader have been seen.
-	succeeds bool
+	// isSuccessor means that groups of an earlier leader have been seen.
+	isSuccessor bool
 
 	plans             map[string]*plan
 	retiring          map[string]*retirement
--- a/internal/formation/running.go
+++ b/internal/formation/running.go
@@ -27,7 +27,7 @@
 		if g.Service != v.Service.Name {
 			continue
 		}
-		p.succeeds = p.succeeds || g.Epoch < p.tenure*maxGroupsPerTenure
+		p.isSuccessor = p.isSuccessor || g.Epoch < p.tenure*maxGroupsPerTenure
 		if p.plans[name] != nil || p.retiring[name] != nil {
 			continue
 		}
--- a/internal/formation/shortage.go
+++ b/internal/formation/shortage.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// busyCause returns the cause of an endpoint in a group or plan: own if that is for the model.
+// busyCause returns the cause of an endpoint in a group or plan. It returns own if the group or plan is for the model itself.
 func busyCause(e *endpoint.Endpoint, m route.Model, isForModel bool, own Cause) Cause {
 	switch {
 	case isForModel:
--- a/internal/formation/spare.go
+++ b/internal/formation/spare.go
@@ -25,7 +25,7 @@
 // stageEarly stages a model before the first request that this leader knows of. One that follows another leader cannot tell whether
 // requests have been sent before, so that loads are slow and count, and keeps to the limits on loads.
 func (p *Planner) stageEarly(v *View, running *int, e *endpoint.Endpoint, m route.Model, purpose LoadPurpose) {
-	if p.succeeds {
+	if p.isSuccessor {
 		p.stageIfAllowed(v, running, e, m, purpose)
 		return
 	}
--- a/internal/formation/work.go
+++ b/internal/formation/work.go
@@ -11,9 +11,9 @@
 // workInterval is the interval at which the leader logs its own work.
 const workInterval = time.Second
 
-// maxStepShare is the largest part of the time that steps may take. The rest is for the orders and probes that they ask for and
-// for what the node does besides. Every answer wakes the loop, and the answers of one second were enough to keep the leader of 760
-// endpoints in steps alone: it took endpoints for silent whose answers it had not read.
+// maxStepShare is the largest part of the time that steps may take. Every answer to an order or probe wakes the loop, and each step
+// looks at the whole fleet. Without a limit a leader has too little time left to read answers, takes endpoints for silent that have
+// answered, and causes more answers by what it does then.
 const maxStepShare = 1.0 / 8
 
 // Work is what the leader itself has done and waited for within workInterval. A leader that is short of processor time takes
