--- a/internal/loop/every_test.go
+++ b/internal/loop/every_test.go
@@ -106,7 +106,9 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		wake := make(chan struct{}, 1)
-		go func() {
+		var waker sync.WaitGroup
+		defer waker.Wait() // a bubble may not end before its goroutines
+		waker.Go(func() {
 			for ctx.Err() == nil {
 				select {
 				case wake <- struct{}{}:
@@ -114,7 +116,7 @@
 				}
 				time.Sleep(time.Millisecond)
 			}
-		}()
+		})
 		var busy time.Duration
 		EveryOrWakeWithin(ctx, interval, share, wake, func(time.Time) {
 			time.Sleep(stepTime)
