server: a stopping node answers the first request of a connection it accepted

Cause: from 0.45 of the grace on, a stop called http.Server.Shutdown, which drops every request that the server reads after the call: net/http returns from the connection's loop without an answer.

--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -49,14 +49,27 @@
 	time.Sleep(clock.Until(schedule.accept))
 	finish, cancel := clock.WithDeadline(context.Background(), schedule.finish)
 	defer cancel()
-	if err := callers.Shutdown(finish); err != nil {
+	n.stopAccepting(finish, callers)
+	if !n.callerConns.awaitEnd(finish) {
 		n.logUnfinished()
 	}
 	n.tunnels.Wait(finish)
 	endRequests()
 	answer, cancelAnswer := clock.WithDeadline(context.Background(), schedule.answer)
 	defer cancelAnswer()
-	_ = callers.Shutdown(answer) // what it leaves is closed with the listeners
+	_ = n.callerConns.awaitEnd(answer) // what it leaves is closed with the server
+}
+
+// stopAccepting closes the listener and the idle connections of callers, and waits for the first requests of those that it has accepted.
+func (n *Server) stopAccepting(ctx context.Context, callers *http.Server) {
+	if n.listeners.caller != nil {
+		_ = n.listeners.caller.Close()
+	}
+	callers.SetKeepAlivesEnabled(false)
+	read, cancel := clock.WithDeadline(ctx, clock.Now().Add(unreadTime))
+	defer cancel()
+	n.callerConns.awaitRead(read)
+	n.callerConns.closeUnread()
 }
 
 // leaving reports whether this node has been told to stop.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -85,7 +85,8 @@
 	fleetProfile        atomic.Pointer[fleetProfile] // nil until the registered nodes have been listed
 	fleetSize           *fleetSize
 	cachedNodeCounts    atomic.Pointer[cachedNodeCounts]
-	startJitter         float64                      // random number from 0 to 1 that spreads the start delays of nodes
+	startJitter         float64 // random number from 0 to 1 that spreads the start delays of nodes
+	callerConns         callerConns
 	stop                atomic.Pointer[stopSchedule] // nil until this node is told to stop
 	registrationWritten bool                         // this process has written its registration; used by register only
 	appliedSequence     atomic.Uint64                // sequence of the mirror up to which changes are in the directory
@@ -190,6 +191,7 @@
 	if n.listeners.caller != nil {
 		n.listeners.caller = n.platform.Listener(callers, n.listeners.caller, n.limits)
 	}
+	n.callerConns.watch(callers)
 	registry := newHTTP(n.platform.Registry(n.addresses, n.addressLifetime()))
 	readiness := newHTTP(n.platform.Readiness(n.ready))
 	var g errgroup.Group
@@ -217,7 +219,7 @@
 		{"readiness", readiness, n.listeners.readiness}, {"metrics", metricsServer, n.listeners.metrics},
 	} {
 		if l.on != nil {
-			serve(l.name, func() error { return ignoreServerClosed(l.server.Serve(l.on)) })
+			serve(l.name, func() error { return n.ignorePlannedClose(l.server.Serve(l.on)) })
 		}
 	}
 	peers := netconn.NewAcceptReporter(n.scope, n.logger).Listener("peer", n.transport.Calls)
@@ -257,8 +259,9 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-func ignoreServerClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+// ignorePlannedClose returns the error with which a listener ended, or nil if a planned stop closed it.
+func (n *Server) ignorePlannedClose(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || n.leaving() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- a/test/gateway/stop_test.go
+++ b/test/gateway/stop_test.go
@@ -144,3 +144,29 @@
 		return answer.StatusCode, answer.Header.Get("Retry-After"), nil
 	}
 }
+
+// Guards against a stopping node that drops, without an answer, the first request of a connection that it accepted in time.
+func TestConnectionAcceptedBeforeAStopClosesTheListenerIsAnswered(t *testing.T) {
+	f := newStoppingFleet(t, 2500*time.Millisecond)
+	leaving := f.nodes[1]
+	c, err := net.Dial("tcp", leaving.settings.CallerAddress)
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close() //nolint:errcheck // it is read to its end
+	leaving.signal(syscall.SIGTERM)
+	f.await("the node closes its listener", func() bool {
+		probe, err := net.Dial("tcp", leaving.settings.CallerAddress)
+		if err == nil {
+			_ = probe.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	})
+	_, err = io.WriteString(c, "POST /lm/x HTTP/1.1\r\nHost: h.example\r\nX-Moorrun-Attempt-Id: late\r\nAuthorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbody")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.SetReadDeadline(time.Now().Add(waitTimeout)), qt.IsNil)
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("the request was read, but not answered"))
+	defer answer.Body.Close() //nolint:errcheck // only its head matters
+	qt.Check(t, answer.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, answer.Header.Get("Retry-After") != "", qt.IsTrue)
+	qt.Check(t, f.platform.Runs("late"), qt.HasLen, 0)
+}
