server: a listener that a stop has closed is no error of the stop

Cause: a stop now closes the listener of callers itself.

Change: that error is ignored as the one of Serve is.

--- a/internal/server/lifecycle_test.go
+++ b/internal/server/lifecycle_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -35,3 +37,13 @@
 		qt.Check(t, n.addressLifetime(), qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
 }
+
+// Guards against a stop that fails because the server of callers closes the listener once more.
+func TestListenerThatAStopHasClosedIsNoError(t *testing.T) {
+	n := &Server{settings: &settings.Gateway{}}
+	closed := &net.OpError{Op: "close", Net: "tcp", Err: net.ErrClosed}
+	qt.Check(t, n.ignorePlannedClose(closed), qt.Equals, error(closed), qt.Commentf("nothing closed it on purpose"))
+	n.stop.Store(newStopSchedule(time.Now(), 0))
+	qt.Check(t, n.ignorePlannedClose(closed), qt.IsNil)
+	qt.Check(t, n.ignorePlannedClose(io.ErrUnexpectedEOF), qt.Equals, io.ErrUnexpectedEOF)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -236,7 +236,7 @@
 		<-ctx.Done()
 		n.leave(callers, func() { endRequests(gateway.ErrStopping) })
 		stop()
-		return errors.Join(registry.Close(), readiness.Close(), callers.Close(), metricsServer.Close())
+		return errors.Join(registry.Close(), readiness.Close(), n.ignorePlannedClose(callers.Close()), metricsServer.Close())
 	})
 	err := g.Wait()
 	_ = level.Info(n.logger).Log("msg", "stopped", "err", err)
@@ -259,7 +259,7 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-// ignorePlannedClose returns the error with which a listener ended, or nil if a planned stop closed it.
+// ignorePlannedClose returns the error with which a listener or its server ended, or nil if a planned stop closed the listener.
 func (n *Server) ignorePlannedClose(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || n.leaving() && errors.Is(err, net.ErrClosed) {
 		return nil
