server: a stop without a grace period leaves a second for answers

Cause: with a grace of 0 everything is ended at once, and the answers to that had 50 ms.

Change: without a grace period answers have a second. The process ends once they are written, and the platform kills it when it likes. Requests that come meanwhile on connections accepted in time are refused. A longer wait with any grace was not taken: a process that is killed at its end leaves no time for the steps after the answers.

TestStopWithoutAGracePeriodLeavesTimeForAnswers failed before (50 ms).

--- a/internal/server/lifecycle.go
+++ b/internal/server/lifecycle.go
@@ -20,6 +20,9 @@
 	answerFraction = 0.97
 	// minAnswerTime is the least time for writing these answers.
 	minAnswerTime = 50 * time.Millisecond
+	// answerTimeWithoutGrace is the time for writing these answers if the grace period is shorter than minAnswerTime. The process ends
+	// earlier once they are written.
+	answerTimeWithoutGrace = time.Second
 )
 
 // stopSchedule holds the times of a planned stop.
@@ -32,10 +35,11 @@
 // newStopSchedule returns the schedule of a stop that begins at the given time.
 func newStopSchedule(began time.Time, grace time.Duration) *stopSchedule {
 	part := func(fraction float64) time.Duration { return time.Duration(fraction * float64(grace)) }
-	finish := max(0, min(part(finishFraction), part(answerFraction)-minAnswerTime))
-	return &stopSchedule{
-		accept: began.Add(min(part(acceptFraction), finish)), finish: began.Add(finish), answer: began.Add(max(part(answerFraction), finish+minAnswerTime)),
+	finish, answer := min(part(finishFraction), part(answerFraction)-minAnswerTime), part(answerFraction)
+	if finish <= 0 {
+		finish, answer = 0, answerTimeWithoutGrace
 	}
+	return &stopSchedule{accept: began.Add(min(part(acceptFraction), finish)), finish: began.Add(finish), answer: began.Add(answer)}
 }
 
 // leave announces that this node is leaving, so that no new callers are sent to it, and serves those requests that end before it does.
@@ -60,7 +64,8 @@
 	_ = n.callerConns.awaitEnd(answer) // what it leaves is closed with the server
 }
 
-// stopAccepting closes the listener and the idle connections of callers, and waits for the first requests of those that it has accepted.
+// stopAccepting closes the listener and the idle connections of callers, and waits for the first requests of those that it has accepted,
+// until ctx ends at most.
 func (n *Server) stopAccepting(ctx context.Context, callers *http.Server) {
 	if n.listeners.caller != nil {
 		_ = n.listeners.caller.Close()
@@ -69,7 +74,9 @@
 	read, cancel := clock.WithDeadline(ctx, clock.Now().Add(unreadTime))
 	defer cancel()
 	n.callerConns.awaitRead(read)
-	n.callerConns.closeUnread()
+	if ctx.Err() == nil { // otherwise those that come are refused while answers are written
+		n.callerConns.closeUnread()
+	}
 }
 
 // leaving reports whether this node has been told to stop.
