--- a/test/integration/nodes_test.go
+++ b/test/integration/nodes_test.go
@@ -1,13 +1,17 @@
 package integration
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -121,6 +125,40 @@
 	f.Check(code, qt.Equals, 0)
 }
 
+// Guards against a stopping node that drops, without an answer, the first request of a connection that it accepted in time.
+func TestConnectionAcceptedBeforeAStopClosesTheListenerIsAnswered(t *testing.T) {
+	f := newFleet(t)
+	c, err := net.Dial("tcp", f.callerAddress(0))
+	f.Assert(err, qt.IsNil)
+	defer c.Close() //nolint:errcheck // only the answer matters
+	running := make(chan lab.Reply, 1)
+	f.nodes[0].Terminate()
+	started := make(chan struct{})
+	go func() {
+		running <- f.complete(0, "runs on", 800, func(n int) error {
+			if n == 1 {
+				close(started)
+			}
+			return nil
+		})
+	}()
+	<-started
+	f.waitUntil("the node closes its listener", func() bool {
+		probe, err := net.Dial("tcp", f.callerAddress(0))
+		if err == nil {
+			_ = probe.Close()
+		}
+		return err != nil
+	})
+	_, err = io.WriteString(c, "GET /v1/which HTTP/1.1\r\nHost: h.example\r\n\r\n")
+	f.Assert(err, qt.IsNil)
+	f.Assert(c.SetReadDeadline(time.Now().Add(waitTimeout)), qt.IsNil)
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	f.Assert(err, qt.IsNil, qt.Commentf("the request was sent, but not answered"))
+	f.Check(answer.Body.Close(), qt.IsNil)
+	f.Check((<-running).Complete, qt.IsTrue)
+}
+
 func TestColdNodeTakesConfigurationFromPeersOnly(t *testing.T) {
 	f := newFleet(t)
 	f.Objects.Down.Store(true)
