formation: members of a head whose end is not proven leave before they join others

Cause: a group counted as ended, and its members as free, when its head refused the connections of all nodes, or had lapsed from the list and was silent to all nodes for 1.2 s. Such a head may be alive and open, so its members joined others meanwhile (rule TWO), and later the head itself.

Change: a group ends only when its head has left, is broken or has started anew. While the head seems to be dead its members are ordered to leave, and each is free by its own answer. That answer no longer ends the group, as it did if the head became known meanwhile. A group that nobody lists is forgotten.

--- a/internal/formation/busy_test.go
+++ b/internal/formation/busy_test.go
@@ -224,11 +224,11 @@
 	qt.Check(t, p.Retiring(), qt.DeepEquals, []string{"a"})
 	delete(v.Snapshot.Endpoints, head.ID)
 	v.Snapshot.Gone = map[string]endpoint.Gone{head.ID: {Endpoint: head, At: s.now}}
-	qt.Check(t, v.isDead(head.ID), qt.IsTrue, qt.Commentf("a draining head's entry is removed only after it has ended"))
+	qt.Check(t, v.seemsDead(head.ID), qt.IsTrue, qt.Commentf("a draining head's entry is removed only after it has ended"))
 	head.Draining = false
-	qt.Check(t, v.isDead(head.ID), qt.IsFalse, qt.Commentf("a head that was not draining may still serve"))
+	qt.Check(t, v.seemsDead(head.ID), qt.IsFalse, qt.Commentf("a head that was not draining may still serve"))
 	v.Now = v.Now.Add(maxDrainTime)
-	qt.Check(t, v.isDead(head.ID), qt.IsTrue)
+	qt.Check(t, v.seemsDead(head.ID), qt.IsTrue)
 }
 
 func TestRefusedConnectionProvesNoDeathWhileRemovalsAreHeldBack(t *testing.T) {
@@ -243,16 +243,16 @@
 		v.WriteInterval = beat
 		v.Contacts = map[string]Contact{"e00": {FailedSince: s.now, Refused: true}}
 		v.CurrentSince = s.now.Add(-3 * beat) // the entry may have been written last just before the outage
-		qt.Check(t, v.isDead("e00"), qt.IsFalse, qt.Commentf("%v", beat))
+		qt.Check(t, v.seemsDead("e00"), qt.IsFalse, qt.Commentf("%v", beat))
 	}
 	v := s.view()
 	v.Contacts = map[string]Contact{"e00": {FailedSince: s.now, Refused: true}}
 	v.CurrentSince = time.Time{}
-	qt.Check(t, v.isDead("e00"), qt.IsFalse, qt.Commentf("the list is not current"))
+	qt.Check(t, v.seemsDead("e00"), qt.IsFalse, qt.Commentf("the list is not current"))
 	v.Now = v.Now.Add(maxDrainTime)
-	qt.Check(t, v.isDead("e00"), qt.IsTrue, qt.Commentf("maxDrainTime has passed"))
+	qt.Check(t, v.seemsDead("e00"), qt.IsTrue, qt.Commentf("maxDrainTime has passed"))
 	v.Now, v.CurrentSince = s.now, s.now.Add(-entryExpiryWrites*v.WriteInterval-entryExpirySlack)
-	qt.Check(t, v.isDead("e00"), qt.IsTrue)
+	qt.Check(t, v.seemsDead("e00"), qt.IsTrue)
 }
 
 func TestCrashedHeadIsDeadAtOnce(t *testing.T) {
@@ -261,9 +261,9 @@
 	s.newSettledPlanner()
 	v := s.view()
 	v.Contacts = map[string]Contact{"e00": {FailedSince: s.now, Refused: true}}
-	qt.Check(t, v.isDead("e00"), qt.IsTrue)
+	qt.Check(t, v.seemsDead("e00"), qt.IsTrue)
 	v.Contacts = map[string]Contact{"e00": {FailedSince: s.now.Add(time.Millisecond), Refused: true}}
-	qt.Check(t, v.isDead("e00"), qt.IsFalse, qt.Commentf("the list is older than the refused connection"))
+	qt.Check(t, v.seemsDead("e00"), qt.IsFalse, qt.Commentf("the list is older than the refused connection"))
 }
 
 // longPrompts returns a mix whose prompts take the whole reading time of that many groups of the test's engine.
--- a/internal/formation/free_reason.go
+++ b/internal/formation/free_reason.go
@@ -50,11 +50,7 @@
 	if e.Draining || p.commitments.contains(e.ID) {
 		return false
 	}
-	if e.Membership == nil {
-		return true
-	}
-	_, ended := p.ended[e.Membership.Group]
-	return ended
+	return p.hasNoGroup(e)
 }
 
 // modelsInNeed returns the models that need more groups.
--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -4,7 +4,7 @@
 // Safety does not depend on there being a single leader. Every group has its own name and epoch. Epochs contain the
 // leader's tenure and only grow, so an endpoint that has accepted a later join refuses an earlier one. A group is
 // opened only after every member has been seen ready in it, and its members join other groups only after its head has
-// left, is broken or is dead.
+// left, is broken or has restarted, or after they have left themselves.
 package formation
 
 import (
@@ -41,6 +41,7 @@
 	lostAt            map[string]time.Time   // when a group was last found to have lost a member, by group
 	firstSeen         map[string]time.Time   // when a group that no plan covers was first seen, by group
 	headlessSince     map[string]time.Time   // when a group was first seen without its head, by group
+	left              map[string]string      // group that an endpoint has left by its own answer, by endpoint ID
 	seenComplete      map[string]bool        // groups that were seen with all members ready
 	stagings          map[string]staging     // by endpoint ID
 	surveyed          map[string]bool        // endpoints that have answered whether they carry out a load for an earlier leader
@@ -72,7 +73,7 @@
 func NewPlanner(tenure int64, now time.Time) *Planner {
 	return &Planner{
 		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement), commitments: newCommitments(),
-		ended: make(map[string]time.Time), lostAt: make(map[string]time.Time), firstSeen: make(map[string]time.Time), headlessSince: make(map[string]time.Time), seenComplete: make(map[string]bool),
+		ended: make(map[string]time.Time), lostAt: make(map[string]time.Time), firstSeen: make(map[string]time.Time), headlessSince: make(map[string]time.Time), left: make(map[string]string), seenComplete: make(map[string]bool),
 		stagings: make(map[string]staging), surveyed: make(map[string]bool), toProbe: make(map[string]bool), demand: newDemand(), reserved: make(map[string]reservation), leaveOrdered: make(map[string]time.Time), allows: (*conversion).allowed,
 	}
 }
@@ -147,10 +148,8 @@
 			pl.recordJoin(o.Endpoint.ID, now)
 		}
 	case Leave:
-		if _, ok := p.retiring[o.Group]; ok && (outcome == Accepted || outcome == Refused) {
-			p.removeRetirement(o.Group)
-			p.ended[o.Group] = now
-			p.note("group ended", o.Group, "reason", "leave "+outcome.String())
+		if outcome == Accepted || outcome == Refused {
+			p.recordLeave(o, outcome, now)
 		}
 	case Stage:
 		switch {
@@ -171,7 +170,12 @@
 	if e.Draining || p.commitments.contains(e.ID) || v.isDown(e.ID) {
 		return false
 	}
-	if e.Membership == nil {
+	return p.hasNoGroup(e)
+}
+
+// hasNoGroup reports whether the endpoint is in no group, or in one that has ended or that it has left.
+func (p *Planner) hasNoGroup(e *endpoint.Endpoint) bool {
+	if e.Membership == nil || p.left[e.ID] == e.Membership.Group {
 		return true
 	}
 	_, ended := p.ended[e.Membership.Group]
@@ -210,6 +214,11 @@
 			delete(p.leaveOrdered, id)
 		}
 	}
+	for id := range p.left {
+		if v.Snapshot.Endpoints[id] == nil {
+			delete(p.left, id)
+		}
+	}
 	for name := range p.firstSeen {
 		if v.Snapshot.Groups[name] == nil {
 			delete(p.firstSeen, name)
--- a/internal/formation/planner_test.go
+++ b/internal/formation/planner_test.go
@@ -120,7 +120,7 @@
 }
 
 // TestInvariantsInRandomHistories simulates leaders that pause, have outdated views and overlap, orders that are lost,
-// late or unanswered, and endpoints that die, are cut off or return. At every accepted order it checks that no endpoint
+// late or unanswered, and endpoints that die, are cut off, refuse connections or return. At every accepted order it checks that no endpoint
 // joins another group while its own is open, and that no group opens before all its members have been ready.
 func TestInvariantsInRandomHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -184,10 +184,11 @@
 				x := w.endpoints[rapid.SampledFrom(sorted(ids())).Draw(t, "cut")]
 				if x.up && !x.storeCut {
 					x.storeCut, x.leaderCut, x.lostAt = true, rapid.Bool().Draw(t, "silent"), w.now
+					x.nodesCut = rapid.Bool().Draw(t, "silent to all nodes")
 				}
 			case 4:
 				for _, x := range w.endpoints {
-					x.storeCut, x.leaderCut = false, false
+					x.storeCut, x.leaderCut, x.nodesCut, x.refusing = false, false, false, false
 					if x.up {
 						x.firstUnanswered = time.Time{}
 					}
@@ -195,6 +196,8 @@
 			case 5:
 				w.add()
 			case 6:
+				w.endpoints[rapid.SampledFrom(sorted(ids())).Draw(t, "refuses")].refusing = true
+			case 7:
 				x := w.endpoints[rapid.SampledFrom(sorted(ids())).Draw(t, "drains")]
 				x.Draining = true
 				x.Revision++
--- a/internal/formation/retirement.go
+++ b/internal/formation/retirement.go
@@ -14,8 +14,8 @@
 	drainTimeout = 1700 * time.Millisecond
 )
 
-// retirement is a group that is being ended. Its members are free once its head has left, is broken or is dead; until
-// then the head may accept requests.
+// retirement is a group that is being ended. Its members are free once the head has left, is broken or has restarted; until then the
+// head may accept requests. If the head seems to be dead, which nothing proves, each member is free once it has left itself.
 type retirement struct {
 	name           string
 	epoch          int64
@@ -42,13 +42,24 @@
 	p.retiring[name] = &retirement{name: name, epoch: epoch, head: head, since: v.Now, drainDeadline: v.Now.Add(drainTime)}
 }
 
-// advanceRetirements orders heads to leave and frees the members of groups whose head no longer serves.
+// advanceRetirements orders heads to leave and frees the members of groups whose head no longer serves. The members of a head that seems to
+// be dead are ordered to leave.
 func (p *Planner) advanceRetirements(v *View) {
 	for name, r := range p.retiring {
 		if reason := p.endReason(v, r); reason != "" {
 			p.endGroup(v, name, reason)
 			continue
 		}
+		if v.isLeft(r) {
+			p.removeRetirement(name)
+			p.note("group left", name, "head", r.head.ID)
+			continue
+		}
+		if v.seemsDead(r.head.ID) {
+			p.requestProbe(r.head.ID)
+			p.orderMembersToLeave(v, v.Snapshot.Groups[name], "the head does not answer")
+			continue
+		}
 		if v.Now.Before(r.drainDeadline) && v.Loads[r.head.ID] > 0 && !v.isDown(r.head.ID) {
 			continue
 		}
@@ -60,6 +71,15 @@
 	}
 }
 
+// isLeft reports whether no listed endpoint is in the group.
+func (v *View) isLeft(r *retirement) bool {
+	if _, listed := v.Snapshot.Endpoints[r.head.ID]; listed {
+		return false // its entry may be older than the group
+	}
+	g := v.Snapshot.Groups[r.name]
+	return g == nil || g.Epoch != r.epoch
+}
+
 // endReason returns why the group certainly no longer serves, or "".
 func (p *Planner) endReason(v *View, r *retirement) string {
 	e, listed := v.Snapshot.Endpoints[r.head.ID]
@@ -68,13 +88,25 @@
 		return "the head has left"
 	case listed && e.Membership != nil && e.Membership.Group == r.name && e.Membership.State == endpoint.Broken:
 		return "the head is broken"
-	case v.isDead(r.head.ID):
-		return "the head is dead"
+	case v.Snapshot.Gone[r.head.ID].Restarted:
+		return "the head has restarted"
 	default:
 		return ""
 	}
 }
 
+// recordLeave records the answer of an endpoint that is no longer in a group: the group ends with its head, and a member is free.
+func (p *Planner) recordLeave(o Order, outcome Outcome, now time.Time) {
+	r, retiring := p.retiring[o.Group]
+	if !retiring || r.head.ID != o.Endpoint.ID {
+		p.left[o.Endpoint.ID] = o.Group
+		return
+	}
+	p.removeRetirement(o.Group)
+	p.ended[o.Group] = now
+	p.note("group ended", o.Group, "reason", "leave "+outcome.String())
+}
+
 // removeRetirement removes the retirement of a group, if there is one.
 func (p *Planner) removeRetirement(name string) {
 	if r, ok := p.retiring[name]; ok {
--- a/internal/formation/running.go
+++ b/internal/formation/running.go
@@ -139,18 +139,21 @@
 		return
 	}
 	if v.Now.Sub(since) > headlessGrace {
-		p.orderMembersToLeave(v, g)
+		p.orderMembersToLeave(v, g, "the head is unknown")
 	}
 }
 
-// orderMembersToLeave orders the members of a group to leave it, again and again until the listing shows that they have.
-func (p *Planner) orderMembersToLeave(v *View, g *endpoint.Group) {
+// orderMembersToLeave orders the members of a group to leave it, again and again until they have.
+func (p *Planner) orderMembersToLeave(v *View, g *endpoint.Group, reason string) {
+	if g == nil {
+		return
+	}
 	for id, e := range g.Members {
-		if v.isDown(id) || v.Now.Sub(p.leaveOrdered[id]) < leaveRetryInterval {
+		if v.isDown(id) || p.left[id] == g.Name || v.Now.Sub(p.leaveOrdered[id]) < leaveRetryInterval {
 			continue
 		}
 		p.leaveOrdered[id] = v.Now
-		p.note("member leaves", g.Name, "reason", "the head is unknown", "endpoint", id)
+		p.note("member leaves", g.Name, "reason", reason, "endpoint", id)
 		p.addOrder(Order{Kind: Leave, Endpoint: e, Group: g.Name, Epoch: g.Epoch})
 	}
 }
--- a/internal/formation/simulation_test.go
+++ b/internal/formation/simulation_test.go
@@ -28,6 +28,8 @@
 	up              bool
 	storeCut        bool // cut off from the store, so its entry expires
 	leaderCut       bool // cut off from the leader, whose orders do not arrive, but reachable for other nodes
+	nodesCut        bool // cut off from all nodes, but not from other endpoints
+	refusing        bool // refuses connections of all nodes, but not of other endpoints
 	lostAt          time.Time
 	maxEpoch        int64     // highest epoch of an accepted join
 	readyAt         time.Time // when the join in progress ends
@@ -37,6 +39,9 @@
 	loadedAt        time.Time // when that load ends
 }
 
+// isReachable reports whether the leader reaches the endpoint.
+func (x *fakeEndpoint) isReachable() bool { return x.up && !x.leaderCut && !x.nodesCut && !x.refusing }
+
 // pendingOrder is an order on its way to an endpoint.
 type pendingOrder struct {
 	planner   *Planner
@@ -224,8 +229,8 @@
 		v.SuspectGroups = w.suspects()
 	}
 	for id, x := range w.endpoints {
-		contact := Contact{LastAnswer: x.lastAnswer, FailedSince: x.firstUnanswered}
-		if !x.up {
+		contact := Contact{LastAnswer: x.lastAnswer, FailedSince: x.firstUnanswered, Refused: x.refusing && !x.firstUnanswered.IsZero()}
+		if !x.up || x.nodesCut {
 			contact.UnheardSince = x.firstUnanswered
 		}
 		if contact != (Contact{}) {
@@ -256,7 +261,7 @@
 		x := w.endpoints[id]
 		switch {
 		case x == nil:
-		case x.up && !x.leaderCut:
+		case x.isReachable():
 			x.lastAnswer, x.firstUnanswered = w.now, time.Time{}
 		case x.firstUnanswered.IsZero():
 			x.firstUnanswered = w.now
@@ -274,7 +279,7 @@
 		}
 		x := w.endpoints[d.order.Endpoint.ID]
 		outcome := Unknown
-		if x == nil || x.up && !x.leaderCut {
+		if x == nil || x.isReachable() {
 			outcome = w.apply(d.order)
 		}
 		if !d.replyLost {
--- a/internal/formation/view.go
+++ b/internal/formation/view.go
@@ -39,8 +39,8 @@
 	downAfter = 1500 * time.Millisecond
 	// answeringSampleSize is how many other endpoints are probed to find out whether all are silent.
 	answeringSampleSize = 4
-	// deadAfter is how long an endpoint that is no longer listed must be unreachable for all nodes before it counts as
-	// dead. Only then may the members of a group that it headed join others, because it may still serve with them.
+	// deadAfter is how long an endpoint that is no longer listed must be unreachable for all nodes before it seems to be
+	// dead. Only then are the members of a group that it headed ordered to leave it, because it may still serve with them.
 	deadAfter = 1200 * time.Millisecond
 	// entryExpiryWrites is the number of missed writes after which the platform removes an endpoint's entry.
 	entryExpiryWrites = 3
@@ -101,8 +101,9 @@
 	return sample[:min(len(sample), answeringSampleSize)]
 }
 
-// isDead reports whether the endpoint has certainly ended.
-func (v *View) isDead(id string) bool {
+// seemsDead reports whether the endpoint has probably ended. This is no proof: one that is cut off from the store and from all nodes, or
+// that refuses their connections, may serve requests that it has.
+func (v *View) seemsDead(id string) bool {
 	if v.Snapshot.Gone[id].Restarted {
 		return true
 	}
@@ -111,15 +112,15 @@
 		return false
 	}
 	if c.Refused {
-		return v.hasEnded(id, c)
+		return v.seemsEnded(id, c)
 	}
 	_, gone := v.Snapshot.Gone[id]
 	return gone && !c.UnheardSince.IsZero() && v.Now.Sub(c.UnheardSince) >= deadAfter
 }
 
-// hasEnded reports whether an endpoint where nothing listens has ended. An endpoint that leaves stops listening first
+// seemsEnded reports whether an endpoint where nothing listens has probably ended. An endpoint that leaves stops listening first
 // and then finishes its requests: until it has ended it is listed as draining, or is not listed at all.
-func (v *View) hasEnded(id string, c Contact) bool {
+func (v *View) seemsEnded(id string, c Contact) bool {
 	if v.CurrentAt.Before(c.FailedSince) {
 		return false // it may have started to leave since
 	}
