gateway: second attempts go to no group that has only just gone on

Cause: a group that goes on after a stall is suspected no longer. When groups that were silent together go on one after the other, or at the same instant, the streams that still waited were sent to the first, though their own would go on, too: their prompts were read anew and the attempts of their route spent.

Change: for 250 ms, the time after which a silent group is suspected, a group that has gone on takes no second attempts.

--- a/internal/picker/candidate.go
+++ b/internal/picker/candidate.go
@@ -32,6 +32,7 @@
 	cost           float64
 	limit          int           // most concurrent requests; 0 if unlimited
 	avoidance      int           // level of avoidance; 0 for none. Candidates above the lowest level present are not chosen
+	recovering     bool          // its group has only just gone on after a stall
 	remainingPause time.Duration // remaining part of the pause that the endpoint requested
 
 	coldPerSecond float64 // requests per second that the endpoint can take while cold; 0 if it is not cold
@@ -75,6 +76,7 @@
 			c.limit, c.coldPerSecond = min(c.limit, w.coldLimit()), w.ColdPerSecond
 		}
 		c.cost = float64(c.load) + p.randomFloat()*jitter
+		c.recovering = h != nil && h.recovering(now)
 		switch {
 		case suspectedByOthers(g.Name, h, others, now) || h != nil && h.suspected(now):
 			c.avoidance = avoidStalled
--- a/internal/picker/health.go
+++ b/internal/picker/health.go
@@ -9,6 +9,9 @@
 	// stall, up to maxStallBackoff.
 	stallBackoff    = 3 * time.Second
 	maxStallBackoff = 12 * time.Second
+	// recoveryTime is how long a group that has gone on after a stall takes no streams that other groups are silent on: those may go on
+	// at any moment, too.
+	recoveryTime = minSuspectAfter
 	// trustOwnProgressFor is how long an event that this node received from a group overrides the suspicion of other nodes.
 	trustOwnProgressFor = 400 * time.Millisecond
 	// refusalBackoff is how long an endpoint that refused a request without Retry-After is avoided. The time doubles with each
@@ -28,6 +31,7 @@
 	meanLatency  time.Duration // moving average until the first event or the answer
 	failureRate  float64       // moving average of failures, 0 to 1
 	suspectSince time.Time     // when it stalled or could not be reached; zero if neither
+	recoveredAt  time.Time     // when it last went on after a stall
 	avoidUntil   time.Time     // end of the back-off after a stall or a failed connection
 	stalls       int           // consecutive stalls
 	refusals     int           // consecutive doublings of the refusal back-off
@@ -64,6 +68,8 @@
 
 func (h *health) refusing(now time.Time) bool { return now.Before(h.refusedUntil) }
 
+func (h *health) recovering(now time.Time) bool { return now.Sub(h.recoveredAt) < recoveryTime }
+
 func (h *health) suspected(now time.Time) bool {
 	return !h.suspectSince.IsZero() && now.Before(h.avoidUntil)
 }
--- a/internal/picker/observe.go
+++ b/internal/picker/observe.go
@@ -43,6 +43,9 @@
 	defer p.picker.mu.Unlock()
 	h := p.picker.healthOf(p.Key(), now)
 	h.lastProgress = now
+	if !h.suspectSince.IsZero() {
+		h.recoveredAt = now
+	}
 	h.suspectSince, h.refusedUntil = time.Time{}, time.Time{}
 	h.stalls, h.refusals = 0, 0
 	change(h)
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -142,7 +142,7 @@
 	p.options.Limits.MergeReports(others.Limits, now)
 	candidates := p.candidates(w, others, now)
 	if w.SkipStalled {
-		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.avoidance == avoidStalled })
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.avoidance == avoidStalled || c.recovering })
 	}
 	if len(candidates) == 0 {
 		return nil, ErrNoEndpoint
--- a/internal/picker/requirements.go
+++ b/internal/picker/requirements.go
@@ -31,7 +31,7 @@
 	Priority      int // 0 is the most urgent
 	Workspace     string
 	Exclude       []string      // groups and endpoints that have failed the request
-	SkipStalled   bool          // take no group that is known to have stalled
+	SkipStalled   bool          // take no group that is known to have stalled, or has only just gone on
 	MaxWait       time.Duration // longest wait for a place
 }
 
