formation: an endpoint that refused connections is asked again after a second

Cause: the leader asked an endpoint whose connections were refused again only when its record expired, 30 s later.

Change: such an endpoint is asked again after a second.

--- a/internal/formation/probe.go
+++ b/internal/formation/probe.go
@@ -13,7 +13,9 @@
 const (
 	// probeInterval is the least time between two probes of one endpoint.
 	probeInterval = 250 * time.Millisecond
-	probeTimeout  = 300 * time.Millisecond
+	// refusedProbeInterval is the same for one whose connections were refused: it has ended, or its path is broken.
+	refusedProbeInterval = time.Second
+	probeTimeout         = 300 * time.Millisecond
 	// maxProbeTime is how long a probe takes at most, with the questions to other nodes. While it took longer, this process was stopped,
 	// which says nothing about the endpoint.
 	maxProbeTime = time.Second
@@ -52,15 +54,23 @@
 	return k
 }
 
-// startProbe starts a probe of the endpoint. It does nothing if the endpoint is unknown or was found to be absent from its
-// address, if a probe of it is in progress or recent, or if the limit is reached.
+// probeInterval returns the least time until the next probe.
+func (k *contact) probeInterval() time.Duration {
+	if k.Refused {
+		return refusedProbeInterval
+	}
+	return probeInterval
+}
+
+// startProbe starts a probe of the endpoint. It does nothing if the endpoint is unknown, if a probe of it is in progress or recent, or
+// if the limit is reached.
 func (c *Controller) startProbe(ctx context.Context, snapshot *endpoint.Snapshot, id string, now time.Time) {
 	k := c.contactOf(id)
 	e := snapshot.Endpoints[id]
 	if gone, ok := snapshot.Gone[id]; ok && e == nil {
 		e = gone.Endpoint
 	}
-	if k.probing || e == nil || now.Sub(k.lastProbe) < probeInterval || k.Refused || c.activeProbes >= maxConcurrentProbes {
+	if k.probing || e == nil || now.Sub(k.lastProbe) < k.probeInterval() || c.activeProbes >= maxConcurrentProbes {
 		return // the next step requests the probe again if it is still needed
 	}
 	k.probing, k.lastProbe = true, now
