--- a/internal/formation/planner.go
+++ b/internal/formation/planner.go
@@ -72,9 +72,24 @@
 // NewPlanner returns a Planner for a tenure, whose number must be higher than that of any earlier leader.
 func NewPlanner(tenure int64, now time.Time) *Planner {
 	return &Planner{
-		tenure: tenure, started: now, plans: make(map[string]*plan), retiring: make(map[string]*retirement), commitments: newCommitments(),
-		ended: make(map[string]time.Time), lostAt: make(map[string]time.Time), firstSeen: make(map[string]time.Time), headlessSince: make(map[string]time.Time), left: make(map[string]string), seenComplete: make(map[string]bool),
-		stagings: make(map[string]staging), surveyed: make(map[string]bool), toProbe: make(map[string]bool), demand: newDemand(), reserved: make(map[string]reservation), leaveOrdered: make(map[string]time.Time), allows: (*conversion).allowed,
+		tenure:        tenure,
+		started:       now,
+		plans:         make(map[string]*plan),
+		retiring:      make(map[string]*retirement),
+		commitments:   newCommitments(),
+		ended:         make(map[string]time.Time),
+		lostAt:        make(map[string]time.Time),
+		firstSeen:     make(map[string]time.Time),
+		headlessSince: make(map[string]time.Time),
+		left:          make(map[string]string),
+		seenComplete:  make(map[string]bool),
+		stagings:      make(map[string]staging),
+		surveyed:      make(map[string]bool),
+		toProbe:       make(map[string]bool),
+		demand:        newDemand(),
+		reserved:      make(map[string]reservation),
+		leaveOrdered:  make(map[string]time.Time),
+		allows:        (*conversion).allowed,
 	}
 }
 
--- a/internal/server/caller_conns.go
+++ b/internal/server/caller_conns.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// unreadTime is how long a connection that was accepted before the end of a stop's listener may wait for its first request.
+	// unreadTime is how long a stop that has closed its listener waits for the first requests of connections that were accepted before.
 	unreadTime = time.Second
 	// connCheckInterval is how often a stop looks whether all connections have ended.
 	connCheckInterval = 5 * time.Millisecond
