--- a/review/cases2/case_proof.go
+++ b/review/cases2/case_proof.go
@@ -96,6 +96,10 @@
 
 // judgeProof returns the requests that ran although they were sent later than the bound after their key was taken away.
 func judgeProof(c *caseRun, attempts []attempt, runs []execution, acknowledged map[string]time.Time) []string {
+	c.requests(attempts, runs, func(a attempt, _ execution) bool {
+		taken, gone := acknowledged[a.key]
+		return gone && a.sent.Sub(taken) > revokeBound
+	})
 	ran := make(map[string]execution)
 	for _, e := range runs {
 		ran[e.attempt] = e
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -35,6 +35,7 @@
 // cases are the cases by name. Each returns the breaches of the rule that it has seen.
 var cases = map[string]func(c *caseRun) (breaches []string, err error){
 
+	"drain": playDrain,
 	"proof": playProof,
 }
 
--- a/review/cases2/record.go
+++ b/review/cases2/record.go
@@ -27,3 +27,32 @@
 }
 
 func (r *record) close() { _ = r.file.Close() }
+
+// requests counts what was sent, run and answered, and writes a line for each request for which detail returns true.
+func (r *record) requests(attempts []attempt, runs []execution, detail func(a attempt, e execution) bool) {
+	ran := make(map[string]execution, len(runs))
+	for _, e := range runs {
+		ran[e.attempt] = e
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make(map[string]int)
+	for _, a := range attempts {
+		where := "did not run"
+		if e, did := ran[a.id]; did {
+			where = fmt.Sprintf("ran at %s at %.4f", e.worker, e.at.Sub(r.began).Seconds())
+		}
+		answer := fmt.Sprintf("answered with %d", a.status)
+		if a.err != nil {
+			answer = "no whole answer"
+		}
+		counts[fmt.Sprintf("ran: %t, %s", ran[a.id].attempt != "", answer)]++
+		if !detail(a, ran[a.id]) {
+			continue
+		}
+		_, _ = fmt.Fprintf(r.file, "%9.4f sent %s %s, %s, %s\n", a.sent.Sub(r.began).Seconds(), a.id, a.key, where, answer)
+	}
+	for text, n := range counts {
+		_, _ = fmt.Fprintf(r.file, "%d requests in all: %s\n", n, text)
+	}
+}
