--- a/review/cases2/case_drain.go
+++ b/review/cases2/case_drain.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	drainRounds  = 8
+	drainRounds  = 10
 	drainCut     = 5500 * time.Millisecond // how long the machine is cut off from the store
 	drainRemoval = 2 * time.Second         // from the start of the cut until the worker's entry goes
 	drainBound   = 2 * time.Second         // drain_ms
@@ -81,7 +81,7 @@
 		d.ended = time.Now()
 		old.end()
 		c.note("%s ends, %.3f s after its entry was removed", old.id, d.ended.Sub(d.removed).Seconds())
-		time.Sleep(time.Until(d.inTouch.Add(3 * time.Second)))
+		time.Sleep(time.Until(d.inTouch.Add(1500 * time.Millisecond)))
 	}
 	return judgeDrain(c, l.end(), runs.all(), gone), nil
 }
--- a/review/cases2/case_proof.go
+++ b/review/cases2/case_proof.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	proofRounds  = 8
-	proofCut     = 6 * time.Second // how long the store turns the machine away
-	revokeBound  = 5 * time.Second // revoke_ms
-	proofRate    = 300             // requests a second with the key that is taken away
-	proofRoutes  = 350             // routes that the configuration has grown by
+	proofRounds  = 13
+	proofCut     = 5600 * time.Millisecond // how long the store turns the machine away
+	revokeBound  = 5 * time.Second         // revoke_ms
+	proofRate    = 300                     // requests a second with the key that is taken away
+	proofRoutes  = 350                     // routes that the configuration has grown by
 	proofTenants = 10
 )
 
@@ -46,7 +46,7 @@
 	})
 	acknowledged := make(map[string]time.Time) // by key, when it was taken away
 	for round := range proofRounds {
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(time.Second)
 		if c.trouble {
 			g.set(busy)
 			c.note("the store turns %s away", m.name)
@@ -62,7 +62,7 @@
 			g.set(serving)
 			c.note("the store serves %s again", m.name)
 		}
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(time.Second)
 		key.Store(fmt.Sprintf("key-%d", round+1))
 	}
 	return judgeProof(c, l.end(), runs.all(), acknowledged), nil
