follow: log and count the changes that are held back after an outage

On-call could not tell a removal that is held back from one that never came: nothing was logged. The start of a hold (why, for how long at most) and its end (how many changes count now, how many were replaced) are logged and counted now, and 'dependency regained' bounds the moment at which the store came back, by the sending of the last query that failed. No change of behaviour.

Test: TestHeldChangesAreReportedAtTheirStartAndEnd.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -75,6 +75,9 @@
 	// OnOlder, if not nil, is called with the number of objects from a source, the store or another node, that were older than those of
 	// the copy and therefore dropped.
 	OnOlder func(source string, n int)
+	// OnHeld, if not nil, is called with the numbers of changes that have been held back and now count, and of those that later ones
+	// replaced meanwhile.
+	OnHeld func(applied, dropped int)
 
 	objects       infra.ObjectStore
 	puller        Puller
@@ -87,14 +90,14 @@
 	proof         *proof
 	extraPrefixes []string // prefixes besides the configuration and the endpoints
 	beats         chan *gossip.Peer
-	heldPulls     heldChanges // used by applyBeat only
+	heldPulls     heldChanges // what other nodes have told
 	peerPulls     *peerPulls
 
 	mu         sync.Mutex
-	pulled     map[string]pullProgress // by incarnation of the other node
-	failing    map[string]bool         // prefixes for which the last query to the store failed
-	lastAnswer time.Time               // when the store last answered this node
-	full       bool                    // the copy holds all endpoints
+	pulled     map[string]pullProgress   // by incarnation of the other node
+	failing    map[string]*queryFailures // by prefix; nil if the last query to the store did not fail
+	lastAnswer time.Time                 // when the store last answered this node
+	full       bool                      // the copy holds all endpoints
 	// watching is set while this node itself lists and watches the endpoints in the store.
 	watching    bool
 	lastListing storeListing
@@ -107,7 +110,7 @@
 		StartDelay: func() time.Duration { return 0 }, Relaying: func() bool { return true }, KeepsAll: func() bool { return true },
 		jitter:  rand.Float64(), //nolint:gosec // spreads queries over time, not security relevant
 		started: clock.Now(), proof: newProof(keys.Accepted, keys.Endpoints), beats: make(chan *gossip.Peer, 64), peerPulls: newPeerPulls(),
-		pulled: make(map[string]pullProgress), failing: make(map[string]bool),
+		pulled: make(map[string]pullProgress), failing: make(map[string]*queryFailures),
 	}
 	f.Others = func(now time.Time) int { return len(live(now)) }
 	return f
@@ -129,8 +132,10 @@
 	for _, prefix := range f.extraPrefixes {
 		sources = append(sources, &source{prefix: prefix, wait: watchTimeout})
 	}
+	f.report(&f.heldPulls, "node")
 	for _, s := range sources {
-		s.held.beat, s.supersedes = f.Beat, f.Supersedes
+		s.supersedes = f.Supersedes
+		f.report(&s.held, "store")
 		s.objects, s.mirror, s.wanted = f.objects, f.Mirror, f.shouldWatch
 		s.proved, s.failed = f.proved, f.failed
 		s.dropped, s.wentBack = func(n int) { f.noteOlder(olderFromStore, n) }, f.storeWentBack
@@ -152,15 +157,23 @@
 		f.full = true
 		f.lastListing = storeListing{at, f.Mirror.Sequence()}
 	}
-	wasFailing := f.failing[prefix]
-	f.failing[prefix] = false
-	f.lastAnswer = clock.Now()
+	failures := f.failing[prefix]
+	delete(f.failing, prefix)
+	now := clock.Now()
+	f.lastAnswer = now
 	f.mu.Unlock()
-	if wasFailing {
-		_ = level.Info(f.logger).Log("msg", "dependency regained", "dependency", "store", "prefix", prefix)
+	if failures != nil {
+		_ = level.Info(f.logger).Log("msg", "dependency regained", "dependency", "store", "prefix", prefix, "failed_queries", failures.count,
+			"lost_ms", now.Sub(failures.firstSent).Milliseconds(), "since_last_failed_ms", now.Sub(failures.lastSent).Milliseconds())
 	}
 }
 
+// queryFailures describes the queries to the store that have failed since the last one that was answered.
+type queryFailures struct {
+	count               int
+	firstSent, lastSent time.Time
+}
+
 // Sources of objects that are older than those of the copy.
 const (
 	olderFromStore = "store"
@@ -174,20 +187,42 @@
 	}
 }
 
+// report makes changes that are held back known to operators; from is where they were received from.
+func (f *Follower) report(held *heldChanges, from string) {
+	held.beat = f.Beat
+	held.onHold = func(h holdStart) {
+		_ = level.Info(f.logger).Log("msg", "changes are held back", "from", from, "reason", h.reason, "first", h.firstKey, "limit_ms", h.limit.Milliseconds())
+	}
+	held.onEnd = func(h holdEnd) {
+		_ = level.Info(f.logger).Log("msg", "changes are no longer held back", "from", from, "held_ms", h.held.Milliseconds(), "applied", h.applied, "dropped", h.dropped)
+		if f.OnHeld != nil {
+			f.OnHeld(h.applied, h.dropped)
+		}
+	}
+}
+
 // storeWentBack logs that the store has listed an older state than before. The copy keeps the later versions.
 func (f *Follower) storeWentBack(prefix string, to, from int64) {
 	_ = level.Warn(f.logger).Log("msg", "the store answered from an older state; later versions are kept", "prefix", prefix,
 		"revision", infra.RevisionOf(to), "known_revision", infra.RevisionOf(from), "era", infra.EraOf(to))
 }
 
-func (f *Follower) failed(prefix string, err error) {
+func (f *Follower) failed(prefix string, sent time.Time, err error) {
 	f.mu.Lock()
-	wasFailing := f.failing[prefix]
-	f.failing[prefix] = true
+	failures := f.failing[prefix]
+	if failures == nil {
+		failures = &queryFailures{firstSent: sent}
+		f.failing[prefix] = failures
+	}
+	failures.count++
+	failures.lastSent = sent
+	first := failures.count == 1
 	f.mu.Unlock()
-	if !wasFailing {
+	if first {
 		_ = level.Warn(f.logger).Log("msg", "dependency lost", "dependency", "store", "prefix", prefix, "err", err)
+		return
 	}
+	_ = level.Debug(f.logger).Log("msg", "query failed again", "dependency", "store", "prefix", prefix, "took_ms", clock.Since(sent).Milliseconds(), "err", err)
 }
 
 // queryDelay returns how long this node waits before it queries an unavailable store again, for a random number from 0 to 1.
@@ -354,10 +389,5 @@
 func (f *Follower) StoreAnswers() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, isFailing := range f.failing {
-		if isFailing {
-			return false
-		}
-	}
-	return true
+	return len(f.failing) == 0
 }
--- a/internal/follow/going_back_test.go
+++ b/internal/follow/going_back_test.go
@@ -78,7 +78,7 @@
 	m := mirror.New()
 	s := &source{prefix: keys.Endpoints, mirror: m}
 	now := time.Now()
-	s.held.start(now)
+	s.held.start(now, storeOutage)
 	s.put([]infra.Object{entry("a", "open", 5), entry("b", "open", 6)})
 	s.put([]infra.Object{removal("a", 7), removal("b", 7)})
 	m.Put(withMirrorVersion(entry("a", "open again", 8))) // from another node
@@ -94,7 +94,7 @@
 	s := &source{prefix: keys.Endpoints, mirror: m}
 	now := time.Now()
 	s.put([]infra.Object{entry("head", "open", 5), entry("member", "ready", 6)})
-	s.held.start(now)
+	s.held.start(now, storeOutage)
 	s.put([]infra.Object{removal("head", 7), removal("member", 7)})
 	s.put([]infra.Object{entry("member", "free", 9)})
 	qt.Check(t, stateOf(m, "head"), qt.Equals, "open")
--- a/internal/follow/held_changes_test.go
+++ b/internal/follow/held_changes_test.go
@@ -16,7 +16,7 @@
 	var a heldChanges
 	gone := infra.Object{Key: "e/1", Version: 9, Deleted: true}
 	qt.Check(t, a.hold(gone, now), qt.IsFalse, qt.Commentf("there was no outage"))
-	a.start(now)
+	a.start(now, storeOutage)
 	qt.Check(t, a.hold(gone, now), qt.IsTrue)
 	qt.Check(t, a.hold(infra.Object{Key: "e/2", Version: 9, Deleted: true}, now), qt.IsTrue)
 	qt.Check(t, a.due(now.Add(lapseGrace)), qt.HasLen, 0)
@@ -33,7 +33,7 @@
 	now := time.Unix(1000, 0)
 	for _, beat := range []time.Duration{1200 * time.Millisecond, 5 * time.Second} {
 		a := heldChanges{beat: beat}
-		a.start(now)
+		a.start(now, storeOutage)
 		qt.Check(t, a.hold(infra.Object{Key: "e/1", Version: 9, Deleted: true}, now), qt.IsTrue)
 		qt.Check(t, a.due(now.Add(beat)), qt.HasLen, 0, qt.Commentf("heartbeat interval %v", beat))
 		qt.Check(t, a.hold(infra.Object{Key: "e/1", Version: 11}, now.Add(beat)), qt.IsFalse)
@@ -73,7 +73,7 @@
 func TestHeldChangesOfACopyCountInTheEnd(t *testing.T) {
 	var a heldChanges
 	now := time.Unix(1000, 0)
-	a.start(now)
+	a.start(now, storeOutage)
 	a.add(infra.Object{Key: "a", Version: 1})
 	a.add(infra.Object{Key: "b", Version: 1})
 	qt.Check(t, a.hold(infra.Object{Key: "b", Version: 2}, now), qt.IsFalse, qt.Commentf("written again"))
@@ -82,3 +82,23 @@
 	qt.Assert(t, due, qt.HasLen, 1)
 	qt.Check(t, due[0].Key, qt.Equals, "a")
 }
+
+// Guards against removals that are held back unnoticed.
+func TestHeldChangesAreReportedAtTheirStartAndEnd(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var starts []holdStart
+	var ends []holdEnd
+	a := heldChanges{onHold: func(h holdStart) { starts = append(starts, h) }, onEnd: func(h holdEnd) { ends = append(ends, h) }}
+	a.start(now, storeOutage)
+	for _, key := range []string{"e/1", "e/2", "e/1"} {
+		a.hold(infra.Object{Key: key, Version: 9, Deleted: true}, now)
+	}
+	a.hold(infra.Object{Key: "e/2", Version: 11}, now.Add(time.Second))
+	later := now.Add(lapseGrace + time.Millisecond)
+	a.due(later)
+	a.due(later)
+	qt.Assert(t, starts, qt.HasLen, 1)
+	qt.Check(t, starts[0], qt.Equals, holdStart{storeOutage, "e/1", lapseGrace})
+	qt.Assert(t, ends, qt.HasLen, 1)
+	qt.Check(t, ends[0], qt.Equals, holdEnd{held: lapseGrace + time.Millisecond, applied: 1, dropped: 1})
+}
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -176,7 +176,7 @@
 			f.holdPulled(o, now)
 			continue
 		}
-		delete(f.heldPulls.changes, o.Key)
+		f.heldPulls.forget(o.Key)
 		taken = append(taken, o)
 	}
 	_, older := f.Mirror.Update(taken)
@@ -190,9 +190,8 @@
 
 // holdPulled holds a pulled object back. The time for which all are held back begins with the first.
 func (f *Follower) holdPulled(o infra.Object, now time.Time) {
-	if len(f.heldPulls.changes) == 0 {
-		f.heldPulls.beat = f.Beat
-		f.heldPulls.start(now)
+	if f.heldPulls.isEmpty() {
+		f.heldPulls.start(now, storeFromCopy)
 	}
 	f.heldPulls.add(o)
 }
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -32,7 +32,7 @@
 	wait       time.Duration // timeout of one watch
 	batchDelay time.Duration // pause after a change, so that one call fetches several changes
 	proved     func(prefix string, at time.Time)
-	failed     func(prefix string, err error)
+	failed     func(prefix string, sent time.Time, err error)
 	wanted     func(watching bool) bool // watching is set if this source has listed all objects and watches for changes
 	// queryDelay returns how long a node waits before it queries an unavailable store again, for a random number from 0 to 1.
 	queryDelay   func(jitter float64) time.Duration
@@ -82,7 +82,7 @@
 		}
 		if err != nil {
 			if ctx.Err() == nil {
-				s.failed(s.prefix, err)
+				s.failed(s.prefix, sent, err)
 			}
 			failing = true
 			s.waitToRetry(ctx, version > 0, retry.NextBackOff())
@@ -176,7 +176,7 @@
 // holdStale holds back those of the listed objects that may be older than what this node had read before the store came back from a
 // copy, and returns the others.
 func (s *source) holdStale(listed []infra.Object) []infra.Object {
-	s.held.start(clock.Now())
+	s.held.start(clock.Now(), storeFromCopy)
 	var fresh []infra.Object
 	for _, o := range listed {
 		if s.isFresh(o) {
@@ -206,7 +206,7 @@
 // noteAnswer records that the store has answered; outage is set if it was unavailable before.
 func (s *source) noteAnswer(outage bool) {
 	if outage {
-		s.held.start(clock.Now())
+		s.held.start(clock.Now(), storeOutage)
 	}
 }
 
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -36,6 +36,18 @@
 	}
 }
 
+// newHeldCounter returns a function that counts the changes that have been held back, by what became of them.
+func newHeldCounter(scope tally.Scope) func(applied, dropped int) {
+	count := func(outcome string) tally.Counter {
+		return scope.Tagged(map[string]string{"outcome": outcome}).Counter("held_changes")
+	}
+	appliedCount, droppedCount := count("applied"), count("dropped")
+	return func(applied, dropped int) {
+		appliedCount.Inc(int64(applied))
+		droppedCount.Inc(int64(dropped))
+	}
+}
+
 // metricsHandler serves this process's metrics and the overview of the fleet.
 func (n *Server) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -136,7 +136,7 @@
 	n.follower = follow.NewFollower(n.platform.Objects, n.peerCaller, s.VM, leads, n.gossip.Live, logger)
 	n.follower.KeepsAll, n.follower.Others = n.keepsAll, n.gossip.KnownCount
 	n.follower.Beat, n.follower.Supersedes = s.EndpointBeat(), n.supersedes
-	n.follower.OnOlder = newOlderCounter(n.scope)
+	n.follower.OnOlder, n.follower.OnHeld = newOlderCounter(n.scope), newHeldCounter(n.scope)
 	n.follower.StartDelay, n.follower.Relaying = n.startDelay, n.actsAsRelay
 	if s.Evacuations {
 		n.follower.AddPrefixes(keys.Evacuations)
