follow: hold removals back from the store's return on, and by a timer

Cause: removals are held back for 2.2 s after an outage, so that entries that lapsed may come back. That time ran from this node's first answer, up to 1.4 s after the store's return, and its end was noticed with the next answer only. The age of the node's copy was taken for the length of the outage.

Change: the store came back between the sending of the last failed query and the first answer that this or another node got. Removals are held back until 2.2 s after the latest of these, at most until store_recovery_ms (new setting, contact_ms of the platform) less 0.2 s after the earliest, and a timer ends it. A node that hears no other queries the store at least each 0.5 s, and a watch after a failure does not wait, so that both bounds can be kept. An old copy alone is no outage, and another node's answer after one is its end.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -58,7 +58,7 @@
 	f.idle = make(chan bool)
 	var mu sync.Mutex
 	s := &source{
-		prefix: keys.Endpoints, objects: f, mirror: m, wanted: func(bool) bool { return true }, failed: func(string, time.Time, error) {},
+		prefix: keys.Endpoints, objects: f, mirror: m, recovery: &recovery{}, wanted: func(bool) bool { return true }, failed: func(string, time.Time, error) {},
 		queryDelay: func(float64) time.Duration { return 0 }, lastAnswered: func() time.Time { return time.Time{} }, proofAge: func(time.Time) time.Duration { return 0 }, mustProbe: func() bool { return true },
 		proved: func(_ string, at time.Time) { mu.Lock(); proofs = append(proofs, at); mu.Unlock() },
 	}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -7,6 +7,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -61,6 +62,9 @@
 	Mirror *mirror.Mirror
 	// Beat is the interval at which endpoints write their entries to the store.
 	Beat time.Duration
+	// StoreRecovery is how long after the store's return, or after the path to it is whole again, this node has applied what it missed;
+	// 0 is defaultStoreRecovery.
+	StoreRecovery time.Duration
 	// StartDelay returns how long a new process waits for heartbeats of other nodes before it queries the store.
 	StartDelay func() time.Duration
 	// Relaying reports whether this node is a relay, which watches the store sooner than other nodes.
@@ -88,6 +92,7 @@
 	started       time.Time
 	jitter        float64 // random number from 0 to 1
 	proof         *proof
+	recovery      *recovery
 	extraPrefixes []string // prefixes besides the configuration and the endpoints
 	beats         chan *gossip.Peer
 	heldPulls     heldChanges // what other nodes have told
@@ -113,9 +118,25 @@
 		pulled: make(map[string]pullProgress), failing: make(map[string]*queryFailures),
 	}
 	f.Others = func(now time.Time) int { return len(live(now)) }
+	f.recovery = &recovery{othersUnserved: f.othersUnserved}
 	return f
 }
 
+// othersUnserved reports whether this node hears others, none of which the store has answered lately.
+func (f *Follower) othersUnserved(now time.Time) bool {
+	heard := false
+	for _, p := range f.live(now) {
+		if p.ProofAt.IsZero() {
+			continue
+		}
+		if now.Sub(p.ProofAt) <= outageAge {
+			return false
+		}
+		heard = true
+	}
+	return heard
+}
+
 // AddPrefixes makes the copy include the objects below further prefixes. It must be called before Run.
 func (f *Follower) AddPrefixes(prefixes ...string) {
 	f.extraPrefixes = append(f.extraPrefixes, prefixes...)
@@ -133,8 +154,9 @@
 		sources = append(sources, &source{prefix: prefix, wait: watchTimeout})
 	}
 	f.report(&f.heldPulls, "node")
+	f.recovery.grace, f.recovery.limit = f.heldPulls.grace(), cmp.Or(f.StoreRecovery, defaultStoreRecovery)
 	for _, s := range sources {
-		s.supersedes = f.Supersedes
+		s.recovery, s.supersedes = f.recovery, f.Supersedes
 		f.report(&s.held, "store")
 		s.objects, s.mirror, s.wanted = f.objects, f.Mirror, f.shouldWatch
 		s.proved, s.failed = f.proved, f.failed
@@ -353,7 +375,6 @@
 		case <-ctx.Done():
 			return
 		case p := <-f.beats:
-			f.releaseHeld(clock.Now())
 			f.applyBeat(ctx, p)
 		}
 	}
--- a/internal/follow/going_back_test.go
+++ b/internal/follow/going_back_test.go
@@ -134,7 +134,7 @@
 	m := mirror.New()
 	older, lowest := 0, int64(0)
 	s := &source{
-		prefix: keys.Endpoints, mirror: m, objects: &fakeStore{list: infra.Listing{Version: 6, Objects: []infra.Object{entry("head", "free", 5)}}},
+		prefix: keys.Endpoints, mirror: m, recovery: &recovery{}, objects: &fakeStore{list: infra.Listing{Version: 6, Objects: []infra.Object{entry("head", "free", 5)}}},
 		dropped: func(n int) { older += n }, wentBack: func(_ string, to, _ int64) { lowest = to }, newest: 9,
 	}
 	m.Put(withMirrorVersion(entry("head", "open", 9)))
--- a/internal/follow/held_changes.go
+++ b/internal/follow/held_changes.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// outageAge is the age of the copy above which the store counts as having been unavailable.
+	// outageAge is the time without answers above which the store counts as having been unavailable.
 	outageAge = 2500 * time.Millisecond
 	// lapseGrace is the minimum time after the store's recovery for which the entry of a live endpoint may be missing: the
 	// platform guarantees that the entry reappears within two seconds.
@@ -35,6 +35,7 @@
 	since   time.Time               // when the first change of those held was held back
 	changes map[string]infra.Object // by key
 	added   int                     // changes held back since then
+	timer   *time.Timer             // calls the function of releaseWhenDue; nil if none is waiting
 }
 
 // holdReason tells why changes are held back.
@@ -145,6 +146,21 @@
 	return len(a.changes) == 0
 }
 
+// releaseWhenDue arranges that release is called, in a goroutine of its own, when the time for holding the changes back is over.
+func (a *heldChanges) releaseWhenDue(release func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.changes) == 0 || a.timer != nil {
+		return
+	}
+	a.timer = time.AfterFunc(max(clock.Until(a.until), 0)+time.Millisecond, func() {
+		a.mu.Lock()
+		a.timer = nil
+		a.mu.Unlock()
+		release()
+	})
+}
+
 // due returns the held changes once the time for holding them back is over.
 func (a *heldChanges) due(now time.Time) []infra.Object {
 	a.mu.Lock()
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -51,7 +51,7 @@
 	}
 	if known && have.sequence >= wanted {
 		f.caughtUp(p)
-		f.proof.fromPeer(p.ProofAt)
+		f.provedBy(p)
 		return
 	}
 	if !isSource && p.ProofAt.Sub(at) < minProofGain {
@@ -72,6 +72,12 @@
 		f.setFull(true)
 	}
 	f.caughtUp(p)
+	f.provedBy(p)
+}
+
+// provedBy records the proof of another node of which this node lacks nothing.
+func (f *Follower) provedBy(p *gossip.Peer) {
+	f.recovery.toldByNode(p.ProofAt, clock.Now())
 	f.proof.fromPeer(p.ProofAt)
 }
 
@@ -181,6 +187,7 @@
 	}
 	_, older := f.Mirror.Update(taken)
 	f.noteOlder(olderFromNode, older)
+	f.releaseHeld(now)
 }
 
 // isFreshPull reports whether a pulled object of a later era is what this node holds, or was certainly written later.
@@ -196,8 +203,11 @@
 	f.heldPulls.add(o)
 }
 
-// releaseHeld stores the pulled objects that have been held back for long enough.
-func (f *Follower) releaseHeld(now time.Time) { f.Mirror.Put(f.heldPulls.due(now)...) }
+// releaseHeld stores the pulled objects that have been held back for long enough, and the others when they are due.
+func (f *Follower) releaseHeld(now time.Time) {
+	f.Mirror.Put(f.heldPulls.due(now)...)
+	f.heldPulls.releaseWhenDue(func() { f.releaseHeld(clock.Now()) })
+}
 
 func (f *Follower) pullOnce(ctx context.Context, p *gossip.Peer, have pullProgress) (uint64, []infra.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -20,6 +21,12 @@
 	minRetryDelay = 100 * time.Millisecond
 	// maxRetryDelay caps the backoff between attempts: all time limits for a node that is cut off are a few seconds.
 	maxRetryDelay = 700 * time.Millisecond
+	// maxQueryInterval is the interval at which a node that hears no other queries an unavailable store.
+	maxQueryInterval = 500 * time.Millisecond
+	// retryWatchTimeout is how long a watch waits for changes after a failed one: the answer tells that the store is back.
+	retryWatchTimeout = 10 * time.Millisecond
+	// maxAnswerDelay is how long after the end of its wait a watch may be answered before the store counts as unavailable.
+	maxAnswerDelay = 100 * time.Millisecond
 	// recoverySpread is the time within which nodes query a store that answers other nodes again after an outage.
 	recoverySpread = time.Second
 )
@@ -43,11 +50,14 @@
 	probes bool
 	// watching, if not nil, is called before each query with true, and with false while the source does not query the store.
 	watching func(bool)
+	proofAge func(now time.Time) time.Duration // age of the copy
 	// entriesExpire is set if entries may expire while the store is unavailable, and those of live endpoints reappear soon
-	// after. proofAge returns the age of the copy.
+	// after.
 	entriesExpire bool
-	proofAge      func(now time.Time) time.Duration
+	recovery      *recovery
 	held          heldChanges
+	failing       atomic.Bool               // the last query failed
+	answered      atomic.Pointer[time.Time] // when the last query was answered; nil while the source does not query the store
 	// supersedes reports whether a listed object is certainly newer than the one held; nil if that cannot be told.
 	supersedes func(listed, held infra.Object) bool
 	// dropped, if not nil, is called with the number of objects of an answer that were older than those held.
@@ -63,14 +73,16 @@
 	retry.InitialInterval = minRetryDelay
 	retry.MaxInterval = maxRetryDelay
 	version := int64(0)
-	failing := false // the last query failed
 	for ctx.Err() == nil {
-		active := s.wanted(version > 0) || failing && s.mustProbe()
+		active := s.wanted(version > 0) || s.failing.Load() && s.mustProbe()
 		if s.watching != nil {
 			s.watching(active)
 		}
 		if !active {
-			version, failing = 0, false
+			version = 0
+			s.failing.Store(false)
+			s.answered.Store(nil)
+			s.release()
 			loop.Sleep(ctx, minRetryDelay)
 			continue
 		}
@@ -84,15 +96,16 @@
 			if ctx.Err() == nil {
 				s.failed(s.prefix, sent, err)
 			}
-			failing = true
-			s.waitToRetry(ctx, version > 0, retry.NextBackOff())
+			s.failing.Store(true)
+			s.recovery.queryFailed(sent)
+			s.waitToRetry(ctx, version > 0, s.retryDelay(sent, retry.NextBackOff()))
 			continue
 		}
-		failing = false
+		s.noteSuccess()
 		retry.Reset()
 		version = next
 		s.proved(s.prefix, sent)
-		s.mirror.Put(s.held.due(clock.Now())...)
+		s.release()
 		if changed {
 			loop.Sleep(ctx, s.batchDelay)
 		}
@@ -100,6 +113,38 @@
 	return nil
 }
 
+// noteSuccess records that a query was answered.
+func (s *source) noteSuccess() {
+	now := clock.Now()
+	s.failing.Store(false)
+	s.answered.Store(&now)
+}
+
+// isOverdue reports whether this source queries the store and the answer to a query is overdue.
+func (s *source) isOverdue(now time.Time) bool {
+	at := s.answered.Load()
+	return at != nil && now.Sub(*at) > s.wait+s.batchDelay+maxAnswerDelay
+}
+
+// release stores the changes that have been held back for long enough, and does so again when the others are due. While the store may be
+// unavailable again it stores none: what is missing could not come back. The next answer releases them.
+func (s *source) release() {
+	if s.failing.Load() || s.isOverdue(clock.Now()) {
+		return
+	}
+	s.mirror.Put(s.held.due(clock.Now())...)
+	s.held.releaseWhenDue(s.release)
+}
+
+// retryDelay returns the minimum time to wait after a query that was sent at the given time and has failed. A node that does not take
+// turns with others queries the store at least every maxQueryInterval: nobody else tells it that the store is back.
+func (s *source) retryDelay(sent time.Time, backoff time.Duration) time.Duration {
+	if s.queryDelay(1) > 0 {
+		return backoff
+	}
+	return min(backoff, max(clock.Until(sent.Add(maxQueryInterval)), minRetryDelay))
+}
+
 // waitToRetry waits after a failed query: at least for minimum, and then until this node's query delay has passed, the query is
 // no longer needed, or another source of this node has been answered. If no node had been answered for some time and others
 // now are, a node that must probe waits at most recoverySpread, one second: it cannot lead until the store has answered it
@@ -129,13 +174,17 @@
 
 // next lists or watches once, and returns the store version reached and whether a watch returned changes.
 func (s *source) next(ctx context.Context, version int64) (int64, bool, error) {
-	outage := s.entriesExpire && s.proofAge(clock.Now()) > outageAge
+	sent := clock.Now()
 	if version > 0 {
-		l, err := s.objects.Watch(ctx, s.prefix, version, s.wait)
+		wait := s.wait
+		if s.failing.Load() {
+			wait = min(wait, retryWatchTimeout)
+		}
+		l, err := s.objects.Watch(ctx, s.prefix, version, wait)
 		if err != nil {
 			return version, false, err
 		}
-		s.noteAnswer(outage)
+		s.noteAnswer(sent)
 		s.noteVersion(l.Version)
 		s.put(l.Objects)
 		return max(version, l.Version), len(l.Objects) > 0, nil
@@ -144,7 +193,7 @@
 	if err != nil {
 		return 0, false, err
 	}
-	s.noteAnswer(outage)
+	s.noteAnswer(sent)
 	s.noteVersion(l.Version)
 	listed := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
@@ -203,10 +252,11 @@
 	return supersedes != nil && supersedes(o, held)
 }
 
-// noteAnswer records that the store has answered; outage is set if it was unavailable before.
-func (s *source) noteAnswer(outage bool) {
-	if outage {
-		s.held.start(clock.Now(), storeOutage)
+// noteAnswer records that the store has answered a query.
+func (s *source) noteAnswer(sent time.Time) {
+	until := s.recovery.queryAnswered(sent, clock.Now())
+	if s.entriesExpire {
+		s.held.startUntil(until, storeOutage)
 	}
 }
 
@@ -230,6 +280,7 @@
 	if _, older := s.mirror.Update(taken); older > 0 && s.dropped != nil {
 		s.dropped(older)
 	}
+	s.held.releaseWhenDue(s.release)
 }
 
 // withMirrorVersion returns the object with the version that it has in the mirror: twice the store's revision, plus one for a
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -135,7 +135,7 @@
 	leads := func() bool { return n.controller.Leads(clock.Now()) > 0 }
 	n.follower = follow.NewFollower(n.platform.Objects, n.peerCaller, s.VM, leads, n.gossip.Live, logger)
 	n.follower.KeepsAll, n.follower.Others = n.keepsAll, n.gossip.KnownCount
-	n.follower.Beat, n.follower.Supersedes = s.EndpointBeat(), n.supersedes
+	n.follower.Beat, n.follower.StoreRecovery, n.follower.Supersedes = s.EndpointBeat(), s.StoreRecovery(), n.supersedes
 	n.follower.OnOlder, n.follower.OnHeld = newOlderCounter(n.scope), newHeldCounter(n.scope)
 	n.follower.StartDelay, n.follower.Relaying = n.startDelay, n.actsAsRelay
 	if s.Evacuations {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -53,6 +53,9 @@
 	// for three intervals is removed.
 	EndpointBeatMS int `json:"endpoint_beat_ms,omitempty"`
 
+	// StoreRecoveryMS is how long after the store's return, or after the path to it is whole again, a node has applied what it missed.
+	StoreRecoveryMS int `json:"store_recovery_ms,omitempty"`
+
 	// StallMS is the time after which endpoints abort a response that is not read. A caller that accepts nothing is cut
 	// within half of it.
 	StallMS int `json:"stall_ms,omitempty"`
@@ -80,7 +83,7 @@
 // of it with what the garbage collector leaves between two runs (GOGC 60), and the process needs the rest itself. A quarter of
 // that for one request is 8 MB, the longest answer read whole, from 100 MB of memory on.
 var gatewayDefaults = Gateway{
-	CredentialProofRequired: true, Capacity: 1, EndpointBeatMS: 1200, StallMS: 5000, HeldShare: 0.33, HeldRequestShare: 0.25,
+	CredentialProofRequired: true, Capacity: 1, EndpointBeatMS: 1200, StoreRecoveryMS: 3000, StallMS: 5000, HeldShare: 0.33, HeldRequestShare: 0.25,
 	LeaseTTLMS: 1500, LogLevel: "info", SampleOneIn: 20, FailureLinesSecond: 20,
 }
 
@@ -127,6 +130,9 @@
 // EndpointBeat returns the interval at which endpoints rewrite their entries.
 func (s *Gateway) EndpointBeat() time.Duration { return millis(s.EndpointBeatMS) }
 
+// StoreRecovery returns how long after the store's return a node has applied what it missed.
+func (s *Gateway) StoreRecovery() time.Duration { return millis(s.StoreRecoveryMS) }
+
 // Stall returns the time after which endpoints abort a response that is not read.
 func (s *Gateway) Stall() time.Duration { return millis(s.StallMS) }
 
--- a/internal/standin/estate/platform.go
+++ b/internal/standin/estate/platform.go
@@ -36,11 +36,23 @@
 // Restore makes the store come back from a copy. The workers write their entries again.
 func (p *Platform) Restore(c *Copy) {
 	p.Store.Restore(c)
+	p.WriteEntries()
+}
+
+// WriteEntries makes the workers write their entries again.
+func (p *Platform) WriteEntries() {
 	for _, w := range p.Workers() {
 		w.writeEntry()
 	}
 }
 
+// RemoveEntries removes the entries of all workers, which serve on.
+func (p *Platform) RemoveEntries() {
+	for _, w := range p.Workers() {
+		p.Store.Remove("servers", w.ID)
+	}
+}
+
 // StartWorker starts a worker of a service.
 func (p *Platform) StartWorker(service string) *Worker {
 	p.mu.Lock()
