server: a proof counts once what it covers is in force

Cause: the proof says of the copy of the store that nothing newer has been accepted. Requests go by the configuration in force, which another goroutine makes from the copy later. The two were read one by one, the configuration first.

Change: appliedProof. A proof of the copy counts only once all changes that it covers are applied; one function returns the proof and then the configuration, for requests, readiness, log and metric. The leader's view of the store follows the same rule.

--- a/internal/gateway/active_request.go
+++ b/internal/gateway/active_request.go
@@ -94,7 +94,7 @@
 		return nil
 	}
 	pairs := []any{"configuration", a.table.Version}
-	if now := a.gateway.Table(); now != nil && now.Version != a.table.Version {
+	if now, _ := a.gateway.Configuration(); now != nil && now.Version != a.table.Version {
 		pairs = append(pairs, "configuration_now", now.Version)
 	}
 	return pairs
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,12 +109,12 @@
 
 // admit sets the request's route, workspace and service, or returns the refusal if one of them cannot be determined.
 func (g *Gateway) admit(a *activeRequest) *Refusal {
-	table := g.Table()
+	table, provedAt := g.Configuration()
 	if table == nil {
 		return &Refusal{Reason: NotRun, Detail: "no configuration is known yet", RetryAfter: g.shortages.recordRefusal(configurationShortage, a.request.Received)}
 	}
 	a.table = table
-	age := clock.Since(g.Proof())
+	age := clock.Since(provedAt)
 	proved := age < g.ProofLimit-proofMargin
 	a.route = table.Match(a.request.Host, a.request.Path)
 	if a.route == nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -249,7 +249,7 @@
 	d.Apply(list, nil, time.Now())
 	noOthers := func(time.Time) *gossip.Totals { return gossip.NewTotals() }
 	s.gateway = gateway.New(gateway.Options{
-		Table: func() *route.Table { return s.table }, Proof: func() time.Time { return s.proof }, ProofLimit: 5 * time.Second,
+		Configuration: func() (*route.Table, time.Time) { return s.table, s.proof }, ProofLimit: 5 * time.Second,
 		Picker:     picker.New(picker.Options{Directory: d, Others: noOthers, Retiring: func(time.Time) map[string]bool { return nil }, Lost: func(string, time.Time) bool { return s.lost }}),
 		Quarantine: s.quarantine, Investigator: s.newInvestigator(d),
 		Limits: retry.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, Nodes: func() retry.Nodes { return retry.Nodes{All: 1, Busy: 1} }, Started: clock.Now().Add(-time.Minute), RequestLog: s.newRequestLog, Scope: s.scope,
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -13,9 +13,9 @@
 
 // Options configures a Gateway.
 type Options struct {
-	Table      func() *route.Table // the newest configuration received; nil if there is none
-	Proof      func() time.Time    // when Table was last proved current
-	ProofLimit time.Duration       // longest age of the proof for requests that need a credential
+	// Configuration returns the configuration in force, or nil if there is none, and a time as of which it is certainly current.
+	Configuration func() (t *route.Table, provedAt time.Time)
+	ProofLimit    time.Duration // longest age of the proof for requests that need a credential
 	// ProofOptional accepts credentials of the newest configuration received even if it cannot be proved current. Routes and
 	// credentials missing from it are then still refused as NotRun rather than for good, since a newer one may contain them.
 	ProofOptional bool
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -36,7 +36,8 @@
 // RefuseUnread refuses a request through x if this node is stopping and may end before the request, and reports whether it did. The
 // body of the request need not have been read.
 func (g *Gateway) RefuseUnread(r *Request, x Exchange) bool {
-	stop, table := g.Stop(), g.Table()
+	stop := g.Stop()
+	table, _ := g.Configuration()
 	if stop.End.IsZero() || table == nil {
 		return false
 	}
--- a/internal/server/changes.go
+++ b/internal/server/changes.go
@@ -21,7 +21,8 @@
 	var sequence uint64
 	for ctx.Err() == nil {
 		changed := n.follower.Mirror.Changed()
-		full := n.follower.Full() // read before Since, which then covers at least the copy that it describes
+		// These are read before Since, which then covers at least the copy that they describe.
+		full, configurationAt, endpointsAt := n.follower.Full(), n.follower.Current(keys.Accepted), n.follower.Current(keys.Endpoints)
 		var objects []infra.Object
 		objects, sequence = n.follower.Mirror.Since(sequence)
 		if len(objects) > 0 {
@@ -29,6 +30,8 @@
 		}
 		n.directory.SetRoutingOnly(!full)
 		n.appliedSequence.Store(sequence)
+		n.configurationProof.changesApplied(configurationAt)
+		n.endpointsProof.changesApplied(endpointsAt)
 		if len(objects) > 0 {
 			continue
 		}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -11,7 +11,6 @@
 
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/gossip"
-	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/loop"
 	"moorrun.dev/moorrun/internal/metrics"
 )
@@ -64,8 +63,8 @@
 	s := n.scope
 	loop.Every(ctx, metricsInterval, func(now time.Time) {
 		s.Gauge("store_era").Update(float64(n.platform.Era()))
-		s.Gauge("configuration_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Accepted)).Seconds())
-		s.Gauge("endpoints_proof_age_seconds").Update(now.Sub(n.follower.Current(keys.Endpoints)).Seconds())
+		s.Gauge("configuration_proof_age_seconds").Update(now.Sub(n.configurationProof.current()).Seconds())
+		s.Gauge("endpoints_proof_age_seconds").Update(now.Sub(n.endpointsProof.current()).Seconds())
 		n.updateFetchAges(now)
 		s.Gauge("isolated").Update(boolGauge(n.reach.Isolated()))
 		s.Gauge("endpoints_detoured").Update(float64(n.dialer.Detours()))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -89,7 +89,9 @@
 	callerConns         callerConns
 	stop                atomic.Pointer[stopSchedule] // nil until this node is told to stop
 	registrationWritten bool                         // this process has written its registration; used by register only
-	appliedSequence     atomic.Uint64                // sequence of the mirror up to which changes are in the directory
+	appliedSequence     atomic.Uint64                // sequence of the mirror up to which changes are in force and in the directory
+	configurationProof  appliedProof                 // of the configuration in force
+	endpointsProof      appliedProof                 // of the directory
 	listedAt            atomic.Pointer[time.Time]    // the directory holds all endpoints that the store held at that time
 	relayTenure         relayTenure
 	election            *election
@@ -141,6 +143,8 @@
 	if s.Evacuations {
 		n.follower.AddPrefixes(keys.Evacuations)
 	}
+	n.setUpProof(&n.configurationProof, keys.Accepted)
+	n.setUpProof(&n.endpointsProof, keys.Endpoints)
 	n.gossip.OnBeat = n.handleBeat
 	n.gossip.CapacityPerRequest = capacityPerCore * coresPerRequest / targetCPUFraction
 	n.gossip.OnSent = newBeatCounter(n.scope)
@@ -155,13 +159,13 @@
 	n.leaseClient.EpochsAbove = n.epochsBeforeEra
 	n.controller = formation.NewController(formation.Options{
 		Engine: n.platform.Engine, Directory: n.directory, Table: n.table.Load, Lease: n.leaseClient.Held, WriteInterval: s.EndpointBeat(),
-		CurrentAsOf: func() time.Time { return n.follower.Current(keys.Endpoints) }, ListedAsOf: n.endpointsListedAt, PeerTotals: n.gossip.Others, OwnStatus: n.ownStatus,
+		CurrentAsOf: n.endpointsProof.current, ListedAsOf: n.endpointsListedAt, PeerTotals: n.gossip.Others, OwnStatus: n.ownStatus,
 		Busy: func() bool { return n.requests.Load() > 0 }, MayLead: n.gossip.Relaying, AskPeers: n.askPeers, OnGroupsAdded: n.gossip.Kick,
 		OnPlanFailed: newPlanFailureCounter(n.scope), OnJoin: newJoinCounter(n.scope), Logger: logger,
 	})
 	decisions := eventlog.NewDecisions(logger, eventlog.Limits{SampleOneIn: s.SampleOneIn, Failures: s.FailureLinesSecond})
 	n.gateway = gateway.New(gateway.Options{
-		Table: n.table.Load, Proof: func() time.Time { return n.follower.Current(keys.Accepted) }, ProofLimit: s.ProofLimit(),
+		Configuration: n.configuration, ProofLimit: s.ProofLimit(),
 		ProofOptional: !s.CredentialProofRequired,
 		Picker:        n.picker, Quarantine: n.quarantine, Investigator: n.investigator, Limits: retry.Limits{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow()},
 		Nodes: n.nodeCounts, Started: n.started, Stop: n.plannedStop,
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -12,7 +12,6 @@
 	"moorrun.dev/moorrun/internal/endpoint"
 	"moorrun.dev/moorrun/internal/formation"
 	"moorrun.dev/moorrun/internal/gossip"
-	"moorrun.dev/moorrun/internal/keys"
 	"moorrun.dev/moorrun/internal/lease"
 )
 
@@ -59,13 +58,14 @@
 
 // serving reports whether this node can answer requests.
 func (n *Server) serving(now time.Time) bool {
-	if n.table.Load() == nil {
+	t, provedAt := n.configuration()
+	if t == nil {
 		return false
 	}
 	if !n.settings.CredentialProofRequired {
 		return true
 	}
-	age := now.Sub(n.follower.Current(keys.Accepted))
+	age := now.Sub(provedAt)
 	return float64(age) < serveFraction*float64(n.settings.ProofLimit())
 }
 
