server: no proof counts beside a configuration that cannot be read

What callers saw: with revoke_strict, credentials that a stored configuration may have taken away went on counting for good when that configuration could not be read. Cause: it was logged and passed over, and the earlier one counted as proved by each later answer of the store.

Change: the proof of the configuration in force stays as it was until a later configuration can be read; then credentials are refused as not run after credential_proof_ms, and readiness fails. Routes without credentials go on.

Evidence: TestProofDoesNotCountForAConfigurationThatCannotBeRead failed before (waited 20 s for a refusal).

--- a/internal/server/applied_proof.go
+++ b/internal/server/applied_proof.go
@@ -12,8 +12,9 @@
 	sequence func() uint64    // of the newest change of the copy
 	applied  func() uint64    // sequence of the copy up to which its changes have been applied
 
-	mu sync.Mutex
-	at time.Time
+	mu         sync.Mutex
+	at         time.Time
+	incomplete bool // the newest object of the copy cannot be applied
 }
 
 // current returns a time as of which what has been applied is certainly current. What is applied later is current as of then, too: read
@@ -37,7 +38,15 @@
 }
 
 func (p *appliedProof) advance(at time.Time) {
-	if at.After(p.at) {
+	if !p.incomplete && at.After(p.at) {
 		p.at = at
 	}
 }
+
+// setIncomplete records whether the newest object of the copy cannot be applied. No later proof counts while it is so. It must be called
+// before the changes count as applied.
+func (p *appliedProof) setIncomplete(incomplete bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.incomplete = incomplete
+}
--- a/internal/server/changes.go
+++ b/internal/server/changes.go
@@ -121,9 +121,11 @@
 func (n *Server) applyConfiguration(o infra.Object) {
 	t, err := n.platform.Table(follow.Version(o), o.Value)
 	if err != nil {
+		n.configurationProof.setIncomplete(true)
 		_ = level.Error(n.logger).Log("msg", "configuration cannot be read", "key", o.Key, "revision", infra.RevisionOf(follow.Version(o)), "err", err)
 		return
 	}
+	n.configurationProof.setIncomplete(false)
 	if held := n.table.Load(); held != nil && !t.Supersedes(held) {
 		return
 	}
--- a/internal/server/configuration_test.go
+++ b/internal/server/configuration_test.go
@@ -218,6 +218,18 @@
 	}
 }
 
+// Guards against credentials that are accepted for good although a later configuration, which cannot be read, may have taken them away.
+func TestProofDoesNotCountForAConfigurationThatCannotBeRead(t *testing.T) {
+	c := startConfigurationNode(t)
+	c.source.set(unreadableValue)
+	c.await(t, "the configuration in force is not proved any more", func() bool { return c.answer("first") == unproved })
+	c.copied(t, false)
+	qt.Check(t, c.answer("first"), qt.Equals, unproved)
+	c.source.set("second")
+	c.await(t, "the second configuration is in force", func() bool { return c.answer("second") == admitted })
+	qt.Check(t, c.answer("first"), qt.Equals, unknown)
+}
+
 // Guards against a configuration that counts as unproved while other changes keep coming.
 func TestConfigurationIsProvedWhileOtherChangesAreApplied(t *testing.T) {
 	c := startConfigurationNode(t)
