httpcall: check the head of a response before it is parsed

What callers saw: an endpoint in trouble answered with status 000, and the caller got 200 with its body; names of fields with a blank were passed on, or with the blank taken away, 'Content-Length : 3' cut the body; chunk sizes within a body, statuses 099, 600 and 101. The store, reports and orders took status 000 for success, too.

Cause: fasthttp keeps a status as a number in which 0 stands for not set and reads as 200, and accepts statuses, versions, names and framing that HTTP does not know. The rest of the program relies on the definitions.

Change: awaitHead waits for the whole head and checks it by RFC 9112 before fasthttp sees it, for every response that the daemon reads. What fails counts as bytes that are no answer. answers_malformed counts them, and the error says what is wrong without quoting the endpoint.

--- a/internal/gateway/failed_attempt.go
+++ b/internal/gateway/failed_attempt.go
@@ -74,6 +74,7 @@
 	switch {
 	case errors.Is(err, tunnel.ErrBroken), errors.Is(err, errStalled), errors.Is(err, errHeldBack), errors.Is(err, errCallerGone):
 	case errors.Is(err, ErrNoAnswer):
+		a.gateway.metrics.malformed.Inc(1)
 		place.RecordNoAnswer(clock.Now())
 	case a.isStream() && v != verdict.NotRun && ctx.Err() != nil:
 	default:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,7 @@
 	stopped            tally.Counter              // attempts stopped before they began, for the same reason
 	refusedStopping    tally.Counter              // requests refused because this node is stopping
 	late               tally.Counter              // answers that missed an objective
+	malformed          tally.Counter              // attempts that an endpoint answered with bytes that are no answer
 	callersCut         map[readers.Reason]tally.Counter
 	firstEvent, answer tally.Timer // time to the first event of a stream, and to the end of an answer
 	placeWait          tally.Timer // wait for a place
@@ -42,6 +43,7 @@
 		heldBack:  scope.Counter("requests_held_back"),
 		stopped:   scope.Counter("attempts_stopped"),
 		late:      scope.Counter("requests_late"),
+		malformed: scope.Counter("answers_malformed"),
 
 		refusedStopping: scope.Counter("requests_refused_stopping"),
 		firstEvent:      scope.Timer("first_event"), answer: scope.Timer("answer"), placeWait: scope.Timer("queue_wait"),
--- a/internal/httpcall/allowance.go
+++ b/internal/httpcall/allowance.go
@@ -18,43 +18,35 @@
 // allowance bounds what is read from a connection, so that bytes that never become part of a response are not read for ever.
 type allowance struct {
 	net.Conn
-	left int
+	left   int
+	failed error // of the last read
 }
 
 // Read implements net.Conn. It returns ErrEndless once the allowance is used up.
 func (a *allowance) Read(p []byte) (int, error) {
 	if a.left <= 0 {
+		a.failed = ErrEndless
 		return 0, ErrEndless
 	}
 	n, err := a.Conn.Read(p[:min(len(p), a.left)])
 	a.left -= n
+	a.failed = err
 	return n, err
 }
 
-// headError is the error of reading a response's header, without what the endpoint has sent: errors may be told to callers.
-type headError struct{ err error }
-
-// errBlankLines means that nothing but blank lines has arrived.
-var errBlankLines = errors.New("blank lines in place of a response")
-
-// headError returns the error to report for one that reading the response has returned.
-func (a *Answer) headError(err error) error {
+// readError returns the error to report for one that fasthttp has returned, without what the endpoint has sent: errors may be told to
+// callers.
+func (a *Answer) readError(err error) error {
 	var tooLong *fasthttp.ErrSmallBuffer
-	cause := errors.Unwrap(err)
+	failed := a.conn.allowance.failed
 	switch {
 	case errors.As(err, &tooLong):
-		return headError{ErrEndless}
-	case errors.Is(err, io.EOF) && a.conn.reader.Buffered() > 0: // fasthttp takes blank lines for the end of the connection
-		return headError{errBlankLines}
-	case cause == nil, errors.Is(err, io.EOF):
+		return ErrEndless
+	case err == nil, errors.Is(err, io.EOF), IsBroken(err), errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return err
+	case failed != nil && errors.Is(err, failed):
+		return failed
 	default:
-		return headError{cause}
+		return errBody
 	}
 }
-
-// Error implements error.
-func (e headError) Error() string { return "reading the response's header: " + e.err.Error() }
-
-// Unwrap returns the cause.
-func (e headError) Unwrap() error { return e.err }
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -123,12 +123,15 @@
 
 func (a *Answer) receive(o Options) error {
 	a.Response.StreamBody = o.Stream
+	a.conn.allowance.left = maxOverhead
+	if err := awaitHead(a.conn.reader); err != nil {
+		return err
+	}
 	if o.Stream {
-		a.conn.allowance.left = maxOverhead
 		err := a.Response.Read(a.conn.reader)
 		a.header = err == nil
 		a.received = a.received || a.header
-		return a.headError(err)
+		return a.readError(err)
 	}
 	limit := o.MaxBody
 	if limit == 0 {
@@ -136,7 +139,7 @@
 	}
 	a.conn.allowance.left = maxOverhead + 2*limit // chunks may take as much again
 	if err := a.Response.ReadLimitBody(a.conn.reader, limit); err != nil {
-		return a.headError(err)
+		return a.readError(err)
 	}
 	a.complete, a.received = true, true
 	return nil
