httpcall: errors of bodies do not quote the endpoint

What callers saw: a 502 whose text quoted the bytes of an odd trailer that the endpoint had sent. Cause: fasthttp's errors hold them, and those of bodies were passed on as they are, unlike those of heads. Change: one rule for both.

Evidence: TestOddHeadsAreNoAnswers, 'control byte in a trailer', failed before.

--- a/internal/httpcall/answer.go
+++ b/internal/httpcall/answer.go
@@ -43,7 +43,7 @@
 	if err == io.EOF {
 		a.complete = true
 	}
-	return n, err
+	return n, a.readError(err)
 }
 
 // SetReadTimeout bounds the wait for the next bytes of a streamed body. Once the call's context has ended, reads fail
