cmd: moorrun reads answers by the same rule as the daemon

A status that HTTP does not know counted as 200. The command line used fasthttp's client; it uses httpcall now, which checks heads. A call still goes to one node after another.

--- a/internal/cmd/client.go
+++ b/internal/cmd/client.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"os"
@@ -12,11 +13,13 @@
 
 	"moorrun.dev/moorrun/internal/adminapi"
 	"moorrun.dev/moorrun/internal/exitcode"
+	"moorrun.dev/moorrun/internal/httpcall"
 )
 
 const (
 	readTimeout  = 3 * time.Second // for a GET, after which the next node is tried
 	callTimeout  = 15 * time.Second
+	maxReply     = 64 << 20 // bytes
 	nodesEnv     = "MOORRUN_NODES"
 	defaultNodes = "127.0.0.1:7001"
 )
@@ -25,7 +28,7 @@
 type Client struct {
 	nodes []string
 	token string
-	http  *fasthttp.Client
+	calls *httpcall.Client
 }
 
 func nodesFromEnv() []string {
@@ -38,10 +41,8 @@
 func newClient(flags *pflag.FlagSet) (*Client, error) {
 	nodes, _ := flags.GetStringSlice("node")
 	file, _ := flags.GetString("token-file")
-	c := &Client{nodes: nodes, http: &fasthttp.Client{
-		ReadTimeout: callTimeout, WriteTimeout: callTimeout, MaxIdemponentCallAttempts: 1,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	c := &Client{nodes: nodes, calls: httpcall.NewClient()}
+	c.calls.DialTimeout = readTimeout
 	if file == "" {
 		return c, nil
 	}
@@ -93,9 +94,8 @@
 }
 
 func (c *Client) callNode(node, method, path string, in any) (reply, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + node + path)
 	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
@@ -110,10 +110,12 @@
 	if method == fasthttp.MethodGet {
 		timeout = readTimeout
 	}
-	if err := c.http.DoTimeout(request, response, timeout); err != nil {
+	answer, err := c.calls.Do(context.Background(), fasthttp.AddMissingPort(node, false), request, httpcall.Options{Timeout: timeout, MaxBody: maxReply})
+	if err != nil {
 		return reply{}, err
 	}
-	return reply{response.StatusCode(), append([]byte{}, response.Body()...)}, nil
+	defer answer.Close() //nolint:errcheck // the body was read completely
+	return reply{answer.Response.StatusCode(), append([]byte{}, answer.Response.Body()...)}, nil
 }
 
 // get sends a GET request and decodes the response.
