--- a/internal/httpcall/response_head_test.go
+++ b/internal/httpcall/response_head_test.go
@@ -201,6 +201,7 @@
 			return 0, nil, err
 		}
 		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
 		if response.StatusCode >= lowestFinalStatus || err != nil {
 			return response.StatusCode, body, err
 		}
