follow: files named for what they hold

follower.go holds the copy and its sources, watching.go who watches the store, answers.go what its answers and failures tell, store_copy.go what a store that came back from a copy may lack.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -9,7 +9,6 @@
 import (
 	"cmp"
 	"context"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -172,30 +171,6 @@
 	return g.Wait()
 }
 
-func (f *Follower) proved(prefix string, at time.Time) {
-	f.proof.fromStore(prefix, at)
-	f.mu.Lock()
-	if prefix == keys.Endpoints {
-		f.full = true
-		f.lastListing = storeListing{at, f.Mirror.Sequence()}
-	}
-	failures := f.failing[prefix]
-	delete(f.failing, prefix)
-	now := clock.Now()
-	f.lastAnswer = now
-	f.mu.Unlock()
-	if failures != nil {
-		_ = level.Info(f.logger).Log("msg", "dependency regained", "dependency", "store", "prefix", prefix, "failed_queries", failures.count,
-			"lost_ms", now.Sub(failures.firstSent).Milliseconds(), "since_last_failed_ms", now.Sub(failures.lastSent).Milliseconds())
-	}
-}
-
-// queryFailures describes the queries to the store that have failed since the last one that was answered.
-type queryFailures struct {
-	count               int
-	firstSent, lastSent time.Time
-}
-
 // Sources of objects that are older than those of the copy.
 const (
 	olderFromStore = "store"
@@ -229,132 +204,6 @@
 		"revision", infra.RevisionOf(to), "known_revision", infra.RevisionOf(from), "era", infra.EraOf(to))
 }
 
-func (f *Follower) failed(prefix string, sent time.Time, err error) {
-	f.mu.Lock()
-	failures := f.failing[prefix]
-	if failures == nil {
-		failures = &queryFailures{firstSent: sent}
-		f.failing[prefix] = failures
-	}
-	failures.count++
-	failures.lastSent = sent
-	first := failures.count == 1
-	f.mu.Unlock()
-	if first {
-		_ = level.Warn(f.logger).Log("msg", "dependency lost", "dependency", "store", "prefix", prefix, "err", err)
-		return
-	}
-	_ = level.Debug(f.logger).Log("msg", "query failed again", "dependency", "store", "prefix", prefix, "took_ms", clock.Since(sent).Milliseconds(), "err", err)
-}
-
-// queryDelay returns how long this node waits before it queries an unavailable store again, for a random number from 0 to 1.
-// The leader and a node that hears no other do not wait. Other nodes wait even if they have had no copy yet: a node that is
-// answered passes the copy on, and the store could not answer all nodes of a starting fleet at once.
-func (f *Follower) queryDelay(jitter float64) time.Duration {
-	if f.leads() {
-		return 0
-	}
-	now := clock.Now()
-	others := f.Others(now)
-	if f.Relaying() {
-		others = f.otherRelays(now)
-	}
-	return time.Duration(2 * jitter * float64(others) * float64(fleetQueryInterval))
-}
-
-// mustProbe reports whether this node has to detect whether the store answers it, even while other nodes keep its copy
-// current: a relay may become the next leader. If all 986 nodes of a fleet did so, each recovery of the store would cost some
-// 9,000 calls.
-func (f *Follower) mustProbe() bool { return f.leads() || f.Relaying() }
-
-// lastAnswered returns when the store last answered this node.
-func (f *Follower) lastAnswered() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.lastAnswer
-}
-
-// shouldWatch reports whether this node should watch the store itself now; watching is set if it already does. A watching
-// node continues until another node watches. A node that has left it to another resumes only when its proof is too old: each
-// start takes a list of everything, and a watcher's proof is now and then a little older than this node accepts.
-func (f *Follower) shouldWatch(watching bool) bool {
-	if f.leads() {
-		return true
-	}
-	now := clock.Now()
-	at, _ := f.proof.currentAll()
-	switch {
-	case at.IsZero():
-		return now.Sub(f.started) > f.StartDelay() && !f.watchedElsewhere(now, maxPullLag+f.firstCopyDelay(now))
-	case watching:
-		return !f.watchedElsewhere(now, maxPullLag)
-	case now.Sub(at) <= relayMaxProofAge: // checked first: it is nearly always true and does not need the live nodes
-		return false
-	case !f.Relaying():
-		return now.Sub(at) > reporterMaxProofAge+f.reporterDelay(now)
-	}
-	return now.Sub(at) > relayMaxProofAge+f.rankDelay(now, maxPullLag) && !f.watchedElsewhere(now, maxPullLag)
-}
-
-// firstCopyDelay returns how long a node without a copy waits for nodes whose changes it fails to pull before it watches the store
-// itself, so that the nodes of a starting fleet do not list the store at once.
-func (f *Follower) firstCopyDelay(now time.Time) time.Duration {
-	if f.Relaying() {
-		return f.rankDelay(now, math.MaxInt64)
-	}
-	return f.reporterDelay(now)
-}
-
-// reporterDelay returns how long this reporter waits for the other nodes to watch the store.
-func (f *Follower) reporterDelay(now time.Time) time.Duration {
-	return time.Duration(f.jitter * float64(f.Others(now)) * float64(fleetQueryInterval))
-}
-
-// watchedElsewhere reports whether another node watches the store for all. A heartbeat alone does not show that: a node does not count
-// if this node has lacked what it announces for longer than maxLag.
-//
-// A node that is no relay is not sent which nodes watch, only that its relay is current while there is a leader, and the proof that it receives is about half a second older
-// than the one that a relay receives. With the limit for relays, an idle node that had once begun to watch found the proof
-// too old each time and went on watching forever, with 6.6 calls a second.
-func (f *Follower) watchedElsewhere(now time.Time, maxLag time.Duration) bool {
-	maxAge := relayMaxProofAge
-	if !f.Relaying() {
-		maxAge = reporterMaxProofAge
-	}
-	led, upstream := false, false
-	for _, p := range f.live(now) {
-		current := now.Sub(p.ProofAt) < maxAge && f.peerPulls.lag(p.Incarnation, now) <= maxLag
-		if p.Watching && current && (p.LeaderEpoch > 0 || p.VM < f.self) {
-			return true
-		}
-		led = led || p.LeaderEpoch > 0
-		upstream = upstream || p.Upstream && current
-	}
-	return led && upstream
-}
-
-// rankDelay returns how long this relay waits for the relays that come before it to watch the store. It does not wait for those whose
-// changes it has failed to pull for longer than maxLag: what they have does not reach it.
-func (f *Follower) rankDelay(now time.Time, maxLag time.Duration) time.Duration {
-	relays, relaysBefore := 1+f.otherRelays(now), 0
-	for _, p := range f.live(now) {
-		if p.Relay && p.VM < f.self && f.peerPulls.lag(p.Incarnation, now) <= maxLag {
-			relaysBefore++
-		}
-	}
-	return min(time.Duration(relaysBefore)*delayPerRank, maxRankDelay*time.Duration(relaysBefore)/time.Duration(relays))
-}
-
-func (f *Follower) otherRelays(now time.Time) int {
-	n := 0
-	for _, p := range f.live(now) {
-		if p.Relay {
-			n++
-		}
-	}
-	return n
-}
-
 // EnqueueBeat passes a heartbeat of another node to Run; it never blocks.
 func (f *Follower) EnqueueBeat(p *gossip.Peer) {
 	if p.ProofAt.IsZero() {
@@ -405,10 +254,3 @@
 // CurrentAll returns a time as of which the objects below all prefixes are certainly current, and whether it was obtained from
 // the store itself.
 func (f *Follower) CurrentAll() (at time.Time, watching bool) { return f.proof.currentAll() }
-
-// StoreAnswers reports whether the last queries of this node to the store, one for each prefix, have not failed.
-func (f *Follower) StoreAnswers() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.failing) == 0
-}
--- a/internal/follow/recovery.go
+++ b/internal/follow/recovery.go
@@ -20,7 +20,7 @@
 // How old this node's copy is does not show an outage: other nodes may have been answered meanwhile.
 type recovery struct {
 	grace, limit time.Duration
-	// othersUnserved reports whether this node hears others, none of which the store has answered lately; nil if it hears none.
+	// othersUnserved, if not nil, reports whether this node hears others, none of which the store has answered lately.
 	othersUnserved func(now time.Time) bool
 
 	mu     sync.Mutex
