Count the store's return from all nodes' queries where nodes take turns

What callers saw: in a fleet of many nodes, refusals for up to two seconds after an outage of the store: nodes had dropped endpoints whose entries had lapsed and were not back yet.

Cause: the hold of removals was bounded by this node's last failed query. A node that takes turns with others sends one each 1.6 s with eight other relays, each 14 s with 70, so the bound lay long before the return.

Change: such a node counts from at most 0.5 s before the first answer of any node, which is how often the leader queries, or from as long before as its repeated queries hang. A node with at most two others queries every 0.5 s itself and goes by its own failures.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -117,7 +117,7 @@
 		pulled: make(map[string]pullProgress), failing: make(map[string]*queryFailures),
 	}
 	f.Others = func(now time.Time) int { return len(live(now)) }
-	f.recovery = &recovery{othersUnserved: f.othersUnserved}
+	f.recovery = &recovery{othersUnserved: f.othersUnserved, takesTurns: f.takesTurns}
 	return f
 }
 
--- a/internal/follow/outage_test.go
+++ b/internal/follow/outage_test.go
@@ -169,21 +169,24 @@
 	outages    = 40
 )
 
-// Guards against requests to an endpoint that left while this node could not reach the store, long after it can reach it again.
+// Guards against requests to an endpoint that left while this node could not reach the store, long after it can reach it again. The other
+// relays, if any, were cut off, too.
 func TestRemovalDuringAnOutageCountsSoonAfterIt(t *testing.T) {
-	for _, kind := range []outageKind{refused, noDial, silent} {
-		for i := range outages {
-			store := newOutageStore("gone", "stays")
-			followAlone(t, store, func(f *Follower) {
-				store.setDown(kind, true)
-				time.Sleep(2 * time.Second)
-				store.remove("gone")
-				time.Sleep(3500*time.Millisecond + time.Duration(i)*outageStep)
-				store.setDown(kind, false)
-				time.Sleep(storeRecovery)
-				qt.Check(t, stateOf(f.Mirror, "gone"), qt.Equals, "none", qt.Commentf("%s, phase %d", kind, i))
-				qt.Check(t, stateOf(f.Mirror, "stays"), qt.Equals, "{}")
-			})
+	for _, relays := range []int{0, 2} {
+		for _, kind := range []outageKind{refused, noDial, silent} {
+			for i := range outages {
+				store := newOutageStore("gone", "stays")
+				followBeside(t, store, relays, func(f *Follower) {
+					store.setDown(kind, true)
+					time.Sleep(2 * time.Second)
+					store.remove("gone")
+					time.Sleep(3500*time.Millisecond + time.Duration(i)*outageStep)
+					store.setDown(kind, false)
+					time.Sleep(storeRecovery)
+					qt.Check(t, stateOf(f.Mirror, "gone"), qt.Equals, "none", qt.Commentf("%d relays, %s, phase %d", relays, kind, i))
+					qt.Check(t, stateOf(f.Mirror, "stays"), qt.Equals, "{}")
+				})
+			}
 		}
 	}
 }
@@ -240,36 +243,54 @@
 	}
 }
 
-// Guards against endpoints that are dropped by a node to which another one has told, before its own query was answered, that the store
-// is back.
+// Guards against endpoints that are dropped by a node which queried the store long before its return, because it takes turns with others,
+// and to which another one has told that the store is back.
 func TestEntriesThatLapsedAreKeptWhereAnotherNodeWasAnsweredFirst(t *testing.T) {
+	for _, relays := range []int{2, 8, 70} {
+		for i := range outages {
+			store := newOutageStore("lapses", "stays")
+			followBeside(t, store, relays, func(f *Follower) {
+				store.setDown(refused, true)
+				time.Sleep(4 * time.Second)
+				store.remove("lapses")
+				time.Sleep(time.Second + time.Duration(i)*outageStep)
+				store.setDown(refused, false)
+				returned := time.Now()
+				time.Sleep(time.Duration(i) * maxQueryInterval / outages)
+				relayProofs(f, returned.Add(lapseLimit))
+				qt.Check(t, stateOf(f.Mirror, "lapses"), qt.Equals, "{}", qt.Commentf("%d relays, phase %d", relays, i))
+				qt.Check(t, f.lastAnswered().After(returned), qt.IsTrue, qt.Commentf("the store has answered this node"))
+				relayProofs(f, returned.Add(storeRecovery))
+				qt.Check(t, stateOf(f.Mirror, "lapses"), qt.Equals, "none", qt.Commentf("%d relays, phase %d", relays, i))
+				qt.Check(t, stateOf(f.Mirror, "stays"), qt.Equals, "{}")
+			})
+		}
+	}
+}
+
+// followBeside runs a node that hears the given number of other relays, and calls play once it has had its first copy.
+func followBeside(t *testing.T, store *outageStore, relays int, play func(f *Follower)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		store := newOutageStore("lapses")
-		others := relayPeers(8)(time.Now())
-		f := NewFollower(store, &fakePuller{sequence: 1}, "node-5", func() bool { return false }, func(time.Time) []*gossip.Peer { return others }, log.NewNopLogger())
+		f := NewFollower(store, &fakePuller{sequence: 1}, "node-5", func() bool { return false }, relayPeers(relays), log.NewNopLogger())
 		ended := make(chan error, 1)
 		go func() { ended <- f.Run(ctx) }()
 		time.Sleep(3 * time.Second)
-		qt.Assert(t, stateOf(f.Mirror, "lapses"), qt.Equals, "{}")
-		store.setDown(refused, true)
-		time.Sleep(4 * time.Second)
-		store.remove("lapses")
-		time.Sleep(time.Second)
-		store.setDown(refused, false)
-		returned := time.Now()
-		f.EnqueueBeat(watchingLeader(1, time.Now()))
-		for time.Since(returned) < lapseLimit {
-			time.Sleep(100 * time.Millisecond)
-			f.EnqueueBeat(watchingLeader(1, time.Now()))
-		}
-		qt.Check(t, stateOf(f.Mirror, "lapses"), qt.Equals, "{}")
-		qt.Check(t, f.lastAnswered().After(returned), qt.IsTrue, qt.Commentf("the store has answered this node"))
+		play(f)
 		cancel()
 		qt.Check(t, <-ended, qt.IsNil)
 	})
 }
 
+// relayProofs makes the node receive heartbeats of a leader that the store answers, until the given time.
+func relayProofs(f *Follower, until time.Time) {
+	for time.Now().Before(until) {
+		f.EnqueueBeat(watchingLeader(1, time.Now()))
+		time.Sleep(min(100*time.Millisecond, time.Until(until)))
+	}
+}
+
 // Guards against a removal that is held back because this node's copy is old, although nothing shows that the store was unavailable: the
 // nodes that kept the copy current are lost.
 func TestRemovalCountsAtOnceWhereOnlyTheCopyIsOld(t *testing.T) {
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -20,7 +20,7 @@
 	minRetryDelay = 100 * time.Millisecond
 	// maxRetryDelay caps the backoff between attempts: all time limits for a node that is cut off are a few seconds.
 	maxRetryDelay = 700 * time.Millisecond
-	// maxQueryInterval is the interval at which a node that hears no other queries an unavailable store.
+	// maxQueryInterval is the interval at which a node that does not wait for others queries an unavailable store.
 	maxQueryInterval = 500 * time.Millisecond
 	// retryWatchTimeout is how long a watch waits for changes after a failed one: the answer tells that the store is back.
 	retryWatchTimeout = 10 * time.Millisecond
@@ -95,8 +95,7 @@
 			if ctx.Err() == nil {
 				s.failed(s.prefix, sent, err)
 			}
-			s.failing.Store(true)
-			s.recovery.queryFailed(sent)
+			s.recovery.queryFailed(sent, clock.Now(), s.failing.Swap(true))
 			s.waitToRetry(ctx, version > 0, s.retryDelay(sent, retry.NextBackOff()))
 			continue
 		}
@@ -135,10 +134,10 @@
 	s.held.releaseWhenDue(s.release)
 }
 
-// retryDelay returns the minimum time to wait after a query that was sent at the given time and has failed. A node that does not take
-// turns with others queries the store at least every maxQueryInterval: nobody else tells it that the store is back.
+// retryDelay returns the minimum time to wait after a query that was sent at the given time and has failed. A node that does not wait for
+// others, or for few, queries the store at least every maxQueryInterval: perhaps nobody else tells it that the store is back.
 func (s *source) retryDelay(sent time.Time, backoff time.Duration) time.Duration {
-	if s.queryDelay(1) > 0 {
+	if s.queryDelay(1) > maxQueryInterval {
 		return backoff
 	}
 	return min(backoff, max(clock.Until(sent.Add(maxQueryInterval)), minRetryDelay))
--- a/internal/follow/watching.go
+++ b/internal/follow/watching.go
@@ -22,6 +22,11 @@
 	return time.Duration(2 * jitter * float64(others) * float64(fleetQueryInterval))
 }
 
+// takesTurns reports whether this node leaves it to others that it hears to query an unavailable store often.
+func (f *Follower) takesTurns() bool {
+	return len(f.live(clock.Now())) > 0 && f.queryDelay(1) > maxQueryInterval
+}
+
 // mustProbe reports whether this node has to detect whether the store answers it, even while other nodes keep its copy
 // current: a relay may become the next leader. If all 986 nodes of a fleet did so, each recovery of the store would cost some
 // 9,000 calls.
@@ -66,9 +71,9 @@
 // watchedElsewhere reports whether another node watches the store for all. A heartbeat alone does not show that: a node does not count
 // if this node has lacked what it announces for longer than maxLag.
 //
-// A node that is no relay is not sent which nodes watch, only that its relay is current while there is a leader, and the proof that it receives is about half a second older
-// than the one that a relay receives. With the limit for relays, an idle node that had once begun to watch found the proof
-// too old each time and went on watching forever, with 6.6 calls a second.
+// A node that is no relay is not sent which nodes watch, only that its relay is current while there is a leader, and the proof that it
+// receives is about half a second older than the one that a relay receives. With the limit for relays, an idle node that had once begun
+// to watch found the proof too old each time and went on watching forever, with 6.6 calls a second.
 func (f *Follower) watchedElsewhere(now time.Time, maxLag time.Duration) bool {
 	maxAge := relayMaxProofAge
 	if !f.Relaying() {
