Drop no endpoint by the word of an older copy

A node that pulls another's copy from the start drops the endpoints which that one lacks. It did so even if the other's copy was older than its own: it then announced a proof as of which it lacked live endpoints, and others that pulled from it dropped them as well, until all had been pulled again. Callers of such a node may get refusals although the endpoint serves.

Now it drops only what a node with a newer proof lacks. A copy that was pulled while it was older is pulled from the start again once it is newer, so that what was removed before that node started is still dropped. TestEndpointThatANodeWithAnOlderCopyLacksIsKept failed before.

--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -17,6 +17,8 @@
 type pullProgress struct {
 	sequence uint64
 	routing  bool // only objects needed for routing have been pulled
+	// unreconciled is set if endpoints that the other node lacks were kept, because its copy was older than this node's.
+	unreconciled bool
 }
 
 // Full reports whether the copy holds all endpoints. The copy of a node that is neither a relay nor watches the store holds only
@@ -46,7 +48,8 @@
 	f.mu.Lock()
 	have, known := f.pulled[p.Incarnation]
 	f.mu.Unlock()
-	if have.routing != routing {
+	newer := p.ProofAt.After(at)
+	if have.routing != routing || have.unreconciled && newer {
 		have, known = pullProgress{routing: routing}, false
 	}
 	if known && have.sequence >= wanted {
@@ -65,6 +68,10 @@
 		f.setFull(false)
 	}
 	reconcile := have.sequence == 0 && routing != needsFull
+	if have.sequence == 0 {
+		have.unreconciled = reconcile && !newer
+	}
+	reconcile = reconcile && newer
 	if !f.pull(ctx, p, have, wanted, reconcile) {
 		return
 	}
@@ -122,7 +129,7 @@
 	}
 }
 
-// dropMissing drops endpoints that another node no longer has, unless this node watches the store itself, which is
+// dropMissing drops endpoints that another node with a newer copy no longer has, unless this node watches the store itself, which is
 // authoritative. The other node may merely not have received an endpoint yet, so the copies of all other nodes are then pulled
 // again from the start: the node that sent the endpoint would not send it again until it changes, and the head of a group that
 // had been dropped for that reason was never listed again.
@@ -158,7 +165,7 @@
 			all.add(objects)
 		}
 		f.mu.Lock()
-		f.pulled[p.Incarnation] = pullProgress{sequence, have.routing}
+		f.pulled[p.Incarnation] = pullProgress{sequence, have.routing, have.unreconciled}
 		f.mu.Unlock()
 		if sequence < wanted && sequence > have.sequence {
 			have.sequence = sequence
--- a/internal/follow/pull_test.go
+++ b/internal/follow/pull_test.go
@@ -163,3 +163,21 @@
 	qt.Check(t, f.Full(), qt.IsTrue)
 	qt.Check(t, f.endpointCount(), qt.Equals, 2)
 }
+
+// Guards against a node that loses live endpoints, though its copy is proved to hold them, because a node with an older copy lacks them.
+func TestEndpointThatANodeWithAnOlderCopyLacksIsKept(t *testing.T) {
+	c := &scriptedPeer{sequence: 2, all: mirroredObjects("head", "other")}
+	f := newTestFollower(c)
+	now := time.Now()
+	f.applyBeat(context.Background(), fullRelay("x", 2, now))
+	c.all = mirroredObjects("", "other")[1:]
+	f.applyBeat(context.Background(), fullRelay("older", 2, now.Add(-time.Second)))
+	qt.Check(t, f.endpointCount(), qt.Equals, 2)
+	at, _ := f.CurrentAll()
+	qt.Check(t, at, qt.Equals, now)
+
+	f.applyBeat(context.Background(), fullRelay("older", 2, now.Add(time.Second)))
+	qt.Check(t, f.endpointCount(), qt.Equals, 1, qt.Commentf("its copy is the newer one now"))
+	at, _ = f.CurrentAll()
+	qt.Check(t, at, qt.Equals, now.Add(time.Second))
+}
